Decide membership, routing, admission, loads and one runner's work

Cause: the rest of the decisions of the request path, still without sockets. Found by the random check of pins: an eviction whose answer was lost, carried out after its copy had been evicted again and reloaded, hit the new copy under two running requests. Found by the check of owners: a row renewed unseen was dropped on old sightings; a removal now names the serial it saw.

--- a/internal/adapter/keeper/handle.go
+++ b/internal/adapter/keeper/handle.go
@@ -1,23 +1,36 @@
 package keeper
 
-import "strings"
+import (
+	"strconv"
+	"strings"
+)
 
 // A Handle is the name under which an engine knows one loaded copy of an
-// adapter version. Two incarnations never load under the same handle, so a
-// late eviction from a paused process can name only what it loaded itself.
+// adapter version. No two loads share a handle. An eviction that is carried out
+// late, by a paused process or from a lost connection, can therefore name only
+// the copy that it was meant for, never one that was loaded since.
 type Handle struct {
 	Adapter string // name@version
 	Loader  string // incarnation that ordered the load
+	Serial  uint64 // of the load, by that incarnation
 }
 
-// ParseHandle parses the text form, adapter#loader. A name without a loader,
-// as of a copy that an operator loaded by hand, has an empty Loader.
+// ParseHandle parses the text form, adapter#loader.serial. A name without a
+// loader, as of a copy that an operator loaded by hand, has an empty Loader.
 func ParseHandle(text string) Handle {
-	adapter, loader, _ := strings.Cut(text, "#")
-	return Handle{Adapter: adapter, Loader: loader}
+	adapter, rest, _ := strings.Cut(text, "#")
+	loader, digits, _ := strings.Cut(rest, ".")
+	serial, err := strconv.ParseUint(digits, 10, 64)
+	if err != nil {
+		return Handle{Adapter: adapter, Loader: rest}
+	}
+	return Handle{Adapter: adapter, Loader: loader, Serial: serial}
 }
 
-// String returns the text form, adapter#loader.
+// String returns the text form, adapter#loader.serial.
 func (h Handle) String() string {
-	return h.Adapter + "#" + h.Loader
+	if h.Serial == 0 {
+		return h.Adapter + "#" + h.Loader
+	}
+	return h.Adapter + "#" + h.Loader + "." + strconv.FormatUint(h.Serial, 10)
 }
--- a/internal/adapter/keeper/keeper.go
+++ b/internal/adapter/keeper/keeper.go
@@ -18,6 +18,7 @@
 	engine    string // incarnation of the engine; empty until the first report
 	fence     uint64
 	foreign   map[string]map[string]int // party to handle to pins still held
+	loads     uint64                    // orders so far, the serials of handles
 	owned     bool
 	raised    bool // the engine has confirmed this tenure's fencing number
 	slots     map[string]*Slot
@@ -42,6 +43,16 @@
 	k.raised = false
 }
 
+// Servable reports whether Pin would find a copy of the adapter.
+func (k *Keeper) Servable(adapter string) bool {
+	for _, s := range k.slots {
+		if s.Handle.Adapter == adapter && k.servable(s) {
+			return true
+		}
+	}
+	return false
+}
+
 // A Surrender is what an incarnation answers when a later owner asks it to
 // give a runner up. After it, the incarnation orders nothing on the runner.
 type Surrender struct {
@@ -263,8 +274,13 @@
 // coming reports whether a load of the adapter is under way or its outcome
 // unknown, so that two requests share one load.
 func (k *Keeper) coming(adapter string) bool {
-	s, ok := k.slots[Handle{Adapter: adapter, Loader: k.Self}.String()]
-	return ok && !s.resident()
+	for _, s := range k.slots {
+		state := s.Machine.State
+		if s.Handle.Adapter == adapter && (state == stateLoading || state == stateUnsure) {
+			return true
+		}
+	}
+	return false
 }
 
 // discover enters a copy that a report shows and this keeper did not know.
@@ -327,7 +343,8 @@
 }
 
 func (k *Keeper) load(adapter string, now time.Time) Action {
-	handle := Handle{Adapter: adapter, Loader: k.Self}
+	k.loads++
+	handle := Handle{Adapter: adapter, Loader: k.Self, Serial: k.loads}
 	k.slots[handle.String()] = &Slot{Handle: handle, Machine: Chart.Machine(), changed: now}
 	return Load{Handle: handle, Fence: k.fence}
 }
--- a/internal/adapter/keeper/keeper_test.go
+++ b/internal/adapter/keeper/keeper_test.go
@@ -44,7 +44,7 @@
 	fmt.Printf("%T\n", k.Want("mill-2@1", start))
 	// Output:
 	// keeper.Load
-	// mill-1@1#b true <nil>
+	// mill-1@1#b.1 true <nil>
 	// keeper.Evict
 }
 
@@ -107,7 +107,7 @@
 	if err := k.Finish(evict, keeper.Lost, start.Add(3*time.Second)); err != nil {
 		t.Fatal(err)
 	}
-	report := keeper.Report{Asked: start.Add(4 * time.Second), Engine: "e", Resident: []string{"x@1#b", "y@1#b"}}
+	report := keeper.Report{Asked: start.Add(4 * time.Second), Engine: "e", Resident: []string{"x@1#b.1", "y@1#b.2"}}
 	if _, err := k.Reconcile(report); err != nil {
 		t.Fatal(err)
 	}
@@ -180,7 +180,7 @@
 		t.Fatal(err)
 	}
 	got, ok := k.Surrender()
-	want := keeper.Surrender{Pins: map[string]int{}, Doomed: []string{"x@1#b"}}
+	want := keeper.Surrender{Pins: map[string]int{}, Doomed: []string{"x@1#b.1"}}
 	if diff := cmp.Diff(want, got); !ok || diff != "" {
 		t.Errorf("ok = %v: %s", ok, diff)
 	}
--- /dev/null
+++ b/internal/member/heartbeater/monitor_test.go
@@ -0,0 +1,73 @@
+package heartbeater_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	a     = heartbeater.Instance{ID: "a", Incarnation: "a-1", Domain: "d", Address: "127.0.0.1:1"}
+)
+
+func newMonitor() *heartbeater.Monitor {
+	return &heartbeater.Monitor{Silence: 3 * time.Second, Patience: 10 * time.Second}
+}
+
+func TestHealth(t *testing.T) {
+	leaving := a
+	leaving.Leaving = true
+	for _, tc := range []struct {
+		name  string
+		feed  func(m *heartbeater.Monitor)
+		after time.Duration
+		want  heartbeater.Health
+	}{
+		{"never heard", func(*heartbeater.Monitor) {}, 0, heartbeater.Unknown},
+		{"listed only", func(m *heartbeater.Monitor) { m.List([]heartbeater.Instance{a}, start) }, 0, heartbeater.Unknown},
+		{"heard", func(m *heartbeater.Monitor) { m.Beat(a, start) }, time.Second, heartbeater.Live},
+		{"silent", func(m *heartbeater.Monitor) { m.Beat(a, start) }, 4 * time.Second, heartbeater.Suspect},
+		{"leaving", func(m *heartbeater.Monitor) { m.Beat(leaving, start) }, 0, heartbeater.Leaving},
+		{"list lags behind leaving", func(m *heartbeater.Monitor) {
+			m.Beat(leaving, start)
+			m.List([]heartbeater.Instance{a}, start)
+			m.Beat(a, start)
+		}, 0, heartbeater.Leaving},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m := newMonitor()
+			tc.feed(m)
+			got := m.Health("a-1", start.Add(tc.after))
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// A process that is cut off is silent to its peers, yet it may still send what
+// it had ready. Only the list without it, for long enough, says that it runs no
+// more; a list that never came says nothing.
+func TestGoneNeedsListAndSilence(t *testing.T) {
+	m := newMonitor()
+	m.Beat(a, start)
+	if m.Gone("a-1", start.Add(time.Hour)) {
+		t.Error("gone without a list")
+	}
+	m.List(nil, start.Add(time.Hour))
+	if m.Gone("a-1", start.Add(time.Hour+time.Second)) {
+		t.Error("gone at the first list without it")
+	}
+	m.List(nil, start.Add(time.Hour+11*time.Second))
+	if !m.Gone("a-1", start.Add(time.Hour+11*time.Second)) {
+		t.Error("not gone after list and silence")
+	}
+	m.Beat(a, start.Add(2*time.Hour))
+	if m.Gone("a-1", start.Add(2*time.Hour)) {
+		t.Error("gone although it was heard again")
+	}
+}
--- a/internal/member/leaser/action.go
+++ b/internal/member/leaser/action.go
@@ -16,7 +16,7 @@
 // the proposer's own row to create.
 type Propose struct {
 	Roster Roster
-	Drop   []string // incarnations
+	Drop   []Lease // as last seen; the own row is dropped without a condition
 	Lease  *Lease
 }
 
--- a/internal/member/leaser/holder.go
+++ b/internal/member/leaser/holder.go
@@ -178,8 +178,8 @@
 	}
 	if h.machine.State == stateOutside {
 		_ = h.machine.Fire(eventJoined)
-		h.next = now
 	}
+	h.next = now // tells the others at once what was adopted
 	h.regain()
 }
 
@@ -202,7 +202,7 @@
 	case stateOutside:
 		return []Action{h.join()}
 	case stateLeaving:
-		return []Action{Propose{Roster: h.roster.Without(h.Self.ID), Drop: []string{h.Self.Incarnation}}}
+		return []Action{Propose{Roster: h.roster.Without(h.Self.ID), Drop: []Lease{{Incarnation: h.Self.Incarnation}}}}
 	case stateLeft:
 		return nil
 	}
@@ -229,15 +229,16 @@
 		return Propose{}, false
 	}
 	expired := h.expired(now)
-	var ids, drop []string
+	var ids []string
+	var drop []Lease
 	for _, m := range expired {
 		ids = append(ids, m.ID)
-		drop = append(drop, m.Incarnation)
+		drop = append(drop, Lease{Incarnation: m.Incarnation, Serial: h.seen[m.Incarnation].serial})
 	}
 	next := h.roster.Without(ids...)
 	before := len(next.Departed)
 	next.Departed = slices.DeleteFunc(next.Departed, func(d string) bool {
-		return !slices.Contains(drop, d) && gone(d)
+		return slices.Contains(h.roster.Departed, d) && gone(d)
 	})
 	if len(ids) == 0 && (len(next.Departed) == before || !h.first(expired)) {
 		return Propose{}, false
--- a/internal/member/leaser/holder_test.go
+++ b/internal/member/leaser/holder_test.go
@@ -13,8 +13,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/member/leaser"
 )
 
-// breakAdoption makes the model lie about adopted epochs, which takes the
-// safeguard out; the test of the test sets it.
+// faults are the safeguards that a test of the test takes out.
 type faults struct{ lieAboutAdoption bool }
 
 const leaseTime = 10 * time.Second
@@ -57,9 +56,14 @@
 	if w.roster.Epoch+1 != a.Roster.Epoch {
 		return
 	}
+	for _, d := range a.Drop {
+		if d.Incarnation != h.Self.Incarnation && w.leases[d.Incarnation].Serial != d.Serial {
+			return
+		}
+	}
 	w.roster = a.Roster
-	for _, dropped := range a.Drop {
-		delete(w.leases, dropped)
+	for _, d := range a.Drop {
+		delete(w.leases, d.Incarnation)
 	}
 	if a.Lease != nil {
 		w.leases[a.Lease.Incarnation] = *a.Lease
@@ -169,6 +173,29 @@
 	}
 }
 
+// A member renewed unseen while an observer was paused. The observer wakes and
+// believes the row stood still; its proposal must fail on the row's condition.
+func TestUnseenRenewalIsNotDropped(t *testing.T) {
+	w := newWorld(2, faults{})
+	for range 2 {
+		settle(w, w.holders[0])
+		settle(w, w.holders[1])
+	}
+	renewed, observer := w.holders[0], w.holders[1]
+	w.now = w.now.Add(6 * time.Second)
+	settle(w, renewed)
+	for _, action := range observer.Tick(w.now, func(string) bool { return false }) {
+		w.apply(observer, action, true)
+	}
+	w.now = w.now.Add(6 * time.Second)
+	for _, action := range observer.Tick(w.now, func(string) bool { return false }) {
+		w.apply(observer, action, true)
+	}
+	if _, on := w.roster.Member(renewed.Self.Incarnation); !on {
+		t.Error("a member that renewed was taken off the roster")
+	}
+}
+
 // settle lets one holder tick and read until it holds its lease.
 func settle(w *world, h *leaser.Holder) {
 	for range 3 {
--- /dev/null
+++ b/internal/request/admitter/queue.go
@@ -0,0 +1,130 @@
+package admitter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+)
+
+// An Item is one waiting request.
+type Item struct {
+	ID       string
+	Account  string
+	Adapter  string // name@version
+	Priority int    // higher goes first
+	Arrived  time.Time
+	Deadline time.Time // zero if there is none
+}
+
+// A Queue holds the requests that wait for one runner. Limit and Share are set
+// before use.
+type Queue struct {
+	Limit int     // items that may wait
+	Share float64 // part of Limit that one account may hold once the queue is half full
+
+	items  []Item
+	served map[string]float64 // account to requests served, ageing
+}
+
+// ageing shrinks what an account was served with every further request, so
+// that a burst long ago does not count against it.
+const ageing = 0.98
+
+// Expired removes and returns the items that cannot be answered in time: their
+// deadline is nearer than the least time a run takes.
+func (q *Queue) Expired(now time.Time, run time.Duration) []Item {
+	var expired []Item
+	q.items = slices.DeleteFunc(q.items, func(i Item) bool {
+		late := !i.Deadline.IsZero() && now.Add(run).After(i.Deadline)
+		if late {
+			expired = append(expired, i)
+		}
+		return late
+	})
+	return expired
+}
+
+// Items returns the waiting items in order of arrival. The caller does not
+// change them.
+func (q *Queue) Items() []Item { return q.items }
+
+// Len returns how many items wait.
+func (q *Queue) Len() int { return len(q.items) }
+
+// Next removes and returns the item that goes next among those that ready
+// accepts.
+func (q *Queue) Next(ready func(Item) bool) (Item, bool) {
+	best := -1
+	for i := range q.items {
+		if !ready(q.items[i]) {
+			continue
+		}
+		if best < 0 || q.before(&q.items[i], &q.items[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Item{}, false
+	}
+	item := q.items[best]
+	q.items = slices.Delete(q.items, best, best+1)
+	q.serve(item.Account)
+	return item, true
+}
+
+// Offer enters an item or refuses it with a NotRun error.
+func (q *Queue) Offer(item Item) error {
+	if len(q.items) >= q.Limit {
+		return judge.Refuse(judge.ReasonQueue, "the queue holds %d requests", len(q.items)).After(time.Second)
+	}
+	if 2*len(q.items) >= q.Limit && float64(q.held(item.Account)) >= q.Share*float64(q.Limit) {
+		return judge.Refuse(judge.ReasonShare, "account %s holds its share of the queue", item.Account).After(time.Second)
+	}
+	q.items = append(q.items, item)
+	return nil
+}
+
+// Remove takes out an item whose caller went away. It returns whether the item
+// still waited.
+func (q *Queue) Remove(id string) bool {
+	i := slices.IndexFunc(q.items, func(i Item) bool { return i.ID == id })
+	if i < 0 {
+		return false
+	}
+	q.items = slices.Delete(q.items, i, i+1)
+	return true
+}
+
+func (q *Queue) before(a, b *Item) bool {
+	if a.Account != b.Account {
+		return q.served[a.Account] < q.served[b.Account]
+	}
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	if a.Deadline.Equal(b.Deadline) || a.Deadline.IsZero() {
+		return false
+	}
+	return b.Deadline.IsZero() || a.Deadline.Before(b.Deadline)
+}
+
+func (q *Queue) held(account string) int {
+	held := 0
+	for i := range q.items {
+		if q.items[i].Account == account {
+			held++
+		}
+	}
+	return held
+}
+
+func (q *Queue) serve(account string) {
+	if q.served == nil {
+		q.served = make(map[string]float64)
+	}
+	for a, n := range q.served {
+		q.served[a] = n * ageing
+	}
+	q.served[account]++
+}
--- /dev/null
+++ b/internal/request/router/policy.go
@@ -0,0 +1,55 @@
+package router
+
+import "time"
+
+// A Policy is a way to choose a runner.
+//
+//sumtype:decl
+type Policy interface{ policy() }
+
+// A Cost policy takes the candidate with the least weighted cost.
+type Cost struct {
+	Stall float64 // weight of a second of waiting
+	Batch float64 // weight of a step that runs empty
+}
+
+// A Hash policy takes the runner that the adapter's name ranks first, whatever
+// its load.
+type Hash struct{}
+
+// A Least policy takes the runner with the fewest requests, whatever is
+// resident there.
+type Least struct{}
+
+func (Cost) policy()  {}
+func (Hash) policy()  {}
+func (Least) policy() {}
+
+// A Candidate is a runner as the choosing instance knows it. Load reports lag,
+// so Sent counts what this instance has sent since the last one.
+type Candidate struct {
+	Runner   string
+	Resident bool
+	Loading  bool    // the adapter is on its way into a slot
+	Free     int     // empty slots
+	Batch    int     // requests that the engine runs at once
+	Running  int     // at the last report
+	Waiting  int     // at the last report
+	Sent     int     // by this instance since the last report
+	Ramp     float64 // part of the batch that a cold engine is given, 0 to 1
+}
+
+// A Request is what the choice depends on.
+type Request struct {
+	Adapter string
+	Left    time.Duration // until the deadline; 0 if there is none
+}
+
+// Terms are the parts of a candidate's cost, as explain shows them.
+type Terms struct {
+	Runner string  `json:"runner" yaml:"runner"`
+	Stall  float64 `json:"stall" yaml:"stall"` // seconds
+	Queue  float64 `json:"queue" yaml:"queue"` // seconds
+	Empty  float64 `json:"empty" yaml:"empty"` // part of a step, 0 to 1
+	Total  float64 `json:"total" yaml:"total"`
+}
--- /dev/null
+++ b/internal/request/router/router.go
@@ -0,0 +1,130 @@
+package router
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A Router chooses runners. The fields are set before use; the times are
+// estimates that the instance keeps up to date.
+type Router struct {
+	Policy  Policy
+	Load    time.Duration // expected time of one load, with its wait for the weight store
+	Service time.Duration // expected time that a request runs
+}
+
+const (
+	// evictPenalty is the part of a load that giving up another adapter costs:
+	// it will be loaded again with about this probability soon.
+	evictPenalty = 0.5
+	// loadingPart is the part of a load still to wait for when it has begun.
+	loadingPart = 0.5
+	// preference is the largest cost in seconds that a runner's rank for the
+	// adapter adds. It is small beside any real difference; its use is that
+	// instances with the same view choose the same runner for a cold adapter,
+	// so that it is loaded once.
+	preference = 0.02
+	// urgencyLimit bounds how much a near deadline raises the weight of waiting.
+	urgencyLimit = 4
+)
+
+// Choose returns the candidates' terms, best first. It returns none if there
+// is no candidate.
+func (r *Router) Choose(request Request, candidates []Candidate) []Terms {
+	terms := make([]Terms, 0, len(candidates))
+	for i := range candidates {
+		terms = append(terms, r.terms(request, &candidates[i]))
+	}
+	slices.SortFunc(terms, func(a, b Terms) int {
+		switch {
+		case a.Total < b.Total:
+			return -1
+		case a.Total > b.Total:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return terms
+}
+
+func (r *Router) terms(request Request, c *Candidate) Terms {
+	rank := float64(rank(request.Adapter, c.Runner)) / math.MaxUint64
+	switch p := r.Policy.(type) {
+	case Cost:
+		return r.cost(p, request, c, rank)
+	case Hash:
+		return Terms{Runner: c.Runner, Total: rank}
+	case Least:
+		return Terms{Runner: c.Runner, Total: float64(c.Running+c.Waiting+c.Sent) + rank/2}
+	default:
+		panic("router: unknown policy")
+	}
+}
+
+func (r *Router) cost(p Cost, request Request, c *Candidate, rank float64) Terms {
+	t := Terms{Runner: c.Runner}
+	t.Stall = r.stall(c)
+	t.Queue = r.queue(c)
+	t.Empty = empty(c)
+	waiting := (t.Stall + t.Queue) * r.urgency(request.Left)
+	t.Total = p.Stall*waiting + p.Batch*t.Empty*r.Service.Seconds() + preference*rank
+	return t
+}
+
+// queue estimates the wait for a place in the batch.
+func (r *Router) queue(c *Candidate) float64 {
+	batch := batch(c)
+	ahead := float64(c.Running+c.Waiting+c.Sent+1) - batch
+	if ahead <= 0 {
+		return 0
+	}
+	return ahead / batch * r.Service.Seconds()
+}
+
+// stall estimates the wait for the adapter.
+func (r *Router) stall(c *Candidate) float64 {
+	switch {
+	case c.Resident:
+		return 0
+	case c.Loading:
+		return loadingPart * r.Load.Seconds()
+	case c.Free > 0:
+		return r.Load.Seconds()
+	default:
+		return (1 + evictPenalty) * r.Load.Seconds()
+	}
+}
+
+// urgency is 1 far from the deadline and grows as the time left shrinks
+// towards what a load and a run take.
+func (r *Router) urgency(left time.Duration) float64 {
+	if left <= 0 {
+		return 1
+	}
+	need := (r.Load + r.Service).Seconds()
+	return 1 + min(urgencyLimit, need/left.Seconds())
+}
+
+func batch(c *Candidate) float64 {
+	return max(1, float64(c.Batch)*c.Ramp)
+}
+
+// empty is the part of the engine's step that stays unused with this request
+// on it.
+func empty(c *Candidate) float64 {
+	fill := float64(c.Running+c.Waiting+c.Sent+1) / batch(c)
+	return max(0, 1-fill)
+}
+
+func rank(adapter, runner string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(adapter)
+	_, _ = d.WriteString("|")
+	_, _ = d.WriteString(runner)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/request/router/router_test.go
@@ -0,0 +1,103 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/router"
+)
+
+var (
+	association = router.Cost{Stall: 1, Batch: 0.1}
+	tsh         = router.Cost{Stall: 0.3, Batch: 1}
+)
+
+func newRouter(p router.Policy) *router.Router {
+	return &router.Router{Policy: p, Load: time.Second, Service: 500 * time.Millisecond}
+}
+
+func ExampleRouter_Choose() {
+	r := newRouter(router.Cost{Stall: 1})
+	terms := r.Choose(router.Request{Adapter: "mill-1@1"}, []router.Candidate{
+		{Runner: "r1", Batch: 8, Ramp: 1, Free: 1},
+		{Runner: "r2", Batch: 8, Ramp: 1, Resident: true, Running: 3},
+	})
+	fmt.Println(terms[0].Runner, terms[0].Stall, terms[1].Stall)
+	// Output: r2 0 1
+}
+
+func TestChoose(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		policy     router.Policy
+		left       time.Duration
+		candidates []router.Candidate
+		want       string
+	}{
+		{
+			"resident before idle", association, 0,
+			[]router.Candidate{{Runner: "idle", Batch: 8, Ramp: 1, Free: 4}, {Runner: "busy", Batch: 8, Ramp: 1, Resident: true, Running: 7}},
+			"busy",
+		},
+		{
+			"second copy when the first is drowned", association, 0,
+			[]router.Candidate{{Runner: "idle", Batch: 8, Ramp: 1, Free: 4}, {Runner: "drowned", Batch: 8, Ramp: 1, Resident: true, Running: 8, Waiting: 40}},
+			"idle",
+		},
+		{
+			"spread for stall", association, 0,
+			[]router.Candidate{{Runner: "full", Batch: 8, Ramp: 1, Resident: true, Running: 8}, {Runner: "empty", Batch: 8, Ramp: 1, Resident: true}},
+			"empty",
+		},
+		{
+			"gather for batch", tsh, 0,
+			[]router.Candidate{{Runner: "half", Batch: 8, Ramp: 1, Resident: true, Running: 5}, {Runner: "empty", Batch: 8, Ramp: 1, Resident: true}},
+			"half",
+		},
+		{
+			"free slot before eviction", association, 0,
+			[]router.Candidate{{Runner: "full", Batch: 8, Ramp: 1}, {Runner: "free", Batch: 8, Ramp: 1, Free: 1}},
+			"free",
+		},
+		{
+			"own sends count before the report", association, 0,
+			[]router.Candidate{{Runner: "sent", Batch: 8, Ramp: 1, Resident: true, Sent: 12}, {Runner: "other", Batch: 8, Ramp: 1, Resident: true, Running: 8}},
+			"other",
+		},
+		{
+			"cold engine takes little", association, 0,
+			[]router.Candidate{{Runner: "cold", Batch: 8, Ramp: 0.1, Resident: true, Running: 3}, {Runner: "warm", Batch: 8, Ramp: 1, Resident: true, Running: 8}},
+			"warm",
+		},
+		{
+			"least", router.Least{}, 0,
+			[]router.Candidate{{Runner: "resident", Resident: true, Running: 2}, {Runner: "least", Running: 1}},
+			"least",
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			terms := newRouter(tc.policy).Choose(router.Request{Adapter: "x@1", Left: tc.left}, tc.candidates)
+			if terms[0].Runner != tc.want {
+				t.Errorf("chose %s, want %s: %+v", terms[0].Runner, tc.want, terms)
+			}
+		})
+	}
+}
+
+// The slope of one decision over the runners of a failure domain.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{75, 150, 300} {
+		b.Run(fmt.Sprintf("runners=%d", n), func(b *testing.B) {
+			candidates := make([]router.Candidate, n)
+			for i := range candidates {
+				candidates[i] = router.Candidate{Runner: fmt.Sprintf("runner-%d", i), Batch: 16, Ramp: 1, Running: i % 16}
+			}
+			r := newRouter(association)
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Choose(router.Request{Adapter: "mill-1@1", Left: time.Second}, candidates)
+			}
+		})
+	}
+}
