Parse, resolve, publish and watch settings; reach the platform

Cause: a configuration once accepted must never revert, whoever is paused, cut off or late. One conditional write on the head accepts a revision; instances take only a higher one. Checked over random orders of edits by two operators, lost answers and late heads. A change of one file costs an instance one fetch. The requester dials, writes and reads once for each request, because a pool hides whether a byte was sent, which is what not_run hangs on.

--- /dev/null
+++ b/internal/platform/storer/store.go
@@ -0,0 +1,116 @@
+// Package storer reaches the platform's object store. Objects are written once
+// under a name derived from their content, so that a write repeated after a
+// lost answer changes nothing.
+package storer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/wire/requester"
+)
+
+// A Store is the object store. Client is the real one, Memory a complete one
+// in this process, and Dry one that only pretends to write.
+type Store interface {
+	// Get returns an object, or ErrAbsent.
+	Get(ctx context.Context, key string) ([]byte, error)
+	// Put writes an object. A failed Put may have taken effect.
+	Put(ctx context.Context, key string, data []byte) error
+}
+
+// ErrAbsent is returned for an object that does not exist.
+var ErrAbsent = errors.New("no such object")
+
+// PathObject is the path under which the object store keeps objects.
+const PathObject = "/object/"
+
+// A Client reaches the object store over HTTP. Its fields are set before use.
+type Client struct {
+	Address string        // host:port
+	Timeout time.Duration // for one call
+}
+
+var _ Store = (*Client)(nil)
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) ([]byte, error) {
+	status, body, err := c.call(ctx, fasthttp.MethodGet, key, nil)
+	if err == nil && status == fasthttp.StatusNotFound {
+		return nil, ErrAbsent
+	}
+	return body, err
+}
+
+// Put implements Store.
+func (c *Client) Put(ctx context.Context, key string, data []byte) error {
+	_, _, err := c.call(ctx, fasthttp.MethodPut, key, data)
+	return err
+}
+
+func (c *Client) call(ctx context.Context, method, key string, data []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + c.Address + PathObject + key)
+	request.SetBody(data)
+	var r requester.Requester
+	status, body, seen := r.Whole(ctx, c.Address, request)
+	if seen != nil {
+		return 0, nil, judge.Judge(seen)
+	}
+	if status >= fasthttp.StatusInternalServerError {
+		return status, nil, fmt.Errorf("object store: status %d", status)
+	}
+	return status, body, nil
+}
+
+// A Dry store reads from another Store and writes nothing.
+type Dry struct{ Store Store }
+
+var _ Store = (*Dry)(nil)
+
+// Get implements Store.
+func (d *Dry) Get(ctx context.Context, key string) ([]byte, error) { return d.Store.Get(ctx, key) }
+
+// Put implements Store.
+func (d *Dry) Put(context.Context, string, []byte) error { return nil }
+
+// A Memory is a Store in this process. Its zero value is ready; it is safe for
+// concurrent use.
+type Memory struct {
+	mu      sync.Mutex
+	objects map[string][]byte
+}
+
+var _ Store = (*Memory)(nil)
+
+// Get implements Store.
+func (m *Memory) Get(_ context.Context, key string) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	data, ok := m.objects[key]
+	if !ok {
+		return nil, ErrAbsent
+	}
+	return data, nil
+}
+
+// Put implements Store.
+func (m *Memory) Put(_ context.Context, key string, data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects == nil {
+		m.objects = make(map[string][]byte)
+	}
+	m.objects[key] = append([]byte(nil), data...)
+	return nil
+}
--- /dev/null
+++ b/internal/setting/parser/line.go
@@ -0,0 +1,25 @@
+package parser
+
+import (
+	"bytes"
+	"errors"
+
+	"github.com/goccy/go-yaml"
+)
+
+func asYAML(err error, into *yaml.Error) bool {
+	return errors.As(err, into)
+}
+
+// line returns the line of a YAML path, or 0 if the file does not have it.
+func line(data []byte, path string) int {
+	p, err := yaml.PathString(path)
+	if err != nil {
+		return 0
+	}
+	node, err := p.ReadNode(bytes.NewReader(data))
+	if err != nil || node == nil {
+		return 0
+	}
+	return node.GetToken().Position.Line
+}
--- /dev/null
+++ b/internal/setting/parser/parse.go
@@ -0,0 +1,133 @@
+package parser
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+)
+
+// The kinds of file.
+const (
+	kindAccount = "account"
+	kindRoot    = "root"
+	kindService = "service"
+)
+
+// A Fault is one thing wrong with a file of settings.
+type Fault struct {
+	File    string
+	Line    int // 0 if it concerns the whole file
+	Field   string
+	Message string // what is wrong and how to mend it
+}
+
+// String returns file:line: field: message.
+func (f Fault) String() string {
+	place := f.File
+	if f.Line > 0 {
+		place = fmt.Sprintf("%s:%d", f.File, f.Line)
+	}
+	if f.Field == "" {
+		return fmt.Sprintf("%s: %s", place, f.Message)
+	}
+	return fmt.Sprintf("%s: %s: %s", place, f.Field, f.Message)
+}
+
+// An InvalidError is a tree that was refused, with all its faults.
+type InvalidError struct{ Faults []Fault }
+
+// Error implements error with one line for each fault.
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Parse reads and checks a tree from the contents of its files by name. It
+// returns an *InvalidError if anything is wrong.
+func Parse(files map[string][]byte) (*Tree, error) {
+	p := &parse{files: files, tree: &Tree{}, sources: make(map[string]string)}
+	for _, name := range slices.Sorted(maps.Keys(files)) {
+		p.file(name)
+	}
+	p.check()
+	if len(p.faults) > 0 {
+		return nil, &InvalidError{Faults: p.faults}
+	}
+	return p.tree, nil
+}
+
+// A parse is one run over the files of a tree.
+type parse struct {
+	faults  []Fault
+	files   map[string][]byte
+	sources map[string]string // kind/name to file
+	tree    *Tree
+}
+
+// fault records a fault at a YAML path of a file, such as $.upstreams[0].slots.
+func (p *parse) fault(file, path, format string, args ...any) {
+	f := Fault{File: file, Field: strings.TrimPrefix(path, "$."), Message: fmt.Sprintf(format, args...)}
+	f.Line = line(p.files[file], path)
+	p.faults = append(p.faults, f)
+}
+
+func (p *parse) file(name string) {
+	var head struct {
+		Kind string `yaml:"kind"`
+		Name string `yaml:"name"`
+	}
+	data := p.files[name]
+	if err := yaml.Unmarshal(data, &head); err != nil {
+		p.syntax(name, err)
+		return
+	}
+	if other, taken := p.sources[head.Kind+"/"+head.Name]; taken {
+		p.fault(name, "$.name", "%s %q is declared in %s already; keep one of them", head.Kind, head.Name, other)
+		return
+	}
+	p.sources[head.Kind+"/"+head.Name] = name
+	switch head.Kind {
+	case kindAccount:
+		var a Account
+		if p.decode(name, &a) {
+			p.tree.Accounts = append(p.tree.Accounts, a)
+		}
+	case kindRoot:
+		p.decode(name, &p.tree.Root)
+	case kindService:
+		var s Service
+		if p.decode(name, &s) {
+			p.tree.Services = append(p.tree.Services, s)
+		}
+	default:
+		p.fault(name, "$.kind", "kind is %q; write root, service or account", head.Kind)
+	}
+}
+
+func (p *parse) decode(name string, into any) bool {
+	err := yaml.UnmarshalWithOptions(p.files[name], into, yaml.Strict())
+	if err != nil {
+		p.syntax(name, err)
+	}
+	return err == nil
+}
+
+// syntax records an error of the YAML library, which knows line and field.
+func (p *parse) syntax(name string, err error) {
+	f := Fault{File: name, Message: yaml.FormatError(err, false, false)}
+	var known yaml.Error
+	if asYAML(err, &known) {
+		f.Message = known.GetMessage() + "; see docs/SETTINGS.md for the fields"
+		if token := known.GetToken(); token != nil {
+			f.Line = token.Position.Line
+			f.Field = token.Value
+		}
+	}
+	p.faults = append(p.faults, f)
+}
--- /dev/null
+++ b/internal/setting/resolver/resolver.go
@@ -0,0 +1,193 @@
+package resolver
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/sardinetiller/sardinetiller/internal/setting/parser"
+)
+
+// A Resolver answers questions about one tree. It never changes after New and
+// is safe for concurrent use. It keeps nothing per adapter: a group of any size
+// costs one entry.
+type Resolver struct {
+	accounts map[string]*parser.Account
+	groups   map[string]owned
+	keys     map[string]Caller
+	services map[string]*parser.Service
+	tree     *parser.Tree
+}
+
+// A Caller is who sent a request.
+type Caller struct {
+	Account string
+	Desk    string
+}
+
+// An Adapter is a declared adapter version.
+type Adapter struct {
+	Name    string // name@version
+	Account string
+	Base    string
+	Service string
+}
+
+type owned struct {
+	account string
+	group   parser.Group
+}
+
+// New indexes a tree.
+func New(tree *parser.Tree) *Resolver {
+	r := &Resolver{
+		accounts: make(map[string]*parser.Account),
+		groups:   make(map[string]owned),
+		keys:     make(map[string]Caller),
+		services: make(map[string]*parser.Service),
+		tree:     tree,
+	}
+	for i := range tree.Accounts {
+		r.index(&tree.Accounts[i])
+	}
+	for i := range tree.Services {
+		r.services[tree.Services[i].Name] = &tree.Services[i]
+	}
+	return r
+}
+
+// Adapter finds a declared adapter by name@version.
+func (r *Resolver) Adapter(model string) (Adapter, bool) {
+	name, version, found := strings.Cut(model, "@")
+	number, err := strconv.Atoi(version)
+	if !found || err != nil || strconv.Itoa(number) != version {
+		return Adapter{}, false
+	}
+	o, ok := r.group(name)
+	if !ok || !slices.Contains(o.group.Versions, number) {
+		return Adapter{}, false
+	}
+	return Adapter{Name: model, Account: o.account, Base: o.group.Base, Service: o.group.Service}, true
+}
+
+// Adapters calls yield for each adapter version of an account, in order, until
+// it returns false.
+func (r *Resolver) Adapters(account string, yield func(string) bool) {
+	a, ok := r.accounts[account]
+	if !ok {
+		return
+	}
+	for _, g := range a.Adapters {
+		for i := range max(1, g.Count) {
+			for _, v := range g.Versions {
+				if !yield(adapterName(g, i) + "@" + strconv.Itoa(v)) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Caller returns whose key it is.
+func (r *Resolver) Caller(key string) (Caller, bool) {
+	sum := sha256.Sum256([]byte(key))
+	c, ok := r.keys[hex.EncodeToString(sum[:])]
+	return c, ok
+}
+
+// Explain returns each value for a place in the tree and the level that set it.
+func (r *Resolver) Explain(account, service, domain, desk string) []Origin {
+	_, origins := merge(r.levels(account, service, domain, desk))
+	return origins
+}
+
+// Service returns a service by name.
+func (r *Resolver) Service(name string) (*parser.Service, bool) {
+	s, ok := r.services[name]
+	return s, ok
+}
+
+// Services returns all services.
+func (r *Resolver) Services() []parser.Service { return r.tree.Services }
+
+// Values returns what holds for a place in the tree.
+func (r *Resolver) Values(account, service, domain, desk string) Effective {
+	effective, _ := merge(r.levels(account, service, domain, desk))
+	return effective
+}
+
+// Weights returns the limits of the weight store.
+func (r *Resolver) Weights() parser.Weights { return r.tree.Root.Weights }
+
+// group finds the group of an adapter name: the name itself, or a numbered
+// member.
+func (r *Resolver) group(name string) (owned, bool) {
+	if o, ok := r.groups[name]; ok && o.group.Count == 0 {
+		return o, true
+	}
+	i := strings.LastIndexByte(name, '-')
+	if i < 0 {
+		return owned{}, false
+	}
+	number, err := strconv.Atoi(name[i+1:])
+	o, ok := r.groups[name[:i]]
+	if err != nil || !ok || number < 0 || number >= o.group.Count || strconv.Itoa(number) != name[i+1:] {
+		return owned{}, false
+	}
+	return o, true
+}
+
+func (r *Resolver) index(a *parser.Account) {
+	r.accounts[a.Name] = a
+	for _, k := range a.Keys {
+		r.keys[k.Hash] = Caller{Account: a.Name, Desk: k.Desk}
+	}
+	for _, g := range a.Adapters {
+		r.groups[g.Name] = owned{account: a.Name, group: g}
+	}
+}
+
+// levels returns the levels that hold for a place, the outermost first.
+func (r *Resolver) levels(account, service, domain, desk string) []level {
+	levels := []level{{"root", r.tree.Root.Values}}
+	if s, ok := r.services[service]; ok {
+		levels = append(levels, level{"service " + service, s.Values})
+	}
+	a, ok := r.accounts[account]
+	if !ok {
+		return levels
+	}
+	levels = append(levels, level{"account " + account, a.Values})
+	for _, u := range a.Services {
+		if u.Name == service {
+			levels = append(levels, level{"account " + account + " service " + service, u.Values})
+			levels = append(levels, within(u, domain, desk)...)
+		}
+	}
+	return levels
+}
+
+func adapterName(g parser.Group, i int) string {
+	if g.Count == 0 {
+		return g.Name
+	}
+	return g.Name + "-" + strconv.Itoa(i)
+}
+
+func within(u parser.Use, domain, desk string) []level {
+	var levels []level
+	for _, d := range u.Domains {
+		if d.Name != domain {
+			continue
+		}
+		levels = append(levels, level{"domain " + domain, d.Values})
+		for _, k := range d.Desks {
+			if k.Name == desk {
+				levels = append(levels, level{"desk " + desk, k.Values})
+			}
+		}
+	}
+	return levels
+}
--- /dev/null
+++ b/internal/setting/watcher/watcher_test.go
@@ -0,0 +1,203 @@
+package watcher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/sardinetiller/sardinetiller/internal/check/seeder"
+	"github.com/sardinetiller/sardinetiller/internal/platform/storer"
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/setting/parser"
+	"github.com/sardinetiller/sardinetiller/internal/setting/publisher"
+	"github.com/sardinetiller/sardinetiller/internal/setting/watcher"
+)
+
+func TestMain(m *testing.M) { seeder.Main(m) }
+
+// A lossyTable loses the answer of every commit that lose accepts, after it
+// took effect.
+type lossyTable struct {
+	tabler.Memory
+	lose func() bool
+}
+
+func (l *lossyTable) Commit(ctx context.Context, txn tabler.Txn) error {
+	err := l.Memory.Commit(ctx, txn)
+	if err == nil && l.lose() {
+		return &tabler.UnknownError{Err: errors.New("answer lost")}
+	}
+	return err
+}
+
+// A countingStore counts what is read.
+type countingStore struct {
+	storer.Memory
+	gets []string
+}
+
+func (c *countingStore) Get(ctx context.Context, key string) ([]byte, error) {
+	c.gets = append(c.gets, key)
+	return c.Memory.Get(ctx, key)
+}
+
+type bench struct {
+	publisher *publisher.Publisher
+	store     *countingStore
+	table     *lossyTable
+}
+
+func newBench() *bench {
+	b := &bench{store: &countingStore{}, table: &lossyTable{lose: func() bool { return false }}}
+	tokens := 0
+	b.publisher = &publisher.Publisher{Store: b.store, Table: b.table, Token: func() string {
+		tokens++
+		return fmt.Sprint("token-", tokens)
+	}}
+	return b
+}
+
+// tree is a valid tree whose files differ with the seconds.
+func tree(seconds ...int) map[string][]byte {
+	files := map[string][]byte{"root.yaml": []byte("kind: root\n")}
+	for i, s := range seconds {
+		name := fmt.Sprintf("account-%d", i)
+		files[name+".yaml"] = fmt.Appendf(nil, "kind: account\nname: %s\nvalues: {deadline: %ds}\n", name, s)
+	}
+	return files
+}
+
+func (b *bench) apply(t testing.TB, base uint64, seconds ...int) {
+	t.Helper()
+	if _, err := b.publisher.Apply(t.Context(), publisher.Edit{Files: tree(seconds...), Base: base}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (b *bench) head(t testing.TB) publisher.Head {
+	t.Helper()
+	head, _, err := b.publisher.Head(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return head
+}
+
+func TestRacingEditGetsConflict(t *testing.T) {
+	b := newBench()
+	b.apply(t, 0, 1, 1)
+	b.apply(t, 1, 2, 1)
+	_, err := b.publisher.Apply(t.Context(), publisher.Edit{Files: tree(1, 2), Base: 1})
+	var conflict *publisher.ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("Apply = %v, want *ConflictError", err)
+	}
+	if len(conflict.Theirs) != 1 || conflict.Theirs[0].File != "account-0.yaml" {
+		t.Errorf("conflict shows %+v, want account-0.yaml", conflict.Theirs)
+	}
+}
+
+// The table takes the revision and its answer is lost. Reading back the own
+// token shows that it is in force: the operator is told so and not "conflict".
+func TestLostAnswerIsSettledByReadingBack(t *testing.T) {
+	b := newBench()
+	b.table.lose = func() bool { return true }
+	revision, err := b.publisher.Apply(t.Context(), publisher.Edit{Files: tree(1)})
+	if err != nil || revision != 1 {
+		t.Errorf("Apply = %d, %v, want 1", revision, err)
+	}
+}
+
+func TestInvalidTreeIsRefusedBeforeAcceptance(t *testing.T) {
+	b := newBench()
+	_, err := b.publisher.Apply(t.Context(), publisher.Edit{Files: map[string][]byte{"x.yaml": []byte("kind: x\n")}})
+	var invalid *parser.InvalidError
+	if !errors.As(err, &invalid) || b.head(t).Revision != 0 {
+		t.Errorf("Apply = %v at revision %d", err, b.head(t).Revision)
+	}
+}
+
+func TestOneChangeFetchesOneFile(t *testing.T) {
+	b := newBench()
+	b.apply(t, 0, 1, 1, 1, 1, 1, 1, 1, 1)
+	w := &watcher.Watcher{Store: b.store}
+	if _, err := w.Offer(t.Context(), b.head(t)); err != nil {
+		t.Fatal(err)
+	}
+	b.apply(t, 1, 1, 1, 1, 9, 1, 1, 1, 1)
+	b.store.gets = nil
+	if _, err := w.Offer(t.Context(), b.head(t)); err != nil {
+		t.Fatal(err)
+	}
+	files := slices.DeleteFunc(b.store.gets, func(key string) bool { return !strings.HasPrefix(key, "setting/file/") })
+	if len(b.store.gets) != 1 || len(files) != 1 {
+		t.Errorf("fetched %v, want one file", b.store.gets)
+	}
+}
+
+// Two operators edit at random, answers are lost, and instances hear of heads
+// in any order, old ones again and again. Every accepted revision is seen by
+// the operator as accepted; no instance ever goes back; in the end all have the
+// last one, with exactly its content.
+func TestSettingsNeverRevert(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench()
+		b.table.lose = func() bool { return rapid.Bool().Draw(t, "lose") }
+		heads := []publisher.Head{{}}
+		watchers := []*watcher.Watcher{{Store: b.store}, {Store: b.store}, {Store: b.store}}
+		accepted := uint64(0)
+		for range rapid.IntRange(5, 40).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "edit") {
+				base := heads[rapid.IntRange(max(0, len(heads)-2), len(heads)-1).Draw(t, "base")].Revision
+				files := tree(rapid.IntRange(1, 9).Draw(t, "x"), rapid.IntRange(1, 9).Draw(t, "y"))
+				revision, err := b.publisher.Apply(context.Background(), publisher.Edit{Files: files, Base: base})
+				accepted = checkAccepted(t, err, base, revision, accepted)
+				head, _, _ := b.publisher.Head(context.Background())
+				heads = append(heads, head)
+			}
+			w := rapid.SampledFrom(watchers).Draw(t, "watcher")
+			offer(t, w, rapid.SampledFrom(heads).Draw(t, "head"))
+		}
+		for _, w := range watchers {
+			offer(t, w, heads[len(heads)-1])
+			if w.Revision() != accepted {
+				t.Fatalf("revision %d is in force, want %d", w.Revision(), accepted)
+			}
+		}
+	})
+}
+
+func checkAccepted(t *rapid.T, err error, base, revision, accepted uint64) uint64 {
+	if err != nil {
+		if base == accepted {
+			t.Fatalf("edit on the revision in force was refused: %v", err)
+		}
+		return accepted
+	}
+	if base != accepted || revision != accepted+1 {
+		t.Fatalf("edit on %d gave %d after %d", base, revision, accepted)
+	}
+	return revision
+}
+
+func offer(t *rapid.T, w *watcher.Watcher, head publisher.Head) {
+	before := w.Revision()
+	if _, err := w.Offer(context.Background(), head); err != nil {
+		t.Fatal(err)
+	}
+	if w.Revision() < before || w.Revision() < head.Revision {
+		t.Fatalf("went from %d to %d on head %d", before, w.Revision(), head.Revision)
+	}
+	if f := w.Force(); f != nil {
+		want, _ := w.Object("setting/manifest/" + f.Head.Manifest)
+		if diff := cmp.Diff(f.Head.Manifest, publisher.Digest(want)); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/requester/requester.go
@@ -0,0 +1,153 @@
+// Package requester sends one HTTP request on a connection of its own and
+// reports exactly how far it got.
+//
+// The verdict on a failed request hangs on whether a byte of it was sent. A
+// pool hides that: it retries by itself and reuses connections that the other
+// side may be closing. Here every request dials, writes and reads once, and the
+// connection ends with it, which is also how a request is cancelled.
+package requester
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
+)
+
+// A Requester sends requests. Its fields are set before use; the zero value
+// works.
+type Requester struct {
+	Dial  time.Duration // bound on connecting; 0 is dialTimeout
+	Limit int           // largest body read whole, in bytes; 0 is bodyLimit
+}
+
+const (
+	bodyLimit   = 8 << 20
+	dialTimeout = 2 * time.Second
+	bufferSize  = 4096
+)
+
+// An Answer is the head of a response and its body, which may be a stream.
+type Answer struct {
+	Status int
+	Header *fasthttp.ResponseHeader
+	Body   io.Reader
+
+	close   func()
+	written func() int
+}
+
+// Broken returns the observation of a body that could not be read to its end.
+func (a *Answer) Broken(err error) judge.Observation {
+	return judge.Broken{Written: a.written(), Head: true, Err: err}
+}
+
+// Close ends the connection. It may be called more than once.
+func (a *Answer) Close() { a.close() }
+
+// Do sends a request to a host:port. The connection ends with ctx. If there is
+// no answer, the observation tells how far the request got.
+func (r *Requester) Do(ctx context.Context, address string, request *fasthttp.Request) (*Answer, judge.Observation) {
+	dialer := net.Dialer{Timeout: r.dialTimeout()}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, judge.Dialed{Err: err}
+	}
+	counted := &countedConn{Conn: conn}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	closeAll := func() {
+		stop()
+		_ = conn.Close()
+	}
+	answer, err := exchange(counted, request)
+	if err != nil {
+		closeAll()
+		return nil, judge.Broken{Written: counted.count(), Err: err}
+	}
+	answer.close = closeAll
+	answer.written = counted.count
+	return answer, nil
+}
+
+// Post sends a value as CBOR to a path and reads the whole answer, all within
+// the timeout.
+func (r *Requester) Post(ctx context.Context, timeout time.Duration, address, path string, value any) (int, []byte, judge.Observation) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	data, err := encoder.Marshal(value)
+	if err != nil {
+		return 0, nil, judge.Dialed{Err: err}
+	}
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + address + path)
+	request.SetBody(data)
+	return r.Whole(ctx, address, request)
+}
+
+// Whole sends a request and reads the whole body.
+func (r *Requester) Whole(ctx context.Context, address string, request *fasthttp.Request) (int, []byte, judge.Observation) {
+	answer, seen := r.Do(ctx, address, request)
+	if seen != nil {
+		return 0, nil, seen
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, int64(r.bodyLimit())))
+	if err != nil {
+		return 0, nil, answer.Broken(err)
+	}
+	return answer.Status, body, nil
+}
+
+func (r *Requester) bodyLimit() int {
+	if r.Limit > 0 {
+		return r.Limit
+	}
+	return bodyLimit
+}
+
+func (r *Requester) dialTimeout() time.Duration {
+	if r.Dial > 0 {
+		return r.Dial
+	}
+	return dialTimeout
+}
+
+// exchange writes the request and reads the head of the response.
+func exchange(conn net.Conn, request *fasthttp.Request) (*Answer, error) {
+	writer := bufio.NewWriterSize(conn, bufferSize)
+	if err := request.Write(writer); err != nil {
+		return nil, err
+	}
+	if err := writer.Flush(); err != nil {
+		return nil, err
+	}
+	response := &fasthttp.Response{StreamBody: true}
+	if err := response.ReadLimitBody(bufio.NewReaderSize(conn, bufferSize), 0); err != nil {
+		return nil, err
+	}
+	return &Answer{Status: response.StatusCode(), Header: &response.Header, Body: response.BodyStream()}, nil
+}
+
+// A countedConn counts the bytes that the kernel took.
+type countedConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) count() int { return int(c.written.Load()) }
