--- a/internal/adapter/keeper/keeper.go
+++ b/internal/adapter/keeper/keeper.go
@@ -53,6 +53,18 @@
 	return false
 }
 
+// Since returns when a copy of the adapter became resident, as far as an order
+// of this keeper brought it in; else the zero time.
+func (k *Keeper) Since(adapter string) time.Time {
+	var since time.Time
+	for _, s := range k.slots {
+		if s.Handle.Adapter == adapter && s.resident() && (since.IsZero() || s.changed.Before(since)) {
+			since = s.changed
+		}
+	}
+	return since
+}
+
 // A Surrender is what an incarnation answers when a later owner asks it to
 // give a runner up. After it, the incarnation orders nothing on the runner.
 type Surrender struct {
@@ -80,6 +92,23 @@
 	return len(k.uncleared) == 0 && len(k.foreign) == 0
 }
 
+// Coming returns the adapters that are being loaded, sorted.
+func (k *Keeper) Coming() []string {
+	var adapters []string
+	for _, s := range k.slots {
+		if s.Machine.State == stateLoading {
+			adapters = append(adapters, s.Handle.Adapter)
+		}
+	}
+	slices.Sort(adapters)
+	return adapters
+}
+
+// Free returns how many slots are empty.
+func (k *Keeper) Free() int {
+	return max(0, k.Capacity-len(k.slots))
+}
+
 // Fence returns the fencing number of the tenure.
 func (k *Keeper) Fence() uint64 { return k.fence }
 
@@ -148,6 +177,15 @@
 	}
 }
 
+// Raised reports whether the engine has confirmed the fencing number.
+func (k *Keeper) Raised() bool { return k.raised }
+
+// Ready reports whether the tenure has begun in full: it is known then which
+// copies can be served.
+func (k *Keeper) Ready() bool {
+	return k.owned && (!k.Fencing || k.raised)
+}
+
 // Reconcile takes a report in. It returns whether the engine has restarted.
 // A report says nothing about a slot whose last order ended after the report
 // was asked for.
--- /dev/null
+++ b/internal/member/relayer/mesh.go
@@ -0,0 +1,278 @@
+package relayer
+
+import (
+	"context"
+	"crypto/subtle"
+	"crypto/tls"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+)
+
+// Path is where an instance takes links.
+const Path = "/peer"
+
+// A Handler answers what peers ask.
+type Handler interface {
+	// Answer answers a message that opens a conversation. What it returns ends
+	// the answer.
+	Answer(ctx context.Context, from heartbeater.Instance, m Message, reply *Reply) error
+	// Heard takes in a heartbeat.
+	Heard(from heartbeater.Instance, beat Beat)
+}
+
+// A Mesh holds the links of one instance. Its fields are set before use.
+type Mesh struct {
+	Handler Handler
+	Secret  func() string               // shared by all instances; may change
+	Self    func() heartbeater.Instance // this instance as it is now
+	TLS     *tls.Config                 // for links that are dialled; nil for none
+
+	bytes atomic.Int64 // sent
+	gaps  atomic.Int64
+	stale atomic.Int64
+
+	mu    sync.Mutex
+	links map[string]*dialled // by address
+	next  uint64
+}
+
+// A dialled link and the conversations open on it.
+type dialled struct {
+	*link
+	conversations map[uint64]*Conversation
+}
+
+// dialTimeout bounds how long a link takes to be made.
+const dialTimeout = time.Second
+
+// Bytes returns how many bytes of frames were sent.
+func (m *Mesh) Bytes() int64 { return m.bytes.Load() }
+
+// Dropped returns how many messages of answers came late or twice, and how many
+// answers had a gap.
+func (m *Mesh) Dropped() (stale, gaps int64) { return m.stale.Load(), m.gaps.Load() }
+
+// Cut ends the link to an address. It is called when the peer falls silent: the
+// network may keep a dead connection open for a long time, and whoever waits on
+// it would wait as long.
+func (m *Mesh) Cut(address string) {
+	m.mu.Lock()
+	l, ok := m.links[address]
+	m.mu.Unlock()
+	if ok {
+		m.lost(address, l)
+	}
+}
+
+// Open begins a conversation. If it returns an error the peer has not seen the
+// message.
+func (m *Mesh) Open(ctx context.Context, address string, message Message) (*Conversation, error) {
+	l, err := m.dial(ctx, address)
+	if err != nil {
+		return nil, judge.Refuse(judge.ReasonPeer, "link to %s: %v", address, err)
+	}
+	m.mu.Lock()
+	m.next++
+	c := &Conversation{id: m.next, link: l.link, mesh: m, parts: make(chan Message, window+1), gone: make(chan struct{})}
+	l.conversations[c.id] = c
+	m.mu.Unlock()
+	if err := l.send(c.id, 0, message); err != nil {
+		m.drop(c)
+		return nil, judge.Refuse(judge.ReasonPeer, "link to %s: %v", address, err)
+	}
+	return c, nil
+}
+
+// Serve takes a link from a peer that knows the secret.
+func (m *Mesh) Serve(c *fasthttp.RequestCtx) {
+	given := string(c.Request.Header.Peek(fasthttp.HeaderAuthorization))
+	if subtle.ConstantTimeCompare([]byte(given), []byte(bearer(m.Secret()))) != 1 {
+		c.Error("wrong secret", fasthttp.StatusUnauthorized)
+		return
+	}
+	upgrader := websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }}
+	_ = upgrader.Upgrade(c, m.accept) // the library has answered the client
+}
+
+// Tell sends a message that wants no answer. It dials if there is no link.
+func (m *Mesh) Tell(ctx context.Context, address string, message Message) error {
+	l, err := m.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return l.send(0, 0, message)
+}
+
+// Linked reports whether there is a link to the address now, and an identity of
+// it that changes when it is made anew.
+func (m *Mesh) Linked(address string) (any, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l, ok := m.links[address]
+	return l, ok
+}
+
+// accept serves a link that a peer dialled.
+func (m *Mesh) accept(conn *websocket.Conn) {
+	l := newLink(conn, &m.bytes)
+	defer l.shut()
+	l.expect()
+	_, first, err := l.read()
+	hello, ok := first.(Hello)
+	if err != nil || !ok {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := &served{mesh: m, link: l, from: hello.Instance, replies: make(map[uint64]*Reply)}
+	for {
+		l.expect()
+		f, message, err := l.read()
+		if err != nil {
+			return
+		}
+		s.handle(ctx, f, message)
+	}
+}
+
+func (m *Mesh) dial(ctx context.Context, address string) (*dialled, error) {
+	m.mu.Lock()
+	l, ok := m.links[address]
+	m.mu.Unlock()
+	if ok {
+		return l, nil
+	}
+	scheme := "ws://"
+	if m.TLS != nil {
+		scheme = "wss://"
+	}
+	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout, TLSClientConfig: m.TLS}
+	header := http.Header{fasthttp.HeaderAuthorization: {bearer(m.Secret())}}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, _, err := dialer.DialContext(ctx, scheme+address+Path, header)
+	if err != nil {
+		return nil, err
+	}
+	return m.adopt(address, conn)
+}
+
+// adopt enters a new link unless another was made meanwhile.
+func (m *Mesh) adopt(address string, conn *websocket.Conn) (*dialled, error) {
+	m.mu.Lock()
+	if other, ok := m.links[address]; ok {
+		m.mu.Unlock()
+		_ = conn.Close()
+		return other, nil
+	}
+	if m.links == nil {
+		m.links = make(map[string]*dialled)
+	}
+	l := &dialled{link: newLink(conn, &m.bytes), conversations: make(map[uint64]*Conversation)}
+	m.links[address] = l
+	m.mu.Unlock()
+	go m.receive(address, l)
+	return l, l.send(0, 0, Hello{Instance: m.Self()})
+}
+
+func (m *Mesh) drop(c *Conversation) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if l.link == c.link {
+			delete(l.conversations, c.id)
+		}
+	}
+}
+
+// receive hands answers to their conversations until the link fails.
+func (m *Mesh) receive(address string, l *dialled) {
+	defer m.lost(address, l)
+	for {
+		f, message, err := l.read()
+		if err != nil {
+			return
+		}
+		m.mu.Lock()
+		c := l.conversations[f.Conversation]
+		m.mu.Unlock()
+		if c == nil {
+			m.stale.Add(1)
+			continue
+		}
+		c.receive(f.Number, message)
+	}
+}
+
+// lost ends every conversation of a link that failed.
+func (m *Mesh) lost(address string, l *dialled) {
+	l.shut()
+	m.mu.Lock()
+	if m.links[address] == l {
+		delete(m.links, address)
+	}
+	conversations := l.conversations
+	l.conversations = make(map[uint64]*Conversation)
+	m.mu.Unlock()
+	for _, c := range conversations {
+		c.fail()
+	}
+}
+
+// A served link is one that a peer dialled, with the answers open on it.
+type served struct {
+	mesh *Mesh
+	link *link
+	from heartbeater.Instance
+
+	mu      sync.Mutex
+	replies map[uint64]*Reply
+}
+
+func (s *served) handle(ctx context.Context, f frame, message Message) {
+	switch message := message.(type) {
+	case Beat:
+		s.from.Leaving = message.Leaving
+		s.mesh.Handler.Heard(s.from, message)
+	case Cancel:
+		if r := s.reply(f.Conversation); r != nil {
+			r.cancel()
+		}
+	case Grant:
+		if r := s.reply(f.Conversation); r != nil {
+			r.grant(message.Parts)
+		}
+	default:
+		s.open(ctx, f.Conversation, message)
+	}
+}
+
+func (s *served) open(ctx context.Context, id uint64, message Message) {
+	r := newReply(ctx, s.link, id)
+	from := s.from
+	s.mu.Lock()
+	s.replies[id] = r
+	s.mu.Unlock()
+	go func() {
+		r.end(s.mesh.Handler.Answer(r.ctx, from, message, r))
+		s.mu.Lock()
+		delete(s.replies, id)
+		s.mu.Unlock()
+	}()
+}
+
+func (s *served) reply(id uint64) *Reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replies[id]
+}
+
+func bearer(secret string) string { return "Bearer " + secret }
--- /dev/null
+++ b/internal/request/claimer/claimer.go
@@ -0,0 +1,355 @@
+package claimer
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/platform/storer"
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
+)
+
+// A Claimer claims keyed requests. Its fields are set before Run.
+type Claimer struct {
+	Gone  func(incarnation string) bool // whether a process runs no more
+	Self  string                        // incarnation
+	Store storer.Store
+	Table tabler.Table
+	Token func() string
+
+	gather   *gatherer
+	mu       sync.Mutex
+	active   map[string]bool  // tokens of requests that run here, or ran and are on no other record
+	ends     map[string]Claim // by row, ended claims that could not be written yet
+	owed     map[string]debt  // by row
+	started  sync.Once
+	expiring map[string]time.Time // own rows to delete
+}
+
+const (
+	gatherWait  = 5 * time.Millisecond
+	gatherMost  = 64
+	claimTime   = 3 * time.Second // for writing one claim
+	pollFirst   = 50 * time.Millisecond
+	pollLast    = time.Second
+	tidyEvery   = time.Second
+	lateWrite   = 30 * time.Second // after which a write whose answer was lost is not expected any more
+	outcomeSize = 256 << 10        // largest body that is kept, in bytes
+)
+
+// A debt is a claim to withdraw.
+type debt struct {
+	token string
+	since time.Time
+}
+
+// A Ticket is a claim that this instance holds for one request.
+type Ticket struct {
+	claim Claim
+	row   string
+}
+
+// An Outcome is how a claimed request ended.
+type Outcome struct {
+	Status int
+	Type   string
+	Body   []byte
+}
+
+// Begin claims a key. It returns a Ticket if the request may be dispatched, an
+// Outcome if an earlier request with the key has ended, or a *judge.Error.
+func (c *Claimer) Begin(ctx context.Context, account, key, request string, keep time.Duration) (*Ticket, *Outcome, error) {
+	t := &Ticket{row: Key(account, key), claim: Claim{
+		Token: c.Token(), Claimant: c.Self, Request: request, Until: time.Now().Add(keep),
+	}}
+	wait := pollFirst
+	for {
+		err := c.claim(ctx, t)
+		var conflict *tabler.ConflictError
+		if !errors.As(err, &conflict) {
+			if err != nil {
+				c.forget(t)
+				return nil, nil, err
+			}
+			return t, nil, nil
+		}
+		outcome, again, err := c.existing(ctx, t)
+		if err != nil || outcome != nil {
+			c.forget(t)
+			return nil, outcome, err
+		}
+		if again {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			c.forget(t)
+			return nil, nil, duplicate("the first request with this key still runs")
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, pollLast)
+	}
+}
+
+// End records how a claimed request ended. After NotRun the claim is withdrawn,
+// so that the key may be used again; a failure that may have run stays on
+// record as such.
+func (c *Claimer) End(ctx context.Context, t *Ticket, outcome *Outcome, failure *judge.Error) {
+	if failure != nil && failure.Verdict == judge.NotRun {
+		c.forget(t)
+		c.owe(t)
+		return
+	}
+	claim := t.claim
+	claim.Ended = true
+	if outcome != nil && len(outcome.Body) <= outcomeSize {
+		claim.Status = outcome.Status
+		claim.Type = outcome.Type
+		claim.Object = c.keep(ctx, t, outcome)
+	}
+	err := c.put(ctx, t.row, claim, nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expiring[t.row] = claim.Until
+	if err != nil {
+		c.ends[t.row] = claim
+		return
+	}
+	delete(c.active, claim.Token)
+}
+
+// Run commits groups and settles what is owed until ctx ends.
+func (c *Claimer) Run(ctx context.Context) {
+	c.init()
+	go c.gather.run(ctx)
+	ticker := time.NewTicker(tidyEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			c.tidy(ctx, now)
+		}
+	}
+}
+
+// Owed returns how many claims wait to be withdrawn.
+func (c *Claimer) Owed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.owed)
+}
+
+func (c *Claimer) init() {
+	c.started.Do(func() {
+		c.gather = &gatherer{table: c.Table, wait: gatherWait, most: gatherMost, queue: make(chan *pending, gatherMost)}
+		c.active = make(map[string]bool)
+		c.ends = make(map[string]Claim)
+		c.owed = make(map[string]debt)
+		c.expiring = make(map[string]time.Time)
+	})
+}
+
+// claim writes the claim on condition that there is none. A lost answer is
+// settled by reading back the token.
+func (c *Claimer) claim(ctx context.Context, t *Ticket) error {
+	c.init()
+	c.mu.Lock()
+	c.active[t.claim.Token] = true
+	c.mu.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
+	err := c.put(bounded, t.row, t.claim, &tabler.Check{Key: t.row})
+	var conflict *tabler.ConflictError
+	var unknown *tabler.UnknownError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &conflict):
+		return err
+	case errors.As(err, &unknown):
+		return c.settle(ctx, t)
+	default:
+		return judge.Refuse(judge.ReasonClaim, "the claim could not be written: %v", err).After(time.Second)
+	}
+}
+
+// endAgain writes an ended claim whose first write failed. Until then a second
+// request through this instance waits, and through another one too.
+func (c *Claimer) endAgain(ctx context.Context, row string, claim Claim) {
+	if c.put(ctx, row, claim, nil) != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.ends, row)
+	delete(c.active, claim.Token)
+}
+
+// existing decides on a claim that is already there. It returns the outcome to
+// replay, or whether to claim again at once.
+func (c *Claimer) existing(ctx context.Context, t *Ticket) (*Outcome, bool, error) {
+	claim, version, err := c.read(ctx, t.row)
+	if err != nil {
+		return nil, false, judge.Refuse(judge.ReasonClaim, "the claim could not be read: %v", err).After(time.Second)
+	}
+	if version == 0 {
+		return nil, true, nil // withdrawn meanwhile
+	}
+	if claim.Claimant == c.Self && !claim.Ended && !c.running(claim.Token) {
+		c.withdraw(ctx, t.row, debt{token: claim.Token}) // left by a write that was given up on
+		return nil, true, nil
+	}
+	switch decision := Decide(claim, t.claim.Request, time.Now(), c.Gone).(type) {
+	case Differ:
+		return nil, false, judge.Refuse(judge.ReasonDuplicate, "the key was used for another request; use a new key")
+	case Doubt:
+		return nil, false, duplicate("an earlier request with this key may have run and its outcome is not known")
+	case Expired:
+		c.withdraw(ctx, t.row, debt{token: claim.Token})
+		return nil, true, nil
+	case Replay:
+		return c.replay(ctx, decision.Claim)
+	case Wait:
+		return nil, false, nil
+	default:
+		panic("claimer: unknown decision")
+	}
+}
+
+func (c *Claimer) replay(ctx context.Context, claim Claim) (*Outcome, bool, error) {
+	body, err := c.Store.Get(ctx, claim.Object)
+	if err != nil {
+		return nil, false, &judge.Error{Verdict: judge.Ran, Reason: judge.ReasonDuplicate, Message: "the first request ran; its outcome cannot be read now", Retry: time.Second}
+	}
+	return &Outcome{Status: claim.Status, Type: claim.Type, Body: body}, false, nil
+}
+
+// forget notes that a request does not run here any more.
+func (c *Claimer) forget(t *Ticket) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.active, t.claim.Token)
+}
+
+// keep stores the body of an outcome and returns its key, empty on failure.
+func (c *Claimer) keep(ctx context.Context, t *Ticket, outcome *Outcome) string {
+	key := "outcome/" + t.claim.Token
+	if err := c.Store.Put(ctx, key, outcome.Body); err != nil {
+		return ""
+	}
+	return key
+}
+
+// owe notes a claim to withdraw.
+func (c *Claimer) owe(t *Ticket) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owed[t.row] = debt{token: t.claim.Token, since: time.Now()}
+}
+
+func (c *Claimer) put(ctx context.Context, row string, claim Claim, check *tabler.Check) error {
+	value, err := encoder.Marshal(claim)
+	if err != nil {
+		return err
+	}
+	txn := tabler.Txn{Puts: []tabler.Put{{Key: row, Value: value}}}
+	if check != nil {
+		txn.Checks = []tabler.Check{*check}
+	}
+	return c.gather.commit(ctx, txn)
+}
+
+func (c *Claimer) read(ctx context.Context, row string) (Claim, uint64, error) {
+	r, err := c.Table.Get(ctx, row)
+	if err != nil || r.Version == 0 {
+		return Claim{}, 0, err
+	}
+	var claim Claim
+	err = encoder.Unmarshal(r.Value, &claim)
+	return claim, r.Version, err
+}
+
+// running reports whether the attempt with the token runs on this instance.
+func (c *Claimer) running(token string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.active[token]
+}
+
+// settle reads back whether the own claim was written. If the store does not
+// answer, the caller is promised that the request did not run, because it is
+// not dispatched; the claim is withdrawn later if it was written.
+func (c *Claimer) settle(ctx context.Context, t *Ticket) error {
+	claim, version, err := c.read(context.WithoutCancel(ctx), t.row)
+	switch {
+	case err != nil:
+		c.owe(t)
+		return judge.Refuse(judge.ReasonClaim, "the answer to the claim was lost: %v", err).After(time.Second)
+	case version != 0 && claim.Token == t.claim.Token:
+		return nil
+	case version != 0:
+		return &tabler.ConflictError{Key: t.row}
+	default:
+		// The write may still be under way; its token tells it from a later one.
+		c.owe(t)
+		return judge.Refuse(judge.ReasonClaim, "the claim was not written").After(time.Second)
+	}
+}
+
+// tidy withdraws what is owed and deletes the own claims that have expired.
+func (c *Claimer) tidy(ctx context.Context, now time.Time) {
+	c.mu.Lock()
+	owed := maps.Clone(c.owed)
+	ends := maps.Clone(c.ends)
+	var expired []string
+	for row, until := range c.expiring {
+		if now.After(until) {
+			expired = append(expired, row)
+			delete(c.expiring, row)
+			delete(c.active, c.ends[row].Token)
+			delete(c.ends, row)
+		}
+	}
+	c.mu.Unlock()
+	for row, claim := range ends {
+		c.endAgain(ctx, row, claim)
+	}
+	for row, d := range owed {
+		if c.withdraw(ctx, row, d) {
+			c.mu.Lock()
+			delete(c.owed, row)
+			c.mu.Unlock()
+		}
+	}
+	if len(expired) > 0 {
+		_ = c.Table.Commit(ctx, tabler.Txn{Deletes: expired}) // a row that stays is replaced when its key is used again
+	}
+}
+
+// withdraw deletes a claim if it is still the one that is owed. It returns
+// whether that is settled: a row that is not there may yet appear if its write
+// is only late.
+func (c *Claimer) withdraw(ctx context.Context, row string, d debt) bool {
+	claim, version, err := c.read(ctx, row)
+	if err != nil {
+		return false
+	}
+	if version == 0 {
+		return time.Since(d.since) > lateWrite
+	}
+	if claim.Token != d.token {
+		return true
+	}
+	err = c.Table.Commit(ctx, tabler.Txn{Checks: []tabler.Check{{Key: row, Version: version}}, Deletes: []string{row}})
+	return err == nil
+}
+
+func duplicate(message string) *judge.Error {
+	return &judge.Error{Verdict: judge.MayHaveRun, Reason: judge.ReasonDuplicate, Message: message}
+}
--- /dev/null
+++ b/internal/request/claimer/claimer_test.go
@@ -0,0 +1,243 @@
+package claimer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/platform/storer"
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/request/claimer"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+)
+
+// A badTable fails as a platform does: it is down for a while, loses answers
+// after the write, and lets some writes take effect late.
+type badTable struct {
+	tabler.Memory
+	down atomic.Bool
+
+	mu     sync.Mutex
+	late   float64
+	lose   float64
+	random *rand.Rand
+}
+
+// draw decides the fate of one write.
+func (b *badTable) draw() (late, lost bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.random.Float64() < b.late, b.random.Float64() < b.lose
+}
+
+func (b *badTable) set(late, lose float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.late = late
+	b.lose = lose
+}
+
+func (b *badTable) Commit(ctx context.Context, txn tabler.Txn) error {
+	time.Sleep(2 * time.Millisecond)
+	late, lose := b.draw()
+	lost := &tabler.UnknownError{Err: errors.New("answer lost")}
+	switch {
+	case b.down.Load():
+		return &tabler.UnavailableError{Err: errors.New("down")}
+	case late:
+		time.AfterFunc(2*time.Second, func() { _ = b.Memory.Commit(context.Background(), txn) })
+		return lost
+	}
+	err := b.Memory.Commit(ctx, txn)
+	if err == nil && lose {
+		return lost
+	}
+	return err
+}
+
+func (b *badTable) Get(ctx context.Context, key string) (tabler.Row, error) {
+	if b.down.Load() {
+		return tabler.Row{}, &tabler.UnavailableError{Err: errors.New("down")}
+	}
+	return b.Memory.Get(ctx, key)
+}
+
+// A bench is several instances before one table, and a count of what ran.
+type bench struct {
+	claimers []*claimer.Claimer
+	gone     sync.Map // incarnation
+	runs     atomic.Int64
+	store    storer.Memory
+	table    *badTable
+	token    atomic.Int64
+}
+
+func newBench(ctx context.Context, n int, seed uint64) *bench {
+	b := &bench{table: &badTable{random: rand.New(rand.NewPCG(seed, 1))}}
+	for i := range n {
+		c := &claimer.Claimer{
+			Self: fmt.Sprint("i", i), Store: &b.store, Table: b.table,
+			Gone:  func(inc string) bool { _, gone := b.gone.Load(inc); return gone },
+			Token: func() string { return fmt.Sprint("t", b.token.Add(1)) },
+		}
+		b.claimers = append(b.claimers, c)
+		go c.Run(ctx)
+	}
+	synctest.Wait()
+	return b
+}
+
+// request runs a keyed request to its end and returns the verdict that its
+// caller sees. With crash it dies after it ran and before it could record it.
+func (b *bench) request(c *claimer.Claimer, key string, patience time.Duration, crash bool) (judge.Verdict, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	ticket, outcome, err := c.Begin(ctx, "account", key, "request", time.Hour)
+	if err != nil {
+		return judge.As(err).Verdict, ""
+	}
+	if outcome != nil {
+		return judge.Ran, string(outcome.Body)
+	}
+	n := b.runs.Add(1)
+	time.Sleep(20 * time.Millisecond)
+	if crash {
+		return judge.MayHaveRun, ""
+	}
+	body := fmt.Sprint("run ", n)
+	c.End(context.Background(), ticket, &claimer.Outcome{Status: 200, Body: []byte(body)}, nil)
+	return judge.Ran, body
+}
+
+// The same key arrives through several instances at once, and again later,
+// while the table loses answers, takes writes late and is down for a while, and
+// one claimant may crash after it ran. The request may run once at most; every
+// caller who is told it ran sees the one outcome.
+func TestRunsAtMostOnce(t *testing.T) {
+	for seed := range uint64(150) {
+		synctest.Test(t, func(t *testing.T) { runScenario(t, seed) })
+	}
+}
+
+func runScenario(t *testing.T, seed uint64) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	random := rand.New(rand.NewPCG(seed, 2))
+	b := newBench(ctx, 3, seed)
+	b.table.set(random.Float64()/4, random.Float64()/2)
+	crash := random.IntN(3) == 0
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	bodies := make(map[string]bool)
+	for i := range 6 {
+		c := b.claimers[random.IntN(len(b.claimers))]
+		delay := time.Duration(random.IntN(3000)) * time.Millisecond
+		wg.Go(func() {
+			time.Sleep(delay)
+			verdict, body := b.request(c, "key", 5*time.Second, crash && i == 0)
+			if crash && i == 0 {
+				b.gone.Store(c.Self, true)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if verdict == judge.Ran && body != "" {
+				bodies[body] = true
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	b.table.down.Store(random.IntN(2) == 0)
+	time.Sleep(time.Second)
+	b.table.down.Store(false)
+	wg.Wait()
+	if runs := b.runs.Load(); runs > 1 {
+		t.Errorf("seed %d: ran %d times", seed, runs)
+	}
+	if len(bodies) > 1 {
+		t.Errorf("seed %d: callers saw outcomes %v", seed, bodies)
+	}
+}
+
+// Two requests with one key meet in one group of claims. Joined into one
+// transaction both would pass the same check.
+func TestSameKeyInOneGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		b := newBench(ctx, 1, 1)
+		var wg sync.WaitGroup
+		for range 2 {
+			wg.Go(func() { b.request(b.claimers[0], "key", time.Second, false) })
+		}
+		wg.Wait()
+		if runs := b.runs.Load(); runs != 1 {
+			t.Errorf("ran %d times, want 1", runs)
+		}
+	})
+}
+
+// The claim was written, its answer lost, and the store went down before it
+// could be read back. The caller is told not_run. When the store is back the
+// claim is withdrawn, and an honest second attempt runs instead of being told
+// may_have_run.
+func TestRefusedClaimIsWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		b := newBench(ctx, 2, 1)
+		b.table.set(0, 1)
+		time.AfterFunc(6*time.Millisecond, func() { b.table.down.Store(true) })
+		verdict, _ := b.request(b.claimers[0], "key", time.Second, false)
+		if verdict != judge.NotRun || b.runs.Load() != 0 {
+			t.Fatalf("first attempt: %s after %d runs", verdict, b.runs.Load())
+		}
+		b.table.down.Store(false)
+		b.table.set(0, 0)
+		time.Sleep(3 * time.Second)
+		if verdict, _ := b.request(b.claimers[1], "key", time.Second, false); verdict != judge.Ran {
+			t.Errorf("second attempt: %s, want ran", verdict)
+		}
+	})
+}
+
+func TestDecide(t *testing.T) {
+	now := time.Unix(1000, 0)
+	claim := claimer.Claim{Claimant: "i", Request: "r", Until: now.Add(time.Minute)}
+	ended, lost, old := claim, claim, claim
+	ended.Ended, ended.Object = true, "o"
+	lost.Ended = true
+	old.Until = now.Add(-time.Second)
+	for _, tc := range []struct {
+		name  string
+		claim claimer.Claim
+		asked string
+		gone  bool
+		want  claimer.Decision
+	}{
+		{"runs", claim, "r", false, claimer.Wait{}},
+		{"claimant gone", claim, "r", true, claimer.Doubt{}},
+		{"ended", ended, "r", true, claimer.Replay{Claim: ended}},
+		{"ended without outcome", lost, "r", false, claimer.Doubt{}},
+		{"other request", ended, "x", false, claimer.Differ{}},
+		{"expired", old, "r", false, claimer.Expired{}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := claimer.Decide(tc.claim, tc.asked, now, func(string) bool { return tc.gone })
+			if got != tc.want {
+				t.Errorf("Decide = %#v, want %#v", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestKeyKeepsAccountsApart(t *testing.T) {
+	if claimer.Key("a", "bc") == claimer.Key("ab", "c") {
+		t.Error("keys of two accounts meet in one row")
+	}
+}
--- /dev/null
+++ b/internal/request/dispatcher/dispatcher.go
@@ -0,0 +1,247 @@
+package dispatcher
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/retrier"
+	"github.com/sardinetiller/sardinetiller/internal/request/router"
+	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
+	"github.com/sardinetiller/sardinetiller/internal/setting/parser"
+	"github.com/sardinetiller/sardinetiller/internal/setting/resolver"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/caller"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/monitor"
+)
+
+// A Server runs a request on a runner that this instance owns.
+type Server interface {
+	Estimates() (load, run time.Duration)
+	Serve(ctx context.Context, call *streamer.Call, sink streamer.Sink) error
+}
+
+// Peers passes requests on to other instances.
+type Peers interface {
+	// Alive reports whether an instance takes new work.
+	Alive(incarnation string) bool
+	// Ask passes a call to an instance and its answer to the sink.
+	Ask(ctx context.Context, incarnation string, call *streamer.Call, sink streamer.Sink) error
+	// Elsewhere returns live instances of other failure domains, one for each
+	// domain, in the order in which they are to be tried.
+	Elsewhere() []string
+}
+
+// A Dispatcher dispatches requests. Its fields are set before use; it is safe
+// for concurrent use.
+type Dispatcher struct {
+	Domain  string
+	Drained func(upstream string) bool
+	Fleet   *monitor.Fleet
+	Force   func() *resolver.Resolver // settings in force; nil if there are none
+	Local   Server
+	Metrics *metrics.Set
+	Peers   Peers
+	Self    string // incarnation
+
+	budget  retrier.Budget
+	journal journal
+	turn    atomic.Uint64 // for plain upstreams
+}
+
+// Dispatch answers a request. It returns nil after a whole answer, else a
+// *judge.Error that is right about everything that was tried.
+func (d *Dispatcher) Dispatch(ctx context.Context, call *streamer.Call, sink streamer.Sink) error {
+	force := d.Force()
+	if force == nil {
+		return judge.Refuse(judge.ReasonStarting, "no settings are in force here yet").After(time.Second)
+	}
+	a := &attempts{
+		dispatcher: d, call: call, values: force.Values(call.Account, call.Service, d.Domain, call.Desk),
+		force: force, sink: &watchedSink{sink: sink},
+	}
+	d.budget.Deposit()
+	err := a.run(ctx)
+	d.journal.add(call.ID, a.steps)
+	return err
+}
+
+// Explain returns the steps of a request that this instance dispatched lately.
+func (d *Dispatcher) Explain(id string) ([]Step, bool) { return d.journal.find(id) }
+
+// attempts is the dispatch of one request.
+type attempts struct {
+	call       *streamer.Call
+	dispatcher *Dispatcher
+	doubt      *judge.Error // an attempt that may have run
+	force      *resolver.Resolver
+	sink       *watchedSink
+	steps      []Step
+	tried      []string
+	values     resolver.Effective
+}
+
+// run makes attempts until one succeeds or no further one is safe or allowed.
+func (a *attempts) run(ctx context.Context) error {
+	wait := retrier.Backoff()
+	for retries := 0; ; retries++ {
+		step, err := a.attempt(ctx)
+		a.steps = append(a.steps, step)
+		if err == nil {
+			return nil
+		}
+		judged := judge.As(err)
+		a.steps[len(a.steps)-1].Error = judged.Error()
+		if judged.Verdict != judge.NotRun {
+			a.doubt = judged
+		}
+		a.dispatcher.count("sardinetiller_attempt_failures_total", judged)
+		if retries >= a.values.Retries || !retrier.May(judged, a.call.Once, a.sink.answered) || !a.dispatcher.budget.Withdraw() {
+			return a.final(judged)
+		}
+		select {
+		case <-ctx.Done():
+			return a.final(judged)
+		case <-time.After(wait.NextBackOff()):
+		}
+		a.dispatcher.count("sardinetiller_retries_total", judged)
+	}
+}
+
+// final returns what the caller is told: a promise only if it holds for every
+// attempt.
+func (a *attempts) final(last *judge.Error) error {
+	if a.doubt != nil && last.Verdict == judge.NotRun {
+		return a.doubt
+	}
+	return last
+}
+
+func (a *attempts) attempt(ctx context.Context) (Step, error) {
+	service, ok := a.force.Service(a.call.Service)
+	if !ok {
+		return Step{}, judge.Refuse(judge.ReasonUpstream, "service %q is not declared", a.call.Service)
+	}
+	if service.Type == parser.TypePlain {
+		return a.plain(ctx, service)
+	}
+	return a.engine(ctx)
+}
+
+func (a *attempts) engine(ctx context.Context) (Step, error) {
+	d := a.dispatcher
+	candidates := d.Fleet.Candidates(a.call.Service, a.call.Adapter, a.tried, d.Peers.Alive)
+	if len(candidates) == 0 {
+		a.tried = nil // the next attempt may use any of them again
+		return a.elsewhere(ctx)
+	}
+	terms := a.choose(candidates)
+	best := terms[0]
+	step := Step{Runner: best.Runner, Terms: terms[:min(len(terms), shownTerms)]}
+	if err := a.inTime(best); err != nil {
+		return step, err
+	}
+	a.tried = append(a.tried, best.Runner)
+	call := *a.call
+	call.Runner = best.Runner
+	d.Fleet.Sent(best.Runner)
+	step.Owner = d.Fleet.Owner(best.Runner)
+	if step.Owner == d.Self {
+		return step, d.Local.Serve(ctx, &call, a.sink)
+	}
+	return step, d.Peers.Ask(ctx, step.Owner, &call, a.sink)
+}
+
+func (a *attempts) choose(candidates []router.Candidate) []router.Terms {
+	load, run := a.dispatcher.Local.Estimates()
+	r := router.Router{Policy: policy(a.values), Load: load, Service: run}
+	return r.Choose(router.Request{Adapter: a.call.Adapter, Left: a.left()}, candidates)
+}
+
+// inTime refuses a request at once that cannot begin before its deadline, so
+// that its caller can act on it.
+func (a *attempts) inTime(best router.Terms) error {
+	wait := time.Duration((best.Stall + best.Queue) * float64(time.Second))
+	if left := a.left(); left > 0 && wait > left {
+		return judge.Refuse(judge.ReasonDeadline, "the wait is about %s and %s is left", wait.Round(time.Millisecond), left.Round(time.Millisecond)).After(wait)
+	}
+	return nil
+}
+
+// left returns the time until the deadline, 0 if there is none.
+func (a *attempts) left() time.Duration {
+	if a.call.Deadline.IsZero() {
+		return 0
+	}
+	return max(time.Millisecond, time.Until(a.call.Deadline))
+}
+
+// elsewhere passes a request to another failure domain. That is done once only,
+// so that a request cannot travel in circles.
+func (a *attempts) elsewhere(ctx context.Context) (Step, error) {
+	if a.call.Hops > 0 {
+		return Step{}, judge.Refuse(judge.ReasonUpstream, "no upstream of %s can serve in domain %s", a.call.Service, a.dispatcher.Domain).After(time.Second)
+	}
+	call := *a.call
+	call.Hops++
+	for _, peer := range a.dispatcher.Peers.Elsewhere() {
+		if slices.Contains(a.tried, peer) {
+			continue
+		}
+		a.tried = append(a.tried, peer)
+		return Step{Owner: peer}, a.dispatcher.Peers.Ask(ctx, peer, &call, a.sink)
+	}
+	return Step{}, judge.Refuse(judge.ReasonUpstream, "no upstream of %s can serve", a.call.Service).After(time.Second)
+}
+
+// plain sends a call to a plain service of this domain, its upstreams in turn.
+func (a *attempts) plain(ctx context.Context, service *parser.Service) (Step, error) {
+	d := a.dispatcher
+	var near []parser.Upstream
+	for _, u := range service.Upstreams {
+		if u.Domain == d.Domain && !d.Drained(u.Name) && !slices.Contains(a.tried, u.Name) {
+			near = append(near, u)
+		}
+	}
+	if len(near) == 0 {
+		return a.elsewhere(ctx)
+	}
+	u := near[d.turn.Add(1)%uint64(len(near))]
+	a.tried = append(a.tried, u.Name)
+	call := *a.call
+	call.Runner = u.Name
+	return Step{Runner: u.Name}, caller.Plain(ctx, u.Address, &call, a.sink)
+}
+
+func (d *Dispatcher) count(name string, err *judge.Error) {
+	d.Metrics.GetOrCreateCounter(name + `{reason="` + string(err.Reason) + `",verdict="` + string(err.Verdict) + `"}`).Inc()
+}
+
+func policy(v resolver.Effective) router.Policy {
+	switch v.Policy {
+	case "hash":
+		return router.Hash{}
+	case "least":
+		return router.Least{}
+	default:
+		return router.Cost{Stall: v.Stall, Batch: v.Batch}
+	}
+}
+
+// A watchedSink remembers whether anything reached the caller.
+type watchedSink struct {
+	sink     streamer.Sink
+	answered bool
+}
+
+// Data implements streamer.Sink.
+func (w *watchedSink) Data(data []byte) error { return w.sink.Data(data) }
+
+// Head implements streamer.Sink.
+func (w *watchedSink) Head(head streamer.Head) error {
+	w.answered = true
+	return w.sink.Head(head)
+}
--- /dev/null
+++ b/internal/standin/generator/engine.go
@@ -0,0 +1,325 @@
+package generator
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/wire/listener"
+	"github.com/sardinetiller/sardinetiller/internal/wire/requester"
+)
+
+// An Engine is the stand-in. Its fields are set before Run.
+type Engine struct {
+	Batch    int  // requests in a step
+	Fencing  bool // whether orders with an old fencing number are refused
+	Listener net.Listener
+	Name     string
+	Slots    int
+	Step     time.Duration
+	Weights  string // address of the weight store; empty for loads that take no time
+
+	mu       sync.Mutex
+	books    Books
+	faults   Faults
+	fence    uint64
+	loading  map[string]bool
+	past     []dated // reports, the oldest first
+	resident map[string]bool
+	running  []*sequence
+	starts   int
+	waiting  []*sequence
+}
+
+// A dated report is given out once it is as old as the lag.
+type dated struct {
+	at     time.Time
+	report Report
+}
+
+// reportEvery is how often the engine notes its state for lagging reports.
+const reportEvery = 50 * time.Millisecond
+
+// Books returns what was done so far.
+func (e *Engine) Books() Books {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	books := e.books
+	books.Batch = e.Batch
+	books.Runs = slices.Clone(e.books.Runs)
+	return books
+}
+
+// Run serves until ctx ends.
+func (e *Engine) Run(ctx context.Context) error {
+	e.mu.Lock()
+	e.restart()
+	e.mu.Unlock()
+	go e.steps(ctx)
+	r := router.New()
+	r.POST(PathChat, e.complete)
+	r.POST(PathCompletions, e.complete)
+	r.POST(PathEvict, e.order(e.evict))
+	r.POST(PathFence, e.order(e.raise))
+	r.POST(PathLoad, e.order(e.load))
+	r.GET(PathReport, func(c *fasthttp.RequestCtx) { listener.JSON(c, fasthttp.StatusOK, e.report()) })
+	r.GET(PathBooks, func(c *fasthttp.RequestCtx) { listener.JSON(c, fasthttp.StatusOK, e.Books()) })
+	r.POST(PathControl, e.control)
+	server := listener.Server{Listener: e.Listener, Handler: r.Handler}
+	return server.Run(ctx)
+}
+
+// Set changes the faults.
+func (e *Engine) Set(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if f.Leaving && e.books.Left.IsZero() {
+		e.books.Left = time.Now()
+	}
+	if f.Restart {
+		f.Restart = false
+		e.restart()
+	}
+	e.faults = f
+}
+
+func (e *Engine) control(c *fasthttp.RequestCtx) {
+	var f Faults
+	if err := json.Unmarshal(c.PostBody(), &f); err != nil {
+		c.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	e.Set(f)
+}
+
+// evict drops a copy, running requests or not, as an engine does that is told
+// to.
+func (e *Engine) evict(o Order) (int, string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.resident[o.Handle] {
+		return fasthttp.StatusNotFound, "not resident"
+	}
+	delete(e.resident, o.Handle)
+	e.books.Evicts++
+	under := false
+	for _, s := range append(slices.Clone(e.running), e.waiting...) {
+		if s.handle == o.Handle {
+			under = true
+			s.cut()
+		}
+	}
+	if under {
+		e.books.Under++
+	}
+	return fasthttp.StatusOK, ""
+}
+
+// load brings a copy in. A slot is taken while the weights arrive.
+func (e *Engine) load(o Order) (int, string) {
+	if status, message := e.reserve(o); status != fasthttp.StatusAccepted {
+		return status, message
+	}
+	err := e.fetch(adapterOf(o.Handle))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.loading[o.Handle] {
+		return fasthttp.StatusServiceUnavailable, "the engine restarted"
+	}
+	delete(e.loading, o.Handle)
+	if e.faults.Fail > 0 {
+		e.faults.Fail--
+		err = fmt.Errorf("load failed")
+	}
+	if err != nil {
+		return fasthttp.StatusServiceUnavailable, err.Error()
+	}
+	e.resident[o.Handle] = true
+	e.books.Loads++
+	return fasthttp.StatusOK, ""
+}
+
+func (e *Engine) fetch(adapter string) error {
+	if e.Weights == "" {
+		return nil
+	}
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.SetRequestURI("http://" + e.Weights + "/weights/" + adapter)
+	var r requester.Requester
+	status, _, seen := r.Whole(context.Background(), e.Weights, request)
+	if seen != nil || status != fasthttp.StatusOK {
+		return fmt.Errorf("weight store: status %d, %v", status, seen)
+	}
+	return nil
+}
+
+// order decodes an order, checks its fencing number and carries it out.
+func (e *Engine) order(carryOut func(Order) (int, string)) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		var o Order
+		if err := json.Unmarshal(c.PostBody(), &o); err != nil {
+			c.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		e.mu.Lock()
+		stall := e.faults.Stall
+		e.mu.Unlock()
+		time.Sleep(stall)
+		if !e.admit(o.Fence) {
+			c.Error("old fencing number", fasthttp.StatusPreconditionFailed)
+			return
+		}
+		status, message := carryOut(o)
+		if e.loses() {
+			_ = c.Conn().Close()
+			return
+		}
+		listener.JSON(c, status, map[string]string{"message": message})
+	}
+}
+
+func (e *Engine) admit(fence uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.Fencing && fence < e.fence {
+		e.books.Late++
+		return false
+	}
+	e.fence = max(e.fence, fence)
+	return true
+}
+
+func (e *Engine) loses() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Lose == 0 {
+		return false
+	}
+	e.faults.Lose--
+	return true
+}
+
+func (e *Engine) raise(Order) (int, string) { return fasthttp.StatusOK, "" }
+
+// report returns the newest report that is as old as the lag.
+func (e *Engine) report() Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Lag == 0 || len(e.past) == 0 {
+		return e.now()
+	}
+	until := time.Now().Add(-e.faults.Lag)
+	report := e.past[0].report
+	for _, d := range e.past {
+		if d.at.Before(until) {
+			report = d.report
+		}
+	}
+	return report
+}
+
+func (e *Engine) now() Report {
+	return Report{
+		Engine:   e.incarnation(),
+		Resident: slices.Sorted(maps.Keys(e.resident)),
+		Loading:  slices.Sorted(maps.Keys(e.loading)),
+		Running:  len(e.running),
+		Waiting:  len(e.waiting),
+		Leaving:  e.faults.Leaving,
+		Fence:    e.fence,
+	}
+}
+
+func (e *Engine) incarnation() string { return fmt.Sprintf("%s-%d", e.Name, e.starts) }
+
+func (e *Engine) reserve(o Order) (int, string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.resident[o.Handle] {
+		return fasthttp.StatusOK, ""
+	}
+	if len(e.resident)+len(e.loading) >= e.Slots {
+		return fasthttp.StatusConflict, "no free slot"
+	}
+	e.loading[o.Handle] = true
+	return fasthttp.StatusAccepted, ""
+}
+
+// restart empties the engine: a cold start.
+func (e *Engine) restart() {
+	for _, s := range append(e.running, e.waiting...) {
+		s.cut()
+	}
+	e.starts++
+	e.fence = 0
+	e.loading = make(map[string]bool)
+	e.past = nil
+	e.resident = make(map[string]bool)
+	e.running = nil
+	e.waiting = nil
+}
+
+// note keeps reports for as long as any lag reaches back.
+func (e *Engine) note(now time.Time) {
+	const kept = 200
+	if n := len(e.past); n > 0 && now.Sub(e.past[n-1].at) < reportEvery {
+		return
+	}
+	e.past = append(e.past, dated{at: now, report: e.now()})
+	if len(e.past) > kept {
+		e.past = e.past[1:]
+	}
+}
+
+// steps gives every running request one token a step.
+func (e *Engine) steps(ctx context.Context) {
+	ticker := time.NewTicker(e.Step)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			e.step(now)
+		}
+	}
+}
+
+func (e *Engine) step(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.note(now)
+	e.running = slices.DeleteFunc(e.running, (*sequence).ended)
+	e.waiting = slices.DeleteFunc(e.waiting, (*sequence).ended)
+	slices.SortStableFunc(e.waiting, func(a, b *sequence) int { return cmp.Compare(b.priority, a.priority) })
+	for len(e.running) < e.Batch && len(e.waiting) > 0 {
+		e.running = append(e.running, e.waiting[0])
+		e.waiting = e.waiting[1:]
+	}
+	if len(e.running) == 0 {
+		return
+	}
+	e.books.Steps++
+	e.books.Filled += len(e.running)
+	for _, s := range e.running {
+		if s.emit() {
+			e.books.Runs[s.run].Whole = true
+		}
+	}
+}
+
+func adapterOf(handle string) string {
+	adapter, _, _ := strings.Cut(handle, "#")
+	return adapter
+}
--- /dev/null
+++ b/internal/standin/registrar/doc.go
@@ -0,0 +1,7 @@
+// Package registrar stands in for the platform: its table service, object
+// store, instance list and weight store, over HTTP on one address.
+//
+// Faults are set over the path /control, and /books tells what was done. The
+// instance list is that of a moment ago, by the set lag; an instance that stops
+// announcing itself drops off it.
+package registrar
--- /dev/null
+++ b/internal/standin/registrar/platform.go
@@ -0,0 +1,267 @@
+package registrar
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+	"github.com/sardinetiller/sardinetiller/internal/platform/lister"
+	"github.com/sardinetiller/sardinetiller/internal/platform/storer"
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
+	"github.com/sardinetiller/sardinetiller/internal/wire/listener"
+)
+
+// A Platform is the stand-in. Its fields are set before Run.
+type Platform struct {
+	Listener net.Listener
+	Lag      time.Duration // of the instance list
+	Rate     float64       // weight loads a second at full speed
+	Together int           // weight loads at once at full speed
+
+	Table tabler.Memory
+	Store storer.Memory
+
+	mu        sync.Mutex
+	announced map[string]announcement
+	books     Books
+	faults    Faults
+	loading   int
+}
+
+// An announcement is an instance's last word and what the lagging list shows.
+type announcement struct {
+	instance heartbeater.Instance
+	at       time.Time
+	first    time.Time
+	leaving  time.Time // when it first said that it leaves
+}
+
+// forget is how long after its last announcement an instance stays listed,
+// beside the lag.
+const forget = 3 * time.Second
+
+// The control paths of every stand-in.
+const (
+	PathBooks   = "/books"
+	PathControl = "/control"
+	// PathWeights is the weight store's path; the adapter version follows.
+	PathWeights = "/weights/"
+)
+
+// Books returns what was done so far.
+func (p *Platform) Books() Books {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.books
+}
+
+// Run serves until ctx ends.
+func (p *Platform) Run(ctx context.Context) error {
+	r := router.New()
+	r.POST(tabler.PathCommit, p.guard(p.commit))
+	r.POST(tabler.PathGet, p.guard(p.get))
+	r.POST(tabler.PathScan, p.guard(p.scan))
+	r.POST(lister.PathAnnounce, p.guard(p.announce))
+	r.POST(lister.PathList, p.guard(p.list))
+	r.GET(storer.PathObject+"{key:*}", p.guard(p.object))
+	r.PUT(storer.PathObject+"{key:*}", p.guard(p.putObject))
+	r.GET(PathWeights+"{adapter}", p.weights)
+	r.GET(PathBooks, func(c *fasthttp.RequestCtx) { listener.JSON(c, fasthttp.StatusOK, p.Books()) })
+	r.POST(PathControl, p.control)
+	server := listener.Server{Listener: p.Listener, Handler: r.Handler}
+	return server.Run(ctx)
+}
+
+// Set changes the faults.
+func (p *Platform) Set(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+func (p *Platform) announce(c *fasthttp.RequestCtx) {
+	var i heartbeater.Instance
+	if !decode(c, &i) {
+		return
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.announced == nil {
+		p.announced = make(map[string]announcement)
+	}
+	a := p.announced[i.Incarnation]
+	a.instance = i
+	a.at = now
+	if a.first.IsZero() {
+		a.first = now
+	}
+	if i.Leaving && a.leaving.IsZero() {
+		a.leaving = now
+	}
+	p.announced[i.Incarnation] = a
+	c.SetStatusCode(fasthttp.StatusOK)
+}
+
+func (p *Platform) commit(c *fasthttp.RequestCtx) {
+	var txn tabler.Txn
+	if !decode(c, &txn) {
+		return
+	}
+	err := p.Table.Commit(c, txn)
+	if conflict, ok := err.(*tabler.ConflictError); ok {
+		c.Error(conflict.Key, fasthttp.StatusConflict)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.books.Commits++
+	p.books.Rows += len(txn.Puts) + len(txn.Deletes)
+	if p.faults.Lose > 0 {
+		p.faults.Lose--
+		p.books.Lost++
+		_ = c.Conn().Close() // the write stands, its answer never arrives
+	}
+}
+
+func (p *Platform) control(c *fasthttp.RequestCtx) {
+	var f Faults
+	if err := json.Unmarshal(c.PostBody(), &f); err != nil {
+		c.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	p.Set(f)
+}
+
+func (p *Platform) get(c *fasthttp.RequestCtx) {
+	var key string
+	if !decode(c, &key) {
+		return
+	}
+	row, _ := p.Table.Get(c, key) // a Memory does not fail
+	p.read(c, row)
+}
+
+// guard applies the faults and keeps the books of a call.
+func (p *Platform) guard(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		p.mu.Lock()
+		f := p.faults
+		p.mu.Unlock()
+		time.Sleep(f.Slow)
+		if f.Down {
+			c.Error("down", fasthttp.StatusServiceUnavailable)
+			return
+		}
+		next(c)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.books.Bytes += int64(len(c.PostBody()) + len(c.Response.Body()))
+	}
+}
+
+// list answers with the list as it was a lag ago.
+func (p *Platform) list(c *fasthttp.RequestCtx) {
+	now := time.Now()
+	p.mu.Lock()
+	listed := []heartbeater.Instance{}
+	for incarnation, a := range p.announced {
+		if now.Sub(a.at) > p.Lag+forget {
+			delete(p.announced, incarnation)
+			continue
+		}
+		if now.Sub(a.first) < p.Lag {
+			continue
+		}
+		i := a.instance
+		i.Leaving = !a.leaving.IsZero() && now.Sub(a.leaving) >= p.Lag
+		listed = append(listed, i)
+	}
+	p.mu.Unlock()
+	p.read(c, listed)
+}
+
+func (p *Platform) object(c *fasthttp.RequestCtx) {
+	data, err := p.Store.Get(c, c.UserValue("key").(string))
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusNotFound)
+		return
+	}
+	c.SetBody(data)
+}
+
+func (p *Platform) putObject(c *fasthttp.RequestCtx) {
+	_ = p.Store.Put(c, c.UserValue("key").(string), c.PostBody()) // a Memory does not fail
+}
+
+func (p *Platform) read(c *fasthttp.RequestCtx, value any) {
+	p.mu.Lock()
+	p.books.Reads++
+	p.mu.Unlock()
+	data, err := encoder.Marshal(value)
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetBody(data)
+}
+
+func (p *Platform) scan(c *fasthttp.RequestCtx) {
+	var prefix string
+	if !decode(c, &prefix) {
+		return
+	}
+	rows, _ := p.Table.Scan(c, prefix) // a Memory does not fail
+	p.read(c, rows)
+}
+
+// weights serves one load. Side by side, more than Together loads slow each
+// other down and waste a little besides.
+func (p *Platform) weights(c *fasthttp.RequestCtx) {
+	p.mu.Lock()
+	p.loading++
+	p.books.Loads++
+	p.books.Together = max(p.books.Together, p.loading)
+	took := p.loadTime()
+	down := p.faults.Down
+	p.mu.Unlock()
+	if !down {
+		time.Sleep(took)
+	}
+	p.mu.Lock()
+	p.loading--
+	p.mu.Unlock()
+	if down {
+		c.Error("down", fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// waste is what each load beyond Together costs all of them.
+const waste = 1.15
+
+func (p *Platform) loadTime() time.Duration {
+	if p.Rate <= 0 {
+		return 0
+	}
+	full := float64(p.Together) / p.Rate
+	over := float64(p.loading) / float64(p.Together)
+	if over > 1 {
+		full *= over * waste
+	}
+	return time.Duration(full * float64(time.Second))
+}
+
+func decode(c *fasthttp.RequestCtx, into any) bool {
+	if err := encoder.Unmarshal(c.PostBody(), into); err != nil {
+		c.Error(err.Error(), fasthttp.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/responder/service.go
@@ -0,0 +1,122 @@
+// Package responder stands in for a plain service, some of whose calls may not
+// be repeated. It answers any call with what it was sent and books each call
+// that it carried out.
+package responder
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/wire/listener"
+)
+
+// The control paths and the header that names a request.
+const (
+	HeaderRequest = "X-Request-Id"
+	PathBooks     = "/books"
+	PathControl   = "/control"
+)
+
+// Faults are what is wrong with the service now.
+type Faults struct {
+	Lose   int           `json:"lose"`   // calls still to carry out without an answer
+	Refuse int           `json:"refuse"` // calls still to refuse with 503
+	Slow   time.Duration `json:"slow"`   // added to each call, in nanoseconds
+}
+
+// A Call is one call that was carried out.
+type Call struct {
+	Request string    `json:"request"`
+	Method  string    `json:"method"`
+	Path    string    `json:"path"`
+	Began   time.Time `json:"began"`
+}
+
+// An Echo is the answer to a call.
+type Echo struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
+}
+
+// A Service is the stand-in. Its fields are set before Run.
+type Service struct {
+	Listener net.Listener
+
+	mu     sync.Mutex
+	calls  []Call
+	faults Faults
+}
+
+// Books returns the calls carried out so far.
+func (s *Service) Books() []Call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.calls)
+}
+
+// Run serves until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	server := listener.Server{Listener: s.Listener, Handler: s.handle}
+	return server.Run(ctx)
+}
+
+// Set changes the faults.
+func (s *Service) Set(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+func (s *Service) control(c *fasthttp.RequestCtx) {
+	var f Faults
+	if err := json.Unmarshal(c.PostBody(), &f); err != nil {
+		c.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	s.Set(f)
+}
+
+func (s *Service) handle(c *fasthttp.RequestCtx) {
+	switch string(c.Path()) {
+	case PathBooks:
+		listener.JSON(c, fasthttp.StatusOK, s.Books())
+	case PathControl:
+		s.control(c)
+	default:
+		s.serve(c)
+	}
+}
+
+func (s *Service) serve(c *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	f := s.faults
+	if f.Refuse > 0 {
+		s.faults.Refuse--
+		s.mu.Unlock()
+		c.Error("refused", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	if f.Lose > 0 {
+		s.faults.Lose--
+	}
+	s.calls = append(s.calls, Call{
+		Request: string(c.Request.Header.Peek(HeaderRequest)),
+		Method:  string(c.Method()),
+		Path:    string(c.Path()),
+		Began:   time.Now(),
+	})
+	s.mu.Unlock()
+	time.Sleep(f.Slow)
+	if f.Lose > 0 {
+		_ = c.Conn().Close()
+		return
+	}
+	listener.JSON(c, fasthttp.StatusCreated, Echo{Method: string(c.Method()), Path: string(c.Path()), Body: string(c.PostBody())})
+}
--- /dev/null
+++ b/internal/upstream/caller/run.go
@@ -0,0 +1,193 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
+	"github.com/sardinetiller/sardinetiller/internal/wire/requester"
+)
+
+// The headers between the system and an engine.
+const (
+	headerAdapter  = "X-Adapter"
+	headerPriority = "X-Priority"
+	headerRequest  = "X-Request-Id"
+)
+
+// wholeLimit bounds an answer that is not a stream, in bytes.
+const wholeLimit = 8 << 20
+
+// done is the last event of a stream that is whole.
+const done = "[DONE]"
+
+// Run sends a call to an engine under the handle and passes the answer on. The
+// answer's adapter is checked before its first byte goes to the sink, so that a
+// mismatch never reaches a caller.
+func Run(ctx context.Context, address, handle string, call *streamer.Call, head streamer.Head, sink streamer.Sink) error {
+	request, err := engineRequest(address, handle, call)
+	if err != nil {
+		return judge.Refuse(judge.ReasonBody, "%v", err)
+	}
+	var r requester.Requester
+	answer, seen := r.Do(ctx, address, request)
+	if seen != nil {
+		return judge.Judge(seen)
+	}
+	defer answer.Close()
+	if answer.Status == fasthttp.StatusConflict || answer.Status == fasthttp.StatusTooManyRequests {
+		return judge.Judge(judge.Refused{Status: answer.Status})
+	}
+	if answer.Status != fasthttp.StatusOK {
+		return judge.Judge(judge.Failed{Status: answer.Status})
+	}
+	if got := string(answer.Header.Peek(headerAdapter)); got != call.Adapter {
+		return judge.Judge(judge.Mismatched{Want: call.Adapter, Got: got})
+	}
+	head.Status = answer.Status
+	head.Type = string(answer.Header.ContentType())
+	head.Adapter = call.Adapter
+	p := &pass{answer: answer, call: call, handle: handle, head: head, sink: sink}
+	if call.Stream {
+		return p.stream()
+	}
+	return p.whole()
+}
+
+// Plain sends a call to a plain service and passes the answer on as it is.
+func Plain(ctx context.Context, address string, call *streamer.Call, sink streamer.Sink) error {
+	request := &fasthttp.Request{}
+	for name, value := range call.Header {
+		request.Header.Set(name, value)
+	}
+	request.Header.SetMethod(call.Method)
+	request.Header.Set(headerRequest, call.ID)
+	request.SetRequestURI("http://" + address + call.Path)
+	request.SetBody(call.Body)
+	var r requester.Requester
+	answer, seen := r.Do(ctx, address, request)
+	if seen != nil {
+		return judge.Judge(seen)
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeLimit))
+	if err != nil {
+		return judge.Judge(answer.Broken(err))
+	}
+	head := streamer.Head{Status: answer.Status, Type: string(answer.Header.ContentType()), Runner: call.Runner}
+	return deliver(sink, head, body)
+}
+
+func deliver(sink streamer.Sink, head streamer.Head, body []byte) error {
+	if err := sink.Head(head); err != nil {
+		return cancelled(err)
+	}
+	if err := sink.Data(body); err != nil {
+		return cancelled(err)
+	}
+	return nil
+}
+
+func cancelled(err error) error {
+	return &judge.Error{Verdict: judge.MayHaveRun, Reason: judge.ReasonCancelled, Message: fmt.Sprintf("the caller went away: %v", err)}
+}
+
+func engineRequest(address, handle string, call *streamer.Call) (*fasthttp.Request, error) {
+	var body map[string]json.RawMessage
+	if err := json.Unmarshal(call.Body, &body); err != nil {
+		return nil, err
+	}
+	body["model"] = json.RawMessage(strconv.Quote(handle))
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request := &fasthttp.Request{}
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.Header.Set(headerRequest, call.ID)
+	request.Header.Set(headerPriority, strconv.Itoa(call.Priority))
+	request.SetRequestURI("http://" + address + call.Path)
+	request.SetBody(data)
+	return request, nil
+}
+
+// A pass moves one answer from the engine to the sink.
+type pass struct {
+	answer *requester.Answer
+	call   *streamer.Call
+	handle string
+	head   streamer.Head
+	sink   streamer.Sink
+}
+
+// check compares the model that a part of the answer names with the handle.
+func (p *pass) check(data []byte) error {
+	var part struct {
+		Model string `json:"model"`
+	}
+	if err := json.Unmarshal(data, &part); err != nil {
+		return judge.Judge(p.answer.Broken(err))
+	}
+	if part.Model != p.handle {
+		return judge.Judge(judge.Mismatched{Want: p.handle, Got: part.Model})
+	}
+	return nil
+}
+
+// rename gives the answer the name that the caller asked for.
+func (p *pass) rename(data []byte) []byte {
+	return bytes.Replace(data, []byte(strconv.Quote(p.handle)), []byte(strconv.Quote(p.call.Adapter)), 1)
+}
+
+func (p *pass) stream() error {
+	scanner := bufio.NewScanner(p.answer.Body)
+	scanner.Buffer(nil, wholeLimit)
+	first := true
+	for scanner.Scan() {
+		data, isEvent := strings.CutPrefix(scanner.Text(), "data: ")
+		if !isEvent {
+			continue
+		}
+		if data == done {
+			return nil
+		}
+		if first {
+			if err := p.check([]byte(data)); err != nil {
+				return err
+			}
+			if err := p.sink.Head(p.head); err != nil {
+				return cancelled(err)
+			}
+			first = false
+		}
+		if err := p.sink.Data(p.rename([]byte(data))); err != nil {
+			return cancelled(err)
+		}
+	}
+	err := scanner.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return judge.Judge(p.answer.Broken(err))
+}
+
+func (p *pass) whole() error {
+	body, err := io.ReadAll(io.LimitReader(p.answer.Body, wholeLimit))
+	if err != nil {
+		return judge.Judge(p.answer.Broken(err))
+	}
+	if err := p.check(body); err != nil {
+		return err
+	}
+	return deliver(p.sink, p.head, p.rename(body))
+}
--- /dev/null
+++ b/internal/upstream/caller/verdict.go
@@ -0,0 +1,45 @@
+package caller
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+)
+
+// judgeOrder says what is known of an order after its answer. A connection that
+// failed after bytes were sent leaves the outcome open: the engine may carry
+// the order out later.
+func judgeOrder(path string, status int, seen judge.Observation) Answer {
+	if seen != nil {
+		if judge.Judge(seen).Verdict == judge.NotRun {
+			return Answer{Outcome: keeper.Failed}
+		}
+		return Answer{Outcome: keeper.Lost}
+	}
+	switch status {
+	case fasthttp.StatusOK:
+		return Answer{Outcome: keeper.Done}
+	case fasthttp.StatusPreconditionFailed:
+		return Answer{Outcome: keeper.Failed, Fenced: true}
+	case fasthttp.StatusNotFound:
+		if path == pathEvict {
+			return Answer{Outcome: keeper.Done} // it is not there any more
+		}
+		return Answer{Outcome: keeper.Failed}
+	case fasthttp.StatusConflict, fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+		return Answer{Outcome: keeper.Failed}
+	default:
+		return Answer{Outcome: keeper.Lost}
+	}
+}
+
+func unexpected(status int, seen judge.Observation) error {
+	if seen != nil {
+		return judge.Judge(seen)
+	}
+	if status != fasthttp.StatusOK {
+		return judge.Judge(judge.Failed{Status: status})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/driver/driver.go
@@ -0,0 +1,289 @@
+package driver
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/time/rate"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
+	"github.com/sardinetiller/sardinetiller/internal/adapter/loader"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/request/admitter"
+	"github.com/sardinetiller/sardinetiller/internal/setting/parser"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/caller"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/orderer"
+)
+
+// A Tenancy tells which runners this instance may act on.
+type Tenancy interface {
+	// Acts returns the fencing number of the tenure if this instance may begin
+	// or continue to act on the runner.
+	Acts(runner string) (uint64, bool)
+	// Owns reports whether the roster gives the runner to this instance.
+	Owns(runner string) bool
+	// May reports whether an order may be sent at this moment.
+	May(runner string) bool
+	// Parties returns the incarnations that may have used a runner before.
+	Parties() []string
+	// Cleared asks a party to give the runner up. It returns false while the
+	// party has not, and an empty surrender if the party runs no more.
+	Cleared(ctx context.Context, party, runner string) (keeper.Surrender, bool)
+}
+
+// A Driver drives the runners of one failure domain. Its fields are set before
+// use; it is safe for concurrent use.
+type Driver struct {
+	Copies  func(adapter string) int // in the domain
+	Domain  string
+	Engine  caller.Engine
+	Evictor func() keeper.Evictor // for engines declared later
+	Logger  log.Logger
+	Metrics *metrics.Set
+	Self    string // incarnation
+	Tenancy Tenancy
+
+	budget  *loader.Budget
+	domains int
+	mu      sync.Mutex
+	loads   ewma // seconds that a load takes
+	names   []string
+	runs    ewma // seconds that a request runs
+	runners map[string]*engine
+	version uint64 // grows when what is resident anywhere changes
+}
+
+// An engine is one runner with what the driver knows of it beside the
+// decisions.
+type engine struct {
+	*orderer.Runner
+
+	address  string
+	asking   bool // a report, a fencing number or a clearing is under way
+	fencing  bool
+	reported bool   // a report was taken in since the tenure began
+	version  uint64 // of what is resident
+	waiters  map[string]*waiter
+}
+
+// share and limit of a queue before the settings say otherwise.
+const (
+	firstLoad = 0.5 // seconds, before any load was seen
+	firstRun  = 0.5 // seconds, before any request was seen
+)
+
+// Declare takes in the engines that the settings name and the limits of the
+// weight store. Instances is how many share those limits.
+func (d *Driver) Declare(services []parser.Service, weights parser.Weights, instances int, queue int, share float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.init()
+	d.grant(weights, instances)
+	declared := make(map[string]bool)
+	for _, s := range services {
+		for _, u := range s.Upstreams {
+			if s.Type == parser.TypeEngine && u.Domain == d.Domain {
+				declared[u.Name] = true
+				d.declare(u, queue, share)
+			}
+		}
+	}
+	for name, e := range d.runners {
+		if !declared[name] {
+			e.Leave() // it ends what it has and takes nothing new
+		}
+	}
+}
+
+// Names returns the engines of the domain.
+func (d *Driver) Names() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.names)
+}
+
+// Estimates returns how long a load and a run take.
+func (d *Driver) Estimates() (load, run time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.init()
+	return d.loads.duration(), d.runs.duration()
+}
+
+// Tick looks after every runner. It is called several times a second.
+func (d *Driver) Tick(ctx context.Context, now time.Time) {
+	for _, name := range d.Names() {
+		d.look(ctx, name, now)
+	}
+	d.Pump(ctx, now)
+}
+
+// Loads returns how busy the owned runners are and, of those whose residency
+// changed after version, what is resident. It also returns the version to ask
+// with the next time.
+func (d *Driver) Loads(version uint64) ([]relayer.Load, []relayer.State, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var loads []relayer.Load
+	var states []relayer.State
+	for number, name := range d.names {
+		e := d.runners[name]
+		if e.version > version {
+			states = append(states, e.state(number, name))
+		}
+		if e.Keeper.Owned() {
+			loads = append(loads, e.load(number))
+		}
+	}
+	return loads, states, d.version
+}
+
+// Drain marks an engine as taking no new work.
+func (d *Driver) Drain(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := d.runners[name]; ok && !e.Leaving() {
+		e.Leave()
+		d.changed(e)
+	}
+}
+
+// Surrender answers a later owner: whether this instance has given the runner
+// up, and what its requests still use.
+func (d *Driver) Surrender(name string) (keeper.Surrender, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.runners[name]
+	if !ok {
+		return keeper.Surrender{}, true // never knew it
+	}
+	if e.Keeper.Owned() && !d.Tenancy.Owns(name) {
+		d.abandon(e)
+	}
+	return e.Keeper.Surrender()
+}
+
+// Idle reports whether no request waits or runs here.
+func (d *Driver) Idle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.runners {
+		if len(e.waiters) > 0 || e.Running() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Blocked returns how many slots are kept only because an earlier owner has not
+// been cleared, and how many there are.
+func (d *Driver) Blocked() (blocked, slots int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.runners {
+		if e.Keeper.Owned() {
+			blocked += e.Keeper.Blocked()
+			slots += e.Keeper.Capacity
+		}
+	}
+	return blocked, slots
+}
+
+// abandon ends a tenure and sends those who wait elsewhere.
+func (d *Driver) abandon(e *engine) {
+	e.Keeper.Abandon()
+	for id, w := range e.waiters {
+		if e.Queue.Remove(id) {
+			w.refuse(ownerRefusal())
+			delete(e.waiters, id)
+		}
+	}
+	d.changed(e)
+}
+
+func (d *Driver) changed(e *engine) {
+	d.version++
+	e.version = d.version
+}
+
+func (d *Driver) count(name, reason string) {
+	d.Metrics.GetOrCreateCounter(name + `{reason="` + reason + `"}`).Inc()
+}
+
+func (d *Driver) declare(u parser.Upstream, queue int, share float64) {
+	e, ok := d.runners[u.Name]
+	if !ok {
+		k := &keeper.Keeper{Capacity: u.Slots, Fencing: u.Fencing, Policy: d.Evictor(), Self: d.Self}
+		e = &engine{
+			Runner:  &orderer.Runner{Name: u.Name, Batch: u.Batch, Keeper: k, Queue: &admitter.Queue{}},
+			waiters: make(map[string]*waiter),
+		}
+		e.Warm()
+		d.runners[u.Name] = e
+		d.names = append(d.names, u.Name) // numbers on links are places in names: they never move
+	}
+	e.address = u.Address
+	e.fencing = u.Fencing
+	e.Batch = u.Batch
+	e.Keeper.Capacity = u.Slots
+	e.Queue.Limit = queue
+	e.Queue.Share = share
+}
+
+// grant gives this instance an equal part of the weight store's rate. A part
+// below one load at a time is still one, or no adapter could ever be loaded.
+func (d *Driver) grant(w parser.Weights, instances int) {
+	limit := rate.Inf
+	if w.Rate > 0 {
+		limit = rate.Limit(w.Rate / float64(max(1, instances)))
+	}
+	together := max(1, w.Together)
+	if d.budget == nil {
+		d.budget = &loader.Budget{Rate: rate.NewLimiter(limit, together)}
+	}
+	d.budget.Rate.SetLimit(limit)
+	d.budget.Together = together
+}
+
+func (d *Driver) init() {
+	if d.runners == nil {
+		d.runners = make(map[string]*engine)
+		d.loads = ewma{value: firstLoad}
+		d.runs = ewma{value: firstRun}
+	}
+}
+
+func (d *Driver) warn(message, runner string, err error) {
+	_ = level.Warn(d.Logger).Log("msg", message, "runner", runner, "err", err)
+}
+
+func (e *engine) load(number int) relayer.Load {
+	const hundredths = 100
+	free := e.Keeper.Free()
+	return relayer.Load{
+		Number: number, Running: e.Running(), Waiting: e.Queue.Len(), Free: free,
+		Ramp: int(hundredths * e.Ramp()),
+	}
+}
+
+func (e *engine) state(number int, name string) relayer.State {
+	return relayer.State{
+		Number: number, Name: name, Owned: e.Keeper.Owned(), Leaving: e.Leaving(),
+		Resident: e.Keeper.Resident(), Loading: e.Keeper.Coming(),
+	}
+}
+
+// An ewma is a moving average of seconds.
+type ewma struct{ value float64 }
+
+// weight is how much the newest value counts.
+const weight = 0.1
+
+func (a *ewma) add(d time.Duration) { a.value += weight * (d.Seconds() - a.value) }
+
+func (a *ewma) duration() time.Duration { return time.Duration(a.value * float64(time.Second)) }
--- /dev/null
+++ b/internal/upstream/driver/look.go
@@ -0,0 +1,109 @@
+package driver
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/caller"
+)
+
+// look brings one runner's tenure up to date and begins what is due: the new
+// fencing number, the clearing of earlier parties, a report.
+func (d *Driver) look(ctx context.Context, name string, now time.Time) {
+	fence, acts := d.Tenancy.Acts(name)
+	owns := d.Tenancy.Owns(name)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.runners[name]
+	switch {
+	case acts && (!e.Keeper.Owned() || e.Keeper.Fence() != fence):
+		d.take(e, fence)
+	case !owns && e.Keeper.Owned():
+		d.abandon(e)
+	}
+	d.expire(e, now)
+	if !e.Keeper.Owned() || e.asking {
+		return
+	}
+	e.asking = true
+	go d.ask(ctx, e)
+}
+
+// ask does the slow part of look outside the lock.
+func (d *Driver) ask(ctx context.Context, e *engine) {
+	d.mu.Lock()
+	raise := e.fencing && !e.Keeper.Raised()
+	fence := e.Keeper.Fence()
+	parties := e.Keeper.Uncleared()
+	address := e.address
+	d.mu.Unlock()
+	if raise {
+		d.raise(ctx, e, address, fence)
+	}
+	for _, party := range parties {
+		d.clear(ctx, e, party, fence)
+	}
+	asked := time.Now()
+	report, err := d.Engine.Report(ctx, address)
+	d.mu.Lock()
+	e.asking = false
+	if err != nil {
+		d.count("sardinetiller_report_failures_total", "report")
+		d.mu.Unlock()
+		return
+	}
+	d.reconcile(e, asked, report)
+	d.mu.Unlock()
+	d.Pump(ctx, time.Now())
+}
+
+func (d *Driver) clear(ctx context.Context, e *engine, party string, fence uint64) {
+	surrender, ok := d.Tenancy.Cleared(ctx, party, e.Name)
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e.Keeper.Fence() == fence { // else the answer is to an earlier tenure's question
+		e.Keeper.Clear(party, surrender)
+		d.changed(e)
+	}
+}
+
+func (d *Driver) raise(ctx context.Context, e *engine, address string, fence uint64) {
+	if !d.Engine.Raise(ctx, address, fence) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e.Keeper.Raise(fence)
+	d.changed(e)
+}
+
+func (d *Driver) reconcile(e *engine, asked time.Time, report caller.Report) {
+	before := len(e.Keeper.Resident())
+	restarted, err := e.Reconcile(keeper.Report{
+		Asked: asked, Engine: report.Engine, Resident: report.Resident, Loading: report.Loading,
+	}, report.Leaving)
+	if err != nil {
+		d.warn("report does not fit the slots", e.Name, err)
+	}
+	if restarted {
+		_ = level.Warn(d.Logger).Log("msg", "engine restarted empty", "runner", e.Name)
+		d.count("sardinetiller_cold_starts_total", "restart")
+	}
+	if restarted || !e.reported || before != len(e.Keeper.Resident()) || report.Leaving {
+		d.changed(e)
+	}
+	e.reported = true
+}
+
+func (d *Driver) take(e *engine, fence uint64) {
+	e.Keeper.Take(fence, d.Tenancy.Parties())
+	e.reported = false
+	d.changed(e)
+	_ = level.Info(d.Logger).Log("msg", "took runner", "runner", e.Name, "fence", fence)
+}
--- /dev/null
+++ b/internal/upstream/driver/serve.go
@@ -0,0 +1,217 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
+	"github.com/sardinetiller/sardinetiller/internal/adapter/loader"
+	"github.com/sardinetiller/sardinetiller/internal/request/admitter"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/caller"
+)
+
+// A waiter is a request that waits for its start.
+type waiter struct {
+	start  chan keeper.Handle
+	refuse func(*judge.Error)
+	failed chan *judge.Error
+}
+
+func newWaiter() *waiter {
+	w := &waiter{start: make(chan keeper.Handle, 1), failed: make(chan *judge.Error, 1)}
+	w.refuse = func(err *judge.Error) { w.failed <- err }
+	return w
+}
+
+// Serve runs a request on a runner that this instance owns and passes the
+// answer to the sink. It returns when the last byte was passed on or the
+// request failed, with a *judge.Error.
+func (d *Driver) Serve(ctx context.Context, call *streamer.Call, sink streamer.Sink) error {
+	arrived := time.Now()
+	w, e, err := d.enter(call, arrived)
+	if err != nil {
+		return err
+	}
+	d.Pump(ctx, arrived)
+	select {
+	case handle := <-w.start:
+		return d.run(ctx, e, handle, call, sink, arrived)
+	case refusal := <-w.failed:
+		return refusal
+	case <-ctx.Done():
+		return d.withdraw(ctx, e, w, call)
+	}
+}
+
+// Pump starts what can start and orders what is needed.
+func (d *Driver) Pump(ctx context.Context, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var needs []loader.Need
+	for _, name := range d.names {
+		e := d.runners[name]
+		for _, s := range e.Starts(now) {
+			e.waiters[s.Item.ID].start <- s.Handle
+			delete(e.waiters, s.Item.ID)
+		}
+		if e.reported {
+			needs = append(needs, e.Needs()...)
+		}
+	}
+	if len(needs) == 0 {
+		return
+	}
+	d.budget.Grant(needs, now, func(n loader.Need) bool { return d.begin(ctx, n, now) })
+}
+
+// begin orders what brings a needed adapter nearer. It returns whether that is
+// a load.
+func (d *Driver) begin(ctx context.Context, n loader.Need, now time.Time) bool {
+	e := d.runners[n.Runner]
+	if !d.Tenancy.May(n.Runner) {
+		return false
+	}
+	action := e.Keeper.Want(n.Adapter, now)
+	if action == nil {
+		return false
+	}
+	d.changed(e)
+	_, isLoad := action.(keeper.Load)
+	go d.carryOut(ctx, e, n, action)
+	return isLoad
+}
+
+// carryOut sends an order and records how it ended.
+func (d *Driver) carryOut(ctx context.Context, e *engine, n loader.Need, action keeper.Action) {
+	began := time.Now()
+	answer := caller.Answer{Outcome: keeper.Failed}
+	// The last moment before the order: a process that was paused since it
+	// decided may have lost the runner meanwhile.
+	if d.Tenancy.May(e.Name) {
+		answer = d.Engine.Order(context.WithoutCancel(ctx), e.address, action)
+	} else {
+		d.count("sardinetiller_orders_withheld_total", "lease")
+	}
+	now := time.Now()
+	d.mu.Lock()
+	if err := e.Keeper.Finish(action, answer.Outcome, now); err != nil {
+		d.warn("order does not fit the slots", e.Name, err)
+	}
+	d.finish(n, action, answer, now, now.Sub(began))
+	d.changed(e)
+	d.mu.Unlock()
+	d.Pump(ctx, now)
+}
+
+func (d *Driver) finish(n loader.Need, action keeper.Action, answer caller.Answer, now time.Time, took time.Duration) {
+	outcome := "done"
+	switch {
+	case answer.Fenced:
+		outcome = "fenced"
+	case answer.Outcome == keeper.Failed:
+		outcome = "failed"
+	case answer.Outcome == keeper.Lost:
+		outcome = "lost"
+	}
+	switch action.(type) {
+	case keeper.Evict:
+		d.count("sardinetiller_evictions_total", outcome)
+	case keeper.Load:
+		d.count("sardinetiller_loads_total", outcome)
+		d.budget.Finish(n, answer.Outcome == keeper.Done, now)
+		if answer.Outcome == keeper.Done {
+			d.loads.add(took)
+		}
+	}
+}
+
+func (d *Driver) enter(call *streamer.Call, now time.Time) (*waiter, *engine, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.runners[call.Runner]
+	if !ok || !e.Keeper.Owned() {
+		return nil, nil, ownerRefusal()
+	}
+	if e.Leaving() {
+		return nil, nil, judge.Refuse(judge.ReasonUpstream, "runner %s is leaving", e.Name)
+	}
+	if err := e.Queue.Offer(admitter.Item{
+		ID: call.ID, Account: call.Account, Adapter: call.Adapter, Priority: call.Priority,
+		Arrived: now, Deadline: call.Deadline,
+	}); err != nil {
+		return nil, nil, err
+	}
+	w := newWaiter()
+	e.waiters[call.ID] = w
+	return w, e, nil
+}
+
+// expire refuses at once what cannot be answered in time any more.
+func (d *Driver) expire(e *engine, now time.Time) {
+	for _, item := range e.Queue.Expired(now, 0) {
+		e.waiters[item.ID].refuse(judge.Refuse(judge.ReasonDeadline, "the deadline passed while the request waited"))
+		delete(e.waiters, item.ID)
+	}
+	if !e.Leaving() {
+		return
+	}
+	for _, item := range slices.Clone(e.Queue.Items()) {
+		e.waiters[item.ID].refuse(judge.Refuse(judge.ReasonUpstream, "runner %s is leaving", e.Name))
+		delete(e.waiters, item.ID)
+		e.Queue.Remove(item.ID)
+	}
+}
+
+func (d *Driver) run(ctx context.Context, e *engine, handle keeper.Handle, call *streamer.Call, sink streamer.Sink, arrived time.Time) error {
+	began := time.Now()
+	head := streamer.Head{Runner: e.Name, Queued: began.Sub(arrived)}
+	head.Stall = d.stall(e, call.Adapter, arrived, began)
+	err := caller.Run(ctx, e.address, handle.String(), call, head, sink)
+	now := time.Now()
+	d.mu.Lock()
+	e.Finish(handle)
+	if err == nil {
+		d.runs.add(now.Sub(began))
+	}
+	d.mu.Unlock()
+	d.Pump(context.WithoutCancel(ctx), now)
+	return err
+}
+
+// stall is the part of the wait for which the adapter was not resident.
+func (d *Driver) stall(e *engine, adapter string, arrived, began time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	since := e.Keeper.Since(adapter)
+	if since.Before(arrived) {
+		return 0
+	}
+	return min(since.Sub(arrived), began.Sub(arrived))
+}
+
+// withdraw takes a request back whose caller went away or whose deadline
+// passed before it started.
+func (d *Driver) withdraw(ctx context.Context, e *engine, w *waiter, call *streamer.Call) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(e.waiters, call.ID)
+	if !e.Queue.Remove(call.ID) {
+		select {
+		case handle := <-w.start: // it started in this very moment, and is not sent
+			e.Finish(handle)
+		default:
+		}
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return judge.Refuse(judge.ReasonDeadline, "the deadline passed while the request waited")
+	}
+	return judge.Refuse(judge.ReasonCancelled, "withdrawn before it was sent")
+}
+
+func ownerRefusal() *judge.Error {
+	return judge.Refuse(judge.ReasonOwner, "this instance does not own the runner")
+}
--- /dev/null
+++ b/internal/upstream/monitor/fleet.go
@@ -0,0 +1,233 @@
+// Package monitor holds what an instance knows of the runners of its failure
+// domain: who owns each, what is resident there and how busy it is. Owners tell
+// it in their heartbeats; between two of them the instance counts what it sent
+// itself.
+package monitor
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/request/router"
+	"github.com/sardinetiller/sardinetiller/internal/setting/parser"
+)
+
+// A Fleet is the view of the runners. Domain is set before use; it is safe for
+// concurrent use.
+type Fleet struct {
+	Domain string
+
+	mu      sync.Mutex
+	numbers map[string]map[int]string // owner to number to runner
+	runners map[string]*runner
+}
+
+// A runner is one engine of the domain.
+type runner struct {
+	declared parser.Upstream
+	drained  bool
+	free     int
+	heard    time.Time
+	leaving  bool
+	loading  map[string]bool
+	owner    string // incarnation; empty if unknown
+	ramp     float64
+	resident map[string]bool
+	running  int
+	sent     int
+	service  string
+	waiting  int
+}
+
+// A View is a runner as status shows it.
+type View struct {
+	Runner   string   `json:"runner" yaml:"runner"`
+	Service  string   `json:"service" yaml:"service"`
+	Owner    string   `json:"owner" yaml:"owner"` // incarnation
+	Resident []string `json:"resident" yaml:"resident"`
+	Running  int      `json:"running" yaml:"running"`
+	Waiting  int      `json:"waiting" yaml:"waiting"`
+	Leaving  bool     `json:"leaving" yaml:"leaving"`
+	Drained  bool     `json:"drained" yaml:"drained"`
+}
+
+// Candidates returns the runners of a service that may take a request for the
+// adapter, except those in tried. Only owners that alive accepts count.
+func (f *Fleet) Candidates(service, adapter string, tried []string, alive func(owner string) bool) []router.Candidate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var candidates []router.Candidate
+	for name, r := range f.runners {
+		if r.service != service || r.owner == "" || r.leaving || r.drained || slices.Contains(tried, name) || !alive(r.owner) {
+			continue
+		}
+		candidates = append(candidates, router.Candidate{
+			Runner: name, Resident: r.resident[adapter], Loading: r.loading[adapter], Free: r.free,
+			Batch: r.declared.Batch, Running: r.running, Waiting: r.waiting, Sent: r.sent, Ramp: r.ramp,
+		})
+	}
+	return candidates
+}
+
+// Copies returns how many runners of the domain hold the adapter.
+func (f *Fleet) Copies(adapter string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	copies := 0
+	for _, r := range f.runners {
+		if r.resident[adapter] {
+			copies++
+		}
+	}
+	return copies
+}
+
+// Declare takes in the engines that the settings name for the domain and
+// forgets the others.
+func (f *Fleet) Declare(services []parser.Service) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := make(map[string]*runner)
+	for _, s := range services {
+		for _, u := range s.Upstreams {
+			if s.Type != parser.TypeEngine || u.Domain != f.Domain {
+				continue
+			}
+			r, ok := f.runners[u.Name]
+			if !ok {
+				r = &runner{ramp: 1, free: u.Slots}
+			}
+			r.declared = u
+			r.service = s.Name
+			next[u.Name] = r
+		}
+	}
+	f.runners = next
+}
+
+// Drain takes in the upstreams that operators drain.
+func (f *Fleet) Drain(names []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, r := range f.runners {
+		r.drained = slices.Contains(names, name)
+	}
+}
+
+// Drained reports whether operators drain the runner.
+func (f *Fleet) Drained(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.runners[name]
+	return ok && r.drained
+}
+
+// Hear takes in what an owner tells of its runners.
+func (f *Fleet) Hear(owner string, beat relayer.Beat, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.numbers == nil {
+		f.numbers = make(map[string]map[int]string)
+	}
+	if f.numbers[owner] == nil {
+		f.numbers[owner] = make(map[int]string)
+	}
+	for _, s := range beat.States {
+		f.numbers[owner][s.Number] = s.Name
+		f.hearState(owner, s)
+	}
+	for _, l := range beat.Loads {
+		if r, ok := f.runners[f.numbers[owner][l.Number]]; ok && r.owner == owner {
+			r.hearLoad(l, now)
+		}
+	}
+}
+
+// Owner returns the incarnation that serves the runner, empty if none is known.
+func (f *Fleet) Owner(name string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, ok := f.runners[name]; ok {
+		return r.owner
+	}
+	return ""
+}
+
+// Sent counts a request that this instance sent to a runner, until the owner
+// tells of its load again.
+func (f *Fleet) Sent(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, ok := f.runners[name]; ok {
+		r.sent++
+	}
+}
+
+// Upstream returns what the settings declare of a runner.
+func (f *Fleet) Upstream(name string) (parser.Upstream, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.runners[name]
+	if !ok {
+		return parser.Upstream{}, false
+	}
+	return r.declared, true
+}
+
+// Views returns the runners, sorted by name.
+func (f *Fleet) Views() []View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	views := make([]View, 0, len(f.runners))
+	for name, r := range f.runners {
+		v := View{
+			Runner: name, Service: r.service, Owner: r.owner, Resident: []string{},
+			Running: r.running, Waiting: r.waiting, Leaving: r.leaving, Drained: r.drained,
+		}
+		for adapter := range r.resident {
+			v.Resident = append(v.Resident, adapter)
+		}
+		slices.Sort(v.Resident)
+		views = append(views, v)
+	}
+	slices.SortFunc(views, func(a, b View) int { return strings.Compare(a.Runner, b.Runner) })
+	return views
+}
+
+func (f *Fleet) hearState(owner string, s relayer.State) {
+	r, ok := f.runners[s.Name]
+	if !ok {
+		return
+	}
+	if !s.Owned {
+		if r.owner == owner {
+			r.owner = ""
+		}
+		return
+	}
+	r.owner = owner
+	r.leaving = s.Leaving
+	r.resident = set(s.Resident)
+	r.loading = set(s.Loading)
+}
+
+func (r *runner) hearLoad(l relayer.Load, now time.Time) {
+	const hundredths = 100
+	r.running = l.Running
+	r.waiting = l.Waiting
+	r.free = l.Free
+	r.ramp = float64(l.Ramp) / hundredths
+	r.sent = 0
+	r.heard = now
+}
+
+func set(names []string) map[string]bool {
+	s := make(map[string]bool, len(names))
+	for _, n := range names {
+		s[n] = true
+	}
+	return s
+}
--- a/internal/upstream/orderer/runner.go
+++ b/internal/upstream/orderer/runner.go
@@ -45,7 +45,7 @@
 // Needs returns the adapters that requests wait for and that are not on their
 // way.
 func (r *Runner) Needs() []loader.Need {
-	if r.leaving || !r.Keeper.Owned() {
+	if r.leaving || !r.Keeper.Ready() {
 		return nil
 	}
 	var needs []loader.Need
