--- a/internal/request/claimer/claimer_test.go
+++ b/internal/request/claimer/claimer_test.go
@@ -78,7 +78,12 @@
 	token    atomic.Int64
 }
 
-func newBench(ctx context.Context, n int, seed uint64) *bench {
+func newBench(t *testing.T, n int, seed uint64) *bench {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		time.Sleep(10 * time.Second) // what is under way ends by itself
+	})
 	b := &bench{table: &badTable{random: rand.New(rand.NewPCG(seed, 1))}}
 	for i := range n {
 		c := &claimer.Claimer{
@@ -126,10 +131,8 @@
 }
 
 func runScenario(t *testing.T, seed uint64) {
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
 	random := rand.New(rand.NewPCG(seed, 2))
-	b := newBench(ctx, 3, seed)
+	b := newBench(t, 3, seed)
 	b.table.set(random.Float64()/4, random.Float64()/2)
 	crash := random.IntN(3) == 0
 	var wg sync.WaitGroup
@@ -168,9 +171,7 @@
 // transaction both would pass the same check.
 func TestSameKeyInOneGroup(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		b := newBench(ctx, 1, 1)
+		b := newBench(t, 1, 1)
 		var wg sync.WaitGroup
 		for range 2 {
 			wg.Go(func() { b.request(b.claimers[0], "key", time.Second, false) })
@@ -188,9 +189,7 @@
 // may_have_run.
 func TestRefusedClaimIsWithdrawn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		b := newBench(ctx, 2, 1)
+		b := newBench(t, 2, 1)
 		b.table.set(0, 1)
 		time.AfterFunc(6*time.Millisecond, func() { b.table.down.Store(true) })
 		verdict, _ := b.request(b.claimers[0], "key", time.Second, false)
