--- /dev/null
+++ b/internal/experiment/stager/stage.go
@@ -0,0 +1,259 @@
+package stager
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/sardinetiller/sardinetiller/internal/instance/composer"
+	"github.com/sardinetiller/sardinetiller/internal/instance/server"
+	"github.com/sardinetiller/sardinetiller/internal/platform/storer"
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
+	"github.com/sardinetiller/sardinetiller/internal/setting/publisher"
+	"github.com/sardinetiller/sardinetiller/internal/standin/generator"
+	"github.com/sardinetiller/sardinetiller/internal/standin/registrar"
+	"github.com/sardinetiller/sardinetiller/internal/standin/responder"
+	"github.com/sardinetiller/sardinetiller/internal/wire/listener"
+)
+
+// A Stage is a deployment that runs.
+type Stage struct {
+	Engines   []*generator.Engine
+	Instances []*Instance
+	Plan      Plan
+	Platform  *registrar.Platform
+	Services  []*responder.Service
+
+	cancel   context.CancelFunc
+	ctx      context.Context
+	files    map[string][]byte
+	logger   log.Logger
+	revision uint64
+	running  sync.WaitGroup
+}
+
+// An Instance is one entry instance of a stage.
+type Instance struct {
+	Server *server.Server
+
+	done chan struct{}
+	stop context.CancelFunc
+}
+
+// platformLag is the lag of the staged instance list.
+const platformLag = 2 * time.Second
+
+// Start sets a plan up and waits until every instance is ready to serve.
+func Start(ctx context.Context, plan Plan, logger log.Logger) (*Stage, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &Stage{Plan: plan, cancel: cancel, ctx: ctx, logger: logger}
+	if err := s.start(); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Address returns where instance i takes callers.
+func (s *Stage) Address(i int) string {
+	return s.Instances[i].Server.Listeners.Caller.Addr().String()
+}
+
+// Apply makes a change of one file of the settings and returns the revision.
+func (s *Stage) Apply(ctx context.Context, file string, content []byte) (uint64, error) {
+	s.files[file] = content
+	revision, err := s.publisher().Apply(ctx, publisher.Edit{Files: s.files, Base: s.revision, Author: "stage", Note: file})
+	if err == nil {
+		s.revision = revision
+	}
+	return revision, err
+}
+
+// Launch adds an entry instance in a failure domain.
+func (s *Stage) Launch(id, domain string) (*Instance, error) {
+	listeners, err := listeners()
+	if err != nil {
+		return nil, err
+	}
+	config := configurer.Defaults
+	config.ID = id
+	config.Domain = domain
+	config.Platform = s.Platform.Listener.Addr().String()
+	config.Lease = s.Plan.Lease
+	config.Beat = 500 * time.Millisecond
+	config.Poll = 500 * time.Millisecond
+	config.Notice = 500 * time.Millisecond
+	composed, err := composer.Compose(composer.Parts{
+		Config: config, Listeners: listeners, LRU: s.Plan.LRU,
+		Keys:   composer.Keys{Secret: func() string { return "stage" }, Token: func() string { return "" }},
+		Logger: log.With(s.logger, "instance", id),
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(s.ctx)
+	i := &Instance{Server: composed, done: make(chan struct{}), stop: stop}
+	s.running.Go(func() {
+		defer close(i.done)
+		_ = composed.Run(ctx) // a listener that fails shows as an instance that never gets ready
+	})
+	return i, nil
+}
+
+// Leave stops the instance gracefully and waits for its end.
+func (i *Instance) Leave() {
+	i.stop()
+	<-i.done
+}
+
+// Stop ends everything and waits for it.
+func (s *Stage) Stop() {
+	s.cancel()
+	s.running.Wait()
+}
+
+func (s *Stage) publisher() *publisher.Publisher {
+	address := s.Platform.Listener.Addr().String()
+	token := 0
+	return &publisher.Publisher{
+		Store: &storer.Client{Address: address, Timeout: time.Second},
+		Table: &tabler.Client{Address: address, Timeout: time.Second},
+		Token: func() string { token++; return fmt.Sprintf("stage-%d-%d", s.revision, token) },
+	}
+}
+
+func (s *Stage) start() error {
+	if err := s.startPlatform(); err != nil {
+		return err
+	}
+	engines, err := s.startEngines()
+	if err != nil {
+		return err
+	}
+	services, err := s.startServices()
+	if err != nil {
+		return err
+	}
+	s.files = s.Plan.tree(engines, services)
+	if _, err := s.Apply(s.ctx, "root.yaml", s.files["root.yaml"]); err != nil {
+		return err
+	}
+	for i := range s.Plan.Instances {
+		instance, err := s.Launch(fmt.Sprintf("%s-%d", s.Plan.domain(i), 1+i/len(s.Plan.Domains)), s.Plan.domain(i))
+		if err != nil {
+			return err
+		}
+		s.Instances = append(s.Instances, instance)
+	}
+	return s.settle()
+}
+
+func (s *Stage) startPlatform() error {
+	l, err := listener.Local()
+	if err != nil {
+		return err
+	}
+	s.Platform = &registrar.Platform{
+		Listener: l, Lag: platformLag, Rate: s.Plan.Rate * s.Plan.Speed, Together: s.Plan.Together,
+	}
+	s.run(s.Platform.Run)
+	return nil
+}
+
+func (s *Stage) startEngines() ([]string, error) {
+	var addresses []string
+	for i := range s.Plan.Engines {
+		l, err := listener.Local()
+		if err != nil {
+			return nil, err
+		}
+		e := &generator.Engine{
+			Batch: s.Plan.Batch, Fencing: s.Plan.Fencing, Listener: l, Name: s.Plan.engineName(i), Slots: s.Plan.Slots,
+			Step: time.Duration(float64(tokenTime) / s.Plan.Speed), Weights: s.Platform.Listener.Addr().String(),
+		}
+		s.Engines = append(s.Engines, e)
+		addresses = append(addresses, l.Addr().String())
+		s.run(e.Run)
+	}
+	return addresses, nil
+}
+
+func (s *Stage) startServices() ([]string, error) {
+	var addresses []string
+	for range s.Plan.Services {
+		l, err := listener.Local()
+		if err != nil {
+			return nil, err
+		}
+		service := &responder.Service{Listener: l}
+		s.Services = append(s.Services, service)
+		addresses = append(addresses, l.Addr().String())
+		s.run(service.Run)
+	}
+	return addresses, nil
+}
+
+func (s *Stage) run(f func(context.Context) error) {
+	s.running.Go(func() { _ = f(s.ctx) }) // a stand-in that fails shows as requests that fail
+}
+
+// settleTime bounds how long a stage takes to get ready.
+const settleTime = 30 * time.Second
+
+// settle waits until every engine has an owner that has looked at it.
+func (s *Stage) settle() error {
+	deadline := time.Now().Add(settleTime)
+	for time.Now().Before(deadline) {
+		if s.settled() {
+			return nil
+		}
+		select {
+		case <-s.ctx.Done():
+			return s.ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("the deployment was not ready within %s", settleTime)
+}
+
+func (s *Stage) settled() bool {
+	for _, i := range s.Instances {
+		if ready, _ := i.Server.Ready(); !ready {
+			return false
+		}
+		views := i.Server.Fleet.Views()
+		if len(views) == 0 && s.Plan.Engines >= len(s.Plan.Domains) {
+			return false
+		}
+		for _, v := range views {
+			if v.Owner == "" || !i.Server.Alive(v.Owner) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func listeners() (server.Listeners, error) {
+	var l server.Listeners
+	var err error
+	if l.Caller, err = listener.Local(); err != nil {
+		return l, err
+	}
+	if l.Operator, err = listener.Local(); err != nil {
+		return l, err
+	}
+	l.Peer, err = listener.Local()
+	return l, err
+}
--- /dev/null
+++ b/internal/experiment/stager/stage_test.go
@@ -0,0 +1,62 @@
+package stager_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/experiment/stager"
+	"github.com/sardinetiller/sardinetiller/internal/wire/requester"
+)
+
+// small is a deployment of two domains that starts quickly.
+func small(t *testing.T) *stager.Stage {
+	t.Helper()
+	plan, err := stager.Deployment(stager.Association)
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan.Domains = plan.Domains[:2]
+	plan.Engines, plan.Instances, plan.Services = 4, 4, 2
+	plan.Lease = 2 * time.Second
+	s, err := stager.Start(t.Context(), plan, log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	return s
+}
+
+func post(t *testing.T, address, path, body string) (int, string) {
+	t.Helper()
+	request := &fasthttp.Request{}
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+stager.Key)
+	request.SetRequestURI("http://" + address + path)
+	request.SetBodyString(body)
+	var r requester.Requester
+	status, answer, seen := r.Whole(t.Context(), address, request)
+	if seen != nil {
+		t.Fatalf("%+v", seen)
+	}
+	return status, string(answer)
+}
+
+func TestWholePath(t *testing.T) {
+	s := small(t)
+	for i := range s.Instances {
+		status, body := post(t, s.Address(i), "/v1/chat/completions",
+			`{"model":"desk-7@2","max_tokens":3,"messages":[{"role":"user","content":"hello"}]}`)
+		t.Log(status, body)
+		if status != fasthttp.StatusOK {
+			t.Errorf("instance %d: status %d: %s", i, status, body)
+		}
+		status, body = post(t, s.Address(i), "/v1/completions", `{"model":"desk-8@1","stream":true,"max_tokens":3,"prompt":"hello"}`)
+		t.Log(status, body)
+		if status != fasthttp.StatusOK {
+			t.Errorf("instance %d: status %d: %s", i, status, body)
+		}
+	}
+}
--- /dev/null
+++ b/internal/instance/composer/composer.go
@@ -0,0 +1,197 @@
+// Package composer wires an entry instance together. It is the only place
+// where the parts meet by construction.
+package composer
+
+import (
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"go.uber.org/dig"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
+	"github.com/sardinetiller/sardinetiller/internal/instance/server"
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+	"github.com/sardinetiller/sardinetiller/internal/member/leaser"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/platform/lister"
+	"github.com/sardinetiller/sardinetiller/internal/platform/storer"
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/request/answerer"
+	"github.com/sardinetiller/sardinetiller/internal/request/claimer"
+	"github.com/sardinetiller/sardinetiller/internal/request/dispatcher"
+	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
+	"github.com/sardinetiller/sardinetiller/internal/setting/watcher"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/caller"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/driver"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/monitor"
+)
+
+// Parts are what an instance is made of that does not follow from its
+// settings.
+type Parts struct {
+	Config    configurer.Daemon
+	Keys      Keys
+	Listeners server.Listeners
+	Logger    log.Logger
+	LRU       bool // evict by last use instead of by heat, as a baseline
+}
+
+// Keys are the secrets of an instance. They may change while it runs.
+type Keys struct {
+	Secret func() string // shared by the instances
+	Token  func() string // of operators; empty for none
+	Dial   *tls.Config   // for links that are dialled; nil for none
+	Take   *tls.Config   // for links that peers dial; nil for none
+}
+
+// The times that follow from the settings of a daemon.
+const (
+	platformTimeout = 2 * time.Second
+	orderTimeout    = 30 * time.Second
+	silentBeats     = 4 // heartbeats missed before an instance is suspect
+	heatHalfLife    = 30 * time.Second
+)
+
+// incarnation is the name of one run of an instance.
+type incarnation string
+
+// Compose returns an instance that is ready to run.
+func Compose(parts Parts) (*server.Server, error) {
+	c := dig.New()
+	for _, constructor := range []any{
+		func() Parts { return parts },
+		func() *server.Server { return &server.Server{} },
+		newIncarnation, newTable, newStore, newLister, newMetrics, newMonitor, newHolder,
+		newMesh, newWatcher, newFleet, newDriver, newDispatcher, newClaimer, newAnswerer,
+	} {
+		if err := c.Provide(constructor); err != nil {
+			return nil, err
+		}
+	}
+	if err := c.Invoke(assemble); err != nil {
+		return nil, dig.RootCause(err)
+	}
+	var s *server.Server
+	err := c.Invoke(func(composed *server.Server) { s = composed })
+	return s, err
+}
+
+// An assembly is every part of a server.
+type assembly struct {
+	dig.In
+
+	Answerer    *answerer.Answerer
+	Claimer     *claimer.Claimer
+	Dispatcher  *dispatcher.Dispatcher
+	Driver      *driver.Driver
+	Fleet       *monitor.Fleet
+	Holder      *leaser.Holder
+	Incarnation incarnation
+	Lister      lister.Lister
+	Mesh        *relayer.Mesh
+	Metrics     *metrics.Set
+	Monitor     *heartbeater.Monitor
+	Parts       Parts
+	Server      *server.Server
+	Store       storer.Store
+	Table       tabler.Table
+	Watcher     *watcher.Watcher
+}
+
+// assemble fills the server, which several of its parts refer back to.
+func assemble(a assembly) {
+	s := a.Server
+	s.Answerer = a.Answerer
+	s.Claimer = a.Claimer
+	s.Config = a.Parts.Config
+	s.Dispatcher = a.Dispatcher
+	s.Driver = a.Driver
+	s.Fleet = a.Fleet
+	s.Holder = a.Holder
+	s.Incarnation = string(a.Incarnation)
+	s.Lister = a.Lister
+	s.Listeners = a.Parts.Listeners
+	s.Logger = a.Parts.Logger
+	s.Mesh = a.Mesh
+	s.Metrics = a.Metrics
+	s.Monitor = a.Monitor
+	s.Store = a.Store
+	s.Table = a.Table
+	s.TLS = a.Parts.Keys.Take
+	s.Token = a.Parts.Keys.Token
+	s.Watcher = a.Watcher
+}
+
+func newAnswerer(p Parts, s *server.Server, c *claimer.Claimer, d *dispatcher.Dispatcher, m *metrics.Set) *answerer.Answerer {
+	return &answerer.Answerer{
+		Claimer: c, Dispatcher: d, Domain: p.Config.Domain, Force: s.Force, Logger: p.Logger,
+		Metrics: m, Stopping: s.Stopping, Token: token,
+	}
+}
+
+func newClaimer(i incarnation, s *server.Server, store storer.Store, table tabler.Table) *claimer.Claimer {
+	return &claimer.Claimer{Gone: s.Gone, Self: string(i), Store: store, Table: table, Token: token}
+}
+
+func newDispatcher(p Parts, i incarnation, s *server.Server, d *driver.Driver, f *monitor.Fleet, m *metrics.Set) *dispatcher.Dispatcher {
+	return &dispatcher.Dispatcher{
+		Domain: p.Config.Domain, Drained: s.Drained, Fleet: f, Force: s.Force, Local: d,
+		Metrics: m, Peers: s, Self: string(i),
+	}
+}
+
+func newDriver(p Parts, i incarnation, s *server.Server, f *monitor.Fleet, m *metrics.Set) *driver.Driver {
+	evictor := func() keeper.Evictor { return keeper.Heat{HalfLife: heatHalfLife, Copies: f.Copies} }
+	if p.LRU {
+		evictor = func() keeper.Evictor { return keeper.LRU{} }
+	}
+	return &driver.Driver{
+		Domain: p.Config.Domain, Engine: &caller.Client{Timeout: orderTimeout}, Evictor: evictor,
+		Logger: p.Logger, Metrics: m, Self: string(i), Tenancy: s,
+	}
+}
+
+func newFleet(p Parts) *monitor.Fleet { return &monitor.Fleet{Domain: p.Config.Domain} }
+
+func newHolder(p Parts, i incarnation) *leaser.Holder {
+	return &leaser.Holder{Self: leaser.Member{ID: p.Config.ID, Incarnation: string(i)}, Time: p.Config.Lease}
+}
+
+func newIncarnation(p Parts) incarnation { return incarnation(p.Config.ID + "-" + token()) }
+
+func newLister(p Parts) lister.Lister {
+	return &lister.Client{Address: p.Config.Platform, Timeout: platformTimeout}
+}
+
+func newMesh(p Parts, s *server.Server) *relayer.Mesh {
+	return &relayer.Mesh{Handler: s, Secret: p.Keys.Secret, Self: s.Self, TLS: p.Keys.Dial}
+}
+
+func newMetrics() *metrics.Set { return metrics.NewSet() }
+
+func newMonitor(p Parts) *heartbeater.Monitor {
+	return &heartbeater.Monitor{Silence: silentBeats * p.Config.Beat, Patience: p.Config.Lease}
+}
+
+func newStore(p Parts) storer.Store {
+	return &storer.Client{Address: p.Config.Platform, Timeout: platformTimeout}
+}
+
+func newTable(p Parts) tabler.Table {
+	return &tabler.Client{Address: p.Config.Platform, Timeout: platformTimeout}
+}
+
+func newWatcher(s *server.Server, m *relayer.Mesh, store storer.Store) *watcher.Watcher {
+	return &watcher.Watcher{Store: &server.ChainStore{Peers: s.Addresses, Mesh: m, Store: store}}
+}
+
+// token returns a fresh name.
+func token() string {
+	var b [6]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/instance/server/answer.go
@@ -0,0 +1,265 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/platform/storer"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
+)
+
+var _ relayer.Handler = (*Server)(nil)
+
+// Answer implements relayer.Handler.
+func (s *Server) Answer(ctx context.Context, from heartbeater.Instance, m relayer.Message, reply *relayer.Reply) error {
+	switch m := m.(type) {
+	case relayer.Ask:
+		return s.answerAsk(ctx, &m.Call, reply)
+	case relayer.Fetch:
+		data, ok := s.Watcher.Object(m.Key)
+		if !ok {
+			return storer.ErrAbsent
+		}
+		return reply.Send(relayer.Data{Data: data})
+	case relayer.Inquire:
+		force := s.Watcher.Force()
+		if force == nil {
+			return errors.New("no settings are in force here")
+		}
+		return reply.Send(relayer.Told{Head: force.Head})
+	case relayer.Yield:
+		return reply.Send(s.yield(m))
+	default:
+		return errors.Errorf("%s does not open a conversation: %T", from.ID, m)
+	}
+}
+
+// Heard implements relayer.Handler.
+func (s *Server) Heard(from heartbeater.Instance, beat relayer.Beat) {
+	now := time.Now()
+	s.mu.Lock()
+	s.Monitor.Beat(from, now)
+	s.peerBeats[from.Incarnation] = relayer.Beat{Epoch: beat.Epoch, Revision: beat.Revision, Leaving: beat.Leaving}
+	same := from.Domain == s.Config.Domain
+	later := false
+	if same {
+		s.Holder.Adopted(from.Incarnation, beat.Epoch)
+		later = beat.Epoch > s.Holder.Epoch()
+	}
+	s.mu.Unlock()
+	if same {
+		s.Fleet.Hear(from.Incarnation, beat, now)
+	}
+	if later {
+		s.pollSoon()
+	}
+	if beat.Revision > s.Watcher.Revision() {
+		go s.catchUp(from.Address)
+	}
+}
+
+// catchUpTime bounds how long one peer is asked for the settings.
+const catchUpTime = 5 * time.Second
+
+func (s *Server) catchUp(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), catchUpTime)
+	defer cancel()
+	s.askSettings(ctx, address)
+}
+
+// answerAsk serves a call that a peer passed on: on the named runner, or
+// wherever this domain can.
+func (s *Server) answerAsk(ctx context.Context, call *streamer.Call, reply *relayer.Reply) error {
+	call.Deadline = time.Now().Add(call.Left)
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	if call.Runner == "" {
+		return s.Dispatcher.Dispatch(ctx, call, replySink{reply})
+	}
+	return s.Driver.Serve(ctx, call, replySink{reply})
+}
+
+// yield answers a later owner. Until this instance has adopted the roster epoch
+// that took the runner from it, it may still order.
+func (s *Server) yield(m relayer.Yield) relayer.Surrendered {
+	s.mu.Lock()
+	adopted := s.Holder.Epoch() >= m.Epoch
+	s.mu.Unlock()
+	if !adopted {
+		s.pollSoon()
+		return relayer.Surrendered{}
+	}
+	surrender, given := s.Driver.Surrender(m.Runner)
+	return relayer.Surrendered{Given: given, Pins: surrender.Pins, Doom: surrender.Doomed}
+}
+
+// A replySink passes an answer on to the instance that asked.
+type replySink struct{ reply *relayer.Reply }
+
+var _ streamer.Sink = replySink{}
+
+// Data implements streamer.Sink.
+func (r replySink) Data(data []byte) error { return r.reply.Send(relayer.Data{Data: data}) }
+
+// Head implements streamer.Sink.
+func (r replySink) Head(head streamer.Head) error { return r.reply.Send(relayer.Head{Head: head}) }
+
+// Alive implements dispatcher.Peers.
+func (s *Server) Alive(incarnation string) bool {
+	if incarnation == s.Incarnation {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	health := s.Monitor.Health(incarnation, time.Now())
+	return health == heartbeater.Live || health == heartbeater.Leaving
+}
+
+// Ask implements dispatcher.Peers.
+func (s *Server) Ask(ctx context.Context, incarnation string, call *streamer.Call, sink streamer.Sink) error {
+	address, ok := s.address(incarnation)
+	if !ok {
+		return judge.Refuse(judge.ReasonPeer, "instance %s is not known", incarnation)
+	}
+	call.Left = time.Until(call.Deadline)
+	c, err := s.Mesh.Open(ctx, address, relayer.Ask{Call: *call})
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	for {
+		m, err := c.Next(ctx)
+		if err != nil {
+			return err
+		}
+		switch m := m.(type) {
+		case relayer.Head:
+			err = sink.Head(m.Head)
+		case relayer.Data:
+			err = sink.Data(m.Data)
+		case relayer.End:
+			return nil
+		default:
+			err = errors.Errorf("unexpected answer %T", m)
+		}
+		if err != nil {
+			return &judge.Error{Verdict: judge.MayHaveRun, Reason: judge.ReasonCancelled, Message: err.Error()}
+		}
+	}
+}
+
+// Elsewhere implements dispatcher.Peers.
+func (s *Server) Elsewhere() []string {
+	var incarnations []string
+	for _, i := range s.neighbours(time.Now()) {
+		incarnations = append(incarnations, i.Incarnation)
+	}
+	return incarnations
+}
+
+func (s *Server) address(incarnation string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range s.Monitor.Instances(time.Now()) {
+		if i.Incarnation == incarnation {
+			return i.Address, true
+		}
+	}
+	return "", false
+}
+
+// Acts implements driver.Tenancy.
+func (s *Server) Acts(runner string) (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Holder.Acts(runner, time.Now())
+}
+
+// Owns implements driver.Tenancy.
+func (s *Server) Owns(runner string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Holder.Owns(runner)
+}
+
+// May implements driver.Tenancy. With a lease that can be trusted an order may
+// go out. Without one it may only if the table has just been found not to
+// answer: nobody can have taken over through it, and what this instance holds
+// by handles stays its own even if somebody did (docs/design/custody.md). A
+// process that wakes from a pause fails both and looks at the table first.
+func (s *Server) May(runner string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if !s.Holder.Owns(runner) {
+		return false
+	}
+	if s.Holder.Valid(now) {
+		return true
+	}
+	failed := s.outage.Load()
+	return failed != 0 && now.Sub(time.Unix(0, failed)) < 4*s.Config.Poll
+}
+
+// Parties implements driver.Tenancy.
+func (s *Server) Parties() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Holder.Parties()
+}
+
+// Cleared implements driver.Tenancy.
+func (s *Server) Cleared(ctx context.Context, party, runner string) (keeper.Surrender, bool) {
+	s.mu.Lock()
+	epoch := s.Holder.Epoch()
+	_, member := s.Holder.Roster().Member(party)
+	gone := !member && s.Monitor.Gone(party, time.Now())
+	s.mu.Unlock()
+	if gone {
+		return keeper.Surrender{}, true
+	}
+	address, ok := s.address(party)
+	if !ok {
+		return keeper.Surrender{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Config.Beat)
+	defer cancel()
+	c, err := s.Mesh.Open(ctx, address, relayer.Yield{Runner: runner, Epoch: epoch})
+	if err != nil {
+		return keeper.Surrender{}, false
+	}
+	defer c.Close()
+	m, err := c.Next(ctx)
+	surrendered, ok := m.(relayer.Surrendered)
+	if err != nil || !ok || !surrendered.Given {
+		return keeper.Surrender{}, false
+	}
+	return surrendered.Surrender(), true
+}
+
+// Addresses returns the peer addresses of the other instances, those of this
+// domain first.
+func (s *Server) Addresses() []string {
+	now := time.Now()
+	var addresses []string
+	for _, i := range append(s.peers(now), s.neighbours(now)...) {
+		addresses = append(addresses, i.Address)
+	}
+	return addresses
+}
+
+// Gone reports whether an incarnation's process runs no more.
+func (s *Server) Gone(incarnation string) bool {
+	if incarnation == s.Incarnation {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Monitor.Gone(incarnation, time.Now())
+}
--- /dev/null
+++ b/internal/instance/server/beat.go
@@ -0,0 +1,163 @@
+package server
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+)
+
+// A linkState is what was told on one link, so that a beat carries only what
+// changed.
+type linkState struct {
+	identity any // of the link; a new link is told everything
+	loads    map[int]relayer.Load
+	version  uint64
+}
+
+// changeEvery is how soon a change of residency is told between two beats.
+const changeEvery = 50 * time.Millisecond
+
+// beatLoop tells the peers of the domain what changed: at once when what is
+// resident changed, and with each beat otherwise.
+func (s *Server) beatLoop(ctx context.Context) {
+	var told uint64
+	var last time.Time
+	every(ctx, min(changeEvery, s.Config.Beat), nil, func() {
+		now := time.Now()
+		_, states, version := s.Driver.Loads(told)
+		due := now.Sub(last) >= s.Config.Beat
+		if !due && len(states) == 0 {
+			return
+		}
+		told = version
+		s.beat(ctx, now)
+		if due {
+			last = now
+			s.cutSilent(now)
+		}
+	})
+}
+
+// beat tells every peer of the domain, and one instance of each other domain,
+// which passes on only the revision of the settings.
+func (s *Server) beat(ctx context.Context, now time.Time) {
+	loads, states, version := s.Driver.Loads(0)
+	s.Fleet.Hear(s.Incarnation, relayer.Beat{Loads: loads, States: states}, now)
+	for _, peer := range s.peers(now) {
+		go s.tell(ctx, peer, loads, version)
+	}
+	for _, peer := range s.neighbours(now) {
+		go func() { _ = s.Mesh.Tell(ctx, peer.Address, s.bare()) }() // the next beat tries again
+	}
+}
+
+// bare returns a beat without runners.
+func (s *Server) bare() relayer.Beat {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return relayer.Beat{Epoch: s.Holder.Epoch(), Revision: s.Watcher.Revision(), Leaving: s.stop.leaving()}
+}
+
+// tell sends one peer a beat with what changed since the last one on the link.
+func (s *Server) tell(ctx context.Context, peer heartbeater.Instance, loads []relayer.Load, version uint64) {
+	beat := s.bare()
+	identity, linked := s.Mesh.Linked(peer.Address)
+	state := s.linkState(peer.Address, identity)
+	_, beat.States, _ = s.Driver.Loads(state.version)
+	for _, l := range loads {
+		if state.loads[l.Number] != l {
+			beat.Loads = append(beat.Loads, l)
+		}
+	}
+	if s.Mesh.Tell(ctx, peer.Address, beat) != nil || !linked {
+		return // a link that this beat made is told everything by the next one
+	}
+	next := linkState{identity: identity, loads: make(map[int]relayer.Load), version: version}
+	for _, l := range loads {
+		next.loads[l.Number] = l
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.links[peer.Address] = next
+}
+
+// linkState returns what was told on a link, nothing if the link is new.
+func (s *Server) linkState(address string, identity any) linkState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state := s.links[address]; state.identity == identity {
+		return state
+	}
+	return linkState{}
+}
+
+// cutSilent ends the links to peers that have fallen silent, so that nobody
+// waits on them.
+func (s *Server) cutSilent(now time.Time) {
+	s.mu.Lock()
+	var silent []string
+	for _, i := range s.Monitor.Instances(now) {
+		if i.Domain == s.Config.Domain && s.Monitor.Health(i.Incarnation, now) == heartbeater.Suspect {
+			silent = append(silent, i.Address)
+		}
+	}
+	s.mu.Unlock()
+	for _, address := range silent {
+		s.Mesh.Cut(address)
+	}
+}
+
+// listLoop announces this instance and reads the platform's list.
+func (s *Server) listLoop(ctx context.Context) {
+	every(ctx, s.Config.Poll, nil, func() {
+		if err := s.Lister.Announce(ctx, s.Self()); err != nil {
+			s.count("sardinetiller_platform_failures_total", "list")
+			return
+		}
+		instances, err := s.Lister.List(ctx)
+		if err != nil {
+			s.count("sardinetiller_platform_failures_total", "list")
+			return
+		}
+		s.mu.Lock()
+		s.Monitor.List(instances, time.Now())
+		s.mu.Unlock()
+	})
+}
+
+// peers returns the other instances of the domain.
+func (s *Server) peers(now time.Time) []heartbeater.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(s.Monitor.Instances(now), func(i heartbeater.Instance) bool {
+		return i.Domain != s.Config.Domain || i.Incarnation == s.Incarnation
+	})
+}
+
+// neighbours returns one instance of each other domain that is not known to be
+// leaving. Instances spread over them by their place in their own domain.
+func (s *Server) neighbours(now time.Time) []heartbeater.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := s.Monitor.Instances(now)
+	place := slices.IndexFunc(all, func(i heartbeater.Instance) bool { return i.Incarnation == s.Incarnation })
+	byDomain := make(map[string][]heartbeater.Instance)
+	var domains []string
+	for _, i := range all {
+		if i.Domain == s.Config.Domain || s.Monitor.Health(i.Incarnation, now) == heartbeater.Leaving || i.Leaving {
+			continue
+		}
+		if len(byDomain[i.Domain]) == 0 {
+			domains = append(domains, i.Domain)
+		}
+		byDomain[i.Domain] = append(byDomain[i.Domain], i)
+	}
+	var chosen []heartbeater.Instance
+	for _, d := range domains {
+		chosen = append(chosen, byDomain[d][max(0, place)%len(byDomain[d])])
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/instance/server/operate.go
@@ -0,0 +1,155 @@
+package server
+
+import (
+	"bytes"
+	"crypto/subtle"
+	"runtime"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/dispatcher"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/monitor"
+	"github.com/sardinetiller/sardinetiller/internal/wire/listener"
+)
+
+// The paths of operators.
+const (
+	PathDrain   = "/drain"
+	PathExplain = "/explain/"
+	PathLive    = "/live"
+	PathMetrics = "/metrics"
+	PathReady   = "/ready"
+	PathStatus  = "/status"
+)
+
+// A Status is what an instance says of itself and of its domain.
+type Status struct {
+	Instance    string         `json:"instance" yaml:"instance"`
+	Incarnation string         `json:"incarnation" yaml:"incarnation"`
+	Domain      string         `json:"domain" yaml:"domain"`
+	Ready       bool           `json:"ready" yaml:"ready"`
+	Leaving     bool           `json:"leaving" yaml:"leaving"`
+	Lease       bool           `json:"lease" yaml:"lease"` // whether it can be trusted now
+	Epoch       uint64         `json:"epoch" yaml:"epoch"`
+	Revision    uint64         `json:"revision" yaml:"revision"`
+	Since       time.Time      `json:"since" yaml:"since"`     // when the revision came into force here
+	Outage      bool           `json:"outage" yaml:"outage"`   // the table service does not answer
+	Blocked     int            `json:"blocked" yaml:"blocked"` // slots kept for an earlier owner
+	Sent        int64          `json:"sent" yaml:"sent"`       // bytes to peers so far
+	Memory      uint64         `json:"memory" yaml:"memory"`   // bytes of heap in use
+	Peers       []PeerStatus   `json:"peers" yaml:"peers"`
+	Runners     []monitor.View `json:"runners" yaml:"runners"`
+}
+
+// A PeerStatus is what an instance knows of another one.
+type PeerStatus struct {
+	Instance    string `json:"instance" yaml:"instance"`
+	Incarnation string `json:"incarnation" yaml:"incarnation"`
+	Domain      string `json:"domain" yaml:"domain"`
+	Health      string `json:"health" yaml:"health"`
+	Epoch       uint64 `json:"epoch" yaml:"epoch"`
+	Revision    uint64 `json:"revision" yaml:"revision"`
+}
+
+// An Explanation is the way of one request.
+type Explanation struct {
+	Request string            `json:"request" yaml:"request"`
+	Steps   []dispatcher.Step `json:"steps" yaml:"steps"`
+}
+
+// operate returns the operators' API.
+func (s *Server) operate() fasthttp.RequestHandler {
+	r := router.New()
+	r.GET(PathLive, func(c *fasthttp.RequestCtx) { c.SetBodyString("live\n") })
+	r.GET(PathReady, s.ready)
+	r.GET(PathMetrics, s.metrics)
+	r.GET(PathStatus, s.guarded(func(c *fasthttp.RequestCtx) { listener.JSON(c, fasthttp.StatusOK, s.Status()) }))
+	r.GET(PathExplain+"{id}", s.guarded(s.explain))
+	r.POST(PathDrain, s.guarded(func(*fasthttp.RequestCtx) { s.Drain() }))
+	return r.Handler
+}
+
+// Ready reports whether the balancer should send requests here, and why not.
+func (s *Server) Ready() (bool, string) {
+	switch {
+	case s.stop.leaving():
+		return false, "leaving"
+	case s.Watcher.Force() == nil:
+		return false, "no settings are in force here yet"
+	default:
+		return true, "ready"
+	}
+}
+
+// Status returns what this instance says of itself and its domain.
+func (s *Server) Status() Status {
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	ready, _ := s.Ready()
+	blocked, _ := s.Driver.Blocked()
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status := Status{
+		Instance: s.Config.ID, Incarnation: s.Incarnation, Domain: s.Config.Domain, Ready: ready,
+		Leaving: s.stop.leaving(), Lease: s.Holder.Valid(now), Epoch: s.Holder.Epoch(),
+		Outage: s.outage.Load() != 0, Blocked: blocked, Sent: s.Mesh.Bytes(), Memory: memory.HeapInuse,
+		Runners: s.Fleet.Views(), Peers: []PeerStatus{},
+	}
+	if f := s.Watcher.Force(); f != nil {
+		status.Revision = f.Head.Revision
+		status.Since = f.Since
+	}
+	for _, i := range s.Monitor.Instances(now) {
+		if i.Incarnation == s.Incarnation {
+			continue
+		}
+		beat := s.peerBeats[i.Incarnation]
+		status.Peers = append(status.Peers, PeerStatus{
+			Instance: i.ID, Incarnation: i.Incarnation, Domain: i.Domain, Epoch: beat.Epoch, Revision: beat.Revision,
+			Health: string(s.Monitor.Health(i.Incarnation, now)),
+		})
+	}
+	return status
+}
+
+func (s *Server) explain(c *fasthttp.RequestCtx) {
+	id, _ := c.UserValue("id").(string)
+	steps, ok := s.Dispatcher.Explain(id)
+	if !ok {
+		c.Error("no such request here; ask the instance that the caller reached", fasthttp.StatusNotFound)
+		return
+	}
+	listener.JSON(c, fasthttp.StatusOK, Explanation{Request: id, Steps: steps})
+}
+
+// guarded lets only operators in.
+func (s *Server) guarded(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		want := "Bearer " + s.Token()
+		given := c.Request.Header.Peek(fasthttp.HeaderAuthorization)
+		if s.Token() != "" && subtle.ConstantTimeCompare(given, []byte(want)) != 1 {
+			c.Error("wrong operators' key", fasthttp.StatusUnauthorized)
+			return
+		}
+		next(c)
+	}
+}
+
+func (s *Server) metrics(c *fasthttp.RequestCtx) {
+	var b bytes.Buffer
+	s.Metrics.WritePrometheus(&b)
+	c.SetContentType("text/plain; charset=utf-8")
+	c.SetBody(b.Bytes())
+}
+
+func (s *Server) ready(c *fasthttp.RequestCtx) {
+	ready, why := s.Ready()
+	if !ready {
+		c.Error(why, fasthttp.StatusServiceUnavailable)
+		return
+	}
+	c.SetBodyString(why + "\n")
+}
--- /dev/null
+++ b/internal/instance/server/poll.go
@@ -0,0 +1,240 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/leaser"
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
+)
+
+// The rows of a failure domain. All are under one prefix, so that one scan
+// reads the roster, the leases and the drains.
+const (
+	drainInfix  = "/drain/"
+	leaseInfix  = "/lease/"
+	rosterInfix = "/roster"
+)
+
+// DomainPrefix returns the prefix of a failure domain's rows.
+func DomainPrefix(domain string) string { return "domain/" + domain }
+
+// DrainKey returns the row that drains an upstream.
+func DrainKey(domain, upstream string) string { return DomainPrefix(domain) + drainInfix + upstream }
+
+func (s *Server) pollLoop(ctx context.Context) {
+	every(ctx, s.Config.Poll, s.pollNow, func() {
+		s.poll(ctx)
+		s.pollSettings(ctx)
+	})
+}
+
+// pollSoon makes the poll loop look at the table at once.
+func (s *Server) pollSoon() {
+	select {
+	case s.pollNow <- struct{}{}:
+	default:
+	}
+}
+
+// poll reads the domain's rows and carries out what the lease needs.
+func (s *Server) poll(ctx context.Context) {
+	rows, err := s.Table.Scan(ctx, DomainPrefix(s.Config.Domain)+"/")
+	s.reached(err)
+	if err == nil {
+		s.takeRows(rows, time.Now())
+	}
+	s.mu.Lock()
+	now := time.Now()
+	actions := s.Holder.Tick(now, func(inc string) bool { return s.Monitor.Gone(inc, now) })
+	s.mu.Unlock()
+	for _, action := range actions {
+		switch a := action.(type) {
+		case leaser.Renew:
+			s.renew(ctx, a)
+		case leaser.Propose:
+			s.propose(ctx, a)
+		}
+	}
+}
+
+// reached notes whether the table answers. While it does not, a lease that
+// lapses is no sign that another instance took over.
+func (s *Server) reached(err error) {
+	if err == nil {
+		s.outage.Store(0)
+		return
+	}
+	s.outage.Store(time.Now().UnixNano())
+	s.count("sardinetiller_platform_failures_total", "table")
+}
+
+func (s *Server) takeRows(rows []tabler.Row, now time.Time) {
+	var leases []leaser.Lease
+	drains := make(map[string]bool)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.leases)
+	s.rosterRow = tabler.Row{}
+	var roster leaser.Roster
+	for _, row := range rows {
+		switch {
+		case strings.HasSuffix(row.Key, rosterInfix):
+			s.rosterRow = row
+			s.warnIf("roster row", encoder.Unmarshal(row.Value, &roster))
+		case strings.Contains(row.Key, leaseInfix):
+			var l leaser.Lease
+			s.warnIf("lease row", encoder.Unmarshal(row.Value, &l))
+			s.leases[l.Incarnation] = row
+			leases = append(leases, l)
+		case strings.Contains(row.Key, drainInfix):
+			drains[row.Key[strings.LastIndexByte(row.Key, '/')+1:]] = true
+		}
+	}
+	s.Holder.See(roster, now)
+	s.Holder.Observe(leases, now)
+	s.takeDrains(drains)
+}
+
+// renew writes the own lease row if it is as last written. A lost answer is
+// settled by reading the row back: only this instance writes its serial.
+func (s *Server) renew(ctx context.Context, a leaser.Renew) {
+	s.mu.Lock()
+	row, ok := s.leases[s.Incarnation]
+	s.mu.Unlock()
+	if !ok {
+		s.settleRenewal(ctx, a, time.Now())
+		return
+	}
+	asked := time.Now()
+	value, err := encoder.Marshal(a.Lease)
+	if err != nil {
+		return
+	}
+	err = s.Table.Commit(ctx, tabler.Txn{
+		Checks: []tabler.Check{{Key: row.Key, Version: row.Version}},
+		Puts:   []tabler.Put{{Key: row.Key, Value: value}},
+	})
+	if err == nil {
+		s.mu.Lock()
+		s.Holder.Renewed(asked)
+		s.mu.Unlock()
+		return
+	}
+	s.settleRenewal(ctx, a, asked)
+}
+
+func (s *Server) settleRenewal(ctx context.Context, a leaser.Renew, asked time.Time) {
+	row, err := s.Table.Get(ctx, s.leaseKey(s.Incarnation))
+	s.reached(err)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var stored leaser.Lease
+	switch {
+	case row.Version == 0:
+		_ = level.Warn(s.Logger).Log("msg", "taken off the roster; joining anew")
+		s.Holder.Removed()
+	case encoder.Unmarshal(row.Value, &stored) == nil && stored.Serial == a.Lease.Serial:
+		s.Holder.Renewed(asked)
+	}
+}
+
+// propose writes the next roster. One that lost a race, or whose answer was
+// lost, changes nothing here: the next scan shows what is in force.
+func (s *Server) propose(ctx context.Context, a leaser.Propose) {
+	txn, err := s.proposal(a)
+	if err != nil {
+		return
+	}
+	asked := time.Now()
+	err = s.Table.Commit(ctx, txn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		s.Holder.See(a.Roster, time.Now())
+		if a.Lease != nil {
+			s.Holder.Renewed(asked)
+		}
+		s.pollSoon()
+		return
+	}
+	var conflict *tabler.ConflictError
+	if errors.As(err, &conflict) {
+		s.count("sardinetiller_roster_conflicts_total", "race")
+		s.pollSoon()
+	}
+}
+
+// proposal returns the transaction of a proposal. It fails if a row that it
+// depends on is not as the decision saw it.
+func (s *Server) proposal(a leaser.Propose) (tabler.Txn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	roster, err := encoder.Marshal(a.Roster)
+	if err != nil {
+		return tabler.Txn{}, err
+	}
+	key := DomainPrefix(s.Config.Domain) + rosterInfix
+	txn := tabler.Txn{
+		Checks: []tabler.Check{{Key: key, Version: s.rosterRow.Version}},
+		Puts:   []tabler.Put{{Key: key, Value: roster}},
+	}
+	for _, d := range a.Drop {
+		row := s.leases[d.Incarnation]
+		txn.Deletes = append(txn.Deletes, s.leaseKey(d.Incarnation))
+		if d.Incarnation == s.Incarnation {
+			continue
+		}
+		var seen leaser.Lease
+		if row.Version != 0 && (encoder.Unmarshal(row.Value, &seen) != nil || seen.Serial != d.Serial) {
+			return tabler.Txn{}, errors.New("a member has renewed its lease meanwhile")
+		}
+		txn.Checks = append(txn.Checks, tabler.Check{Key: s.leaseKey(d.Incarnation), Version: row.Version})
+	}
+	if a.Lease != nil {
+		value, err := encoder.Marshal(*a.Lease)
+		if err != nil {
+			return tabler.Txn{}, err
+		}
+		txn.Puts = append(txn.Puts, tabler.Put{Key: s.leaseKey(s.Incarnation), Value: value})
+	}
+	return txn, nil
+}
+
+func (s *Server) leaseKey(incarnation string) string {
+	return DomainPrefix(s.Config.Domain) + leaseInfix + incarnation
+}
+
+func (s *Server) takeDrains(drains map[string]bool) {
+	s.drains = drains
+	names := make([]string, 0, len(drains))
+	for name := range drains {
+		names = append(names, name)
+	}
+	s.Fleet.Drain(names)
+}
+
+// Drained reports whether operators drain an upstream.
+func (s *Server) Drained(upstream string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drains[upstream]
+}
+
+func (s *Server) warnIf(what string, err error) {
+	if err != nil {
+		_ = level.Warn(s.Logger).Log("msg", "unreadable", "what", what, "err", err)
+	}
+}
+
+func (s *Server) count(name, reason string) {
+	s.Metrics.GetOrCreateCounter(name + `{reason="` + reason + `"}`).Inc()
+}
--- /dev/null
+++ b/internal/instance/server/server.go
@@ -0,0 +1,163 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/fasthttp/router"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+	"github.com/sardinetiller/sardinetiller/internal/member/leaser"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/platform/lister"
+	"github.com/sardinetiller/sardinetiller/internal/platform/storer"
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/request/answerer"
+	"github.com/sardinetiller/sardinetiller/internal/request/claimer"
+	"github.com/sardinetiller/sardinetiller/internal/request/dispatcher"
+	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
+	"github.com/sardinetiller/sardinetiller/internal/setting/resolver"
+	"github.com/sardinetiller/sardinetiller/internal/setting/watcher"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/driver"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/monitor"
+	"github.com/sardinetiller/sardinetiller/internal/wire/listener"
+)
+
+// A Server is one entry instance. Its fields are set before Run; the composer
+// package does that.
+type Server struct {
+	Answerer    *answerer.Answerer
+	Claimer     *claimer.Claimer
+	Config      configurer.Daemon
+	Dispatcher  *dispatcher.Dispatcher
+	Driver      *driver.Driver
+	Fleet       *monitor.Fleet
+	Holder      *leaser.Holder // guarded by mu
+	Incarnation string
+	Lister      lister.Lister
+	Listeners   Listeners
+	Logger      log.Logger
+	Mesh        *relayer.Mesh
+	Metrics     *metrics.Set
+	Monitor     *heartbeater.Monitor // guarded by mu
+	Store       storer.Store
+	Table       tabler.Table
+	TLS         *tls.Config   // for links that peers dial; nil for none
+	Token       func() string // operators' key; empty for none
+	Watcher     *watcher.Watcher
+
+	declared  atomic.Uint64 // revision whose upstreams the driver has
+	drains    map[string]bool
+	leases    map[string]tabler.Row // by incarnation, as last scanned; guarded by mu
+	links     map[string]linkState  // by address
+	mu        sync.Mutex
+	outage    atomic.Int64 // unix nanoseconds of the last failed look at the table; 0 after a good one
+	peerBeats map[string]relayer.Beat
+	pollNow   chan struct{}
+	rosterRow tabler.Row // as last scanned; guarded by mu
+	stop      stopState
+}
+
+// Listeners are the sockets of an instance.
+type Listeners struct {
+	Caller   net.Listener
+	Operator net.Listener
+	Peer     net.Listener
+}
+
+// driveEvery is how often the owned runners are looked after.
+const driveEvery = 200 * time.Millisecond
+
+// Run serves until ctx ends, then leaves gracefully: it cuts off no request
+// that ends within the drain time.
+func (s *Server) Run(ctx context.Context) error {
+	s.pollNow = make(chan struct{}, 1)
+	s.links = make(map[string]linkState)
+	s.leases = make(map[string]tabler.Row)
+	s.peerBeats = make(map[string]relayer.Beat)
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var loops sync.WaitGroup
+	for _, loop := range []func(context.Context){s.pollLoop, s.listLoop, s.beatLoop, s.driveLoop, s.Claimer.Run} {
+		loops.Go(func() { loop(work) })
+	}
+	failed := s.listen(work, &loops)
+	_ = level.Info(s.Logger).Log("msg", "started", "caller", s.Listeners.Caller.Addr(), "peer", s.Listeners.Peer.Addr(),
+		"operator", s.Listeners.Operator.Addr(), "domain", s.Config.Domain, "incarnation", s.Incarnation)
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		s.leave(work)
+	}
+	cancel()
+	loops.Wait()
+	_ = level.Info(s.Logger).Log("msg", "stopped", "err", err)
+	return err
+}
+
+// listen serves the three sockets until ctx ends.
+func (s *Server) listen(ctx context.Context, loops *sync.WaitGroup) <-chan error {
+	peers := router.New()
+	peers.GET(relayer.Path, s.Mesh.Serve)
+	peerListener := s.Listeners.Peer
+	if s.TLS != nil {
+		peerListener = tls.NewListener(peerListener, s.TLS)
+	}
+	failed := make(chan error, 3)
+	for _, server := range []listener.Server{
+		{Handler: s.Answerer.Handler(), Listener: s.Listeners.Caller, Refuse: s.Answerer.Unreadable},
+		{Handler: peers.Handler, Listener: peerListener},
+		{Handler: s.operate(), Listener: s.Listeners.Operator},
+	} {
+		loops.Go(func() {
+			if err := server.Run(ctx); err != nil {
+				failed <- err
+			}
+		})
+	}
+	return failed
+}
+
+// Self returns this instance as its peers know it.
+func (s *Server) Self() heartbeater.Instance {
+	return heartbeater.Instance{
+		ID: s.Config.ID, Incarnation: s.Incarnation, Domain: s.Config.Domain,
+		Address: s.Listeners.Peer.Addr().String(), Leaving: s.stop.leaving(),
+	}
+}
+
+// Force returns the settings in force, or nil.
+func (s *Server) Force() *resolver.Resolver {
+	if f := s.Watcher.Force(); f != nil {
+		return f.Resolver
+	}
+	return nil
+}
+
+func (s *Server) driveLoop(ctx context.Context) {
+	every(ctx, driveEvery, nil, func() { s.Driver.Tick(ctx, time.Now()) })
+}
+
+// every calls do at once, then each period and whenever now is signalled, until
+// ctx ends.
+func every(ctx context.Context, period time.Duration, now <-chan struct{}, do func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		do()
+		select {
+		case <-ctx.Done():
+			return
+		case <-now:
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/instance/server/settings.go
@@ -0,0 +1,125 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/platform/storer"
+	"github.com/sardinetiller/sardinetiller/internal/setting/publisher"
+	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
+)
+
+// pollSettings looks at the head in the table service.
+func (s *Server) pollSettings(ctx context.Context) {
+	row, err := s.Table.Get(ctx, publisher.KeyHead)
+	if err != nil || row.Version == 0 {
+		s.declare()
+		return
+	}
+	var head publisher.Head
+	if err := encoder.Unmarshal(row.Value, &head); err != nil {
+		s.warnIf("settings head", err)
+		return
+	}
+	s.offer(ctx, head)
+	s.declare()
+}
+
+func (s *Server) offer(ctx context.Context, head publisher.Head) {
+	taken, err := s.Watcher.Offer(ctx, head)
+	if err != nil {
+		s.count("sardinetiller_settings_failures_total", "offer")
+		_ = level.Warn(s.Logger).Log("msg", "settings not taken", "revision", head.Revision, "err", err)
+		return
+	}
+	if taken {
+		_ = level.Info(s.Logger).Log("msg", "settings in force", "revision", head.Revision)
+	}
+}
+
+// declare tells the driver and the fleet which upstreams the settings in force
+// name, and the holder which runners there are to own. The driver asks this
+// instance about its lease while it holds its own lock, so it is never called
+// under ours.
+func (s *Server) declare() {
+	force := s.Watcher.Force()
+	if force == nil {
+		return
+	}
+	r := force.Resolver
+	values := r.Values("", "", "", "")
+	s.Driver.Declare(r.Services(), r.Weights(), s.instances(), values.Queue, values.Share)
+	if s.declared.Swap(force.Head.Revision) == force.Head.Revision {
+		return
+	}
+	s.Fleet.Declare(r.Services())
+	names := s.Driver.Names()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Holder.SetRunners(names)
+}
+
+// instances returns how many instances share the weight store.
+func (s *Server) instances() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(1, len(s.Monitor.Instances(time.Now())))
+}
+
+// askSettings takes a higher revision from a peer. It is how a domain that is
+// cut off from the platform, but not from its neighbours, still gets it.
+func (s *Server) askSettings(ctx context.Context, address string) {
+	c, err := s.Mesh.Open(ctx, address, relayer.Inquire{})
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	answer, err := c.Next(ctx)
+	if told, ok := answer.(relayer.Told); ok && err == nil {
+		s.offer(ctx, told.Head)
+		s.declare()
+	}
+}
+
+// A ChainStore reads objects from the platform and, when it does not answer,
+// from peers.
+type ChainStore struct {
+	Peers func() []string // addresses
+	Mesh  *relayer.Mesh
+	Store storer.Store
+}
+
+var _ storer.Store = (*ChainStore)(nil)
+
+// Get implements storer.Store.
+func (c *ChainStore) Get(ctx context.Context, key string) ([]byte, error) {
+	data, err := c.Store.Get(ctx, key)
+	if err == nil {
+		return data, nil
+	}
+	for _, address := range c.Peers() {
+		if data, ok := c.ask(ctx, address, key); ok {
+			return data, nil
+		}
+	}
+	return nil, err
+}
+
+// Put implements storer.Store.
+func (c *ChainStore) Put(ctx context.Context, key string, data []byte) error {
+	return c.Store.Put(ctx, key, data)
+}
+
+func (c *ChainStore) ask(ctx context.Context, address, key string) ([]byte, bool) {
+	conversation, err := c.Mesh.Open(ctx, address, relayer.Fetch{Key: key})
+	if err != nil {
+		return nil, false
+	}
+	defer conversation.Close()
+	answer, err := conversation.Next(ctx)
+	data, ok := answer.(relayer.Data)
+	return data.Data, ok && err == nil
+}
--- a/internal/member/leaser/holder.go
+++ b/internal/member/leaser/holder.go
@@ -126,6 +126,12 @@
 	return h.ranking.owner(runner)
 }
 
+// Owns reports whether the roster gives the runner to this instance.
+func (h *Holder) Owns(runner string) bool {
+	_, ok := h.gained[runner]
+	return ok
+}
+
 // Parties returns the incarnations that may have used a runner before: every
 // other member and all that have departed without being cleared.
 func (h *Holder) Parties() []string {
--- a/internal/member/relayer/conversation.go
+++ b/internal/member/relayer/conversation.go
@@ -85,13 +85,11 @@
 	if c.taken%(window/2) == 0 {
 		_ = c.link.send(c.id, 0, Grant{Parts: window / 2}) // a failed link shows at the next message
 	}
-	switch m := m.(type) {
-	case End:
+	if fail, failed := m.(Fail); failed {
 		c.ended = true
-	case Fail:
-		c.ended = true
-		return nil, &judge.Error{Verdict: m.Verdict, Reason: m.Reason, Message: m.Message, Retry: m.Retry}
+		return nil, &judge.Error{Verdict: fail.Verdict, Reason: fail.Reason, Message: fail.Message, Retry: fail.Retry}
 	}
+	_, c.ended = m.(End)
 	return m, nil
 }
 
--- a/internal/member/relayer/mesh.go
+++ b/internal/member/relayer/mesh.go
@@ -158,7 +158,10 @@
 	header := http.Header{fasthttp.HeaderAuthorization: {bearer(m.Secret())}}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, _, err := dialer.DialContext(ctx, scheme+address+Path, header)
+	conn, response, err := dialer.DialContext(ctx, scheme+address+Path, header)
+	if response != nil {
+		_ = response.Body.Close() // it has none after an upgrade
+	}
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/request/answerer/failure.go
@@ -0,0 +1,83 @@
+package answerer
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/wire/listener"
+)
+
+// doneEvent ends a stream that is whole.
+const doneEvent = "data: [DONE]\n\n"
+
+// A Failure is an error as callers get it: OpenAI's shape with the verdict and
+// the reason.
+type Failure struct {
+	Error Detail `json:"error"`
+}
+
+// A Detail is the content of a Failure.
+type Detail struct {
+	Message string        `json:"message"`
+	Type    string        `json:"type"`
+	Code    string        `json:"code"`
+	Param   *string       `json:"param"` // always null
+	Verdict judge.Verdict `json:"verdict"`
+	Reason  judge.Reason  `json:"reason"`
+}
+
+// statuses are the HTTP statuses of the reasons that have one of their own.
+var statuses = map[judge.Reason]int{
+	judge.ReasonAdapter:   fasthttp.StatusNotFound,
+	judge.ReasonAuth:      fasthttp.StatusUnauthorized,
+	judge.ReasonBody:      fasthttp.StatusBadRequest,
+	judge.ReasonClaim:     fasthttp.StatusServiceUnavailable,
+	judge.ReasonDeadline:  fasthttp.StatusGatewayTimeout,
+	judge.ReasonDuplicate: fasthttp.StatusConflict,
+	judge.ReasonHeader:    fasthttp.StatusBadRequest,
+	judge.ReasonQueue:     fasthttp.StatusTooManyRequests,
+	judge.ReasonShare:     fasthttp.StatusTooManyRequests,
+	judge.ReasonStarting:  fasthttp.StatusServiceUnavailable,
+	judge.ReasonStopping:  fasthttp.StatusServiceUnavailable,
+	judge.ReasonUpstream:  fasthttp.StatusServiceUnavailable,
+}
+
+// status returns the HTTP status of a failure. What may have run is a bad
+// gateway; what did not run is a service that is not available now.
+func status(err *judge.Error) int {
+	if s, ok := statuses[err.Reason]; ok {
+		return s
+	}
+	if err.Verdict == judge.NotRun {
+		return fasthttp.StatusServiceUnavailable
+	}
+	return fasthttp.StatusBadGateway
+}
+
+func failure(err *judge.Error) Failure {
+	kind := "server_error"
+	if s := status(err); s < fasthttp.StatusInternalServerError {
+		kind = "invalid_request_error"
+	}
+	return Failure{Error: Detail{
+		Message: err.Message, Type: kind, Code: string(err.Reason), Verdict: err.Verdict, Reason: err.Reason,
+	}}
+}
+
+// errorEvent is the last event of a stream that was cut.
+func errorEvent(err *judge.Error) []byte {
+	data, _ := json.Marshal(failure(err)) // strings always encode
+	return append(append([]byte("data: "), data...), "\n\n"...)
+}
+
+func writeError(c *fasthttp.RequestCtx, err *judge.Error) {
+	listener.JSON(c, status(err), failure(err))
+	if err.Retry > 0 {
+		seconds := int(math.Ceil(err.Retry.Seconds()))
+		c.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+}
--- /dev/null
+++ b/internal/request/answerer/parse.go
@@ -0,0 +1,142 @@
+package answerer
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
+	"github.com/sardinetiller/sardinetiller/internal/setting/parser"
+	"github.com/sardinetiller/sardinetiller/internal/setting/resolver"
+)
+
+// A parseFunc reads what a request asks for.
+type parseFunc func(c *fasthttp.RequestCtx, force *resolver.Resolver, call *streamer.Call) *judge.Error
+
+// The bounds of what a header may say.
+const (
+	keyLimit      = 255
+	priorityLimit = 10
+)
+
+// hidden are the headers of a plain call that end here: the account's key must
+// not reach a service, and the others belong to one connection.
+var hidden = map[string]bool{
+	"authorization": true, "connection": true, "content-length": true, "host": true,
+	"keep-alive": true, "te": true, "trailer": true, "transfer-encoding": true, "upgrade": true,
+}
+
+func bearer(c *fasthttp.RequestCtx) string {
+	key, ok := strings.CutPrefix(string(c.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return key
+}
+
+func parseCompletion(c *fasthttp.RequestCtx, force *resolver.Resolver, call *streamer.Call) *judge.Error {
+	var body struct {
+		Model  string `json:"model"`
+		Stream bool   `json:"stream"`
+	}
+	if err := json.Unmarshal(c.PostBody(), &body); err != nil {
+		return judge.Refuse(judge.ReasonBody, "the body is not the JSON of a completion: %v", err)
+	}
+	adapter, ok := force.Adapter(body.Model)
+	if !ok || adapter.Account != call.Account {
+		return judge.Refuse(judge.ReasonAdapter, "model %q is no adapter of this account; write name@version as %s lists them", body.Model, PathModels)
+	}
+	call.Adapter = adapter.Name
+	call.Service = adapter.Service
+	call.Stream = body.Stream
+	call.Method = fasthttp.MethodPost
+	call.Path = string(c.Path())
+	call.Body = bytes.Clone(c.PostBody())
+	return nil
+}
+
+func parsePlain(c *fasthttp.RequestCtx, force *resolver.Resolver, call *streamer.Call) *judge.Error {
+	name, _ := c.UserValue("service").(string)
+	service, ok := force.Service(name)
+	if !ok || service.Type != parser.TypePlain {
+		return judge.Refuse(judge.ReasonUpstream, "%q is no plain service", name)
+	}
+	call.Service = name
+	call.Method = string(c.Method())
+	call.Path = strings.TrimPrefix(string(c.URI().RequestURI()), PathServices+name)
+	call.Body = bytes.Clone(c.PostBody())
+	call.Header = make(map[string]string)
+	for key, value := range c.Request.Header.All() {
+		if !hidden[strings.ToLower(string(key))] {
+			call.Header[string(key)] = string(value)
+		}
+	}
+	return nil
+}
+
+// parseHeaders reads the headers that say how a request is to be treated.
+func parseHeaders(c *fasthttp.RequestCtx, call *streamer.Call, values resolver.Effective) *judge.Error {
+	left, refusal := parseDeadline(string(c.Request.Header.Peek(HeaderDeadline)), values.Deadline)
+	if refusal != nil {
+		return refusal
+	}
+	call.Left = left
+	call.Deadline = time.Now().Add(left)
+	call.Key = string(c.Request.Header.Peek(HeaderKey))
+	if len(call.Key) > keyLimit {
+		return judge.Refuse(judge.ReasonHeader, "%s has %d bytes, at most %d are allowed", HeaderKey, len(call.Key), keyLimit)
+	}
+	if call.Once, refusal = parseOnce(c); refusal != nil {
+		return refusal
+	}
+	return parsePriority(string(c.Request.Header.Peek(HeaderPriority)), call)
+}
+
+// parseDeadline reads a duration such as 2.5s or a number of seconds.
+func parseDeadline(text string, otherwise time.Duration) (time.Duration, *judge.Error) {
+	if text == "" {
+		return otherwise, nil
+	}
+	if _, err := strconv.ParseFloat(text, 64); err == nil {
+		text += "s"
+	}
+	left, err := time.ParseDuration(text)
+	if err != nil || left <= 0 {
+		return 0, judge.Refuse(judge.ReasonHeader, "%s is %q; write the time left, such as 2.5s", HeaderDeadline, text)
+	}
+	return left, nil
+}
+
+// parseOnce reads the mark of a request that must not run twice. A call of a
+// plain service with a method that is not idempotent has it by itself.
+func parseOnce(c *fasthttp.RequestCtx) (bool, *judge.Error) {
+	switch text := string(c.Request.Header.Peek(HeaderOnce)); text {
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	case "":
+		plain := bytes.HasPrefix(c.Path(), []byte(PathServices))
+		method := string(c.Method())
+		return plain && (method == fasthttp.MethodPost || method == fasthttp.MethodPatch), nil
+	default:
+		return false, judge.Refuse(judge.ReasonHeader, "%s is %q; write true or false", HeaderOnce, text)
+	}
+}
+
+func parsePriority(text string, call *streamer.Call) *judge.Error {
+	if text == "" {
+		return nil
+	}
+	priority, err := strconv.Atoi(text)
+	if err != nil || priority < -priorityLimit || priority > priorityLimit {
+		return judge.Refuse(judge.ReasonHeader, "%s is %q; write a number from -%d to %d", HeaderPriority, text, priorityLimit, priorityLimit)
+	}
+	call.Priority = priority
+	return nil
+}
--- /dev/null
+++ b/internal/request/answerer/pipe.go
@@ -0,0 +1,227 @@
+package answerer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/claimer"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
+)
+
+// A pipe joins the dispatch of one request with the writing of its answer. The
+// dispatch puts parts in; the writer takes them out at its caller's pace, and
+// its end ends the dispatch.
+type pipe struct {
+	answerer *Answerer
+	call     *streamer.Call
+	cancel   context.CancelFunc
+	ctx      context.Context
+	keep     time.Duration
+
+	began time.Time
+	ended sync.Once
+	head  chan streamer.Head
+	parts chan []byte
+	over  chan struct{} // closed when the dispatch has ended; then err is set
+	err   *judge.Error
+	kept  []byte // copy of the body for the record of a claimed request
+	first streamer.Head
+}
+
+// pipeParts is how many parts may wait for a slow caller.
+const pipeParts = 64
+
+// slowWrite is how long a caller may take nothing before it counts as gone.
+const slowWrite = 30 * time.Second
+
+func newPipe(ctx context.Context, cancel context.CancelFunc, a *Answerer, call *streamer.Call, keep time.Duration) *pipe {
+	return &pipe{
+		answerer: a, call: call, cancel: cancel, ctx: ctx, keep: keep, began: time.Now(),
+		head: make(chan streamer.Head, 1), parts: make(chan []byte, pipeParts), over: make(chan struct{}),
+	}
+}
+
+// Data implements streamer.Sink.
+func (p *pipe) Data(data []byte) error {
+	if p.claimed() && len(p.kept) <= keptLimit {
+		p.kept = append(p.kept, p.event(data)...)
+	}
+	select {
+	case p.parts <- data:
+		return nil
+	case <-p.ctx.Done():
+		return p.ctx.Err()
+	}
+}
+
+// Head implements streamer.Sink.
+func (p *pipe) Head(head streamer.Head) error {
+	p.first = head
+	p.head <- head
+	return nil
+}
+
+// keptLimit bounds the copy of a body; a longer one is not kept at all.
+const keptLimit = 256 << 10
+
+// claimed reports whether the request must not run twice and can be known
+// again.
+func (p *pipe) claimed() bool { return p.call.Once && p.call.Key != "" }
+
+// event returns a part as it is written to the caller.
+func (p *pipe) event(data []byte) []byte {
+	if !p.call.Stream {
+		return data
+	}
+	return append(append([]byte("data: "), data...), "\n\n"...)
+}
+
+// run dispatches the request.
+func (p *pipe) run() {
+	err := p.dispatch()
+	p.answerer.logged(p.call, err, p.began)
+	if err != nil {
+		p.err = judge.As(err)
+	}
+	close(p.over)
+	p.finish()
+}
+
+// finish counts the request out, once the dispatch is over or the writer is.
+func (p *pipe) finish() {
+	p.ended.Do(func() { p.answerer.leave(p.call.Account) })
+}
+
+func (p *pipe) dispatch() error {
+	if !p.claimed() {
+		return p.answerer.Dispatcher.Dispatch(p.ctx, p.call, p)
+	}
+	digest := claimer.Digest([]byte(p.call.Service), []byte(p.call.Adapter), []byte(p.call.Method), []byte(p.call.Path), p.call.Body)
+	ticket, outcome, err := p.answerer.Claimer.Begin(p.ctx, p.call.Account, p.call.Key, digest, p.keep)
+	if err != nil {
+		return err
+	}
+	if outcome != nil {
+		return p.replay(outcome)
+	}
+	err = p.answerer.Dispatcher.Dispatch(p.ctx, p.call, p)
+	p.record(ticket, err)
+	return err
+}
+
+// record ends the claim with what the caller was given.
+func (p *pipe) record(ticket *claimer.Ticket, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err != nil {
+		p.answerer.Claimer.End(ctx, ticket, nil, judge.As(err))
+		return
+	}
+	if p.call.Stream {
+		p.kept = append(p.kept, doneEvent...)
+	}
+	p.answerer.Claimer.End(ctx, ticket, &claimer.Outcome{Status: p.first.Status, Type: p.first.Type, Body: p.kept}, nil)
+}
+
+// replay gives the caller the outcome of the first request with its key. The
+// record holds the bytes as they were written.
+func (p *pipe) replay(outcome *claimer.Outcome) error {
+	p.call.Stream = false
+	p.call.Key = "" // the record is there already
+	if err := p.Head(streamer.Head{Status: outcome.Status, Type: outcome.Type}); err != nil {
+		return err
+	}
+	return p.Data(outcome.Body)
+}
+
+// write answers the caller. It returns at once for a stream, whose body is
+// written after it.
+func (p *pipe) write(c *fasthttp.RequestCtx) {
+	select {
+	case head := <-p.head:
+		p.writeHead(c, head)
+	case <-p.over:
+		select {
+		case head := <-p.head: // it came at the same time
+			p.writeHead(c, head)
+		default:
+			p.cancel()
+			p.answerer.refuse(c, p.err)
+		}
+	}
+}
+
+func (p *pipe) writeHead(c *fasthttp.RequestCtx, head streamer.Head) {
+	c.SetStatusCode(head.Status)
+	c.SetContentType(head.Type)
+	c.Response.Header.Set(HeaderRunner, head.Runner)
+	c.Response.Header.Set(HeaderStall, head.Stall.String())
+	if p.call.Stream {
+		conn := c.Conn()
+		c.SetBodyStreamWriter(func(w *bufio.Writer) { p.stream(w, conn) })
+		return
+	}
+	p.whole(c)
+}
+
+// stream writes the parts as events. A caller that takes nothing for a while,
+// or goes away, ends the dispatch and with it the work upstream.
+func (p *pipe) stream(w *bufio.Writer, conn net.Conn) {
+	defer p.cancel()
+	send := func(event []byte) bool {
+		_ = conn.SetWriteDeadline(time.Now().Add(slowWrite)) // fails only on a closed connection
+		_, err := w.Write(event)
+		return err == nil && w.Flush() == nil
+	}
+	for {
+		select {
+		case part := <-p.parts:
+			if !send(p.event(part)) {
+				return
+			}
+			continue
+		case <-p.over:
+		}
+		break
+	}
+	for len(p.parts) > 0 {
+		if !send(p.event(<-p.parts)) {
+			return
+		}
+	}
+	if p.err != nil {
+		p.answerer.count(p.err)
+		send(errorEvent(p.err))
+		return
+	}
+	send([]byte(doneEvent))
+}
+
+// whole writes a body that is not a stream, once it is known to be whole.
+func (p *pipe) whole(c *fasthttp.RequestCtx) {
+	defer p.cancel()
+	var body bytes.Buffer
+	for over := false; !over; {
+		select {
+		case part := <-p.parts:
+			body.Write(part)
+		case <-p.over:
+			over = true
+		}
+	}
+	for len(p.parts) > 0 {
+		body.Write(<-p.parts)
+	}
+	if p.err != nil {
+		p.answerer.refuse(c, p.err)
+		return
+	}
+	c.SetBody(body.Bytes())
+}
--- a/internal/request/claimer/claimer_test.go
+++ b/internal/request/claimer/claimer_test.go
@@ -100,10 +100,10 @@
 
 // request runs a keyed request to its end and returns the verdict that its
 // caller sees. With crash it dies after it ran and before it could record it.
-func (b *bench) request(c *claimer.Claimer, key string, patience time.Duration, crash bool) (judge.Verdict, string) {
+func (b *bench) request(c *claimer.Claimer, patience time.Duration, crash bool) (judge.Verdict, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	ticket, outcome, err := c.Begin(ctx, "account", key, "request", time.Hour)
+	ticket, outcome, err := c.Begin(ctx, "account", "key", "request", time.Hour)
 	if err != nil {
 		return judge.As(err).Verdict, ""
 	}
@@ -143,7 +143,7 @@
 		delay := time.Duration(random.IntN(3000)) * time.Millisecond
 		wg.Go(func() {
 			time.Sleep(delay)
-			verdict, body := b.request(c, "key", 5*time.Second, crash && i == 0)
+			verdict, body := b.request(c, 5*time.Second, crash && i == 0)
 			if crash && i == 0 {
 				b.gone.Store(c.Self, true)
 			}
@@ -174,7 +174,7 @@
 		b := newBench(t, 1, 1)
 		var wg sync.WaitGroup
 		for range 2 {
-			wg.Go(func() { b.request(b.claimers[0], "key", time.Second, false) })
+			wg.Go(func() { b.request(b.claimers[0], time.Second, false) })
 		}
 		wg.Wait()
 		if runs := b.runs.Load(); runs != 1 {
@@ -192,14 +192,14 @@
 		b := newBench(t, 2, 1)
 		b.table.set(0, 1)
 		time.AfterFunc(6*time.Millisecond, func() { b.table.down.Store(true) })
-		verdict, _ := b.request(b.claimers[0], "key", time.Second, false)
+		verdict, _ := b.request(b.claimers[0], time.Second, false)
 		if verdict != judge.NotRun || b.runs.Load() != 0 {
 			t.Fatalf("first attempt: %s after %d runs", verdict, b.runs.Load())
 		}
 		b.table.down.Store(false)
 		b.table.set(0, 0)
 		time.Sleep(3 * time.Second)
-		if verdict, _ := b.request(b.claimers[1], "key", time.Second, false); verdict != judge.Ran {
+		if verdict, _ := b.request(b.claimers[1], time.Second, false); verdict != judge.Ran {
 			t.Errorf("second attempt: %s, want ran", verdict)
 		}
 	})
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -133,7 +133,7 @@
 
 func (a *attempts) engine(ctx context.Context) (Step, error) {
 	d := a.dispatcher
-	candidates := d.Fleet.Candidates(a.call.Service, a.call.Adapter, a.tried, d.Peers.Alive)
+	candidates := a.candidates(ctx)
 	if len(candidates) == 0 {
 		a.tried = nil // the next attempt may use any of them again
 		return a.elsewhere(ctx)
@@ -155,6 +155,30 @@
 	return step, d.Peers.Ask(ctx, step.Owner, &call, a.sink)
 }
 
+// Bounds of the wait for a runner whose owner changes at this moment, as in a
+// rolling replacement. It is far shorter than any deadline.
+const (
+	handover     = 1500 * time.Millisecond
+	handoverPoll = 20 * time.Millisecond
+)
+
+// candidates returns the runners that can be tried. If none has a live owner
+// just now but some will, it waits a moment for the hand-over.
+func (a *attempts) candidates(ctx context.Context) []router.Candidate {
+	d := a.dispatcher
+	for until := time.Now().Add(handover); ; {
+		candidates := d.Fleet.Candidates(a.call.Service, a.call.Adapter, a.tried, d.Peers.Alive)
+		if len(candidates) > 0 || !d.Fleet.Pending(a.call.Service, a.tried) || time.Now().After(until) {
+			return candidates
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(handoverPoll):
+		}
+	}
+}
+
 func (a *attempts) choose(candidates []router.Candidate) []router.Terms {
 	load, run := a.dispatcher.Local.Estimates()
 	r := router.Router{Policy: policy(a.values), Load: load, Service: run}
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -71,7 +71,9 @@
 			"warm",
 		},
 		{
-			"least", router.Least{}, 0,
+			"least",
+			router.Least{},
+			0,
 			[]router.Candidate{{Runner: "resident", Resident: true, Running: 2}, {Runner: "least", Running: 1}},
 			"least",
 		},
--- a/internal/setting/parser/check.go
+++ b/internal/setting/parser/check.go
@@ -156,6 +156,7 @@
 	atLeast(p, file, path+".queue", v.Queue, 1)
 	atLeast(p, file, path+".retries", v.Retries, 0)
 	atLeast(p, file, path+".stall", v.Stall, 0)
+	atLeast(p, file, path+".streams", v.Streams, 1)
 	if v.Share != nil && (*v.Share <= 0 || *v.Share > 1) {
 		p.fault(file, path+".share", "share is %v; write a part above 0 and at most 1", *v.Share)
 	}
--- a/internal/setting/parser/tree.go
+++ b/internal/setting/parser/tree.go
@@ -105,4 +105,5 @@
 	Retries  *int           `yaml:"retries"`  // further tries after not_run
 	Share    *float64       `yaml:"share"`    // part of a queue that one account may hold
 	Stall    *float64       `yaml:"stall"`    // weight of load stalls
+	Streams  *int           `yaml:"streams"`  // requests of an account at one instance at once
 }
--- a/internal/setting/resolver/effective.go
+++ b/internal/setting/resolver/effective.go
@@ -20,6 +20,7 @@
 	Retries  int
 	Share    float64
 	Stall    float64
+	Streams  int
 }
 
 // Defaults hold where no level says otherwise.
@@ -33,6 +34,7 @@
 	Retries:  3,
 	Share:    0.5,
 	Stall:    1,
+	Streams:  512,
 }
 
 // An Origin tells a value and the level that set it.
--- a/internal/standin/generator/sequence.go
+++ b/internal/standin/generator/sequence.go
@@ -38,6 +38,15 @@
 	} `json:"messages"`
 }
 
+// marker returns the last thing that the caller said. It comes back in every
+// token, so that a caller can tell its own answer from another's.
+func (p *prompt) marker() string {
+	if len(p.Messages) > 0 {
+		return p.Messages[len(p.Messages)-1].Content
+	}
+	return p.Prompt
+}
+
 // defaultTokens is the length of an answer whose request names none.
 const defaultTokens = 16
 
@@ -115,6 +124,7 @@
 	s.run = len(e.books.Runs)
 	e.books.Runs = append(e.books.Runs, Run{
 		Request: string(c.Request.Header.Peek(HeaderRequest)),
+		Marker:  p.marker(),
 		Adapter: adapterOf(p.Model),
 		Began:   time.Now(),
 	})
@@ -128,14 +138,10 @@
 }
 
 func newSequence(p *prompt) *sequence {
-	s := &sequence{handle: p.Model, total: p.Max, marker: p.Prompt}
+	s := &sequence{handle: p.Model, total: p.Max, marker: adapterOf(p.Model) + "|" + p.marker()}
 	if s.total <= 0 {
 		s.total = defaultTokens
 	}
-	if len(p.Messages) > 0 {
-		s.marker = p.Messages[len(p.Messages)-1].Content
-	}
-	s.marker = adapterOf(p.Model) + "|" + s.marker
 	s.tokens = make(chan string, s.total)
 	return s
 }
--- a/internal/standin/generator/wire.go
+++ b/internal/standin/generator/wire.go
@@ -54,6 +54,7 @@
 // A Run is one request that the engine began to run.
 type Run struct {
 	Request string    `json:"request"`
+	Marker  string    `json:"marker"` // the last thing that the caller said
 	Adapter string    `json:"adapter"`
 	Began   time.Time `json:"began"`
 	Whole   bool      `json:"whole"` // every token was given
--- a/internal/standin/registrar/platform.go
+++ b/internal/standin/registrar/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -116,7 +117,8 @@
 		return
 	}
 	err := p.Table.Commit(c, txn)
-	if conflict, ok := err.(*tabler.ConflictError); ok {
+	var conflict *tabler.ConflictError
+	if errors.As(err, &conflict) {
 		c.Error(conflict.Key, fasthttp.StatusConflict)
 		return
 	}
--- a/internal/upstream/driver/driver.go
+++ b/internal/upstream/driver/driver.go
@@ -49,7 +49,6 @@
 	Tenancy Tenancy
 
 	budget  *loader.Budget
-	domains int
 	mu      sync.Mutex
 	loads   ewma // seconds that a load takes
 	names   []string
--- a/internal/upstream/monitor/fleet.go
+++ b/internal/upstream/monitor/fleet.go
@@ -156,6 +156,19 @@
 	return ""
 }
 
+// Pending reports whether a runner of the service, not among the tried, has no
+// owner yet but may take work once it has.
+func (f *Fleet) Pending(service string, tried []string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, r := range f.runners {
+		if r.service == service && !r.leaving && !r.drained && !slices.Contains(tried, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // Sent counts a request that this instance sent to a runner, until the owner
 // tells of its load again.
 func (f *Fleet) Sent(name string) {
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -17,6 +17,7 @@
 	Handler  fasthttp.RequestHandler
 	Header   int // largest request header in bytes; 0 is headerLimit
 	Listener net.Listener
+	Refuse   func(ctx *fasthttp.RequestCtx, err error) // answers a request that could not be read; nil for plain text
 }
 
 const (
@@ -38,6 +39,7 @@
 		ReadTimeout:           headTimeout,
 		Logger:                silent{},
 		CloseOnShutdown:       true,
+		ErrorHandler:          s.Refuse,
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(s.Listener) }()
--- a/internal/wire/requester/requester.go
+++ b/internal/wire/requester/requester.go
@@ -134,7 +134,7 @@
 	if err := response.ReadLimitBody(bufio.NewReaderSize(conn, bufferSize), 0); err != nil {
 		return nil, err
 	}
-	body := io.Reader(response.BodyStream())
+	body := response.BodyStream()
 	if length := response.Header.ContentLength(); length >= 0 {
 		body = &exactReader{reader: body, left: length}
 	}
