--- /dev/null
+++ b/internal/command/commander/democmd.go
@@ -0,0 +1,145 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/spf13/cobra"
+
+	"github.com/sardinetiller/sardinetiller/internal/experiment/reporter"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/runner"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/stager"
+)
+
+// demoFlags are the flags of demo.
+type demoFlags struct {
+	deployment string
+	keep       bool
+	log        bool
+	output     string
+	seed       uint64
+}
+
+func (c *Commander) newDemoCmd() *cobra.Command {
+	var flags demoFlags
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a whole deployment on stand-ins and check the promises",
+		Long: "Sets up the platform, engines, plain services and entry instances in four failure domains, all in\n" +
+			"this process over loopback TCP. It sends a shift change through the public API while the settings\n" +
+			"change, an engine leaves and an instance is replaced. At the end it compares the books of the\n" +
+			"stand-ins with what the callers saw. The exit code is 0 only if no promise was broken.",
+		Example: "  sardinetiller demo\n  sardinetiller demo --deployment tsh --seed 7 --output json\n  sardinetiller demo --keep",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return c.runDemo(cmd.Context(), flags)
+		},
+	}
+	cmd.Flags().StringVar(&flags.deployment, "deployment", stager.Association, "deployment of today: association or tsh")
+	cmd.Flags().BoolVar(&flags.keep, "keep", false, "stay up afterwards and print a curl line")
+	cmd.Flags().BoolVar(&flags.log, "log", false, "write the instances' logs to stderr")
+	cmd.Flags().StringVar(&flags.output, "output", outputTable, "table or json")
+	cmd.Flags().Uint64Var(&flags.seed, "seed", 1, "seed of the workload")
+	return cmd
+}
+
+// errBroken is a run in which a promise did not hold.
+var errBroken = errors.New("a promise was broken")
+
+func (c *Commander) runDemo(ctx context.Context, flags demoFlags) error {
+	r, err := runner.Demo(flags.deployment, flags.seed)
+	if err != nil {
+		return usage(err)
+	}
+	if flags.output != outputTable && flags.output != outputJSON {
+		return usage(fmt.Errorf("--output: %q is unknown; write table or json", flags.output))
+	}
+	r.Logger = log.NewNopLogger()
+	if flags.log {
+		r.Logger = log.NewLogfmtLogger(log.NewSyncWriter(c.err))
+	}
+	r.Progress = c.progress()
+	r.Kept = func(ctx context.Context, s *stager.Stage, report reporter.Report) error {
+		if err := c.printReport(flags.output, &report); err != nil {
+			return err
+		}
+		if flags.keep {
+			c.keep(ctx, s)
+		}
+		return nil
+	}
+	report, err := r.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if report.Promises.Total() > 0 {
+		for _, fault := range report.Faults {
+			fmt.Fprintln(c.err, fault)
+		}
+		return errBroken
+	}
+	return nil
+}
+
+// keep leaves the deployment up until the program is stopped.
+func (c *Commander) keep(ctx context.Context, s *stager.Stage) {
+	address := s.Address(1)
+	fmt.Fprintf(c.err, "\nThe deployment stays up until Ctrl-C. Callers: %s, operators: %s\n\n", address, s.Instances[1].Server.Listeners.Operator.Addr())
+	fmt.Fprintf(c.err, "curl -sS http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' "+
+		"-d '{\"model\":\"desk-7@2\",\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n", address, stager.Key)
+	<-ctx.Done()
+}
+
+func (c *Commander) printReport(output string, report *reporter.Report) error {
+	if output == outputJSON {
+		encoder := json.NewEncoder(c.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(report)
+	}
+	return report.Print(c.out)
+}
+
+// progressEvery is how often progress is shown at most.
+const progressEvery = 200 * time.Millisecond
+
+// progress returns a function that shows how far a run is: one line that is
+// written over on a terminal, one line for each note elsewhere.
+func (c *Commander) progress() func(done, total int, note string) {
+	terminal := isTerminal(c.err)
+	shown := make(chan progressLine, 1)
+	go showProgress(c.err, terminal, shown)
+	return func(done, total int, note string) {
+		line := progressLine{done: done, total: total, note: note}
+		select {
+		case shown <- line:
+		default: // the next one says more
+		}
+	}
+}
+
+type progressLine struct {
+	done, total int
+	note        string
+}
+
+func showProgress(w io.Writer, terminal bool, lines <-chan progressLine) {
+	last := ""
+	for line := range lines {
+		switch {
+		case terminal:
+			fmt.Fprintf(w, "\r\x1b[K%d/%d  %s", line.done, line.total, line.note)
+			if line.done == line.total {
+				fmt.Fprintln(w)
+			}
+		case line.note != last:
+			fmt.Fprintf(w, "%d/%d  %s\n", line.done, line.total, line.note)
+			last = line.note
+		}
+		time.Sleep(progressEvery)
+	}
+}
--- /dev/null
+++ b/internal/experiment/reporter/report.go
@@ -0,0 +1,166 @@
+// Package reporter turns what callers saw and what the stand-ins booked into
+// figures, as a table for people or as one JSON object.
+package reporter
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/sardinetiller/sardinetiller/internal/experiment/auditor"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/sender"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/standin/generator"
+)
+
+// A Report is the outcome of one run.
+type Report struct {
+	Requests  int              `json:"requests"`
+	Verdicts  map[string]int   `json:"verdicts"`
+	Refusals  map[string]int   `json:"refusals"` // by reason
+	Retries   map[string]int   `json:"retries"`  // by reason
+	Stall     Quantiles        `json:"stall"`    // seconds
+	First     Quantiles        `json:"first"`    // seconds to the first byte
+	Total     float64          `json:"total"`    // seconds of stall, all requests together
+	Stalled   float64          `json:"stalled"`  // part of the requests that stalled
+	Batch     float64          `json:"batch"`    // part of each engine step that was used
+	Loads     int              `json:"loads"`
+	Evictions int              `json:"evictions"`
+	Promises  auditor.Promises `json:"promises"`
+	Faults    []string         `json:"faults"` // one line for each violation
+}
+
+// Quantiles of a distribution.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+}
+
+// The bounds of a measured duration.
+const (
+	shortest = int64(time.Microsecond)
+	longest  = int64(10 * time.Minute)
+	digits   = 3
+)
+
+// New works out the figures. Retries are counted by the instances; all else
+// comes from the callers and the books.
+func New(results []sender.Result, books []generator.Books, retries map[string]int) Report {
+	r := Report{Requests: len(results), Verdicts: make(map[string]int), Refusals: make(map[string]int), Retries: retries}
+	stall := hdrhistogram.New(shortest, longest, digits)
+	first := hdrhistogram.New(shortest, longest, digits)
+	stalled := 0
+	for i := range results {
+		result := &results[i]
+		r.Verdicts[verdict(result)]++
+		if result.Reason != "" {
+			r.Refusals[string(result.Reason)]++
+		}
+		s := stallOf(result)
+		if s > 0 {
+			stalled++
+		}
+		r.Total += s.Seconds()
+		_ = stall.RecordValue(min(int64(s), longest)) // in bounds
+		if result.Whole {
+			_ = first.RecordValue(min(int64(result.First), longest)) // in bounds
+		}
+	}
+	r.Stalled = float64(stalled) / float64(max(1, len(results)))
+	r.Stall = quantiles(stall)
+	r.First = quantiles(first)
+	r.addBooks(books)
+	return r
+}
+
+// Print writes the report as a table.
+func (r *Report) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "requests\t%d\t%s\n", r.Requests, counts(r.Verdicts))
+	fmt.Fprintf(t, "refusals\t%d\t%s\n", sum(r.Refusals), counts(r.Refusals))
+	fmt.Fprintf(t, "retries\t%d\t%s\n", sum(r.Retries), counts(r.Retries))
+	fmt.Fprintf(t, "load stall\t%.3f s\tp50 %.3f  p95 %.3f  p99 %.3f s, %.0f %% of requests\n",
+		r.Total, r.Stall.P50, r.Stall.P95, r.Stall.P99, 100*r.Stalled)
+	fmt.Fprintf(t, "first byte\t\tp50 %.3f  p95 %.3f  p99 %.3f s\n", r.First.P50, r.First.P95, r.First.P99)
+	fmt.Fprintf(t, "batch efficiency\t%.1f %%\t\n", 100*r.Batch)
+	fmt.Fprintf(t, "adapter loads\t%d\t%d evictions\n", r.Loads, r.Evictions)
+	fmt.Fprintln(t)
+	fmt.Fprintln(t, "promise\tviolations\t(books of the stand-ins against what the callers saw)")
+	p := r.Promises
+	for _, row := range []struct {
+		name  string
+		count int
+	}{
+		{"exact adapter and version", p.Version},
+		{"never evicted while serving", p.Pinned},
+		{"whole answer, its own", p.Whole},
+		{"not_run did not run", p.NotRun},
+		{"at most once", p.Once},
+		{"leaving upstream left alone", p.Leaving},
+		{"planned stop cuts nothing off", p.Graceful},
+		{"settings never revert", p.Settings},
+	} {
+		fmt.Fprintf(t, "  %s\t%d\t\n", row.name, row.count)
+	}
+	return t.Flush()
+}
+
+func (r *Report) addBooks(books []generator.Books) {
+	steps, filled := 0, 0
+	for _, b := range books {
+		r.Loads += b.Loads
+		r.Evictions += b.Evicts
+		steps += b.Steps * b.Batch
+		filled += b.Filled
+	}
+	if steps > 0 {
+		r.Batch = float64(filled) / float64(steps)
+	}
+}
+
+// stallOf is the time that a request waited because its adapter was not
+// resident. One that was given up on while it waited has stalled all along.
+func stallOf(r *sender.Result) time.Duration {
+	if r.Whole {
+		return r.Stall
+	}
+	if r.Verdict == judge.NotRun && r.Reason == judge.ReasonDeadline {
+		return max(r.Took, r.Call.Deadline)
+	}
+	return r.Stall
+}
+
+func counts(m map[string]int) string {
+	var parts []string
+	for _, key := range slices.Sorted(maps.Keys(m)) {
+		parts = append(parts, fmt.Sprintf("%s %d", key, m[key]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) float64 { return time.Duration(h.ValueAtQuantile(q)).Seconds() }
+	return Quantiles{P50: at(50), P95: at(95), P99: at(99)}
+}
+
+func sum(m map[string]int) int {
+	total := 0
+	for _, n := range m {
+		total += n
+	}
+	return total
+}
+
+func verdict(r *sender.Result) string {
+	if r.Verdict == "" {
+		return "no answer"
+	}
+	return string(r.Verdict)
+}
--- /dev/null
+++ b/internal/experiment/runner/demo.go
@@ -0,0 +1,61 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/experiment/sampler"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/stager"
+	"github.com/sardinetiller/sardinetiller/internal/standin/generator"
+)
+
+// Demo returns the experiment that the demo command shows: a shift change at a
+// deployment of today while the settings change, an engine leaves, and an entry
+// instance is stopped and replaced.
+func Demo(deployment string, seed uint64) (*Runner, error) {
+	plan, err := stager.Deployment(deployment)
+	if err != nil {
+		return nil, err
+	}
+	return &Runner{
+		Plan: plan,
+		Workload: sampler.Workload{
+			Adapters: plan.Adapters, Away: 0.05, Calls: 2000, Group: "desk", Near: 0.1, Once: 0.2, Plain: 0.1, Seed: seed,
+			Shape: sampler.Shift, Skew: 1.5, Span: 15 * time.Second, Tokens: 24, Versions: 2,
+		},
+		Events: []Event{
+			{At: 0.25, Name: "the settings change", Do: changeSettings},
+			{At: 0.45, Name: "an engine leaves", Do: leaveEngine},
+			{At: 0.6, Name: "an instance is replaced", Do: replaceInstance},
+		},
+	}, nil
+}
+
+func changeSettings(ctx context.Context, r *Runner) error {
+	p := r.Plan
+	root := fmt.Appendf(nil, "kind: root\nvalues: %s\nweights: {rate: %v, together: %d}\n# changed\n", p.Values, p.Rate*p.Speed, p.Together)
+	_, err := r.stage.Apply(ctx, "root.yaml", root)
+	return err
+}
+
+func leaveEngine(_ context.Context, r *Runner) error {
+	r.stage.Engines[0].Set(generator.Faults{Leaving: true})
+	return nil
+}
+
+// replaceInstance starts a further instance in the first domain and stops one
+// there gracefully.
+func replaceInstance(_ context.Context, r *Runner) error {
+	instance, err := r.stage.Launch(r.Plan.Domains[0]+"-9", r.Plan.Domains[0])
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.stage.Instances = append(r.stage.Instances, instance)
+	old := r.stage.Instances[0]
+	r.mu.Unlock()
+	old.Leave()
+	r.Take(0, true)
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/sender/sender.go
@@ -0,0 +1,214 @@
+// Package sender plays the callers: it sends drawn calls to entry addresses as
+// ordinary clients of the public API and keeps what each caller saw.
+package sender
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/experiment/sampler"
+	"github.com/sardinetiller/sardinetiller/internal/request/answerer"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/wire/requester"
+)
+
+// A Sender sends calls. Its fields are set before Run.
+type Sender struct {
+	Addresses func() [][]string // of the entry instances of each failure domain, as the balancer knows them
+	Key       string            // API key
+	Service   string            // plain service
+	Seen      func(Result)      // called as each call ends; may be nil
+}
+
+// A Result is what one caller saw.
+type Result struct {
+	Call    sampler.Call
+	Status  int // 0 if there was no answer
+	Text    string
+	Whole   bool // the answer ended as a whole one does
+	Verdict judge.Verdict
+	Reason  judge.Reason
+	Sent    time.Time
+	Took    time.Duration
+	First   time.Duration // to the first byte of the answer
+	Stall   time.Duration // as the system told
+	Runner  string
+	Err     string
+}
+
+// patience is how long a caller waits beyond its deadline.
+const patience = 10 * time.Second
+
+// Run sends the calls at their times and returns the results in order of the
+// calls.
+func (s *Sender) Run(ctx context.Context, calls []sampler.Call) []Result {
+	results := make([]Result, len(calls))
+	begin := time.Now()
+	var sent sync.WaitGroup
+	for i := range calls {
+		select {
+		case <-ctx.Done():
+			sent.Wait()
+			return results[:i]
+		case <-time.After(time.Until(begin.Add(calls[i].At))):
+		}
+		sent.Go(func() {
+			results[i] = s.send(ctx, &calls[i], i)
+			if s.Seen != nil {
+				s.Seen(results[i])
+			}
+		})
+	}
+	sent.Wait()
+	return results
+}
+
+// send sends one call. Like a caller behind a balancer it goes on to another
+// address when none listens at the first one, which means that nothing was
+// sent.
+func (s *Sender) send(ctx context.Context, call *sampler.Call, turn int) Result {
+	result := Result{Call: *call, Sent: time.Now()}
+	ctx, cancel := context.WithTimeout(ctx, call.Deadline+patience)
+	defer cancel()
+	for _, address := range s.order(call, turn) {
+		var r requester.Requester
+		answer, seen := r.Do(ctx, address, s.request(call, address))
+		if _, dialled := seen.(judge.Dialed); dialled {
+			continue
+		}
+		if seen != nil {
+			result.fail(judge.Judge(seen))
+			break
+		}
+		result.read(answer)
+		answer.Close()
+		break
+	}
+	result.Took = time.Since(result.Sent)
+	return result
+}
+
+// order returns the addresses to try: those of the caller's domain in turn,
+// then those of the others.
+func (s *Sender) order(call *sampler.Call, turn int) []string {
+	var order []string
+	domains := s.Addresses()
+	for d := range domains {
+		domain := domains[(call.Home+d)%len(domains)]
+		for i := range domain {
+			order = append(order, domain[(turn+i)%len(domain)])
+		}
+	}
+	return order
+}
+
+func (s *Sender) request(call *sampler.Call, address string) *fasthttp.Request {
+	r := &fasthttp.Request{}
+	r.Header.SetMethod(fasthttp.MethodPost)
+	r.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+s.Key)
+	r.Header.Set(answerer.HeaderDeadline, call.Deadline.String())
+	r.Header.Set(answerer.HeaderPriority, strconv.Itoa(call.Priority))
+	r.Header.Set(answerer.HeaderOnce, strconv.FormatBool(call.Once))
+	if call.Key != "" {
+		r.Header.Set(answerer.HeaderKey, call.Key)
+	}
+	if call.Adapter == "" {
+		r.SetRequestURI("http://" + address + answerer.PathServices + s.Service + "/records/" + call.Marker)
+		r.SetBodyString(call.Marker)
+		return r
+	}
+	r.Header.SetContentType("application/json")
+	r.SetRequestURI("http://" + address + answerer.PathChat)
+	r.SetBodyString(fmt.Sprintf(`{"model":%q,"stream":%v,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
+		call.Adapter, call.Stream, call.Tokens, call.Marker))
+	return r
+}
+
+func (r *Result) fail(err *judge.Error) {
+	r.Verdict = err.Verdict
+	r.Reason = err.Reason
+	r.Err = err.Message
+}
+
+func (r *Result) read(answer *requester.Answer) {
+	r.Status = answer.Status
+	r.Runner = string(answer.Header.Peek(answerer.HeaderRunner))
+	r.Stall, _ = time.ParseDuration(string(answer.Header.Peek(answerer.HeaderStall))) // none is no stall
+	r.First = time.Since(r.Sent)
+	if answer.Status < fasthttp.StatusBadRequest && strings.HasPrefix(string(answer.Header.ContentType()), "text/event-stream") {
+		r.readStream(answer)
+		return
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		r.fail(judge.Judge(answer.Broken(err)))
+		return
+	}
+	r.readWhole(body)
+}
+
+func (r *Result) readWhole(body []byte) {
+	if r.Status >= fasthttp.StatusBadRequest {
+		var f answerer.Failure
+		if err := json.Unmarshal(body, &f); err != nil {
+			r.fail(judge.As(err))
+			return
+		}
+		r.fail(&judge.Error{Verdict: f.Error.Verdict, Reason: f.Error.Reason, Message: f.Error.Message})
+		return
+	}
+	r.Verdict = judge.Ran
+	r.Whole = true
+	r.Text = string(body)
+	var p part
+	if json.Unmarshal(body, &p) == nil && len(p.Choices) > 0 {
+		r.Text = p.Choices[0].Message.Content
+	}
+}
+
+// A part is a completion or a chunk of one.
+type part struct {
+	Choices []struct {
+		Delta   struct{ Content string }
+		Message struct{ Content string }
+	}
+	Error *answerer.Detail
+}
+
+func (r *Result) readStream(answer *requester.Answer) {
+	r.Verdict = judge.MayHaveRun
+	scanner := bufio.NewScanner(answer.Body)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			r.Verdict = judge.Ran
+			r.Whole = true
+			return
+		}
+		var p part
+		if err := json.Unmarshal([]byte(data), &p); err != nil {
+			r.Err = err.Error()
+			return
+		}
+		if p.Error != nil {
+			r.fail(&judge.Error{Verdict: p.Error.Verdict, Reason: p.Error.Reason, Message: p.Error.Message})
+			return
+		}
+		for _, c := range p.Choices {
+			r.Text += c.Delta.Content
+		}
+	}
+	r.Reason = judge.ReasonCut
+}
--- a/internal/experiment/stager/stage.go
+++ b/internal/experiment/stager/stage.go
@@ -34,6 +34,7 @@
 	ctx      context.Context
 	files    map[string][]byte
 	logger   log.Logger
+	mu       sync.Mutex
 	revision uint64
 	running  sync.WaitGroup
 }
@@ -67,6 +68,8 @@
 
 // Apply makes a change of one file of the settings and returns the revision.
 func (s *Stage) Apply(ctx context.Context, file string, content []byte) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.files[file] = content
 	revision, err := s.publisher().Apply(ctx, publisher.Edit{Files: s.files, Base: s.revision, Author: "stage", Note: file})
 	if err == nil {
@@ -257,3 +260,10 @@
 	l.Peer, err = listener.Local()
 	return l, err
 }
+
+// Revision returns the last revision that Apply made.
+func (s *Stage) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
--- a/internal/instance/server/beat.go
+++ b/internal/instance/server/beat.go
@@ -21,18 +21,21 @@
 const changeEvery = 50 * time.Millisecond
 
 // beatLoop tells the peers of the domain what changed: at once when what is
-// resident changed, and with each beat otherwise.
+// resident or the adopted roster changed, and with each beat otherwise. A new
+// owner waits for the adoption of all the others.
 func (s *Server) beatLoop(ctx context.Context) {
-	var told uint64
+	var told, toldEpoch uint64
 	var last time.Time
 	every(ctx, min(changeEvery, s.Config.Beat), nil, func() {
 		now := time.Now()
 		_, states, version := s.Driver.Loads(told)
+		epoch := s.bare().Epoch
 		due := now.Sub(last) >= s.Config.Beat
-		if !due && len(states) == 0 {
+		if !due && len(states) == 0 && epoch == toldEpoch {
 			return
 		}
 		told = version
+		toldEpoch = epoch
 		s.beat(ctx, now)
 		if due {
 			last = now
--- a/internal/instance/server/doc.go
+++ b/internal/instance/server/doc.go
@@ -5,4 +5,7 @@
 // renews the lease and looks at the settings' head. The list loop announces the
 // instance and reads the platform's list. The beat loop tells the peers what
 // changed. The drive loop looks after the owned runners.
+//
+// Locks are taken in one order: the driver's, then the server's, then the
+// fleet's. A part never calls one before it in that order under its own lock.
 package server
--- a/internal/request/answerer/pipe.go
+++ b/internal/request/answerer/pipe.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -26,7 +25,6 @@
 	keep     time.Duration
 
 	began time.Time
-	ended sync.Once
 	head  chan streamer.Head
 	parts chan []byte
 	over  chan struct{} // closed when the dispatch has ended; then err is set
@@ -91,12 +89,14 @@
 		p.err = judge.As(err)
 	}
 	close(p.over)
-	p.finish()
 }
 
-// finish counts the request out, once the dispatch is over or the writer is.
+// finish ends the dispatch, if it still runs, and counts the request out. It is
+// called when the answer has been written: an instance that leaves waits for
+// that, not only for the upstream.
 func (p *pipe) finish() {
-	p.ended.Do(func() { p.answerer.leave(p.call.Account) })
+	p.cancel()
+	p.answerer.leave(p.call.Account)
 }
 
 func (p *pipe) dispatch() error {
@@ -152,7 +152,7 @@
 		case head := <-p.head: // it came at the same time
 			p.writeHead(c, head)
 		default:
-			p.cancel()
+			defer p.finish()
 			p.answerer.refuse(c, p.err)
 		}
 	}
@@ -174,7 +174,7 @@
 // stream writes the parts as events. A caller that takes nothing for a while,
 // or goes away, ends the dispatch and with it the work upstream.
 func (p *pipe) stream(w *bufio.Writer, conn net.Conn) {
-	defer p.cancel()
+	defer p.finish()
 	send := func(event []byte) bool {
 		_ = conn.SetWriteDeadline(time.Now().Add(slowWrite)) // fails only on a closed connection
 		_, err := w.Write(event)
@@ -206,7 +206,7 @@
 
 // whole writes a body that is not a stream, once it is known to be whole.
 func (p *pipe) whole(c *fasthttp.RequestCtx) {
-	defer p.cancel()
+	defer p.finish()
 	var body bytes.Buffer
 	for over := false; !over; {
 		select {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -60,6 +60,7 @@
 		return judge.Refuse(judge.ReasonStarting, "no settings are in force here yet").After(time.Second)
 	}
 	a := &attempts{
+		began:      time.Now(),
 		dispatcher: d, call: call, values: force.Values(call.Account, call.Service, d.Domain, call.Desk),
 		force: force, sink: &watchedSink{sink: sink},
 	}
@@ -74,6 +75,7 @@
 
 // attempts is the dispatch of one request.
 type attempts struct {
+	began      time.Time
 	call       *streamer.Call
 	dispatcher *Dispatcher
 	doubt      *judge.Error // an attempt that may have run
@@ -87,7 +89,7 @@
 // run makes attempts until one succeeds or no further one is safe or allowed.
 func (a *attempts) run(ctx context.Context) error {
 	wait := retrier.Backoff()
-	for retries := 0; ; retries++ {
+	for retries := 0; ; {
 		step, err := a.attempt(ctx)
 		a.steps = append(a.steps, step)
 		if err == nil {
@@ -99,8 +101,11 @@
 			a.doubt = judged
 		}
 		a.dispatcher.count("sardinetiller_attempt_failures_total", judged)
-		if retries >= a.values.Retries || !retrier.May(judged, a.call.Once, a.sink.answered) || !a.dispatcher.budget.Withdraw() {
-			return a.final(judged)
+		if !a.redirected(judged) {
+			if retries >= a.values.Retries || !retrier.May(judged, a.call.Once, a.sink.answered) || !a.dispatcher.budget.Withdraw() {
+				return a.final(judged)
+			}
+			retries++
 		}
 		select {
 		case <-ctx.Done():
@@ -111,6 +116,22 @@
 	}
 }
 
+// redirectTime bounds how long a request follows a runner from owner to owner.
+const redirectTime = 5 * time.Second
+
+// redirected reports whether the attempt only asked the wrong instance: the
+// runner has passed to another one, as it does in every rolling replacement.
+// Such an answer costs nobody anything, so it is not counted as a retry.
+func (a *attempts) redirected(err *judge.Error) bool {
+	if err.Reason != judge.ReasonOwner || err.Verdict != judge.NotRun || time.Since(a.began) > redirectTime {
+		return false
+	}
+	step := &a.steps[len(a.steps)-1]
+	a.dispatcher.Fleet.Disown(step.Runner, step.Owner)
+	a.tried = slices.DeleteFunc(a.tried, func(name string) bool { return name == step.Runner })
+	return true
+}
+
 // final returns what the caller is told: a promise only if it holds for every
 // attempt.
 func (a *attempts) final(last *judge.Error) error {
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -114,7 +114,7 @@
 	e.books.Evicts++
 	under := false
 	for _, s := range append(slices.Clone(e.running), e.waiting...) {
-		if s.handle == o.Handle {
+		if s.handle == o.Handle && !s.ended() {
 			under = true
 			s.cut()
 		}
--- a/internal/upstream/caller/run.go
+++ b/internal/upstream/caller/run.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"strconv"
@@ -34,6 +35,24 @@
 // answer's adapter is checked before its first byte goes to the sink, so that a
 // mismatch never reaches a caller.
 func Run(ctx context.Context, address, handle string, call *streamer.Call, head streamer.Head, sink streamer.Sink) error {
+	return ended(ctx, run(ctx, address, handle, call, head, sink))
+}
+
+// ended names the deadline or the caller as the reason of a connection that was
+// closed for them. The verdict stays what was observed.
+func ended(ctx context.Context, err error) error {
+	if err == nil || ctx.Err() == nil {
+		return err
+	}
+	judged := *judge.As(err)
+	judged.Reason = judge.ReasonCancelled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		judged.Reason = judge.ReasonDeadline
+	}
+	return &judged
+}
+
+func run(ctx context.Context, address, handle string, call *streamer.Call, head streamer.Head, sink streamer.Sink) error {
 	request, err := engineRequest(address, handle, call)
 	if err != nil {
 		return judge.Refuse(judge.ReasonBody, "%v", err)
@@ -65,6 +84,10 @@
 
 // Plain sends a call to a plain service and passes the answer on as it is.
 func Plain(ctx context.Context, address string, call *streamer.Call, sink streamer.Sink) error {
+	return ended(ctx, plain(ctx, address, call, sink))
+}
+
+func plain(ctx context.Context, address string, call *streamer.Call, sink streamer.Sink) error {
 	request := &fasthttp.Request{}
 	for name, value := range call.Header {
 		request.Header.Set(name, value)
--- a/internal/upstream/monitor/fleet.go
+++ b/internal/upstream/monitor/fleet.go
@@ -56,20 +56,43 @@
 
 // Candidates returns the runners of a service that may take a request for the
 // adapter, except those in tried. Only owners that alive accepts count.
+//
+// Alive is asked without the fleet's lock. Under it, an instance that waits for
+// its own lock while another of its parts asks the fleet stands still for ever;
+// this was seen in the demo.
 func (f *Fleet) Candidates(service, adapter string, tried []string, alive func(owner string) bool) []router.Candidate {
+	candidates, owners := f.owned(service, adapter, tried)
+	living := make(map[string]bool)
+	for _, owner := range owners {
+		if _, asked := living[owner]; !asked {
+			living[owner] = alive(owner)
+		}
+	}
+	kept := candidates[:0]
+	for i, c := range candidates {
+		if living[owners[i]] {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// owned returns the runners of a service that have an owner and take new work,
+// and the owner of each.
+func (f *Fleet) owned(service, adapter string, tried []string) (candidates []router.Candidate, owners []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var candidates []router.Candidate
 	for name, r := range f.runners {
-		if r.service != service || r.owner == "" || r.leaving || r.drained || slices.Contains(tried, name) || !alive(r.owner) {
+		if r.service != service || r.owner == "" || r.leaving || r.drained || slices.Contains(tried, name) {
 			continue
 		}
+		owners = append(owners, r.owner)
 		candidates = append(candidates, router.Candidate{
 			Runner: name, Resident: r.resident[adapter], Loading: r.loading[adapter], Free: r.free,
 			Batch: r.declared.Batch, Running: r.running, Waiting: r.waiting, Sent: r.sent, Ramp: r.ramp,
 		})
 	}
-	return candidates
+	return candidates, owners
 }
 
 // Copies returns how many runners of the domain hold the adapter.
@@ -108,6 +131,16 @@
 	f.runners = next
 }
 
+// Disown forgets an owner that has refused because it owns the runner no more.
+// The next owner will tell.
+func (f *Fleet) Disown(name, owner string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, ok := f.runners[name]; ok && r.owner == owner {
+		r.owner = ""
+	}
+}
+
 // Drain takes in the upstreams that operators drain.
 func (f *Fleet) Drain(names []string) {
 	f.mu.Lock()
