--- /dev/null
+++ b/internal/adapter/keeper/custody_test.go
@@ -0,0 +1,234 @@
+package keeper_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
+	"github.com/sardinetiller/sardinetiller/internal/check/seeder"
+)
+
+func TestMain(m *testing.M) { seeder.Main(m) }
+
+// An owner is an instance that has owned, owns or believes to own the runner.
+type owner struct {
+	believes bool // has not learnt yet that another one took over
+	keeper   *keeper.Keeper
+	orders   []keeper.Action
+	ready    []keeper.Handle // pinned, not sent yet: the pause may fall here
+	sent     []keeper.Handle
+}
+
+// A custody is one engine and several owners, of which the roster names one.
+type custody struct {
+	epoch    uint64
+	fence    uint64 // highest that the engine has seen
+	fencing  bool
+	holder   int
+	now      time.Time
+	owners   []*owner
+	resident map[string]bool
+	running  map[string]int
+	trusting bool // takes the safeguard out: every report counts as held
+}
+
+func newCustody(fencing, trusting bool) *custody {
+	c := &custody{
+		fencing: fencing, trusting: trusting, holder: -1, now: start,
+		resident: make(map[string]bool), running: make(map[string]int),
+	}
+	for i := range 3 {
+		c.owners = append(c.owners, &owner{keeper: &keeper.Keeper{
+			Capacity: 3, Fencing: fencing, Policy: keeper.LRU{}, Self: fmt.Sprint("i", i),
+		}})
+	}
+	return c
+}
+
+// pass gives the runner to another owner. The old one does not learn of it.
+func (c *custody) pass(to int) {
+	c.epoch++
+	c.holder = to
+	var parties []string
+	for _, o := range c.owners {
+		parties = append(parties, o.keeper.Self)
+	}
+	o := c.owners[to]
+	o.keeper.Take(c.epoch, parties)
+	o.believes = true
+}
+
+// clear lets the holder ask another owner, who learns by it that it is no more.
+func (c *custody) clear(other int) {
+	o := c.owners[other]
+	if c.holder < 0 || other == c.holder {
+		return
+	}
+	o.believes = false
+	o.keeper.Abandon()
+	if surrender, ok := o.keeper.Surrender(); ok {
+		c.owners[c.holder].keeper.Clear(o.keeper.Self, surrender)
+	}
+}
+
+func (c *custody) report(who int) error {
+	o := c.owners[who]
+	_, err := o.keeper.Reconcile(keeper.Report{
+		Asked: c.now, Held: c.trusting || who == c.holder, Engine: "e", Resident: slices.Sorted(maps.Keys(c.resident)),
+	})
+	return err
+}
+
+// carryOut is the engine obeying an order that its fencing number lets in.
+func (c *custody) carryOut(action keeper.Action) (keeper.Outcome, error) {
+	switch a := action.(type) {
+	case keeper.Load:
+		if !c.admit(a.Fence) || len(c.resident) >= 3 {
+			return keeper.Failed, nil
+		}
+		c.resident[a.Handle.String()] = true
+	case keeper.Evict:
+		name := a.Handle.String()
+		if !c.admit(a.Fence) {
+			return keeper.Failed, nil
+		}
+		if c.running[name] > 0 {
+			return keeper.Done, fmt.Errorf("%s evicted under %d requests by the order of epoch %d in epoch %d", name, c.running[name], a.Fence, c.epoch)
+		}
+		delete(c.resident, name)
+	}
+	return keeper.Done, nil
+}
+
+func (c *custody) admit(fence uint64) bool {
+	if c.fencing && fence < c.fence {
+		return false
+	}
+	c.fence = max(c.fence, fence)
+	return true
+}
+
+func (c *custody) step(t *rapid.T) error {
+	c.now = c.now.Add(time.Millisecond)
+	who := rapid.IntRange(0, len(c.owners)-1).Draw(t, "who")
+	o := c.owners[who]
+	adapter := rapid.SampledFrom([]string{"x@1", "y@1", "z@1", "w@1"}).Draw(t, "adapter")
+	switch rapid.SampledFrom([]string{"pass", "clear", "clear", "raise", "report", "report", "pin", "send", "end", "want", "order", "lose"}).Draw(t, "event") {
+	case "pass":
+		if who != c.holder && rapid.IntRange(0, 3).Draw(t, "rare") == 0 {
+			c.pass(who)
+		}
+	case "clear":
+		c.clear(who)
+	case "raise":
+		if c.admit(o.keeper.Fence()) {
+			o.keeper.Raise(o.keeper.Fence())
+		}
+	case "report":
+		return c.report(who)
+	case "pin":
+		if handle, ok := o.keeper.Pin(adapter, c.now); ok {
+			o.ready = append(o.ready, handle)
+		}
+	case "send":
+		c.send(o)
+	case "end":
+		if len(o.sent) > 0 {
+			c.running[o.sent[0].String()]--
+			o.keeper.Unpin(o.sent[0])
+			o.sent = o.sent[1:]
+		}
+	case "want":
+		if action := o.keeper.Want(adapter, c.now); action != nil {
+			o.orders = append(o.orders, action)
+		}
+	case "order", "lose":
+		return c.order(t, o)
+	}
+	return nil
+}
+
+// send puts a pinned request on the engine, which refuses it if the copy is not
+// there.
+func (c *custody) send(o *owner) {
+	if len(o.ready) == 0 {
+		return
+	}
+	handle := o.ready[0]
+	o.ready = o.ready[1:]
+	if !c.resident[handle.String()] {
+		o.keeper.Unpin(handle)
+		return
+	}
+	c.running[handle.String()]++
+	o.sent = append(o.sent, handle)
+}
+
+func (c *custody) order(t *rapid.T, o *owner) error {
+	if len(o.orders) == 0 {
+		return nil
+	}
+	action := o.orders[0]
+	o.orders = o.orders[1:]
+	outcome, err := c.carryOut(action)
+	if err != nil {
+		return err
+	}
+	if rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
+		outcome = keeper.Lost
+	}
+	return o.keeper.Finish(action, outcome, c.now)
+}
+
+// Three instances own a runner in turn. One that was replaced goes on as if
+// nothing had happened, for any length of time: it serves, loads, evicts, and
+// sends requests that it had pinned before. The callers of none may lose their
+// adapter, whether the engine checks fencing numbers or ignores them.
+func TestNeverEvictedByAnyOwner(t *testing.T) {
+	for _, fencing := range []bool{false, true} {
+		t.Run(fmt.Sprint("fencing=", fencing), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				c := newCustody(fencing, false)
+				c.pass(0)
+				for range 250 {
+					if err := c.step(t); err != nil {
+						t.Fatal(err)
+					}
+				}
+			})
+		})
+	}
+}
+
+// A report that arrives after the lease has lapsed shows a later owner's copy.
+// Taken for one's own, it is evicted under the later owner's request: the check
+// above must be able to see that.
+func TestCustodyCheckSeesMissingSafeguard(t *testing.T) {
+	c := newCustody(false, true)
+	c.pass(0)
+	for i := range c.owners {
+		c.clear(i)
+	}
+	c.pass(1)
+	later := c.owners[1]
+	load(t, later.keeper, "x@1", c.now)
+	handle, _ := later.keeper.Pin("x@1", c.now)
+	later.ready = append(later.ready, handle)
+	c.resident[handle.String()] = true
+	c.send(later)
+	c.now = c.now.Add(time.Second)
+	if err := c.report(0); err != nil {
+		t.Fatal(err)
+	}
+	for _, adapter := range []string{"a@1", "b@1", "c@1"} {
+		if _, err := c.carryOut(c.owners[0].keeper.Want(adapter, c.now)); err != nil {
+			return
+		}
+	}
+	t.Error("an eviction by an earlier owner was not reported")
+}
--- a/internal/adapter/keeper/keeper.go
+++ b/internal/adapter/keeper/keeper.go
@@ -28,6 +28,7 @@
 // A Report is what an engine says of itself.
 type Report struct {
 	Asked    time.Time // when the report was asked for, on the clock of the asker
+	Held     bool      // whether the lease could still be trusted when the report had arrived
 	Engine   string    // incarnation of the engine
 	Resident []string  // handles that can serve
 	Loading  []string  // handles that are being loaded
@@ -194,13 +195,13 @@
 	restarted := k.engine != "" && k.engine != r.Engine
 	k.engine = r.Engine
 	if restarted {
-		k.reset()
+		k.raised = false
 	}
-	if err := k.settle(r); err != nil {
+	if err := k.settle(r, restarted); err != nil {
 		return restarted, err
 	}
 	for _, name := range r.Resident {
-		k.discover(name)
+		k.discover(name, r.Held)
 	}
 	return restarted, nil
 }
@@ -321,13 +322,19 @@
 	return false
 }
 
-// discover enters a copy that a report shows and this keeper did not know.
-func (k *Keeper) discover(name string) {
-	if _, ok := k.slots[name]; ok {
+// discover enters a copy that a report shows and this keeper did not know. If
+// the lease could be trusted when the report had arrived, no later owner can
+// have loaded it. Otherwise it may be a later owner's, who serves and evicts it
+// without asking: an owner that was paused past its lease evicted such copies
+// under its successor's requests.
+func (k *Keeper) discover(name string, held bool) {
+	if s, ok := k.slots[name]; ok {
+		s.Foreign = s.Foreign && !held
 		return
 	}
 	handle := ParseHandle(name)
 	k.slots[name] = &Slot{
+		Foreign:   handle.Loader != k.Self && !held,
 		Handle:    handle,
 		Inherited: handle.Loader != k.Self || !k.Cleared(),
 		Machine:   &interpreter.Machine{Chart: Chart, State: stateResident},
@@ -336,7 +343,7 @@
 
 // doom marks a copy as never to be served again.
 func (k *Keeper) doom(name string) {
-	k.discover(name)
+	k.discover(name, true)
 	if s := k.slots[name]; s.Machine.State == stateResident || s.Machine.State == stateUnsure {
 		_ = s.Machine.Fire(eventDoom) // both states allow it
 	}
@@ -347,6 +354,9 @@
 // about to send after a pause; its pins are not known here, so it stays until
 // every earlier party is cleared.
 func (k *Keeper) evictable(s *Slot) bool {
+	if s.Foreign {
+		return false
+	}
 	if s.Machine.State == stateDoomed {
 		return s.Pins == 0
 	}
@@ -387,20 +397,12 @@
 	return Load{Handle: handle, Fence: k.fence}
 }
 
-// reset empties the slots after a cold start of the engine. Running requests
-// have lost their copy; their connections end by themselves.
-func (k *Keeper) reset() {
-	clear(k.slots)
-	clear(k.foreign)
-	k.raised = false
-}
-
 // servable is the safeguard of "exactly that adapter": the copy's residency is
 // confirmed, and nobody else can evict it. The loader of an inherited copy
 // could, so it is served only when the engine refuses the loader's orders
 // (fencing number raised) or the loader is cleared.
 func (k *Keeper) servable(s *Slot) bool {
-	if !k.owned || !s.resident() {
+	if !k.owned || !s.resident() || s.Foreign {
 		return false
 	}
 	if k.Fencing {
@@ -409,12 +411,23 @@
 	return !s.Inherited || len(k.uncleared) == 0
 }
 
-// settle fires what a report says of the known slots.
-func (k *Keeper) settle(r Report) error {
+// settle fires what a report says of the known slots. After a cold start every
+// slot that the report does not show is empty. One that it shows stays with its
+// pins: it was loaded into the engine that has just started, before the restart
+// was noticed, and requests may run on it already. Forgetting their pins got
+// such a copy evicted under them.
+func (k *Keeper) settle(r Report, restarted bool) error {
 	for name, s := range maps.Clone(k.slots) {
 		if !r.Asked.After(s.changed) {
 			continue
 		}
+		shown := slices.Contains(r.Resident, name) || slices.Contains(r.Loading, name)
+		if restarted && !shown {
+			if err := k.fire(s, eventReset); err != nil {
+				return err
+			}
+			continue
+		}
 		if err := k.settleSlot(s, slices.Contains(r.Resident, name), slices.Contains(r.Loading, name)); err != nil {
 			return err
 		}
--- a/internal/adapter/keeper/keeper_test.go
+++ b/internal/adapter/keeper/keeper_test.go
@@ -73,7 +73,7 @@
 			k := &keeper.Keeper{Capacity: 1, Fencing: tc.fencing, Policy: keeper.LRU{}, Self: "b"}
 			k.Take(2, []string{"a"})
 			k.Raise(2)
-			if _, err := k.Reconcile(keeper.Report{Asked: start, Engine: "e", Resident: []string{"x@1#a"}}); err != nil {
+			if _, err := k.Reconcile(keeper.Report{Held: true, Asked: start, Engine: "e", Resident: []string{"x@1#a"}}); err != nil {
 				t.Fatal(err)
 			}
 			handle, serves := k.Pin("x@1", start)
@@ -107,7 +107,7 @@
 	if err := k.Finish(evict, keeper.Lost, start.Add(3*time.Second)); err != nil {
 		t.Fatal(err)
 	}
-	report := keeper.Report{Asked: start.Add(4 * time.Second), Engine: "e", Resident: []string{"x@1#b.1", "y@1#b.2"}}
+	report := keeper.Report{Held: true, Asked: start.Add(4 * time.Second), Engine: "e", Resident: []string{"x@1#b.1", "y@1#b.2"}}
 	if _, err := k.Reconcile(report); err != nil {
 		t.Fatal(err)
 	}
@@ -125,7 +125,7 @@
 func TestReconcileIgnoresReportOlderThanOrder(t *testing.T) {
 	k := newKeeper()
 	load(t, k, "x@1", start.Add(time.Second))
-	if _, err := k.Reconcile(keeper.Report{Asked: start, Engine: "e"}); err != nil {
+	if _, err := k.Reconcile(keeper.Report{Held: true, Asked: start, Engine: "e"}); err != nil {
 		t.Fatal(err)
 	}
 	if diff := cmp.Diff([]string{"x@1"}, k.Resident()); diff != "" {
@@ -137,11 +137,11 @@
 // so that no request goes to a copy that is no longer there.
 func TestColdStartEmptiesTheSlots(t *testing.T) {
 	k := newKeeper()
-	if _, err := k.Reconcile(keeper.Report{Asked: start, Engine: "e1"}); err != nil {
+	if _, err := k.Reconcile(keeper.Report{Held: true, Asked: start, Engine: "e1"}); err != nil {
 		t.Fatal(err)
 	}
 	load(t, k, "x@1", start)
-	restarted, err := k.Reconcile(keeper.Report{Asked: start, Engine: "e2"})
+	restarted, err := k.Reconcile(keeper.Report{Held: true, Asked: start.Add(time.Second), Engine: "e2"})
 	if err != nil || !restarted {
 		t.Fatalf("Reconcile = %v, %v, want a restart", restarted, err)
 	}
@@ -150,6 +150,26 @@
 	}
 }
 
+// The engine restarts, and before its next report shows that, an adapter is
+// loaded into it and a request starts there. The report must not make the
+// keeper forget the pin, or the copy is evicted under the request.
+func TestPinSurvivesRestartNoticedLate(t *testing.T) {
+	k := &keeper.Keeper{Capacity: 1, Policy: keeper.LRU{}, Self: "b"}
+	k.Take(1, nil)
+	if _, err := k.Reconcile(keeper.Report{Held: true, Asked: start, Engine: "e1"}); err != nil {
+		t.Fatal(err)
+	}
+	load(t, k, "x@1", start.Add(time.Second))
+	handle, _ := k.Pin("x@1", start.Add(time.Second))
+	report := keeper.Report{Held: true, Asked: start.Add(2 * time.Second), Engine: "e2", Resident: []string{handle.String()}}
+	if _, err := k.Reconcile(report); err != nil {
+		t.Fatal(err)
+	}
+	if order := k.Want("y@1", start.Add(3*time.Second)); order != nil {
+		t.Errorf("ordered %v while a request runs on %s", order, handle)
+	}
+}
+
 func TestHeatKeepsTheHotAdapter(t *testing.T) {
 	k := newKeeper()
 	k.Policy = keeper.Heat{HalfLife: time.Minute}
--- a/internal/adapter/keeper/slot.go
+++ b/internal/adapter/keeper/slot.go
@@ -37,6 +37,7 @@
 // A Slot is one copy of an adapter on the runner, from the load order on.
 type Slot struct {
 	Handle    Handle
+	Foreign   bool                 // first seen when the lease could not be trusted: it may be a later owner's
 	Inherited bool                 // filled under an earlier owner
 	Machine   *interpreter.Machine // see slot.yaml
 	Pins      int                  // requests of this owner that use the copy
--- a/internal/command/commander/commander.go
+++ b/internal/command/commander/commander.go
@@ -102,7 +102,28 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	root.AddCommand(
-		c.newDemoCmd(),
+		c.newAdapterCmd(), c.newDemoCmd(), c.newDrainCmd(), c.newLoadCmd(), c.newRequestCmd(), c.newServeCmd(),
+		c.newSettingsCmd(), c.newStandinCmd(), c.newStatusCmd(), c.newUndrainCmd(), c.newVersionCmd(),
 	)
+	strictArgs(root)
 	return root
 }
+
+// strictArgs makes wrong arguments of any command a usage error, and a group of
+// commands refuse what is none of them.
+func strictArgs(cmd *cobra.Command) {
+	check := cmd.Args
+	if cmd.HasSubCommands() {
+		check = cobra.NoArgs
+		cmd.RunE = func(cmd *cobra.Command, _ []string) error { return cmd.Help() }
+	}
+	cmd.Args = func(cmd *cobra.Command, args []string) error {
+		if err := check(cmd, args); err != nil {
+			return usage(fmt.Errorf("%w; see %s --help", err, cmd.CommandPath()))
+		}
+		return nil
+	}
+	for _, sub := range cmd.Commands() {
+		strictArgs(sub)
+	}
+}
--- /dev/null
+++ b/internal/command/commander/loadcmd.go
@@ -0,0 +1,100 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/spf13/cobra"
+
+	"github.com/sardinetiller/sardinetiller/internal/experiment/reporter"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/sampler"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/sender"
+)
+
+// loadFlags are the flags of load.
+type loadFlags struct {
+	addresses []string
+	file      string
+	key       string
+	output    string
+	service   string
+	workload  sampler.Workload
+	shape     string
+}
+
+func (c *Commander) newLoadCmd() *cobra.Command {
+	var flags loadFlags
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Send a workload to entry addresses and report",
+		Long: "Draws a workload and sends it as ordinary callers would. The shapes are " + shapes() + ".\n" +
+			"The same seed draws the same workload. It stops by itself, and on Ctrl-C with what it has.",
+		Example: "  sardinetiller load --address 127.0.0.1:8080 --key key.txt --group mill --adapters 3000 --shape shift",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return c.runLoad(cmd.Context(), flags)
+		},
+	}
+	w := &flags.workload
+	cmd.Flags().StringSliceVar(&flags.addresses, "address", []string{"127.0.0.1:8080"}, "host:port of entry instances")
+	cmd.Flags().StringVar(&flags.file, "workload", "", "YAML file with the workload instead of the flags below")
+	cmd.Flags().StringVar(&flags.key, "key", "", "file with the API key")
+	cmd.Flags().StringVarP(&flags.output, "output", "o", outputTable, "table or json")
+	cmd.Flags().StringVar(&flags.service, "service", "", "plain service for the plain part")
+	cmd.Flags().IntVar(&w.Adapters, "adapters", 100, "adapters in the group")
+	cmd.Flags().IntVar(&w.Calls, "calls", 500, "calls")
+	cmd.Flags().StringVar(&w.Group, "group", "desk", "name of the adapter group")
+	cmd.Flags().Float64Var(&w.Near, "near", 0, "part of the calls with a near deadline")
+	cmd.Flags().Float64Var(&w.Once, "once", 0, "part that must not run twice")
+	cmd.Flags().Float64Var(&w.Plain, "plain", 0, "part that goes to the plain service")
+	cmd.Flags().Uint64Var(&w.Seed, "seed", 1, "seed")
+	cmd.Flags().StringVar(&flags.shape, "shape", string(sampler.Zipf), "shape of the workload")
+	cmd.Flags().Float64Var(&w.Skew, "skew", 1.3, "exponent of the popularity, above 1")
+	cmd.Flags().DurationVar(&w.Span, "span", 10*time.Second, "time over which the calls come")
+	cmd.Flags().IntVar(&w.Tokens, "tokens", 16, "mean length of an answer")
+	cmd.Flags().IntVar(&w.Versions, "versions", 1, "versions of each adapter")
+	return cmd
+}
+
+func (c *Commander) runLoad(ctx context.Context, flags loadFlags) error {
+	flags.workload.Shape = sampler.Shape(flags.shape)
+	if flags.file != "" {
+		data, err := os.ReadFile(flags.file)
+		if err != nil {
+			return usage(err)
+		}
+		if err := yaml.UnmarshalWithOptions(data, &flags.workload, yaml.Strict()); err != nil {
+			return usage(fmt.Errorf("%s: %w", flags.file, err))
+		}
+	}
+	key, err := readKey(flags.key)
+	if err != nil {
+		return usage(err)
+	}
+	calls, err := flags.workload.Draw()
+	if err != nil {
+		return usage(err)
+	}
+	progress := c.progress()
+	var done atomic.Int64
+	s := sender.Sender{
+		Addresses: func() [][]string { return [][]string{flags.addresses} }, Key: key, Service: flags.service,
+		Seen: func(sender.Result) { progress(int(done.Add(1)), len(calls), "") },
+	}
+	results := s.Run(ctx, calls)
+	report := reporter.New(results, nil, nil)
+	return c.printReport(flags.output, &report)
+}
+
+func shapes() string {
+	var names []string
+	for _, s := range sampler.Shapes {
+		names = append(names, string(s))
+	}
+	return strings.Join(names, ", ")
+}
--- a/internal/command/commander/output.go
+++ b/internal/command/commander/output.go
@@ -1,8 +1,15 @@
 package commander
 
 import (
+	"encoding/json"
+	"fmt"
 	"io"
 	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/goccy/go-yaml"
+	"github.com/spf13/cobra"
 )
 
 // The forms of output.
@@ -12,6 +19,37 @@
 	outputYAML  = "yaml"
 )
 
+// addOutput adds the flag for the form of output.
+func addOutput(cmd *cobra.Command, output *string) {
+	cmd.Flags().StringVarP(output, "output", "o", outputTable, "table, json or yaml")
+}
+
+// print writes a value in the form that was asked for. Rows are those of the
+// table, the first one its heading.
+func (c *Commander) print(output string, value any, rows [][]string) error {
+	switch output {
+	case outputJSON:
+		encoder := json.NewEncoder(c.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	case outputYAML:
+		data, err := yaml.Marshal(value)
+		if err != nil {
+			return err
+		}
+		_, err = c.out.Write(data)
+		return err
+	case outputTable:
+		t := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+		for _, row := range rows {
+			fmt.Fprintln(t, strings.Join(row, "\t"))
+		}
+		return t.Flush()
+	default:
+		return usage(fmt.Errorf("--output: %q is unknown; write table, json or yaml", output))
+	}
+}
+
 // isTerminal reports whether w is a terminal.
 func isTerminal(w io.Writer) bool {
 	file, ok := w.(*os.File)
--- /dev/null
+++ b/internal/command/commander/settingsexplaincmd.go
@@ -0,0 +1,40 @@
+package commander
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+)
+
+func (c *Commander) newSettingsExplainCmd() *cobra.Command {
+	var account, service, domain, desk, dir, platform, output string
+	cmd := &cobra.Command{
+		Use:   "explain",
+		Short: "Tell each value at a place in the tree and which level set it",
+		Long: "Values are inherited from root to service, account, the account's use of the service, failure domain\n" +
+			"and desk. This shows what holds at a place and where it comes from, in a directory or, without\n" +
+			"--tree, in the revision in force.",
+		Example: "  sardinetiller settings explain --tree tree --account gujarat --service exit-llm --domain a --desk gate",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			r, err := resolverOf(cmd.Context(), dir, platform)
+			if err != nil {
+				return err
+			}
+			origins := r.Explain(account, service, domain, desk)
+			rows := [][]string{{"FIELD", "VALUE", "SET BY"}}
+			for _, o := range origins {
+				rows = append(rows, []string{o.Field, fmt.Sprint(o.Value), o.Level})
+			}
+			return c.print(output, origins, rows)
+		},
+	}
+	cmd.Flags().StringVar(&account, "account", "", "client account")
+	cmd.Flags().StringVar(&service, "service", "", "service")
+	cmd.Flags().StringVar(&domain, "domain", "", "failure domain")
+	cmd.Flags().StringVar(&desk, "desk", "", "desk")
+	cmd.Flags().StringVar(&dir, "tree", "", "directory of a tree; the revision in force if not given")
+	addPlatform(cmd, &platform)
+	addOutput(cmd, &output)
+	return cmd
+}
--- /dev/null
+++ b/internal/command/commander/undraincmd.go
@@ -0,0 +1,19 @@
+package commander
+
+import "github.com/spf13/cobra"
+
+func (c *Commander) newUndrainCmd() *cobra.Command {
+	var platform string
+	cmd := &cobra.Command{
+		Use:     "undrain DOMAIN UPSTREAM",
+		Short:   "Let an upstream take new work again",
+		Long:    "Takes back a drain of an upstream. An instance that was drained comes back by being restarted.",
+		Example: "  sardinetiller undrain a exit-llm-1 --platform 127.0.0.1:9000",
+		Args:    cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return c.setDrain(cmd.Context(), platform, args[0], args[1], false)
+		},
+	}
+	addPlatform(cmd, &platform)
+	return cmd
+}
--- /dev/null
+++ b/internal/command/commander/yard_test.go
@@ -0,0 +1,351 @@
+package commander_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy"
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/command/commander"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/auditor"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/sampler"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/sender"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/stager"
+	"github.com/sardinetiller/sardinetiller/internal/instance/server"
+	"github.com/sardinetiller/sardinetiller/internal/standin/generator"
+	"github.com/sardinetiller/sardinetiller/internal/standin/registrar"
+	"github.com/sardinetiller/sardinetiller/internal/standin/responder"
+	"github.com/sardinetiller/sardinetiller/internal/wire/requester"
+)
+
+// asProgram makes the test binary run as the program, so that tests have real
+// processes without a build of their own.
+const asProgram = "RUN_AS_SARDINETILLER"
+
+func TestMain(m *testing.M) {
+	logrus.SetLevel(logrus.FatalLevel) // the proxy library logs every connection
+	if os.Getenv(asProgram) != "" {
+		os.Exit(commander.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+	}
+	testscript.Main(m, map[string]func(){
+		"sardinetiller": func() { os.Exit(commander.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+// A process is the program running with some arguments.
+type process struct {
+	cmd   *exec.Cmd
+	done  chan struct{}
+	mu    sync.Mutex
+	lines []string
+}
+
+// start runs the program until the test ends.
+func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(os.Args[0], args...), done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), asProgram+"=1")
+	stderr, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		defer close(p.done)
+		for scanner := bufio.NewScanner(stderr); scanner.Scan(); {
+			p.mu.Lock()
+			p.lines = append(p.lines, scanner.Text())
+			p.mu.Unlock()
+		}
+		_ = p.cmd.Wait()
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.done
+		if t.Failed() {
+			t.Logf("%v:\n%s", args, p.tail())
+		}
+	})
+	return p
+}
+
+// await returns the first match of the pattern's group in what the process
+// writes.
+func (p *process) await(t *testing.T, pattern string) string {
+	t.Helper()
+	re := regexp.MustCompile(pattern)
+	var found string
+	until(t, pattern, func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, line := range p.lines {
+			if match := re.FindStringSubmatch(line); match != nil {
+				found = match[1]
+				return true
+			}
+		}
+		select {
+		case <-p.done:
+			t.Fatalf("the process ended before it wrote %s", pattern)
+		default:
+		}
+		return false
+	})
+	return found
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) tail() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	text := ""
+	for _, line := range p.lines[max(0, len(p.lines)-15):] {
+		text += line + "\n"
+	}
+	return text
+}
+
+// patience bounds every wait for a condition. No test passes by the clock.
+const patience = 30 * time.Second
+
+func until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !condition(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited %s for: %s", patience, what)
+		}
+	}
+}
+
+// A yard is a deployment of real processes: a platform, engines and entry
+// instances in domains a and b, each instance behind a proxy of its own to the
+// platform.
+type yard struct {
+	t         *testing.T
+	engines   []string
+	instances map[string]*entry
+	mu        sync.Mutex
+	platform  string
+	service   string
+}
+
+// An entry is one entry instance.
+type entry struct {
+	*process
+
+	caller   string
+	operator string
+	proxy    *toxiproxy.Proxy
+	out      bool // the balancer sends it nothing
+}
+
+const (
+	yardLease = 2 * time.Second
+	yardKey   = stager.Key
+)
+
+func newYard(t *testing.T, fencing bool) *yard {
+	t.Helper()
+	y := &yard{t: t, instances: make(map[string]*entry)}
+	platform := start(t, "standin", "platform", "--listen", "127.0.0.1:0", "--rate", "60", "--together", "2", "--lag", "500ms")
+	y.platform = platform.await(t, `platform at (\S+)`)
+	service := start(t, "standin", "service", "--listen", "127.0.0.1:0")
+	y.service = service.await(t, `service at (\S+)`)
+	for i := range 3 {
+		e := start(t, "standin", "engine", "--listen", "127.0.0.1:0", "--name", fmt.Sprint("r", i+1), "--slots", "3", "--batch", "4",
+			"--step", "8ms", "--weights", y.platform, fmt.Sprintf("--fencing=%v", fencing))
+		y.engines = append(y.engines, e.await(t, `engine at (\S+)`))
+	}
+	y.apply(fencing)
+	y.launch("a-1", "a")
+	y.launch("a-2", "a")
+	y.launch("b-1", "b")
+	y.settled()
+	return y
+}
+
+func (y *yard) apply(fencing bool) {
+	y.t.Helper()
+	dir := y.t.TempDir()
+	files := map[string]string{
+		"root.yaml":    "kind: root\nvalues: {deadline: 10s}\nweights: {rate: 60, together: 2}\n",
+		"account.yaml": "kind: account\nname: gujarat\nkeys:\n  - {hash: " + hashOf(yardKey) + "}\nadapters:\n  - {name: desk, count: 12, versions: [1], service: exit-llm, base: b}\n",
+		"service.yaml": fmt.Sprintf("kind: service\nname: records\ntype: plain\nupstreams:\n  - {name: s1, domain: a, address: %q, batch: 9}\n", y.service),
+	}
+	engines := "kind: service\nname: exit-llm\ntype: engine\nupstreams:\n"
+	for i, address := range y.engines {
+		engines += fmt.Sprintf("  - {name: r%d, domain: %s, address: %q, slots: 3, batch: 4, fencing: %v}\n", i+1, []string{"a", "a", "b"}[i], address, fencing)
+	}
+	files["engines.yaml"] = engines
+	for name, text := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			y.t.Fatal(err)
+		}
+	}
+	apply := start(y.t, "settings", "apply", dir, "--platform", y.platform)
+	<-apply.done
+	if code := apply.cmd.ProcessState.ExitCode(); code != commander.ExitOK {
+		y.t.Fatalf("settings apply ended with %d: %s", code, apply.tail())
+	}
+}
+
+// launch starts an entry instance.
+func (y *yard) launch(id, domain string) {
+	y.t.Helper()
+	proxy := toxiproxy.NewProxy()
+	proxy.Name, proxy.Listen, proxy.Upstream = id, "127.0.0.1:0", y.platform
+	if err := proxy.Start(); err != nil {
+		y.t.Fatal(err)
+	}
+	y.t.Cleanup(proxy.Stop)
+	file := filepath.Join(y.t.TempDir(), id+".yaml")
+	secret := filepath.Join(y.t.TempDir(), "secret")
+	if err := os.WriteFile(secret, []byte("yard\n"), 0o600); err != nil {
+		y.t.Fatal(err)
+	}
+	text := fmt.Sprintf("id: %s\ndomain: %s\ncaller: 127.0.0.1:0\npeer: 127.0.0.1:0\noperator: 127.0.0.1:0\nplatform: %s\n"+
+		"secret: %s\nlease: %s\nbeat: 200ms\npoll: 200ms\nnotice: 600ms\ndrain: 20s\n", id, domain, proxy.Listen, secret, yardLease)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		y.t.Fatal(err)
+	}
+	e := &entry{process: start(y.t, "serve", "--settings", file), proxy: proxy}
+	e.caller = e.await(y.t, `msg=started caller=(\S+)`)
+	e.operator = e.await(y.t, `msg=started .* operator=(\S+)`)
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.instances[id] = e
+}
+
+// addresses are the entry addresses of both domains as the balancer knows them.
+func (y *yard) addresses() [][]string {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	addresses := make([][]string, 2)
+	for id, e := range y.instances {
+		if !e.out {
+			domain := int(id[0] - 'a')
+			addresses[domain] = append(addresses[domain], e.caller)
+		}
+	}
+	return addresses
+}
+
+func (y *yard) instance(id string) *entry {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return y.instances[id]
+}
+
+// out tells the balancer whether to send an instance anything.
+func (y *yard) out(id string, out bool) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.instances[id].out = out
+}
+
+// status returns what an instance says of itself; false if it does not answer.
+func (y *yard) status(id string) (server.Status, bool) {
+	var s server.Status
+	ok := get(y.instance(id).operator, server.PathStatus, &s)
+	return s, ok
+}
+
+// settled waits until every runner has an owner in the eyes of every instance.
+func (y *yard) settled() {
+	y.t.Helper()
+	until(y.t, "owners of all runners", func() bool {
+		for id := range map[string]bool{"a-1": true, "a-2": true, "b-1": true} {
+			s, ok := y.status(id)
+			if !ok || !s.Ready || len(s.Runners) == 0 {
+				return false
+			}
+			for _, r := range s.Runners {
+				if r.Owner == "" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// control sets the faults of a stand-in.
+func (y *yard) control(address string, faults any) {
+	y.t.Helper()
+	data, err := json.Marshal(faults)
+	if err != nil {
+		y.t.Fatal(err)
+	}
+	request := &fasthttp.Request{}
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + address + registrar.PathControl)
+	request.SetBody(data)
+	var r requester.Requester
+	if _, _, seen := r.Whole(context.Background(), address, request); seen != nil {
+		y.t.Fatalf("control of %s: %+v", address, seen)
+	}
+}
+
+// audit compares the books with what the callers saw.
+func (y *yard) audit(results []sender.Result, planned bool) (auditor.Promises, []string) {
+	y.t.Helper()
+	audit := auditor.Audit{Results: results, Planned: planned}
+	for _, address := range y.engines {
+		var books generator.Books
+		if !get(address, generator.PathBooks, &books) {
+			y.t.Fatalf("no books from %s", address)
+		}
+		audit.Engines = append(audit.Engines, books)
+	}
+	if !get(y.service, responder.PathBooks, &audit.Calls) {
+		y.t.Fatal("no books from the service")
+	}
+	return audit.Run(), audit.Faults()
+}
+
+// traffic sends calls until stop is called, which returns the results.
+func (y *yard) traffic(workload sampler.Workload) (stop func() []sender.Result) {
+	y.t.Helper()
+	calls, err := workload.Draw()
+	if err != nil {
+		y.t.Fatal(err)
+	}
+	s := sender.Sender{Addresses: y.addresses, Key: yardKey, Service: "records"}
+	var results []sender.Result
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		results = s.Run(context.Background(), calls)
+	}()
+	return func() []sender.Result {
+		<-done
+		return results
+	}
+}
+
+func get(address, path string, into any) bool {
+	request := &fasthttp.Request{}
+	request.SetRequestURI("http://" + address + path)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var r requester.Requester
+	status, body, seen := r.Whole(ctx, address, request)
+	return seen == nil && status == fasthttp.StatusOK && json.Unmarshal(body, into) == nil
+}
--- a/internal/experiment/auditor/auditor.go
+++ b/internal/experiment/auditor/auditor.go
@@ -69,9 +69,9 @@
 }
 
 func (a *Audit) engine(b *generator.Books, p *Promises) {
-	p.Pinned += b.Under
-	if b.Under > 0 {
-		a.fault("%d evictions under a running request", b.Under)
+	p.Pinned += len(b.Under)
+	for _, u := range b.Under {
+		a.fault("%s was evicted with fencing number %#x under %s, which had run for %s", u.Handle, u.Fence, u.Marker, u.Age)
 	}
 	if b.Left.IsZero() {
 		return
--- a/internal/instance/server/beat.go
+++ b/internal/instance/server/beat.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"os"
 	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/platform/lister"
 )
 
 // A linkState is what was told on one link, so that a beat carries only what
@@ -75,7 +79,12 @@
 			beat.Loads = append(beat.Loads, l)
 		}
 	}
-	if s.Mesh.Tell(ctx, peer.Address, beat) != nil || !linked {
+	if err := s.Mesh.Tell(ctx, peer.Address, beat); err != nil {
+		s.count("sardinetiller_link_failures_total", "tell")
+		_ = level.Debug(s.Logger).Log("msg", "peer not reached", "peer", peer.ID, "err", err)
+		return
+	}
+	if !linked {
 		return // a link that this beat made is told everything by the next one
 	}
 	next := linkState{identity: identity, loads: make(map[int]relayer.Load), version: version}
@@ -113,10 +122,15 @@
 	}
 }
 
+// announce tells the platform of this instance.
+func (s *Server) announce(ctx context.Context, ended bool) error {
+	return s.Lister.Announce(ctx, lister.Announcement{Instance: s.Self(), Process: os.Getpid(), Ended: ended})
+}
+
 // listLoop announces this instance and reads the platform's list.
 func (s *Server) listLoop(ctx context.Context) {
 	every(ctx, s.Config.Poll, nil, func() {
-		if err := s.Lister.Announce(ctx, s.Self()); err != nil {
+		if err := s.announce(ctx, false); err != nil {
 			s.count("sardinetiller_platform_failures_total", "list")
 			return
 		}
--- a/internal/instance/server/server.go
+++ b/internal/instance/server/server.go
@@ -99,10 +99,23 @@
 	}
 	cancel()
 	loops.Wait()
-	_ = level.Info(s.Logger).Log("msg", "stopped", "err", err)
+	s.farewell()
+	_ = level.Info(s.Logger).Log("msg", "stopped")
 	return err
 }
 
+// farewellTime bounds how long the platform is told that the instance has
+// ended. Without it the list finds out from the end of the process.
+const farewellTime = time.Second
+
+func (s *Server) farewell() {
+	ctx, cancel := context.WithTimeout(context.Background(), farewellTime)
+	defer cancel()
+	if err := s.announce(ctx, true); err != nil {
+		s.count("sardinetiller_platform_failures_total", "list")
+	}
+}
+
 // listen serves the three sockets until ctx ends.
 func (s *Server) listen(ctx context.Context, loops *sync.WaitGroup) <-chan error {
 	peers := router.New()
--- a/internal/member/relayer/mesh.go
+++ b/internal/member/relayer/mesh.go
@@ -278,4 +278,11 @@
 	return s.replies[id]
 }
 
-func bearer(secret string) string { return "Bearer " + secret }
+// bearer returns the value of the header that shows the secret. Without a
+// secret there is none, and mutual TLS alone lets a peer in.
+func bearer(secret string) string {
+	if secret == "" {
+		return ""
+	}
+	return "Bearer " + secret
+}
--- a/internal/platform/lister/lister.go
+++ b/internal/platform/lister/lister.go
@@ -17,13 +17,22 @@
 
 // A Lister is the platform's list.
 type Lister interface {
-	// Announce tells the platform that this instance runs. It is repeated; an
-	// instance that stops announcing drops off the list.
-	Announce(ctx context.Context, i heartbeater.Instance) error
+	// Announce tells the platform that this instance runs, leaves or has ended.
+	// It is repeated while the instance runs.
+	Announce(ctx context.Context, a Announcement) error
 	// List returns the instances that the platform lists.
 	List(ctx context.Context) ([]heartbeater.Instance, error)
 }
 
+// An Announcement is what an instance tells the platform of itself. The
+// platform lists an instance for as long as its process exists: one that is
+// paused or cut off stays listed, one that has ended or died drops off.
+type Announcement struct {
+	Instance heartbeater.Instance `cbor:"1,keyasint"`
+	Process  int                  `cbor:"2,keyasint"` // by which the platform's agent knows the process
+	Ended    bool                 `cbor:"3,keyasint"` // the instance runs no more although its process may
+}
+
 // The paths of the instance list.
 const (
 	PathAnnounce = "/instance/announce"
@@ -40,8 +49,8 @@
 var _ Lister = (*Client)(nil)
 
 // Announce implements Lister.
-func (c *Client) Announce(ctx context.Context, i heartbeater.Instance) error {
-	_, err := c.call(ctx, PathAnnounce, i)
+func (c *Client) Announce(ctx context.Context, a Announcement) error {
+	_, err := c.call(ctx, PathAnnounce, a)
 	return err
 }
 
--- a/internal/setting/configurer/configurer.go
+++ b/internal/setting/configurer/configurer.go
@@ -9,6 +9,7 @@
 	"os"
 	"reflect"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -110,6 +111,9 @@
 	if t := d.TLS; (t.Cert == "") != (t.Key == "") || (t.Cert == "") != (t.CA == "") {
 		return fault("tls", "cert, key and ca go together; set all or none")
 	}
+	if d.Secret == "" && d.TLS.Cert == "" {
+		return fault("secret", "no secret and no tls; name a file with the secret that all instances share, or set tls")
+	}
 	return nil
 }
 
@@ -139,13 +143,16 @@
 	return fmt.Errorf("%s:%d: %s: %s; see docs/SETTINGS.md for the fields", file, token.Position.Line, token.Value, known.GetMessage())
 }
 
+// fromEnvironment returns the overrides among environment variables. Others
+// with the same prefix are left alone: an orchestrator may set some of its own.
 func fromEnvironment(environ []string) map[string]string {
 	const prefix = "SARDINETILLER_"
 	overrides := make(map[string]string)
 	for _, pair := range environ {
 		key, value, _ := strings.Cut(pair, "=")
-		if field, ok := strings.CutPrefix(key, prefix); ok {
-			overrides[strings.ToLower(field)] = value
+		field, ok := strings.CutPrefix(key, prefix)
+		if field = strings.ToLower(field); ok && slices.Contains(Fields(), field) {
+			overrides[field] = value
 		}
 	}
 	return overrides
--- a/internal/setting/publisher/publisher.go
+++ b/internal/setting/publisher/publisher.go
@@ -78,6 +78,20 @@
 	return p.commit(ctx, edit, next, txn)
 }
 
+// Entry returns one revision of the history.
+func (p *Publisher) Entry(ctx context.Context, revision uint64) (Entry, error) {
+	row, err := p.Table.Get(ctx, revisionKey(revision))
+	if err != nil {
+		return Entry{}, err
+	}
+	if row.Version == 0 {
+		return Entry{}, fmt.Errorf("there is no revision %d", revision)
+	}
+	var entry Entry
+	err = encoder.Unmarshal(row.Value, &entry)
+	return entry, err
+}
+
 // File returns the content of a file by digest.
 func (p *Publisher) File(ctx context.Context, digest string) ([]byte, error) {
 	return Fetch(ctx, p.Store, digest)
@@ -239,14 +253,10 @@
 }
 
 func (p *Publisher) settleByHistory(ctx context.Context, edit Edit, next, head Head) (uint64, error) {
-	row, err := p.Table.Get(ctx, revisionKey(next.Revision))
+	entry, err := p.Entry(ctx, next.Revision)
 	if err != nil {
 		return 0, err
 	}
-	var entry Entry
-	if err := encoder.Unmarshal(row.Value, &entry); err != nil {
-		return 0, err
-	}
 	if entry.Manifest == next.Manifest && entry.Author == edit.Author && entry.Note == edit.Note {
 		return next.Revision, nil
 	}
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -69,6 +69,7 @@
 	r := router.New()
 	r.POST(PathChat, e.complete)
 	r.POST(PathCompletions, e.complete)
+	r.POST(PathCancel, e.cancel)
 	r.POST(PathEvict, e.order(e.evict))
 	r.POST(PathFence, e.order(e.raise))
 	r.POST(PathLoad, e.order(e.load))
@@ -93,6 +94,22 @@
 	e.faults = f
 }
 
+// cancel ends a request, if it runs.
+func (e *Engine) cancel(c *fasthttp.RequestCtx) {
+	var told Cancel
+	if err := json.Unmarshal(c.PostBody(), &told); err != nil {
+		c.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range append(slices.Clone(e.running), e.waiting...) {
+		if e.books.Runs[s.run].Request == told.Request {
+			s.cut()
+		}
+	}
+}
+
 func (e *Engine) control(c *fasthttp.RequestCtx) {
 	var f Faults
 	if err := json.Unmarshal(c.PostBody(), &f); err != nil {
@@ -112,16 +129,15 @@
 	}
 	delete(e.resident, o.Handle)
 	e.books.Evicts++
-	under := false
 	for _, s := range append(slices.Clone(e.running), e.waiting...) {
 		if s.handle == o.Handle && !s.ended() {
-			under = true
+			run := e.books.Runs[s.run]
+			e.books.Under = append(e.books.Under, Under{
+				Handle: o.Handle, Fence: o.Fence, Marker: run.Marker, Age: time.Since(run.Began),
+			})
 			s.cut()
 		}
 	}
-	if under {
-		e.books.Under++
-	}
 	return fasthttp.StatusOK, ""
 }
 
--- a/internal/standin/generator/wire.go
+++ b/internal/standin/generator/wire.go
@@ -5,6 +5,7 @@
 // The paths of an engine.
 const (
 	PathBooks       = "/books"
+	PathCancel      = "/orders/cancel"
 	PathChat        = "/v1/chat/completions"
 	PathCompletions = "/v1/completions"
 	PathControl     = "/control"
@@ -28,6 +29,12 @@
 	Fence  uint64 `json:"fence"`
 }
 
+// A Cancel asks the engine to end a request. The answer says that it does not
+// run, whether it was known or not.
+type Cancel struct {
+	Request string `json:"request"`
+}
+
 // A Report is what the engine says of itself, some time ago.
 type Report struct {
 	Engine   string   `json:"engine"` // incarnation
@@ -60,12 +67,20 @@
 	Whole   bool      `json:"whole"` // every token was given
 }
 
+// An Under is an eviction that hit a running request.
+type Under struct {
+	Handle string        `json:"handle"`
+	Fence  uint64        `json:"fence"` // of the order
+	Marker string        `json:"marker"`
+	Age    time.Duration `json:"age"` // since the request began, in nanoseconds
+}
+
 // Books are what the engine did, in its own count.
 type Books struct {
 	Runs   []Run     `json:"runs"`
 	Loads  int       `json:"loads"`
 	Evicts int       `json:"evicts"`
-	Under  int       `json:"under"`  // evictions under a running request
+	Under  []Under   `json:"under"`  // evictions under a running request
 	Late   int       `json:"late"`   // orders refused for their fencing number
 	Steps  int       `json:"steps"`  // with at least one request running
 	Filled int       `json:"filled"` // requests in those steps, added up
--- a/internal/standin/registrar/platform.go
+++ b/internal/standin/registrar/platform.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fasthttp/router"
@@ -30,7 +31,7 @@
 	Store storer.Memory
 
 	mu        sync.Mutex
-	announced map[string]announcement
+	announced map[string]*announcement // by incarnation
 	books     Books
 	faults    Faults
 	loading   int
@@ -38,15 +39,12 @@
 
 // An announcement is an instance's last word and what the lagging list shows.
 type announcement struct {
-	instance heartbeater.Instance
-	at       time.Time
-	first    time.Time
-	leaving  time.Time // when it first said that it leaves
-}
+	lister.Announcement
 
-// forget is how long after its last announcement an instance stays listed,
-// beside the lag.
-const forget = 3 * time.Second
+	ended   time.Time // when its process was first found to run no more
+	first   time.Time
+	leaving time.Time // when it first said that it leaves
+}
 
 // The control paths of every stand-in.
 const (
@@ -88,27 +86,25 @@
 }
 
 func (p *Platform) announce(c *fasthttp.RequestCtx) {
-	var i heartbeater.Instance
-	if !decode(c, &i) {
+	var told lister.Announcement
+	if !decode(c, &told) {
 		return
 	}
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.announced == nil {
-		p.announced = make(map[string]announcement)
+		p.announced = make(map[string]*announcement)
 	}
-	a := p.announced[i.Incarnation]
-	a.instance = i
-	a.at = now
-	if a.first.IsZero() {
-		a.first = now
+	a, ok := p.announced[told.Instance.Incarnation]
+	if !ok {
+		a = &announcement{first: now}
+		p.announced[told.Instance.Incarnation] = a
 	}
-	if i.Leaving && a.leaving.IsZero() {
+	a.Announcement = told
+	if told.Instance.Leaving && a.leaving.IsZero() {
 		a.leaving = now
 	}
-	p.announced[i.Incarnation] = a
-	c.SetStatusCode(fasthttp.StatusOK)
 }
 
 func (p *Platform) commit(c *fasthttp.RequestCtx) {
@@ -174,15 +170,15 @@
 	now := time.Now()
 	p.mu.Lock()
 	listed := []heartbeater.Instance{}
-	for incarnation, a := range p.announced {
-		if now.Sub(a.at) > p.Lag+forget {
-			delete(p.announced, incarnation)
-			continue
+	for _, a := range p.announced {
+		if a.ended.IsZero() && a.dead() {
+			a.ended = now
 		}
-		if now.Sub(a.first) < p.Lag {
+		gone := !a.ended.IsZero() && now.Sub(a.ended) >= p.Lag
+		if gone || now.Sub(a.first) < p.Lag {
 			continue
 		}
-		i := a.instance
+		i := a.Instance
 		i.Leaving = !a.leaving.IsZero() && now.Sub(a.leaving) >= p.Lag
 		listed = append(listed, i)
 	}
@@ -190,6 +186,12 @@
 	p.read(c, listed)
 }
 
+// dead reports whether the instance's process runs no more. The platform's
+// agent sits beside the process and sees that; a paused process exists.
+func (a *announcement) dead() bool {
+	return a.Ended || errors.Is(syscall.Kill(a.Process, 0), syscall.ESRCH)
+}
+
 func (p *Platform) object(c *fasthttp.RequestCtx) {
 	data, err := p.Store.Get(c, c.UserValue("key").(string))
 	if err != nil {
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -8,11 +8,15 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/wire/requester"
 )
 
 // An Engine is one model engine as its owner reaches it.
 type Engine interface {
+	// Cancel ends a request. It returns whether the engine has confirmed that
+	// the request does not run.
+	Cancel(ctx context.Context, address, request string) bool
 	// Order carries out one order and says what is known of it.
 	Order(ctx context.Context, address string, action keeper.Action) Answer
 	// Raise tells the engine a new fencing number. It returns whether the
@@ -47,6 +51,7 @@
 
 // The paths of an engine.
 const (
+	pathCancel = "/orders/cancel"
 	pathEvict  = "/orders/evict"
 	pathFence  = "/orders/fence"
 	pathLoad   = "/orders/load"
@@ -62,6 +67,14 @@
 	Fence  uint64 `json:"fence"`
 }
 
+// Cancel implements Engine.
+func (c *Client) Cancel(ctx context.Context, address, request string) bool {
+	ctx, stop := context.WithTimeout(ctx, reportTimeout)
+	defer stop()
+	status, seen := post(ctx, address, pathCancel, map[string]string{"request": request})
+	return seen == nil && status == fasthttp.StatusOK
+}
+
 // Order implements Engine.
 func (c *Client) Order(ctx context.Context, address string, action keeper.Action) Answer {
 	switch a := action.(type) {
@@ -100,9 +113,15 @@
 func (c *Client) order(ctx context.Context, address, path string, o order) Answer {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	body, err := json.Marshal(o)
+	status, seen := post(ctx, address, path, o)
+	return judgeOrder(path, status, seen)
+}
+
+// post sends a value as JSON and returns the status of the answer.
+func post(ctx context.Context, address, path string, value any) (int, judge.Observation) {
+	body, err := json.Marshal(value)
 	if err != nil {
-		return Answer{Outcome: keeper.Failed}
+		return 0, judge.Dialed{Err: err}
 	}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
@@ -112,5 +131,5 @@
 	request.SetBody(body)
 	var r requester.Requester
 	status, _, seen := r.Whole(ctx, address, request)
-	return judgeOrder(path, status, seen)
+	return status, seen
 }
--- a/internal/upstream/driver/look.go
+++ b/internal/upstream/driver/look.go
@@ -85,8 +85,9 @@
 
 func (d *Driver) reconcile(e *engine, asked time.Time, report caller.Report) {
 	before := len(e.Keeper.Resident())
+	fence, acts := d.Tenancy.Acts(e.Name)
 	restarted, err := e.Reconcile(keeper.Report{
-		Asked: asked, Engine: report.Engine, Resident: report.Resident, Loading: report.Loading,
+		Asked: asked, Held: acts && fence == e.Keeper.Fence(), Engine: report.Engine, Resident: report.Resident, Loading: report.Loading,
 	}, report.Leaving)
 	if err != nil {
 		d.warn("report does not fit the slots", e.Name, err)
--- a/internal/upstream/driver/serve.go
+++ b/internal/upstream/driver/serve.go
@@ -171,6 +171,10 @@
 	head := streamer.Head{Runner: e.Name, Queued: began.Sub(arrived)}
 	head.Stall = d.stall(e, call.Adapter, arrived, began)
 	err := caller.Run(ctx, e.address, handle.String(), call, head, sink)
+	if err != nil && judge.As(err).Verdict != judge.NotRun {
+		go d.release(context.WithoutCancel(ctx), e, handle, call)
+		return err
+	}
 	now := time.Now()
 	d.mu.Lock()
 	e.Finish(handle)
@@ -182,6 +186,25 @@
 	return err
 }
 
+// cancelEvery is how often an engine is asked again to end a request.
+const cancelEvery = 100 * time.Millisecond
+
+// release gives the pin of a request back that did not end well. The engine may
+// not have noticed that its connection is gone and still run the request, and an
+// eviction would hit it; so the pin stays until the engine has confirmed that
+// the request does not run. An engine that cannot be reached keeps the pin: it
+// can be told to evict nothing either.
+func (d *Driver) release(ctx context.Context, e *engine, handle keeper.Handle, call *streamer.Call) {
+	for !d.Engine.Cancel(ctx, e.address, call.ID) {
+		d.count("sardinetiller_cancel_failures_total", "cancel")
+		time.Sleep(cancelEvery)
+	}
+	d.mu.Lock()
+	e.Finish(handle)
+	d.mu.Unlock()
+	d.Pump(ctx, time.Now())
+}
+
 // stall is the part of the wait for which the adapter was not resident.
 func (d *Driver) stall(e *engine, adapter string, arrived, began time.Time) time.Duration {
 	d.mu.Lock()
--- a/internal/upstream/orderer/runner_test.go
+++ b/internal/upstream/orderer/runner_test.go
@@ -51,8 +51,8 @@
 // request that ends well.
 func TestColdEngineIsGivenWorkSlowly(t *testing.T) {
 	r := newRunner(1)
-	_, _ = r.Reconcile(keeper.Report{Asked: start, Engine: "e1"}, false)
-	_, _ = r.Reconcile(keeper.Report{Asked: start, Engine: "e2"}, false)
+	_, _ = r.Reconcile(keeper.Report{Held: true, Asked: start, Engine: "e1"}, false)
+	_, _ = r.Reconcile(keeper.Report{Held: true, Asked: start, Engine: "e2"}, false)
 	if r.Ramp() != 0.25 {
 		t.Errorf("ramp after cold start = %v, want 0.25", r.Ramp())
 	}
@@ -73,6 +73,7 @@
 
 // An engine is the truth beside a Runner: what it holds and who runs there.
 type engine struct {
+	starts   int
 	resident map[string]bool
 	running  map[string]int
 }
@@ -113,7 +114,12 @@
 	}
 }
 
+// start runs a request, or has the engine refuse it if the copy is not there.
 func (m *model) start(s orderer.Start) {
+	if !m.engine.resident[s.Handle.String()] {
+		m.runner.Finish(s.Handle)
+		return
+	}
 	m.engine.running[s.Handle.String()]++
 	if m.unsafe {
 		m.runner.Keeper.Unpin(s.Handle)
@@ -121,6 +127,16 @@
 	m.started = append(m.started, s)
 }
 
+func (m *model) finish() {
+	if len(m.started) == 0 {
+		return
+	}
+	handle := m.started[0].Handle
+	m.started = m.started[1:]
+	m.engine.running[handle.String()]--
+	m.runner.Finish(handle)
+}
+
 func (m *model) want() {
 	for _, need := range m.runner.Needs() {
 		if action := m.runner.Keeper.Want(need.Adapter, m.now); action != nil {
@@ -158,13 +174,13 @@
 
 func (m *model) report() error {
 	resident := slices.Sorted(maps.Keys(m.engine.resident))
-	_, err := m.runner.Reconcile(keeper.Report{Asked: m.now, Engine: "e", Resident: resident}, false)
+	_, err := m.runner.Reconcile(keeper.Report{Held: true, Asked: m.now, Engine: fmt.Sprint("e", m.engine.starts), Resident: resident}, false)
 	return err
 }
 
 func (m *model) step(t *rapid.T) error {
 	m.now = m.now.Add(time.Millisecond)
-	switch rapid.SampledFrom([]string{"arrive", "want", "answer", "report", "finish", "late"}).Draw(t, "event") {
+	switch rapid.SampledFrom([]string{"arrive", "want", "answer", "report", "finish", "late", "restart"}).Draw(t, "event") {
 	case "arrive":
 		m.arrive(t)
 	case "want":
@@ -174,11 +190,12 @@
 	case "report":
 		return m.report()
 	case "finish":
-		if len(m.started) > 0 {
-			handle := m.started[0].Handle
-			m.started = m.started[1:]
-			m.engine.running[handle.String()]--
-			m.runner.Finish(handle)
+		m.finish()
+	case "restart":
+		m.engine.starts++
+		clear(m.engine.resident)
+		for len(m.started) > 0 { // the engine drops what ran there
+			m.finish()
 		}
 	case "late":
 		if len(m.late) > 0 {
