Evict a doomed copy only when every earlier owner is cleared

The choice among several copies hung on map order, so the run could not be repeated; it is by name now.

--- a/internal/adapter/keeper/keeper.go
+++ b/internal/adapter/keeper/keeper.go
@@ -46,12 +46,7 @@
 
 // Servable reports whether Pin would find a copy of the adapter.
 func (k *Keeper) Servable(adapter string) bool {
-	for _, s := range k.slots {
-		if s.Handle.Adapter == adapter && k.servable(s) {
-			return true
-		}
-	}
-	return false
+	return k.copyOf(adapter) != nil
 }
 
 // Since returns when a copy of the adapter became resident, as far as an order
@@ -160,15 +155,13 @@
 // caller must Unpin the handle when the last byte has gone. It returns false
 // when no servable copy is resident.
 func (k *Keeper) Pin(adapter string, now time.Time) (Handle, bool) {
-	for _, s := range k.slots {
-		if s.Handle.Adapter != adapter || !k.servable(s) {
-			continue
-		}
-		s.Pins++
-		s.touch(now, k.halfLife())
-		return s.Handle, true
+	s := k.copyOf(adapter)
+	if s == nil {
+		return Handle{}, false
 	}
-	return Handle{}, false
+	s.Pins++
+	s.touch(now, k.halfLife())
+	return s.Handle, true
 }
 
 // Raise records that the engine has confirmed the tenure's fencing number.
@@ -322,6 +315,20 @@
 	return false
 }
 
+// copyOf returns the servable copy of the adapter, the first by name if there
+// are several, so that the same events always lead to the same choice.
+func (k *Keeper) copyOf(adapter string) *Slot {
+	var chosen *Slot
+	first := ""
+	for name, s := range k.slots {
+		if s.Handle.Adapter == adapter && k.servable(s) && (chosen == nil || name < first) {
+			chosen = s
+			first = name
+		}
+	}
+	return chosen
+}
+
 // discover enters a copy that a report shows and this keeper did not know. If
 // the lease could be trusted when the report had arrived, no later owner can
 // have loaded it. Otherwise it may be a later owner's, who serves and evicts it
@@ -354,13 +361,8 @@
 // about to send after a pause; its pins are not known here, so it stays until
 // every earlier party is cleared.
 func (k *Keeper) evictable(s *Slot) bool {
-	if s.Foreign {
-		return false
-	}
-	if s.Machine.State == stateDoomed {
-		return s.Pins == 0
-	}
-	if !s.resident() || s.Pins > 0 {
+	held := s.resident() || s.Machine.State == stateDoomed
+	if !held || s.Foreign || s.Pins > 0 {
 		return false
 	}
 	return !s.Inherited || k.Cleared()
--- a/internal/adapter/keeper/keeper_test.go
+++ b/internal/adapter/keeper/keeper_test.go
@@ -187,6 +187,26 @@
 	}
 }
 
+// One earlier owner hands over and says that a lost eviction of its may still
+// hit a copy; another earlier owner has not answered and may be sending a
+// request to that copy. The copy may not be evicted for good yet.
+func TestDoomedCopyWaitsForEveryEarlierOwner(t *testing.T) {
+	k := &keeper.Keeper{Capacity: 1, Fencing: true, Policy: keeper.LRU{}, Self: "c"}
+	k.Take(3, []string{"a", "b"})
+	k.Raise(3)
+	if _, err := k.Reconcile(keeper.Report{Held: true, Asked: start, Engine: "e", Resident: []string{"x@1#b.1"}}); err != nil {
+		t.Fatal(err)
+	}
+	k.Clear("b", keeper.Surrender{Doomed: []string{"x@1#b.1"}})
+	if order := k.Want("y@1", start); order != nil {
+		t.Errorf("ordered %v before a was cleared", order)
+	}
+	k.Clear("a", keeper.Surrender{})
+	if _, ok := k.Want("y@1", start).(keeper.Evict); !ok {
+		t.Error("no eviction after all were cleared")
+	}
+}
+
 func TestSurrenderWaitsForEvictionUnderWay(t *testing.T) {
 	k := newKeeper()
 	load(t, k, "x@1", start)
