--- /dev/null
+++ b/internal/experiment/comparer/comparer.go
@@ -0,0 +1,194 @@
+// Package comparer runs one experiment under several policies, shapes and seeds
+// and puts the figures side by side.
+package comparer
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/goccy/go-yaml"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sardinetiller/sardinetiller/internal/experiment/reporter"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/runner"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/sampler"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/stager"
+)
+
+// A Description says what to run. It is read from a YAML file.
+type Description struct {
+	Deployment string           `yaml:"deployment"`
+	Parallel   int              `yaml:"parallel"` // runs at once
+	Policies   []Policy         `yaml:"policies"`
+	Seeds      []uint64         `yaml:"seeds"`
+	Shapes     []sampler.Shape  `yaml:"shapes"`
+	Workload   sampler.Workload `yaml:"workload"`
+}
+
+// A Policy is one way to choose and to evict.
+type Policy struct {
+	Name     string `yaml:"name"`
+	Evict    string `yaml:"evict"`    // heat or lru
+	Values   string `yaml:"values"`   // YAML of the root values, with policy among them
+	Baseline bool   `yaml:"baseline"` // what the others are measured against
+}
+
+// A Cell is the figures of one policy under one shape over all seeds.
+type Cell struct {
+	Shape   sampler.Shape     `json:"shape"`
+	Policy  string            `json:"policy"`
+	Stall   Spread            `json:"stall"`  // total seconds
+	Worst   Spread            `json:"worst"`  // 99th percentile in seconds
+	Batch   Spread            `json:"batch"`  // part of each engine step
+	Loads   Spread            `json:"loads"`  // for each 1,000 requests
+	Whole   Spread            `json:"whole"`  // part answered whole
+	Broken  int               `json:"broken"` // promises, over all seeds
+	Reports []reporter.Report `json:"reports"`
+}
+
+// A Spread is the median of several runs with the least and the greatest.
+type Spread struct {
+	Median float64 `json:"median"`
+	Least  float64 `json:"least"`
+	Most   float64 `json:"most"`
+}
+
+// Read decodes and checks a description.
+func Read(file string, data []byte) (*Description, error) {
+	var d Description
+	if err := yaml.UnmarshalWithOptions(data, &d, yaml.Strict()); err != nil {
+		return nil, fmt.Errorf("%s: %s", file, yaml.FormatError(err, false, true))
+	}
+	if _, err := stager.Deployment(d.Deployment); err != nil {
+		return nil, fmt.Errorf("%s: deployment: %w", file, err)
+	}
+	if len(d.Policies) == 0 || len(d.Seeds) == 0 || len(d.Shapes) == 0 {
+		return nil, fmt.Errorf("%s: policies, seeds and shapes must each have an entry", file)
+	}
+	for _, s := range d.Shapes {
+		if !slices.Contains(sampler.Shapes, s) {
+			return nil, fmt.Errorf("%s: shapes: %q is unknown; write one of %v", file, s, sampler.Shapes)
+		}
+	}
+	return &d, nil
+}
+
+// A Comparer runs a description. Its fields are set before Run.
+type Comparer struct {
+	Description *Description
+	Progress    func(done, total int) // may be nil
+}
+
+// Run returns the figures, shape by shape and policy by policy. If ctx ends it
+// returns what it has.
+func (c *Comparer) Run(ctx context.Context) ([]Cell, error) {
+	d := c.Description
+	var cells []Cell
+	for _, shape := range d.Shapes {
+		for _, policy := range d.Policies {
+			cells = append(cells, Cell{Shape: shape, Policy: policy.Name})
+		}
+	}
+	var mu sync.Mutex
+	done := 0
+	var group errgroup.Group
+	group.SetLimit(max(1, d.Parallel))
+	for _, seed := range d.Seeds {
+		for i := range cells {
+			group.Go(func() error {
+				report, err := c.one(ctx, cells[i].Shape, d.Policies[i%len(d.Policies)], seed)
+				if err != nil {
+					return err
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				cells[i].Reports = append(cells[i].Reports, report)
+				done++
+				if c.Progress != nil {
+					c.Progress(done, len(d.Seeds)*len(cells))
+				}
+				return nil
+			})
+		}
+	}
+	err := group.Wait()
+	for i := range cells {
+		cells[i].sum()
+	}
+	return cells, err
+}
+
+func (c *Comparer) one(ctx context.Context, shape sampler.Shape, policy Policy, seed uint64) (reporter.Report, error) {
+	if err := ctx.Err(); err != nil {
+		return reporter.Report{}, err
+	}
+	plan, err := stager.Deployment(c.Description.Deployment)
+	if err != nil {
+		return reporter.Report{}, err
+	}
+	plan.Values = policy.Values
+	plan.LRU = policy.Evict == "lru"
+	workload := c.Description.Workload
+	workload.Shape = shape
+	workload.Seed = seed
+	r := runner.Runner{Logger: log.NewNopLogger(), Plan: plan, Workload: workload}
+	return r.Run(ctx)
+}
+
+func (c *Cell) sum() {
+	each := func(value func(r *reporter.Report) float64) Spread {
+		var values []float64
+		for i := range c.Reports {
+			values = append(values, value(&c.Reports[i]))
+		}
+		return spread(values)
+	}
+	c.Stall = each(func(r *reporter.Report) float64 { return r.Total })
+	c.Worst = each(func(r *reporter.Report) float64 { return r.Stall.P99 })
+	c.Batch = each(func(r *reporter.Report) float64 { return r.Batch })
+	c.Loads = each(func(r *reporter.Report) float64 { return float64(r.Loads) * 1000 / float64(r.Requests) })
+	c.Whole = each(func(r *reporter.Report) float64 { return float64(r.Verdicts["ran"]) / float64(r.Requests) })
+	for i := range c.Reports {
+		c.Broken += c.Reports[i].Promises.Total()
+	}
+}
+
+func spread(values []float64) Spread {
+	if len(values) == 0 {
+		return Spread{Median: math.NaN()}
+	}
+	slices.Sort(values)
+	return Spread{Median: values[len(values)/2], Least: values[0], Most: values[len(values)-1]}
+}
+
+// Rows returns the cells as a table with the stall as a ratio to the best
+// baseline of the same shape.
+func Rows(d *Description, cells []Cell) [][]string {
+	rows := [][]string{{"SHAPE", "POLICY", "STALL S", "SPREAD", "RATIO", "P99 S", "BATCH", "LOADS/1000", "WHOLE", "BROKEN"}}
+	for _, c := range cells {
+		best := math.Inf(1)
+		for i, other := range cells {
+			if other.Shape == c.Shape && d.Policies[i%len(d.Policies)].Baseline {
+				best = min(best, other.Stall.Median)
+			}
+		}
+		rows = append(rows, []string{
+			string(c.Shape), c.Policy, fmt.Sprintf("%.1f", c.Stall.Median), fmt.Sprintf("%.1f-%.1f", c.Stall.Least, c.Stall.Most),
+			fmt.Sprintf("%.2f", c.Stall.Median/best), fmt.Sprintf("%.2f", c.Worst.Median), fmt.Sprintf("%.3f", c.Batch.Median),
+			fmt.Sprintf("%.0f", c.Loads.Median), fmt.Sprintf("%.3f", c.Whole.Median), fmt.Sprint(c.Broken),
+		})
+	}
+	return rows
+}
+
+// Took is a rough bound on how long a description runs.
+func (d *Description) Took() time.Duration {
+	const overhead = 5 * time.Second
+	runs := len(d.Policies) * len(d.Seeds) * len(d.Shapes)
+	return time.Duration(1+runs/max(1, d.Parallel)) * (d.Workload.Span + overhead)
+}
