Share the weight store by engines owned, not by instances

Cause: 9 engines fall unevenly on 8 instances; an equal part each left the loads of instances without an engine unused while others queued.

--- a/internal/instance/server/settings.go
+++ b/internal/instance/server/settings.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/go-kit/log/level"
 
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/platform/storer"
+	"github.com/sardinetiller/sardinetiller/internal/setting/parser"
 	"github.com/sardinetiller/sardinetiller/internal/setting/publisher"
 	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
 )
@@ -51,7 +51,7 @@
 	}
 	r := force.Resolver
 	values := r.Values("", "", "", "")
-	s.Driver.Declare(r.Services(), r.Weights(), s.instances(), values.Queue, values.Share)
+	s.Driver.Declare(r.Services(), r.Weights(), s.part(r.Services()), values.Queue, values.Share)
 	if s.declared.Swap(force.Head.Revision) == force.Head.Revision {
 		return
 	}
@@ -62,11 +62,19 @@
 	s.Holder.SetRunners(names)
 }
 
-// instances returns how many instances share the weight store.
-func (s *Server) instances() int {
+// part returns this instance's part of the weight store: that of the engines it
+// owns. The parts of all owners add up to one, without a word between them and
+// also when domains are cut off from each other.
+func (s *Server) part(services []parser.Service) float64 {
+	engines := 0
+	for _, service := range services {
+		if service.Type == parser.TypeEngine {
+			engines += len(service.Upstreams)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(1, len(s.Monitor.Instances(time.Now())))
+	return float64(len(s.Holder.Owned())) / float64(max(1, engines))
 }
 
 // askSettings takes a higher revision from a peer. It is how a domain that is
--- a/internal/upstream/driver/driver.go
+++ b/internal/upstream/driver/driver.go
@@ -77,12 +77,12 @@
 )
 
 // Declare takes in the engines that the settings name and the limits of the
-// weight store. Instances is how many share those limits.
-func (d *Driver) Declare(services []parser.Service, weights parser.Weights, instances int, queue int, share float64) {
+// weight store. Part is this instance's part of those limits.
+func (d *Driver) Declare(services []parser.Service, weights parser.Weights, part float64, queue int, share float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.init()
-	d.grant(weights, instances)
+	d.grant(weights, part)
 	declared := make(map[string]bool)
 	for _, s := range services {
 		for _, u := range s.Upstreams {
@@ -234,12 +234,11 @@
 	e.Queue.Share = share
 }
 
-// grant gives this instance an equal part of the weight store's rate. A part
-// below one load at a time is still one, or no adapter could ever be loaded.
-func (d *Driver) grant(w parser.Weights, instances int) {
+// grant gives this instance its part of the weight store's rate.
+func (d *Driver) grant(w parser.Weights, part float64) {
 	limit := rate.Inf
 	if w.Rate > 0 {
-		limit = rate.Limit(w.Rate / float64(max(1, instances)))
+		limit = rate.Limit(w.Rate * part)
 	}
 	together := max(1, w.Together)
 	if d.budget == nil {
