Count the line for loads in the choice of runner, and join it

Cause: an instance knew what was loading but not what stood in line for it, so two requests for one cold adapter went to two runners and loaded it twice; and a cold adapter went to an owner with a long line as readily as to an idle one. Owners now tell the line and how long it is; a sender notes its own cold sends.

--- a/internal/adapter/loader/budget.go
+++ b/internal/adapter/loader/budget.go
@@ -88,6 +88,15 @@
 	}
 }
 
+// Wait estimates how long a further load waits behind line others.
+func (b *Budget) Wait(line int) time.Duration {
+	limit := b.Rate.Limit()
+	if limit == rate.Inf || limit <= 0 {
+		return 0
+	}
+	return time.Duration(float64(line+len(b.running)) / float64(limit) * float64(time.Second))
+}
+
 func (b *Budget) fail(adapter string, now time.Time) {
 	f, ok := b.failed[adapter]
 	if !ok {
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -123,6 +123,7 @@
 	Waiting int
 	Free    int
 	Ramp    int // part of the batch given out, in hundredths
+	Wait    int // until a further load would begin, in hundredths of a second
 }
 
 func (Ask) message()         {}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -168,7 +168,7 @@
 	a.tried = append(a.tried, best.Runner)
 	call := *a.call
 	call.Runner = best.Runner
-	d.Fleet.Sent(best.Runner)
+	d.Fleet.Sent(best.Runner, a.call.Adapter)
 	step.Owner = d.Fleet.Owner(best.Runner)
 	if step.Owner == d.Self {
 		return step, d.Local.Serve(ctx, &call, a.sink)
--- a/internal/request/router/policy.go
+++ b/internal/request/router/policy.go
@@ -30,13 +30,14 @@
 type Candidate struct {
 	Runner   string
 	Resident bool
-	Loading  bool    // the adapter is on its way into a slot
-	Free     int     // empty slots
-	Batch    int     // requests that the engine runs at once
-	Running  int     // at the last report
-	Waiting  int     // at the last report
-	Sent     int     // by this instance since the last report
-	Ramp     float64 // part of the batch that a cold engine is given, 0 to 1
+	Loading  bool          // the adapter is on its way into a slot or stands in line for it
+	Free     int           // empty slots
+	Batch    int           // requests that the engine runs at once
+	Running  int           // at the last report
+	Waiting  int           // at the last report
+	Sent     int           // by this instance since the last report
+	Ramp     float64       // part of the batch that a cold engine is given, 0 to 1
+	Wait     time.Duration // until a further load would begin
 }
 
 // A Request is what the choice depends on.
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -87,15 +87,16 @@
 
 // stall estimates the wait for the adapter.
 func (r *Router) stall(c *Candidate) float64 {
+	load := (c.Wait + r.Load).Seconds()
 	switch {
 	case c.Resident:
 		return 0
 	case c.Loading:
-		return loadingPart * r.Load.Seconds()
+		return loadingPart * load
 	case c.Free > 0:
-		return r.Load.Seconds()
+		return load
 	default:
-		return (1 + evictPenalty) * r.Load.Seconds()
+		return load + evictPenalty*r.Load.Seconds()
 	}
 }
 
--- a/internal/upstream/driver/driver.go
+++ b/internal/upstream/driver/driver.go
@@ -130,13 +130,14 @@
 	defer d.mu.Unlock()
 	var loads []relayer.Load
 	var states []relayer.State
+	wait := d.backlog()
 	for number, name := range d.names {
 		e := d.runners[name]
 		if e.version > version {
 			states = append(states, e.state(number, name))
 		}
 		if e.Keeper.Owned() {
-			loads = append(loads, e.load(number))
+			loads = append(loads, e.load(number, wait))
 		}
 	}
 	return loads, states, d.version
@@ -205,6 +206,18 @@
 	d.changed(e)
 }
 
+// backlog estimates how long a further load would wait for its turn.
+func (d *Driver) backlog() time.Duration {
+	if d.budget == nil {
+		return 0
+	}
+	line := 0
+	for _, e := range d.runners {
+		line += len(e.Needs())
+	}
+	return d.budget.Wait(line)
+}
+
 func (d *Driver) changed(e *engine) {
 	d.version++
 	e.version = d.version
@@ -260,20 +273,31 @@
 	_ = level.Warn(d.Logger).Log("msg", message, "runner", runner, "err", err)
 }
 
-func (e *engine) load(number int) relayer.Load {
-	const hundredths = 100
-	free := e.Keeper.Free()
+// hundredths scales what is told in hundredths.
+const hundredths = 100
+
+func (e *engine) load(number int, wait time.Duration) relayer.Load {
 	return relayer.Load{
-		Number: number, Running: e.Running(), Waiting: e.Queue.Len(), Free: free,
-		Ramp: int(hundredths * e.Ramp()),
+		Number: number, Running: e.Running(), Waiting: e.Queue.Len(), Free: e.Keeper.Free(),
+		Ramp: int(hundredths * e.Ramp()), Wait: int(hundredths * wait.Seconds()),
 	}
 }
 
 func (e *engine) state(number int, name string) relayer.State {
 	return relayer.State{
 		Number: number, Name: name, Owned: e.Keeper.Owned(), Leaving: e.Leaving(),
-		Resident: e.Keeper.Resident(), Loading: e.Keeper.Coming(),
+		Resident: e.Keeper.Resident(), Loading: e.coming(),
+	}
+}
+
+// coming returns the adapters that are being loaded or stand in line for it.
+// Others that want one of them do best to join.
+func (e *engine) coming() []string {
+	adapters := e.Keeper.Coming()
+	for _, n := range e.Needs() {
+		adapters = append(adapters, n.Adapter)
 	}
+	return adapters
 }
 
 // An ewma is a moving average of seconds.
--- a/internal/upstream/driver/serve.go
+++ b/internal/upstream/driver/serve.go
@@ -145,6 +145,9 @@
 	}); err != nil {
 		return nil, nil, err
 	}
+	if !e.Keeper.Servable(call.Adapter) {
+		d.changed(e) // a further adapter stands in line
+	}
 	w := newWaiter()
 	e.waiters[call.ID] = w
 	return w, e, nil
--- a/internal/upstream/monitor/fleet.go
+++ b/internal/upstream/monitor/fleet.go
@@ -39,6 +39,7 @@
 	running  int
 	sent     int
 	service  string
+	wait     time.Duration
 	waiting  int
 }
 
@@ -90,6 +91,7 @@
 		candidates = append(candidates, router.Candidate{
 			Runner: name, Resident: r.resident[adapter], Loading: r.loading[adapter], Free: r.free,
 			Batch: r.declared.Batch, Running: r.running, Waiting: r.waiting, Sent: r.sent, Ramp: r.ramp,
+			Wait: r.wait,
 		})
 	}
 	return candidates, owners
@@ -203,12 +205,18 @@
 }
 
 // Sent counts a request that this instance sent to a runner, until the owner
-// tells of its load again.
-func (f *Fleet) Sent(name string) {
+// tells of its load again. An adapter that was not resident there is on its way
+// from now on.
+func (f *Fleet) Sent(name, adapter string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if r, ok := f.runners[name]; ok {
-		r.sent++
+	r, ok := f.runners[name]
+	if !ok {
+		return
+	}
+	r.sent++
+	if !r.resident[adapter] && r.loading != nil {
+		r.loading[adapter] = true
 	}
 }
 
@@ -262,6 +270,7 @@
 
 func (r *runner) hearLoad(l relayer.Load, now time.Time) {
 	const hundredths = 100
+	r.wait = time.Duration(l.Wait) * time.Second / hundredths
 	r.running = l.Running
 	r.waiting = l.Waiting
 	r.free = l.Free
