--- a/internal/adapter/keeper/keeper.go
+++ b/internal/adapter/keeper/keeper.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/sardinetiller/sardinetiller/internal/chart/interpreter"
 )
 
 // A Keeper is the state of one runner's slots at its owner.
@@ -25,25 +23,9 @@
 	uncleared map[string]bool
 }
 
-// A Report is what an engine says of itself.
-type Report struct {
-	Asked    time.Time // when the report was asked for, on the clock of the asker
-	Held     bool      // whether the lease could still be trusted when the report had arrived
-	Engine   string    // incarnation of the engine
-	Resident []string  // handles that can serve
-	Loading  []string  // handles that are being loaded
-}
-
 // halfLife is how long a use counts fully in slots whose policy names none.
 const halfLife = time.Minute
 
-// Abandon ends the tenure: nothing is ordered or admitted until the next Take.
-// Requests that run keep their pins.
-func (k *Keeper) Abandon() {
-	k.owned = false
-	k.raised = false
-}
-
 // Servable reports whether Pin would find a copy of the adapter.
 func (k *Keeper) Servable(adapter string) bool {
 	return k.copyOf(adapter) != nil
@@ -61,33 +43,6 @@
 	return since
 }
 
-// A Surrender is what an incarnation answers when a later owner asks it to
-// give a runner up. After it, the incarnation orders nothing on the runner.
-type Surrender struct {
-	Pins   map[string]int // handles that its running requests still use
-	Doomed []string       // handles that a lost eviction of its may still hit
-}
-
-// Clear records that a party has given the runner up. It may be called again
-// as the party's requests end.
-func (k *Keeper) Clear(party string, s Surrender) {
-	k.init()
-	delete(k.uncleared, party)
-	delete(k.foreign, party)
-	if len(s.Pins) > 0 {
-		k.foreign[party] = maps.Clone(s.Pins)
-	}
-	for _, name := range s.Doomed {
-		k.doom(name)
-	}
-}
-
-// Cleared reports whether every earlier party has been cleared and holds no
-// pin.
-func (k *Keeper) Cleared() bool {
-	return len(k.uncleared) == 0 && len(k.foreign) == 0
-}
-
 // Coming returns the adapters that are being loaded, sorted.
 func (k *Keeper) Coming() []string {
 	var adapters []string
@@ -164,41 +119,9 @@
 	return s.Handle, true
 }
 
-// Raise records that the engine has confirmed the tenure's fencing number.
-func (k *Keeper) Raise(fence uint64) {
-	if k.owned && fence == k.fence {
-		k.raised = true
-	}
-}
-
 // Raised reports whether the engine has confirmed the fencing number.
 func (k *Keeper) Raised() bool { return k.raised }
 
-// Ready reports whether the tenure has begun in full: it is known then which
-// copies can be served.
-func (k *Keeper) Ready() bool {
-	return k.owned && (!k.Fencing || k.raised)
-}
-
-// Reconcile takes a report in. It returns whether the engine has restarted.
-// A report says nothing about a slot whose last order ended after the report
-// was asked for.
-func (k *Keeper) Reconcile(r Report) (bool, error) {
-	k.init()
-	restarted := k.engine != "" && k.engine != r.Engine
-	k.engine = r.Engine
-	if restarted {
-		k.raised = false
-	}
-	if err := k.settle(r, restarted); err != nil {
-		return restarted, err
-	}
-	for _, name := range r.Resident {
-		k.discover(name, r.Held)
-	}
-	return restarted, nil
-}
-
 // Resident returns the adapters that can be served here, sorted.
 func (k *Keeper) Resident() []string {
 	var adapters []string
@@ -211,58 +134,6 @@
 	return slices.Compact(adapters)
 }
 
-// Surrender returns what a later owner must know. It is false while this
-// instance still owns the runner or an eviction order of its is under way: the
-// later owner asks again.
-func (k *Keeper) Surrender() (Surrender, bool) {
-	s := Surrender{Pins: make(map[string]int)}
-	for name, slot := range k.slots {
-		switch slot.Machine.State {
-		case stateEvicting, stateFinishing:
-			return Surrender{}, false
-		case stateDoomed:
-			s.Doomed = append(s.Doomed, name)
-		}
-		if slot.Pins > 0 {
-			s.Pins[name] = slot.Pins
-		}
-	}
-	slices.Sort(s.Doomed)
-	return s, !k.owned
-}
-
-// Take begins a tenure. The parties are the incarnations that may have used
-// the runner before and have not been cleared.
-func (k *Keeper) Take(fence uint64, parties []string) {
-	k.init()
-	k.owned = true
-	k.raised = false
-	k.fence = fence
-	k.uncleared = make(map[string]bool)
-	clear(k.foreign)
-	for _, party := range parties {
-		if party != k.Self {
-			k.uncleared[party] = true
-		}
-	}
-	for _, s := range k.slots {
-		s.Inherited = true
-	}
-}
-
-// Uncleared returns the parties that have not been cleared or still hold pins,
-// sorted.
-func (k *Keeper) Uncleared() []string {
-	parties := slices.Collect(maps.Keys(k.uncleared))
-	for party := range k.foreign {
-		if !k.uncleared[party] {
-			parties = append(parties, party)
-		}
-	}
-	slices.Sort(parties)
-	return parties
-}
-
 // Unsettled reports whether something is open that only a report or an answer
 // of an earlier party can settle.
 func (k *Keeper) Unsettled() bool {
@@ -305,18 +176,6 @@
 	return Evict{Handle: victim.Handle, Fence: k.fence}
 }
 
-// Blocked returns how many slots hold a copy that cannot be evicted only
-// because an earlier party has not been cleared.
-func (k *Keeper) Blocked() int {
-	blocked := 0
-	for _, s := range k.slots {
-		if s.resident() && s.Pins == 0 && s.Inherited && !k.Cleared() {
-			blocked++
-		}
-	}
-	return blocked
-}
-
 // coming reports whether a load of the adapter is under way or its outcome
 // unknown, so that two requests share one load.
 func (k *Keeper) coming(adapter string) bool {
@@ -343,45 +202,6 @@
 	return chosen
 }
 
-// discover enters a copy that a report shows and this keeper did not know. If
-// the lease could be trusted when the report had arrived, no later owner can
-// have loaded it. Otherwise it may be a later owner's, who serves and evicts it
-// without asking: an owner that was paused past its lease evicted such copies
-// under its successor's requests.
-func (k *Keeper) discover(name string, held bool) {
-	if s, ok := k.slots[name]; ok {
-		s.Foreign = s.Foreign && !held
-		return
-	}
-	handle := ParseHandle(name)
-	k.slots[name] = &Slot{
-		Foreign:   handle.Loader != k.Self && !held,
-		Handle:    handle,
-		Inherited: handle.Loader != k.Self || !k.Cleared(),
-		Machine:   &interpreter.Machine{Chart: Chart, State: stateResident},
-	}
-}
-
-// doom marks a copy as never to be served again.
-func (k *Keeper) doom(name string) {
-	k.discover(name, true)
-	if s := k.slots[name]; s.Machine.State == stateResident || s.Machine.State == stateUnsure {
-		_ = s.Machine.Fire(eventDoom) // both states allow it
-	}
-}
-
-// evictable is the safeguard of "never evicted while a request runs". An
-// inherited copy may be in use by a request that its earlier owner sent, or is
-// about to send after a pause; its pins are not known here, so it stays until
-// every earlier party is cleared.
-func (k *Keeper) evictable(s *Slot) bool {
-	held := s.resident() || s.Machine.State == stateDoomed
-	if !held || s.Foreign || s.Pins > 0 {
-		return false
-	}
-	return !s.Inherited || k.Cleared()
-}
-
 func (k *Keeper) fire(s *Slot, event string) error {
 	if err := s.Machine.Fire(event); err != nil {
 		return err
@@ -413,56 +233,6 @@
 	return Load{Handle: handle, Fence: k.fence}
 }
 
-// servable is the safeguard of "exactly that adapter": the copy's residency is
-// confirmed, and nobody else can evict it. The loader of an inherited copy
-// could, so it is served only when the engine refuses the loader's orders
-// (fencing number raised) or the loader is cleared.
-func (k *Keeper) servable(s *Slot) bool {
-	if !k.owned || !s.resident() || s.Foreign {
-		return false
-	}
-	if k.Fencing {
-		return k.raised
-	}
-	return !s.Inherited || len(k.uncleared) == 0
-}
-
-// settle fires what a report says of the known slots. After a cold start every
-// slot that the report does not show is empty. One that it shows stays with its
-// pins: it was loaded into the engine that has just started, before the restart
-// was noticed, and requests may run on it already. Forgetting their pins got
-// such a copy evicted under them.
-func (k *Keeper) settle(r Report, restarted bool) error {
-	for name, s := range maps.Clone(k.slots) {
-		if !r.Asked.After(s.changed) {
-			continue
-		}
-		shown := slices.Contains(r.Resident, name) || slices.Contains(r.Loading, name)
-		if restarted && !shown {
-			if err := k.fire(s, eventReset); err != nil {
-				return err
-			}
-			continue
-		}
-		if err := k.settleSlot(s, slices.Contains(r.Resident, name), slices.Contains(r.Loading, name)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (k *Keeper) settleSlot(s *Slot, present, loading bool) error {
-	switch {
-	case s.Machine.State == stateUnsure && present:
-		return k.fire(s, eventPresent)
-	case s.Machine.State == stateUnsure && !loading:
-		return k.fire(s, eventAbsent)
-	case (s.resident() || s.Machine.State == stateDoomed) && !present:
-		return k.fire(s, eventAbsent)
-	}
-	return nil
-}
-
 func (k *Keeper) victim(now time.Time) *Slot {
 	var worst *Slot
 	var least float64
--- a/internal/adapter/keeper/keeper_test.go
+++ b/internal/adapter/keeper/keeper_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
+	"github.com/sardinetiller/sardinetiller/internal/check/walker"
 )
 
 var start = time.Unix(1000, 0)
@@ -226,14 +227,4 @@
 	}
 }
 
-func TestEveryTransitionIsTaken(t *testing.T) {
-	for _, s := range keeper.Chart.States {
-		for event, next := range s.On {
-			m := keeper.Chart.Machine()
-			m.State = s.Name
-			if err := m.Fire(event); err != nil || m.State != next {
-				t.Errorf("%s in %s: state %s, %v, want %s", event, s.Name, m.State, err, next)
-			}
-		}
-	}
-}
+func TestEveryTransitionIsTaken(t *testing.T) { walker.Walk(t, keeper.Chart) }
--- a/internal/adapter/loader/budget.go
+++ b/internal/adapter/loader/budget.go
@@ -28,6 +28,7 @@
 
 type failure struct {
 	backoff *backoff.ExponentialBackOff
+	count   int
 	until   time.Time
 }
 
@@ -48,6 +49,14 @@
 	return time.Time{}
 }
 
+// Failures returns how often loads of the adapter have failed in a row.
+func (b *Budget) Failures(adapter string) int {
+	if f, ok := b.failed[adapter]; ok {
+		return f.count
+	}
+	return 0
+}
+
 // Finish records the end of a granted load.
 func (b *Budget) Finish(n Need, ok bool, now time.Time) {
 	delete(b.running, key(n))
@@ -106,6 +115,7 @@
 		f.backoff.RandomizationFactor = 0
 		b.failed[adapter] = f
 	}
+	f.count++
 	f.until = now.Add(f.backoff.NextBackOff())
 }
 
--- /dev/null
+++ b/internal/check/walker/walker.go
@@ -0,0 +1,32 @@
+// Package walker takes every transition of a state chart once.
+package walker
+
+import (
+	"testing"
+
+	"github.com/sardinetiller/sardinetiller/internal/chart/interpreter"
+)
+
+// Walk fails the test if a transition does not lead where the chart says, or an
+// event that a state does not name is taken there.
+func Walk(t *testing.T, chart *interpreter.Chart) {
+	t.Helper()
+	events := make(map[string]bool)
+	for _, s := range chart.States {
+		for event := range s.On {
+			events[event] = true
+		}
+	}
+	for _, s := range chart.States {
+		for event := range events {
+			m := &interpreter.Machine{Chart: chart, State: s.Name}
+			next, allowed := s.On[event]
+			if !allowed {
+				next = s.Name
+			}
+			if err := m.Fire(event); (err == nil) != allowed || m.State != next {
+				t.Errorf("%s in %s: state %s, %v, want %s", event, s.Name, m.State, err, next)
+			}
+		}
+	}
+}
--- a/internal/command/commander/settingscmd.go
+++ b/internal/command/commander/settingscmd.go
@@ -56,21 +56,21 @@
 	return files, nil
 }
 
-// inForce returns the head, the manifest and the files in force.
-func inForce(ctx context.Context, p *publisher.Publisher) (publisher.Head, publisher.Manifest, map[string][]byte, error) {
+// inForce returns the manifest and the files in force.
+func inForce(ctx context.Context, p *publisher.Publisher) (publisher.Manifest, map[string][]byte, error) {
 	head, _, err := p.Head(ctx)
 	if err != nil {
-		return head, nil, nil, err
+		return nil, nil, err
 	}
 	manifest, err := p.Manifest(ctx, head.Manifest)
 	if err != nil {
-		return head, nil, nil, unreachable(err)
+		return nil, nil, unreachable(err)
 	}
 	files, err := p.Tree(ctx, manifest)
 	if err != nil {
-		return head, nil, nil, unreachable(err)
+		return nil, nil, unreachable(err)
 	}
-	return head, manifest, files, nil
+	return manifest, files, nil
 }
 
 // resolverOf returns a resolver of a directory, or of the revision in force if
@@ -85,7 +85,7 @@
 		if p, err = newPublisher(platform, true); err != nil {
 			return nil, err
 		}
-		_, _, files, err = inForce(ctx, p)
+		_, files, err = inForce(ctx, p)
 	}
 	if err != nil {
 		return nil, err
--- a/internal/command/commander/settingsdiffcmd.go
+++ b/internal/command/commander/settingsdiffcmd.go
@@ -32,7 +32,7 @@
 			if err != nil {
 				return err
 			}
-			_, manifest, old, err := inForce(cmd.Context(), p)
+			manifest, old, err := inForce(cmd.Context(), p)
 			if err != nil {
 				return err
 			}
--- a/internal/command/commander/settingsshowcmd.go
+++ b/internal/command/commander/settingsshowcmd.go
@@ -20,7 +20,7 @@
 			if err != nil {
 				return err
 			}
-			_, _, files, err := inForce(cmd.Context(), p)
+			_, files, err := inForce(cmd.Context(), p)
 			if err != nil {
 				return err
 			}
--- a/internal/command/commander/statuscmd.go
+++ b/internal/command/commander/statuscmd.go
@@ -48,7 +48,8 @@
 			s.Incarnation, s.Domain, state, strconv.FormatBool(s.Lease), strconv.FormatUint(s.Epoch, 10),
 			strconv.FormatUint(s.Revision, 10), s.Since.Format(time.RFC3339), map[bool]string{false: "answers", true: "away"}[s.Outage],
 		},
-		{}, {"PEER", "DOMAIN", "HEALTH", "EPOCH", "REVISION"},
+		{},
+		{"PEER", "DOMAIN", "HEALTH", "EPOCH", "REVISION"},
 	}
 	for _, p := range s.Peers {
 		rows = append(rows, []string{p.Incarnation, p.Domain, p.Health, strconv.FormatUint(p.Epoch, 10), strconv.FormatUint(p.Revision, 10)})
--- /dev/null
+++ b/internal/experiment/stager/hop_test.go
@@ -0,0 +1,85 @@
+package stager_test
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/experiment/stager"
+	"github.com/sardinetiller/sardinetiller/internal/wire/requester"
+)
+
+// BenchmarkHop measures what the path adds to a request, beside the same
+// request sent straight to an engine in the same run: through the owner itself,
+// and through an instance that passes it on. Requests come at 500 a second.
+func BenchmarkHop(b *testing.B) {
+	plan, err := stager.Deployment(stager.Association)
+	if err != nil {
+		b.Fatal(err)
+	}
+	plan.Domains = plan.Domains[:1]
+	plan.Engines, plan.Instances, plan.Services, plan.Batch, plan.Speed = 1, 2, 1, 64, 25
+	s, err := stager.Start(b.Context(), plan, log.NewNopLogger())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Stop()
+	owner, other := 0, 1
+	if s.Instances[1].Server.Owns(plan.Engine + "-1") {
+		owner, other = 1, 0
+	}
+	ask(b, s.Address(owner), "desk-1@1") // loads it
+	report := s.Engines[0].Resident()
+	for _, target := range []struct{ name, address, model string }{
+		{"engine", s.Engines[0].Listener.Addr().String(), report[0]},
+		{"owner", s.Address(owner), "desk-1@1"},
+		{"passed on", s.Address(other), "desk-1@1"},
+	} {
+		b.Run(target.name, func(b *testing.B) {
+			b.ReportAllocs()
+			paced(b, func() { ask(b, target.address, target.model) })
+		})
+	}
+}
+
+// paced runs one call every 2 ms and reports quantiles of how long they took.
+func paced(b *testing.B, call func()) {
+	const every = 2 * time.Millisecond
+	var mu sync.Mutex
+	var took []time.Duration
+	var calls sync.WaitGroup
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for range b.N {
+		<-ticker.C
+		calls.Go(func() {
+			begin := time.Now()
+			call()
+			mu.Lock()
+			defer mu.Unlock()
+			took = append(took, time.Since(begin))
+		})
+	}
+	calls.Wait()
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+}
+
+func ask(b *testing.B, address, model string) {
+	request := &fasthttp.Request{}
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+stager.Key)
+	request.SetRequestURI("http://" + address + "/v1/completions")
+	request.SetBodyString(fmt.Sprintf(`{"model":%q,"max_tokens":1,"prompt":"x"}`, model))
+	var r requester.Requester
+	status, body, seen := r.Whole(b.Context(), address, request)
+	if seen != nil || status != fasthttp.StatusOK {
+		b.Errorf("status %d %s %+v", status, body, seen)
+	}
+}
--- a/internal/experiment/surveyor/surveyor.go
+++ b/internal/experiment/surveyor/surveyor.go
@@ -118,7 +118,7 @@
 
 func (s *Surveyor) change(ctx context.Context, stage *stager.Stage, rate int) error {
 	begin := time.Now()
-	for i := 0; i < rate*int(s.Span/time.Second); i++ {
+	for i := range rate * int(s.Span/time.Second) {
 		text := fmt.Appendf(nil, "kind: account\nname: other\nvalues: {deadline: %dms}\n", 1000+i)
 		if _, err := stage.Apply(ctx, "other.yaml", text); err != nil {
 			return err
--- a/internal/member/leaser/holder_test.go
+++ b/internal/member/leaser/holder_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"github.com/sardinetiller/sardinetiller/internal/check/walker"
 	"github.com/sardinetiller/sardinetiller/internal/member/leaser"
 )
 
@@ -273,17 +274,7 @@
 	}
 }
 
-func TestEveryTransitionIsTaken(t *testing.T) {
-	for _, s := range leaser.Chart.States {
-		for event, next := range s.On {
-			m := leaser.Chart.Machine()
-			m.State = s.Name
-			if err := m.Fire(event); err != nil || m.State != next {
-				t.Errorf("%s in %s: state %s, %v, want %s", event, s.Name, m.State, err, next)
-			}
-		}
-	}
-}
+func TestEveryTransitionIsTaken(t *testing.T) { walker.Walk(t, leaser.Chart) }
 
 func BenchmarkSee(b *testing.B) {
 	for _, n := range []int{75, 150, 300} {
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"net"
@@ -97,8 +96,7 @@
 // cancel ends a request, if it runs.
 func (e *Engine) cancel(c *fasthttp.RequestCtx) {
 	var told Cancel
-	if err := json.Unmarshal(c.PostBody(), &told); err != nil {
-		c.Error(err.Error(), fasthttp.StatusBadRequest)
+	if !listener.Decode(c, &told) {
 		return
 	}
 	e.mu.Lock()
@@ -112,8 +110,7 @@
 
 func (e *Engine) control(c *fasthttp.RequestCtx) {
 	var f Faults
-	if err := json.Unmarshal(c.PostBody(), &f); err != nil {
-		c.Error(err.Error(), fasthttp.StatusBadRequest)
+	if !listener.Decode(c, &f) {
 		return
 	}
 	e.Set(f)
@@ -184,8 +181,7 @@
 func (e *Engine) order(carryOut func(Order) (int, string)) fasthttp.RequestHandler {
 	return func(c *fasthttp.RequestCtx) {
 		var o Order
-		if err := json.Unmarshal(c.PostBody(), &o); err != nil {
-			c.Error(err.Error(), fasthttp.StatusBadRequest)
+		if !listener.Decode(c, &o) {
 			return
 		}
 		e.mu.Lock()
@@ -339,3 +335,10 @@
 	adapter, _, _ := strings.Cut(handle, "#")
 	return adapter
 }
+
+// Resident returns the handles that the engine holds, sorted.
+func (e *Engine) Resident() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Sorted(maps.Keys(e.resident))
+}
--- a/internal/standin/generator/sequence.go
+++ b/internal/standin/generator/sequence.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/wire/listener"
 )
 
 // A sequence is one request in the engine.
@@ -86,8 +88,7 @@
 // complete answers a completion, as a stream of server-sent events or whole.
 func (e *Engine) complete(c *fasthttp.RequestCtx) {
 	var p prompt
-	if err := json.Unmarshal(c.PostBody(), &p); err != nil {
-		c.Error(err.Error(), fasthttp.StatusBadRequest)
+	if !listener.Decode(c, &p) {
 		return
 	}
 	s, cutAt, ok := e.enter(&p, c)
--- a/internal/standin/registrar/platform.go
+++ b/internal/standin/registrar/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"sync"
@@ -131,8 +130,7 @@
 
 func (p *Platform) control(c *fasthttp.RequestCtx) {
 	var f Faults
-	if err := json.Unmarshal(c.PostBody(), &f); err != nil {
-		c.Error(err.Error(), fasthttp.StatusBadRequest)
+	if !listener.Decode(c, &f) {
 		return
 	}
 	p.Set(f)
--- a/internal/standin/responder/service.go
+++ b/internal/standin/responder/service.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"slices"
 	"sync"
@@ -76,8 +75,7 @@
 
 func (s *Service) control(c *fasthttp.RequestCtx) {
 	var f Faults
-	if err := json.Unmarshal(c.PostBody(), &f); err != nil {
-		c.Error(err.Error(), fasthttp.StatusBadRequest)
+	if !listener.Decode(c, &f) {
 		return
 	}
 	s.Set(f)
--- a/internal/upstream/driver/serve.go
+++ b/internal/upstream/driver/serve.go
@@ -125,7 +125,32 @@
 		d.budget.Finish(n, answer.Outcome == keeper.Done, now)
 		if answer.Outcome == keeper.Done {
 			d.loads.add(took)
+			return
 		}
+		d.giveUp(n, now)
+	}
+}
+
+// hopeless is how many failed loads in a row make an adapter be given up on for
+// those who wait. Their answer is due at once, not near their deadline.
+const hopeless = 3
+
+// giveUp refuses the requests that wait for an adapter whose loads keep failing.
+// They may find it on another runner; a new request tries it again after the
+// backoff.
+func (d *Driver) giveUp(n loader.Need, now time.Time) {
+	if d.budget.Failures(n.Adapter) < hopeless {
+		return
+	}
+	e := d.runners[n.Runner]
+	retry := max(0, d.budget.Backoff(n.Adapter).Sub(now))
+	for _, item := range slices.Clone(e.Queue.Items()) {
+		if item.Adapter != n.Adapter {
+			continue
+		}
+		e.waiters[item.ID].refuse(judge.Refuse(judge.ReasonLoad, "the adapter could not be loaded %d times in a row", hopeless).After(retry))
+		delete(e.waiters, item.ID)
+		e.Queue.Remove(item.ID)
 	}
 }
 
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -54,6 +54,15 @@
 	return nil
 }
 
+// Decode reads the body of a request as JSON, or answers that it is none.
+func Decode(ctx *fasthttp.RequestCtx, into any) bool {
+	if err := json.Unmarshal(ctx.PostBody(), into); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
 // JSON answers with a value as JSON.
 func JSON(ctx *fasthttp.RequestCtx, status int, value any) {
 	ctx.SetStatusCode(status)
