Cut instances from their peers: an advertised address, two more faults

Cause: peers were told the listener's own address, which is none when it listens on all; and links between instances could not be cut in tests. Each instance now stands behind a proxy for its peers.

--- a/internal/command/commander/faults_test.go
+++ b/internal/command/commander/faults_test.go
@@ -58,6 +58,10 @@
 		{"answers lost", true, false, loseAnswers},
 		// One instance is cut off from the platform, not from its peers.
 		{"instance cut from platform", false, false, cutPlatform},
+		// Nobody reaches one instance, though it reaches all others.
+		{"instance cut from its peers", false, false, cutPeers},
+		// No instance reaches any other, and a whole domain not the platform.
+		{"every instance alone", true, false, cutAll},
 		// An engine and the plain service answer in part or not at all.
 		{"answers cut", true, false, cutAnswers},
 		// An engine says that it leaves.
@@ -134,12 +138,15 @@
 }
 
 func cutPlatform(y *yard) {
-	proxy := y.instance("a-1").proxy
-	proxy.Stop()
-	time.Sleep(2 * yardLease)
-	if err := proxy.Start(); err != nil {
-		y.t.Error(err)
-	}
+	y.cut(2*yardLease, y.instance("a-1").proxy)
+}
+
+func cutPeers(y *yard) {
+	y.cut(2*yardLease, y.instance("a-1").peers)
+}
+
+func cutAll(y *yard) {
+	y.cut(2*yardLease, y.instance("a-1").peers, y.instance("a-2").peers, y.instance("b-1").peers, y.instance("b-1").proxy)
 }
 
 func cutAnswers(y *yard) {
--- a/internal/command/commander/yard_test.go
+++ b/internal/command/commander/yard_test.go
@@ -152,8 +152,9 @@
 
 	caller   string
 	operator string
-	proxy    *toxiproxy.Proxy
-	out      bool // the balancer sends it nothing
+	peers    *toxiproxy.Proxy // before its links from peers
+	proxy    *toxiproxy.Proxy // before the platform
+	out      bool             // the balancer sends it nothing
 }
 
 const (
@@ -209,30 +210,55 @@
 // launch starts an entry instance.
 func (y *yard) launch(id, domain string) {
 	y.t.Helper()
-	proxy := toxiproxy.NewProxy()
-	proxy.Name, proxy.Listen, proxy.Upstream = id, "127.0.0.1:0", y.platform
-	if err := proxy.Start(); err != nil {
-		y.t.Fatal(err)
-	}
-	y.t.Cleanup(proxy.Stop)
+	proxy := y.proxy(id, y.platform)
+	peers := y.proxy(id+" peers", "127.0.0.1:1") // its address is needed before the instance's is known
 	file := filepath.Join(y.t.TempDir(), id+".yaml")
 	secret := filepath.Join(y.t.TempDir(), "secret")
 	if err := os.WriteFile(secret, []byte("yard\n"), 0o600); err != nil {
 		y.t.Fatal(err)
 	}
-	text := fmt.Sprintf("id: %s\ndomain: %s\ncaller: 127.0.0.1:0\npeer: 127.0.0.1:0\noperator: 127.0.0.1:0\nplatform: %s\n"+
-		"secret: %s\nlease: %s\nbeat: 200ms\npoll: 200ms\nnotice: 600ms\ndrain: 20s\n", id, domain, proxy.Listen, secret, yardLease)
+	text := fmt.Sprintf("id: %s\ndomain: %s\ncaller: 127.0.0.1:0\npeer: 127.0.0.1:0\nadvertise: %s\noperator: 127.0.0.1:0\nplatform: %s\n"+
+		"secret: %s\nlease: %s\nbeat: 200ms\npoll: 200ms\nnotice: 600ms\ndrain: 20s\n", id, domain, peers.Listen, proxy.Listen, secret, yardLease)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		y.t.Fatal(err)
 	}
-	e := &entry{process: start(y.t, "serve", "--settings", file), proxy: proxy}
+	e := &entry{process: start(y.t, "serve", "--settings", file), peers: peers, proxy: proxy}
 	e.caller = e.await(y.t, `msg=started caller=(\S+)`)
 	e.operator = e.await(y.t, `msg=started .* operator=(\S+)`)
+	if err := peers.Update(&toxiproxy.Proxy{Listen: peers.Listen, Upstream: e.await(y.t, `msg=started .* peer=(\S+)`), Enabled: true}); err != nil {
+		y.t.Fatal(err)
+	}
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	y.instances[id] = e
 }
 
+// proxy starts a proxy that a test can cut.
+func (y *yard) proxy(name, upstream string) *toxiproxy.Proxy {
+	y.t.Helper()
+	proxy := toxiproxy.NewProxy()
+	proxy.Name, proxy.Listen, proxy.Upstream = name, "127.0.0.1:0", upstream
+	if err := proxy.Start(); err != nil {
+		y.t.Fatal(err)
+	}
+	y.t.Cleanup(proxy.Stop)
+	return proxy
+}
+
+// cut takes proxies away for a while.
+func (y *yard) cut(d time.Duration, proxies ...*toxiproxy.Proxy) {
+	y.t.Helper()
+	for _, p := range proxies {
+		p.Stop()
+	}
+	time.Sleep(d)
+	for _, p := range proxies {
+		if err := p.Start(); err != nil {
+			y.t.Error(err)
+		}
+	}
+}
+
 // addresses are the entry addresses of both domains as the balancer knows them.
 func (y *yard) addresses() [][]string {
 	y.mu.Lock()
--- a/internal/instance/server/server.go
+++ b/internal/instance/server/server.go
@@ -141,9 +141,12 @@
 
 // Self returns this instance as its peers know it.
 func (s *Server) Self() heartbeater.Instance {
+	address := s.Config.Advertise
+	if address == "" {
+		address = s.Listeners.Peer.Addr().String()
+	}
 	return heartbeater.Instance{
-		ID: s.Config.ID, Incarnation: s.Incarnation, Domain: s.Config.Domain,
-		Address: s.Listeners.Peer.Addr().String(), Leaving: s.stop.leaving(),
+		ID: s.Config.ID, Incarnation: s.Incarnation, Domain: s.Config.Domain, Address: address, Leaving: s.stop.leaving(),
 	}
 }
 
--- a/internal/setting/configurer/configurer.go
+++ b/internal/setting/configurer/configurer.go
@@ -20,22 +20,23 @@
 // environment variable, SARDINETILLER_ and the field's name in capitals, and by
 // a flag of serve.
 type Daemon struct {
-	ID       string        `yaml:"id"`       // of the instance; kept over restarts
-	Domain   string        `yaml:"domain"`   // failure domain
-	Caller   string        `yaml:"caller"`   // host:port for callers
-	Peer     string        `yaml:"peer"`     // host:port for peers
-	Operator string        `yaml:"operator"` // host:port for operators
-	Platform string        `yaml:"platform"` // host:port of the platform
-	Secret   string        `yaml:"secret"`   // file with the secret that instances share
-	Token    string        `yaml:"token"`    // file with the operators' key
-	TLS      TLS           `yaml:"tls"`      // for links between instances
-	Lease    time.Duration `yaml:"lease"`    // time of a lease on the roster
-	Beat     time.Duration `yaml:"beat"`     // between heartbeats
-	Poll     time.Duration `yaml:"poll"`     // between looks at the table and the list
-	Notice   time.Duration `yaml:"notice"`   // for the balancer to see that the instance leaves
-	Drain    time.Duration `yaml:"drain"`    // for requests in flight after that
-	Format   string        `yaml:"format"`   // of the log: logfmt or json
-	Level    string        `yaml:"level"`    // of the log: debug, info, warn or error
+	ID        string        `yaml:"id"`        // of the instance; kept over restarts
+	Domain    string        `yaml:"domain"`    // failure domain
+	Caller    string        `yaml:"caller"`    // host:port for callers
+	Peer      string        `yaml:"peer"`      // host:port for peers
+	Advertise string        `yaml:"advertise"` // host:port by which peers reach this instance; peer if empty
+	Operator  string        `yaml:"operator"`  // host:port for operators
+	Platform  string        `yaml:"platform"`  // host:port of the platform
+	Secret    string        `yaml:"secret"`    // file with the secret that instances share
+	Token     string        `yaml:"token"`     // file with the operators' key
+	TLS       TLS           `yaml:"tls"`       // for links between instances
+	Lease     time.Duration `yaml:"lease"`     // time of a lease on the roster
+	Beat      time.Duration `yaml:"beat"`      // between heartbeats
+	Poll      time.Duration `yaml:"poll"`      // between looks at the table and the list
+	Notice    time.Duration `yaml:"notice"`    // for the balancer to see that the instance leaves
+	Drain     time.Duration `yaml:"drain"`     // for requests in flight after that
+	Format    string        `yaml:"format"`    // of the log: logfmt or json
+	Level     string        `yaml:"level"`     // of the log: debug, info, warn or error
 }
 
 // TLS names the files of the mutual TLS between instances. All empty: none.
@@ -97,6 +98,9 @@
 			return fault(field, "%q is no address; write host:port", value)
 		}
 	}
+	if _, _, err := net.SplitHostPort(d.Advertise); d.Advertise != "" && err != nil {
+		return fault("advertise", "%q is no address; write host:port", d.Advertise)
+	}
 	for field, value := range map[string]time.Duration{"lease": d.Lease, "beat": d.Beat, "poll": d.Poll} {
 		if value <= 0 {
 			return fault(field, "%s is too short; write a time such as 10s", value)
