Start without the platform from a seed; prove mutual TLS and its reload

Cause: an instance that starts while the platform is away has no list and found nobody. It now turns to the seeds of its settings; one that hears it beats back.

--- /dev/null
+++ b/internal/adapter/loader/share_test.go
@@ -0,0 +1,53 @@
+package loader_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/loader"
+)
+
+func TestPart(t *testing.T) {
+	others := map[string]float64{"b": 0.5}
+	for _, tc := range []struct {
+		name  string
+		line  int
+		peer  int
+		other int // -1: not heard
+		want  float64
+	}{
+		{"nobody waits", 0, 0, 0, 0.25},
+		{"only here", 4, 0, 0, 0.25*0.25 + 0.75},
+		{"peer as long", 4, 4, 0, 0.25*0.25 + 0.75/2},
+		{"other domain as long", 4, 0, 4, 0.25*0.25 + 0.75/2},
+		{"other domain not heard", 4, 0, -1, 0.25*0.25 + 0.75*0.5},
+		{"only elsewhere", 0, 2, 2, 0.25 * 0.25},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := loader.Sharer{Fresh: time.Second}
+			s.Peer("p", tc.peer, start)
+			if tc.other >= 0 {
+				s.Domain("b", tc.other, start)
+			}
+			got := s.Part(loader.Stake{Fixed: 0.25, Line: tc.line}, others, start)
+			if math.Abs(got-tc.want) > 1e-9 {
+				t.Errorf("part = %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// Two domains are cut from each other and both wait. Each may believe that the
+// other stands still, but neither uses more than the rate leaves it.
+func TestPartsOfDomainsApartFitTheRate(t *testing.T) {
+	sum := 0.0
+	for _, other := range []string{"a", "b"} {
+		s := loader.Sharer{Fresh: time.Second}
+		s.Domain(other, 0, start.Add(-time.Minute)) // long ago
+		sum += s.Part(loader.Stake{Fixed: 0.5, Line: 9}, map[string]float64{other: 0.5}, start)
+	}
+	if sum > 1 {
+		t.Errorf("parts add up to %v", sum)
+	}
+}
--- a/internal/command/commander/faults_test.go
+++ b/internal/command/commander/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -95,6 +96,27 @@
 	}
 }
 
+// The platform is away when an instance starts. It finds no list, turns to its
+// seed, takes the settings in force from it, and serves by passing requests on.
+// One without seeds says that it is not ready and refuses with not_run.
+func TestStartsWhilePlatformIsAway(t *testing.T) {
+	t.Parallel()
+	y := newYard(t, true)
+	y.complete("a-1") // makes the adapter resident: the weight store goes away too
+	y.control(y.platform, registrar.Faults{Down: true})
+	y.launch("a-3", "a", "seeds: ["+y.instance("a-1").peers.Listen+"]")
+	y.launch("a-4", "a")
+	until(t, "the one with a seed has settings and knows owners", func() bool {
+		s, ok := y.status("a-3")
+		return ok && s.Ready && s.Revision == 1 && len(s.Runners) == 2 && s.Runners[0].Owner != "" && s.Runners[1].Owner != ""
+	})
+	for id, want := range map[string]string{"a-3": `"text"`, "a-4": `"verdict":"not_run"`} {
+		if body := y.complete(id); !strings.Contains(body, want) {
+			t.Errorf("%s answered %s, want %s", id, body, want)
+		}
+	}
+}
+
 func pauseOwner(y *yard) {
 	y.instance("a-1").signal(syscall.SIGSTOP)
 	y.out("a-1", true)
--- /dev/null
+++ b/internal/command/commander/tls_test.go
@@ -0,0 +1,125 @@
+package commander_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+)
+
+// An authority signs certificates of instances.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	t    *testing.T
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{t: t, key: newKey(t)}
+	template := certificate("authority")
+	template.IsCA, template.BasicConstraintsValid, template.KeyUsage = true, true, x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.cert, err = x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// sign writes a certificate, its key and the authority's certificate into dir.
+func (a *authority) sign(dir string) {
+	a.t.Helper()
+	key := newKey(a.t)
+	der, err := x509.CreateCertificate(rand.Reader, certificate("instance"), a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	secret, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	for name, block := range map[string]*pem.Block{
+		"cert.pem": {Type: "CERTIFICATE", Bytes: der},
+		"key.pem":  {Type: "EC PRIVATE KEY", Bytes: secret},
+		"ca.pem":   {Type: "CERTIFICATE", Bytes: a.cert.Raw},
+	} {
+		if err := os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(block), 0o600); err != nil {
+			a.t.Fatal(err)
+		}
+	}
+}
+
+func certificate(name string) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+}
+
+func newKey(t *testing.T) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func tlsLine(dir string) string {
+	return "tls: {cert: " + dir + "/cert.pem, key: " + dir + "/key.pem, ca: " + dir + "/ca.pem}"
+}
+
+// Two instances know each other by certificates of one authority. A third one
+// with the right secret and another authority's certificate is heard by nobody.
+// It is given a certificate of theirs and told to read its files again: then it
+// is heard, without a restart.
+func TestMutualTLS(t *testing.T) {
+	t.Parallel()
+	y := bareYard(t, true)
+	ours, other := newAuthority(t), newAuthority(t)
+	stranger := t.TempDir()
+	other.sign(stranger)
+	for _, id := range []string{"a-1", "a-2"} {
+		dir := t.TempDir()
+		ours.sign(dir)
+		y.launch(id, "a", tlsLine(dir))
+	}
+	y.launch("a-3", "a", tlsLine(stranger))
+	heard := func(by, id string) bool {
+		s, ok := y.status(by)
+		if !ok {
+			return false
+		}
+		for _, p := range s.Peers {
+			if p.Instance == id && p.Health == string(heartbeater.Live) {
+				return true
+			}
+		}
+		return false
+	}
+	until(t, "the two hear each other", func() bool { return heard("a-1", "a-2") && heard("a-2", "a-1") })
+	until(t, "the third is listed", func() bool {
+		s, _ := y.status("a-1")
+		return len(s.Peers) == 2
+	})
+	if heard("a-1", "a-3") || heard("a-3", "a-1") {
+		t.Error("an instance with another authority's certificate was heard")
+	}
+	ours.sign(stranger)
+	y.instance("a-3").signal(syscall.SIGHUP)
+	until(t, "the third is heard after the reload", func() bool { return heard("a-1", "a-3") && heard("a-3", "a-1") })
+}
--- a/internal/command/commander/yard_test.go
+++ b/internal/command/commander/yard_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -163,6 +164,17 @@
 )
 
 func newYard(t *testing.T, fencing bool) *yard {
+	t.Helper()
+	y := bareYard(t, fencing)
+	y.launch("a-1", "a")
+	y.launch("a-2", "a")
+	y.launch("b-1", "b")
+	y.settled()
+	return y
+}
+
+// bareYard is a yard without entry instances.
+func bareYard(t *testing.T, fencing bool) *yard {
 	t.Helper()
 	y := &yard{t: t, instances: make(map[string]*entry)}
 	platform := start(t, "standin", "platform", "--listen", "127.0.0.1:0", "--rate", "60", "--together", "2", "--lag", "500ms")
@@ -175,10 +187,6 @@
 		y.engines = append(y.engines, e.await(t, `engine at (\S+)`))
 	}
 	y.apply(fencing)
-	y.launch("a-1", "a")
-	y.launch("a-2", "a")
-	y.launch("b-1", "b")
-	y.settled()
 	return y
 }
 
@@ -207,8 +215,8 @@
 	}
 }
 
-// launch starts an entry instance.
-func (y *yard) launch(id, domain string) {
+// launch starts an entry instance. Extra lines go into its settings.
+func (y *yard) launch(id, domain string, extra ...string) {
 	y.t.Helper()
 	proxy := y.proxy(id, y.platform)
 	peers := y.proxy(id+" peers", "127.0.0.1:1") // its address is needed before the instance's is known
@@ -218,7 +226,7 @@
 		y.t.Fatal(err)
 	}
 	text := fmt.Sprintf("id: %s\ndomain: %s\ncaller: 127.0.0.1:0\npeer: 127.0.0.1:0\nadvertise: %s\noperator: 127.0.0.1:0\nplatform: %s\n"+
-		"secret: %s\nlease: %s\nbeat: 200ms\npoll: 200ms\nnotice: 600ms\ndrain: 20s\n", id, domain, peers.Listen, proxy.Listen, secret, yardLease)
+		"secret: %s\nlease: %s\nbeat: 200ms\npoll: 200ms\nnotice: 600ms\ndrain: 20s\n", id, domain, peers.Listen, proxy.Listen, secret, yardLease) + strings.Join(extra, "\n")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		y.t.Fatal(err)
 	}
@@ -312,6 +320,23 @@
 	})
 }
 
+// complete asks an instance for a completion and returns the body.
+func (y *yard) complete(id string) string {
+	y.t.Helper()
+	address := y.instance(id).caller
+	request := &fasthttp.Request{}
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+yardKey)
+	request.SetRequestURI("http://" + address + "/v1/completions")
+	request.SetBodyString(`{"model":"desk-1@1","max_tokens":2,"prompt":"hello"}`)
+	var r requester.Requester
+	_, body, seen := r.Whole(context.Background(), address, request)
+	if seen != nil {
+		y.t.Fatalf("%s: %+v", id, seen)
+	}
+	return string(body)
+}
+
 // control sets the faults of a stand-in.
 func (y *yard) control(address string, faults any) {
 	y.t.Helper()
--- a/internal/instance/composer/composer.go
+++ b/internal/instance/composer/composer.go
@@ -13,6 +13,7 @@
 	"go.uber.org/dig"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
+	"github.com/sardinetiller/sardinetiller/internal/adapter/loader"
 	"github.com/sardinetiller/sardinetiller/internal/instance/server"
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/leaser"
@@ -66,7 +67,7 @@
 		func() Parts { return parts },
 		func() *server.Server { return &server.Server{} },
 		newIncarnation, newTable, newStore, newLister, newMetrics, newMonitor, newHolder,
-		newMesh, newWatcher, newFleet, newDriver, newDispatcher, newClaimer, newAnswerer,
+		newMesh, newSharer, newWatcher, newFleet, newDriver, newDispatcher, newClaimer, newAnswerer,
 	} {
 		if err := c.Provide(constructor); err != nil {
 			return nil, err
@@ -97,6 +98,7 @@
 	Monitor     *heartbeater.Monitor
 	Parts       Parts
 	Server      *server.Server
+	Sharer      *loader.Sharer
 	Store       storer.Store
 	Table       tabler.Table
 	Watcher     *watcher.Watcher
@@ -119,6 +121,7 @@
 	s.Mesh = a.Mesh
 	s.Metrics = a.Metrics
 	s.Monitor = a.Monitor
+	s.Sharer = a.Sharer
 	s.Store = a.Store
 	s.Table = a.Table
 	s.TLS = a.Parts.Keys.Take
@@ -177,6 +180,10 @@
 	return &heartbeater.Monitor{Silence: silentBeats * p.Config.Beat, Patience: p.Config.Lease}
 }
 
+func newSharer(p Parts) *loader.Sharer {
+	return &loader.Sharer{Fresh: silentBeats * p.Config.Beat}
+}
+
 func newStore(p Parts) storer.Store {
 	return &storer.Client{Address: p.Config.Platform, Timeout: platformTimeout}
 }
--- a/internal/instance/server/answer.go
+++ b/internal/instance/server/answer.go
@@ -50,7 +50,10 @@
 	later := false
 	if same {
 		s.Holder.Adopted(from.Incarnation, beat.Epoch)
+		s.Sharer.Peer(from.Incarnation, beat.Line, now)
 		later = beat.Epoch > s.Holder.Epoch()
+	} else {
+		s.Sharer.Domain(from.Domain, beat.Line, now)
 	}
 	s.mu.Unlock()
 	if same {
--- a/internal/instance/server/beat.go
+++ b/internal/instance/server/beat.go
@@ -33,7 +33,7 @@
 	every(ctx, min(changeEvery, s.Config.Beat), nil, func() {
 		now := time.Now()
 		_, states, version := s.Driver.Loads(told)
-		epoch := s.bare().Epoch
+		epoch := s.epoch()
 		due := now.Sub(last) >= s.Config.Beat
 		if !due && len(states) == 0 && epoch == toldEpoch {
 			return
@@ -56,16 +56,39 @@
 	for _, peer := range s.peers(now) {
 		go s.tell(ctx, peer, loads, version)
 	}
+	away := s.bare()
+	s.mu.Lock()
+	away.Line = s.Sharer.Total(away.Line, now)
+	s.mu.Unlock()
 	for _, peer := range s.neighbours(now) {
-		go func() { _ = s.Mesh.Tell(ctx, peer.Address, s.bare()) }() // the next beat tries again
+		go func() { _ = s.Mesh.Tell(ctx, peer.Address, away) }() // the next beat tries again
+	}
+	if s.Watcher.Force() == nil {
+		s.seed(ctx)
+	}
+}
+
+// seed makes this instance known to the seeds of its settings. One that starts
+// while the platform is away has no list and would find nobody; a seed that
+// hears it answers with its own heartbeats, which tell the settings in force.
+func (s *Server) seed(ctx context.Context) {
+	for _, address := range s.Config.Seeds {
+		go func() { _ = s.Mesh.Tell(ctx, address, s.bare()) }() // the next beat tries again
 	}
 }
 
+func (s *Server) epoch() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Holder.Epoch()
+}
+
 // bare returns a beat without runners.
 func (s *Server) bare() relayer.Beat {
+	line := s.Driver.Line()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return relayer.Beat{Epoch: s.Holder.Epoch(), Revision: s.Watcher.Revision(), Leaving: s.stop.leaving()}
+	return relayer.Beat{Epoch: s.Holder.Epoch(), Revision: s.Watcher.Revision(), Leaving: s.stop.leaving(), Line: line}
 }
 
 // tell sends one peer a beat with what changed since the last one on the link.
--- a/internal/instance/server/server.go
+++ b/internal/instance/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/sardinetiller/sardinetiller/internal/adapter/loader"
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/leaser"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
@@ -47,6 +48,7 @@
 	Mesh        *relayer.Mesh
 	Metrics     *metrics.Set
 	Monitor     *heartbeater.Monitor // guarded by mu
+	Sharer      *loader.Sharer       // guarded by mu
 	Store       storer.Store
 	Table       tabler.Table
 	TLS         *tls.Config   // for links that peers dial; nil for none
@@ -159,7 +161,11 @@
 }
 
 func (s *Server) driveLoop(ctx context.Context) {
-	every(ctx, driveEvery, nil, func() { s.Driver.Tick(ctx, time.Now()) })
+	every(ctx, driveEvery, nil, func() {
+		now := time.Now()
+		s.share(now)
+		s.Driver.Tick(ctx, now)
+	})
 }
 
 // every calls do at once, then each period and whenever now is signalled, until
--- a/internal/instance/server/settings.go
+++ b/internal/instance/server/settings.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-kit/log/level"
 
+	"github.com/sardinetiller/sardinetiller/internal/adapter/loader"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/platform/storer"
 	"github.com/sardinetiller/sardinetiller/internal/setting/parser"
@@ -51,7 +53,7 @@
 	}
 	r := force.Resolver
 	values := r.Values("", "", "", "")
-	s.Driver.Declare(r.Services(), r.Weights(), s.part(r.Services()), values.Queue, values.Share)
+	s.Driver.Declare(r.Services(), values.Queue, values.Share)
 	if s.declared.Swap(force.Head.Revision) == force.Head.Revision {
 		return
 	}
@@ -62,19 +64,32 @@
 	s.Holder.SetRunners(names)
 }
 
-// part returns this instance's part of the weight store: that of the engines it
-// owns. The parts of all owners add up to one, without a word between them and
-// also when domains are cut off from each other.
-func (s *Server) part(services []parser.Service) float64 {
-	engines := 0
-	for _, service := range services {
-		if service.Type == parser.TypeEngine {
-			engines += len(service.Upstreams)
+// share gives the driver its part of the weight store's rate.
+func (s *Server) share(now time.Time) {
+	force := s.Watcher.Force()
+	if force == nil {
+		return
+	}
+	line := s.Driver.Line()
+	engines := make(map[string]float64)
+	total := 0.0
+	for _, service := range force.Resolver.Services() {
+		for _, u := range service.Upstreams {
+			if service.Type == parser.TypeEngine {
+				engines[u.Domain]++
+				total++
+			}
 		}
 	}
+	delete(engines, s.Config.Domain)
+	for domain := range engines {
+		engines[domain] /= total
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return float64(len(s.Holder.Owned())) / float64(max(1, engines))
+	own := loader.Stake{Fixed: float64(len(s.Holder.Owned())) / max(1, total), Line: line}
+	part := s.Sharer.Part(own, engines, now)
+	s.mu.Unlock()
+	s.Driver.Share(force.Resolver.Weights(), part)
 }
 
 // askSettings takes a higher revision from a peer. It is how a domain that is
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -35,6 +35,7 @@
 		Leaving  bool    `cbor:"3,keyasint,omitempty"`
 		Loads    []Load  `cbor:"4,keyasint,omitempty"`
 		States   []State `cbor:"5,keyasint,omitempty"`
+		Line     int     `cbor:"6,keyasint,omitempty"` // adapters that stand in line for a load: here, or told to another domain, in the whole domain
 	}
 
 	// A Fetch asks for a settings object by its key.
--- a/internal/setting/configurer/configurer.go
+++ b/internal/setting/configurer/configurer.go
@@ -27,6 +27,7 @@
 	Advertise string        `yaml:"advertise"` // host:port by which peers reach this instance; peer if empty
 	Operator  string        `yaml:"operator"`  // host:port for operators
 	Platform  string        `yaml:"platform"`  // host:port of the platform
+	Seeds     []string      `yaml:"seeds"`     // host:port of instances to ask for settings when the platform is away
 	Secret    string        `yaml:"secret"`    // file with the secret that instances share
 	Token     string        `yaml:"token"`     // file with the operators' key
 	TLS       TLS           `yaml:"tls"`       // for links between instances
@@ -101,6 +102,11 @@
 	if _, _, err := net.SplitHostPort(d.Advertise); d.Advertise != "" && err != nil {
 		return fault("advertise", "%q is no address; write host:port", d.Advertise)
 	}
+	for _, seed := range d.Seeds {
+		if _, _, err := net.SplitHostPort(seed); err != nil {
+			return fault("seeds", "%q is no address; write host:port", seed)
+		}
+	}
 	for field, value := range map[string]time.Duration{"lease": d.Lease, "beat": d.Beat, "poll": d.Poll} {
 		if value <= 0 {
 			return fault(field, "%s is too short; write a time such as 10s", value)
@@ -127,7 +133,7 @@
 	var names []string
 	t := reflect.TypeFor[Daemon]()
 	for i := range t.NumField() {
-		if t.Field(i).Type.Kind() != reflect.Struct {
+		if kind := t.Field(i).Type.Kind(); kind == reflect.String || kind == reflect.Int64 {
 			names = append(names, t.Field(i).Tag.Get("yaml"))
 		}
 	}
--- a/internal/upstream/driver/driver.go
+++ b/internal/upstream/driver/driver.go
@@ -77,13 +77,12 @@
 	firstRun  = 0.5 // seconds, before any request was seen
 )
 
-// Declare takes in the engines that the settings name and the limits of the
-// weight store. Part is this instance's part of those limits.
-func (d *Driver) Declare(services []parser.Service, weights parser.Weights, part float64, queue int, share float64) {
+// Declare takes in the engines that the settings name and the bounds of their
+// queues.
+func (d *Driver) Declare(services []parser.Service, queue int, share float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.init()
-	d.grant(weights, part)
 	declared := make(map[string]bool)
 	for _, s := range services {
 		for _, u := range s.Upstreams {
@@ -107,6 +106,21 @@
 	return slices.Clone(d.names)
 }
 
+// Line returns how many adapters stand in line for a load.
+func (d *Driver) Line() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.line()
+}
+
+// Share sets this instance's part of the weight store's rate.
+func (d *Driver) Share(weights parser.Weights, part float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.init()
+	d.grant(weights, part)
+}
+
 // Estimates returns how long a load and a run take.
 func (d *Driver) Estimates() (load, run time.Duration) {
 	d.mu.Lock()
@@ -212,11 +226,15 @@
 	if d.budget == nil {
 		return 0
 	}
+	return d.budget.Wait(d.line())
+}
+
+func (d *Driver) line() int {
 	line := 0
 	for _, e := range d.runners {
 		line += len(e.Needs())
 	}
-	return d.budget.Wait(line)
+	return line
 }
 
 func (d *Driver) changed(e *engine) {
--- a/internal/upstream/driver/serve.go
+++ b/internal/upstream/driver/serve.go
@@ -62,7 +62,7 @@
 			needs = append(needs, e.Needs()...)
 		}
 	}
-	if len(needs) == 0 {
+	if len(needs) == 0 || d.budget == nil {
 		return
 	}
 	d.budget.Grant(needs, now, func(n loader.Need) bool { return d.begin(ctx, n, now) })
@@ -164,15 +164,15 @@
 	if e.Leaving() {
 		return nil, nil, judge.Refuse(judge.ReasonUpstream, "runner %s is leaving", e.Name)
 	}
+	if !e.Keeper.Servable(call.Adapter) && !slices.Contains(e.coming(), call.Adapter) {
+		d.changed(e) // a further adapter stands in line
+	}
 	if err := e.Queue.Offer(admitter.Item{
 		ID: call.ID, Account: call.Account, Adapter: call.Adapter, Priority: call.Priority,
 		Arrived: now, Deadline: call.Deadline,
 	}); err != nil {
 		return nil, nil, err
 	}
-	if !e.Keeper.Servable(call.Adapter) {
-		d.changed(e) // a further adapter stands in line
-	}
 	w := newWaiter()
 	e.waiters[call.ID] = w
 	return w, e, nil
