Keep the text of a handle without a loader; survey of tokens

Cause: a copy loaded by hand was known under two names, and could neither be served nor evicted. Found while loading engines directly for the survey, which now takes off what callers and engines cost without the system.

--- a/internal/adapter/keeper/handle.go
+++ b/internal/adapter/keeper/handle.go
@@ -27,8 +27,12 @@
 	return Handle{Adapter: adapter, Loader: loader, Serial: serial}
 }
 
-// String returns the text form, adapter#loader.serial.
+// String returns the text form, adapter#loader.serial, or the name alone of a
+// copy without a loader.
 func (h Handle) String() string {
+	if h.Loader == "" && h.Serial == 0 {
+		return h.Adapter
+	}
 	if h.Serial == 0 {
 		return h.Adapter + "#" + h.Loader
 	}
--- /dev/null
+++ b/internal/adapter/keeper/handle_test.go
@@ -0,0 +1,28 @@
+package keeper_test
+
+import (
+	"testing"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
+)
+
+// The text form is the key under which engine and keeper know a copy; one that
+// changed on its way would be two copies.
+func TestHandleKeepsItsText(t *testing.T) {
+	for _, text := range []string{"x@1#a-1-0f.3", "x@1#a", "x@1", "x@1#a.b"} {
+		if got := keeper.ParseHandle(text).String(); got != text {
+			t.Errorf("%q came back as %q", text, got)
+		}
+	}
+}
+
+func FuzzHandle(f *testing.F) {
+	f.Add("x@1#a-1-0f.3")
+	f.Add("x@1#.0")
+	f.Fuzz(func(t *testing.T, text string) {
+		handle := keeper.ParseHandle(text)
+		if again := keeper.ParseHandle(handle.String()); again != handle {
+			t.Errorf("%q: %+v came back as %+v", text, handle, again)
+		}
+	})
+}
--- a/internal/command/commander/surveycmd.go
+++ b/internal/command/commander/surveycmd.go
@@ -39,6 +39,7 @@
 		func() (surveyor.Slope, error) { return s.Peers(ctx, []int{5, 10, 20, 41}) },
 		func() (surveyor.Slope, error) { return s.Runners(ctx, []int{20, 80, 150, 300}) },
 		func() (surveyor.Slope, error) { return s.Requests(ctx, []int{20, 50, 100, 200}) },
+		func() (surveyor.Slope, error) { return s.Tokens(ctx, []int{200, 800, 1600, 3200}) },
 		func() (surveyor.Slope, error) { return s.Changes(ctx, []int{1, 2, 5, 10}) },
 	} {
 		slope, err := measure()
--- a/internal/experiment/surveyor/surveyor.go
+++ b/internal/experiment/surveyor/surveyor.go
@@ -16,9 +16,11 @@
 	"github.com/go-kit/log"
 	"gonum.org/v1/gonum/stat"
 
+	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
 	"github.com/sardinetiller/sardinetiller/internal/experiment/sampler"
 	"github.com/sardinetiller/sardinetiller/internal/experiment/sender"
 	"github.com/sardinetiller/sardinetiller/internal/experiment/stager"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/caller"
 )
 
 // A Point is what was measured at one size. Times are in seconds, sizes in
@@ -82,13 +84,35 @@
 }
 
 // Requests measures two instances over the requests a second that they serve.
-// The callers and the engines run in this process too.
+// What callers and engines use for the same requests without the system is
+// taken off.
 func (s *Surveyor) Requests(ctx context.Context, rates []int) (Slope, error) {
-	slope := Slope{Name: "requests", Over: "requests a second"}
-	for _, r := range rates {
+	return s.traffic(ctx, "requests", "requests a second, 8 tokens each", rates, func(x int) sampler.Workload {
+		return s.workload(x, 8)
+	})
+}
+
+// Tokens measures two instances over the tokens a second that they pass on, at
+// 20 requests a second.
+func (s *Surveyor) Tokens(ctx context.Context, rates []int) (Slope, error) {
+	const requests = 20
+	return s.traffic(ctx, "tokens", "tokens a second, 20 requests a second", rates, func(x int) sampler.Workload {
+		return s.workload(requests, x/requests)
+	})
+}
+
+func (s *Surveyor) traffic(ctx context.Context, name, over string, xs []int, drawn func(x int) sampler.Workload) (Slope, error) {
+	slope := Slope{Name: name, Over: over}
+	for _, x := range xs {
+		w := drawn(x)
 		p := plan(2, 4)
-		point, err := s.point(ctx, p, float64(r), func(ctx context.Context, stage *stager.Stage) error {
-			return s.load(ctx, stage, r)
+		p.Speed = 10 // a token every 2.5 ms, so that requests end
+		direct, err := s.direct(ctx, p, w)
+		if err != nil {
+			return slope, err
+		}
+		point, err := s.point(ctx, p, float64(x), direct, func(ctx context.Context, stage *stager.Stage) error {
+			return load(ctx, w, []string{stage.Address(0), stage.Address(1)})
 		})
 		if err != nil {
 			return slope, err
@@ -104,7 +128,7 @@
 func (s *Surveyor) Changes(ctx context.Context, rates []int) (Slope, error) {
 	slope := Slope{Name: "changes of the settings", Over: "changes a second"}
 	for _, r := range rates {
-		point, err := s.point(ctx, plan(4, 2), float64(r), func(ctx context.Context, stage *stager.Stage) error {
+		point, err := s.point(ctx, plan(4, 2), float64(r), 0, func(ctx context.Context, stage *stager.Stage) error {
 			return s.change(ctx, stage, r)
 		})
 		if err != nil {
@@ -129,18 +153,23 @@
 	return nil
 }
 
-// load sends requests for a few adapters, so that nothing but the path is
+// workload draws requests for a few adapters, so that nothing but the path is
 // measured.
-func (s *Surveyor) load(ctx context.Context, stage *stager.Stage, rate int) error {
-	w := sampler.Workload{
+func (s *Surveyor) workload(rate, tokens int) sampler.Workload {
+	return sampler.Workload{
 		Adapters: 8, Calls: max(1, rate*int(s.Span/time.Second)), Group: "desk", Seed: 1, Shape: sampler.Zipf,
-		Skew: 1.1, Span: s.Span, Tokens: 8, Versions: 1,
+		Skew: 1.1, Span: s.Span, Tokens: tokens, Versions: 1,
 	}
+}
+
+func load(ctx context.Context, w sampler.Workload, addresses []string) error {
 	calls, err := w.Draw()
 	if err != nil {
 		return err
 	}
-	addresses := []string{stage.Address(0), stage.Address(1)}
+	for i := range calls {
+		calls[i].Stream = true
+	}
 	send := sender.Sender{Addresses: func() [][]string { return [][]string{addresses} }, Key: stager.Key}
 	for _, r := range send.Run(ctx, calls) {
 		if !r.Whole {
@@ -150,10 +179,43 @@
 	return nil
 }
 
+// direct returns the processor time a second of callers and engines that do the
+// same work without the system between them.
+func (s *Surveyor) direct(ctx context.Context, p stager.Plan, w sampler.Workload) (float64, error) {
+	p.Instances = 0
+	stage, err := stager.Start(ctx, p, log.NewNopLogger())
+	if err != nil {
+		return 0, err
+	}
+	defer stage.Stop()
+	engine := caller.Client{Timeout: 10 * time.Second}
+	var addresses []string
+	for _, e := range stage.Engines {
+		address := e.Listener.Addr().String()
+		addresses = append(addresses, address)
+		for i := range w.Adapters {
+			name := fmt.Sprintf("%s-%d@1", w.Group, i)
+			engine.Order(ctx, address, keeper.Load{Handle: keeper.ParseHandle(name)})
+		}
+	}
+	before := read(stage)
+	if err := load(ctx, w, addresses); err != nil {
+		return 0, err
+	}
+	after := read(stage)
+	return (after.cpu - before.cpu) / after.at.Sub(before.at).Seconds(), nil
+}
+
 func (s *Surveyor) series(ctx context.Context, name, over string, counts []int, planned func(n int) stager.Plan) (Slope, error) {
 	slope := Slope{Name: name, Over: over}
 	for _, n := range counts {
-		point, err := s.point(ctx, planned(n), float64(n), func(ctx context.Context, _ *stager.Stage) error {
+		bare := planned(n)
+		bare.Instances = 0
+		idle, err := s.idle(ctx, bare)
+		if err != nil {
+			return slope, err
+		}
+		point, err := s.point(ctx, planned(n), float64(n), idle, func(ctx context.Context, _ *stager.Stage) error {
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
@@ -173,18 +235,12 @@
 // warmUp lets links, leases and first reports pass before the measurement.
 const warmUp = 4 * time.Second
 
-// point measures one size. What the stand-ins use by themselves, with no
-// instance before them, is taken off the processor time.
-func (s *Surveyor) point(ctx context.Context, p stager.Plan, x float64, do func(context.Context, *stager.Stage) error) (Point, error) {
+// point measures one size. Off is the processor time a second of what is not an
+// instance, which is taken off.
+func (s *Surveyor) point(ctx context.Context, p stager.Plan, x, off float64, do func(context.Context, *stager.Stage) error) (Point, error) {
 	if s.Progress != nil {
 		s.Progress(p.Name, x)
 	}
-	bare := p
-	bare.Instances = 0
-	idle, err := s.idle(ctx, bare)
-	if err != nil {
-		return Point{}, err
-	}
 	stage, err := stager.Start(ctx, p, log.NewNopLogger())
 	if err != nil {
 		return Point{}, err
@@ -196,7 +252,7 @@
 		return Point{}, err
 	}
 	after := read(stage)
-	return before.to(after, idle, x, float64(p.Instances)), nil
+	return before.to(after, off, x, float64(p.Instances)), nil
 }
 
 // idle returns the processor time a second of the stand-ins alone.
