A leaving instance does not wait for pins that nobody holds; stages end in order

Cause: experiments took a minute longer for each run in which an engine had stopped first: the instance waited for a cancel that nobody could confirm. After: Idle counts what callers wait for; stand-ins end after the instances.

--- a/internal/command/commander/commander.go
+++ b/internal/command/commander/commander.go
@@ -55,6 +55,7 @@
 func Main(args []string, in io.Reader, out, errOut io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second Ctrl-C ends the program at once
 	c := &Commander{in: in, out: out, err: errOut}
 	root := c.newRootCmd()
 	root.SetArgs(args)
--- a/internal/experiment/comparer/comparer.go
+++ b/internal/experiment/comparer/comparer.go
@@ -160,7 +160,7 @@
 
 func spread(values []float64) Spread {
 	if len(values) == 0 {
-		return Spread{Median: math.NaN()}
+		return Spread{} // JSON has no word for "not measured"; Reports is empty then
 	}
 	slices.Sort(values)
 	return Spread{Median: values[len(values)/2], Least: values[0], Most: values[len(values)-1]}
--- a/internal/experiment/stager/stage.go
+++ b/internal/experiment/stager/stage.go
@@ -30,9 +30,10 @@
 	Platform  *registrar.Platform
 	Services  []*responder.Service
 
-	cancel   context.CancelFunc
-	ctx      context.Context
+	cancel   context.CancelFunc // of the stand-ins
+	ctx      context.Context    // of the stand-ins
 	files    map[string][]byte
+	launched []*Instance // all that ever were
 	logger   log.Logger
 	mu       sync.Mutex
 	revision uint64
@@ -52,9 +53,9 @@
 
 // Start sets a plan up and waits until every instance is ready to serve.
 func Start(ctx context.Context, plan Plan, logger log.Logger) (*Stage, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	s := &Stage{Plan: plan, cancel: cancel, ctx: ctx, logger: logger}
-	if err := s.start(); err != nil {
+	lasting, cancel := context.WithCancel(context.WithoutCancel(ctx)) // Stop ends the stand-ins last
+	s := &Stage{Plan: plan, cancel: cancel, ctx: lasting, logger: logger}
+	if err := s.start(ctx); err != nil {
 		s.Stop()
 		return nil, err
 	}
@@ -102,6 +103,9 @@
 	}
 	ctx, stop := context.WithCancel(s.ctx)
 	i := &Instance{Server: composed, done: make(chan struct{}), stop: stop}
+	s.mu.Lock()
+	s.launched = append(s.launched, i)
+	s.mu.Unlock()
 	s.running.Go(func() {
 		defer close(i.done)
 		_ = composed.Run(ctx) // a listener that fails shows as an instance that never gets ready
@@ -115,8 +119,18 @@
 	<-i.done
 }
 
-// Stop ends everything and waits for it.
+// Stop ends everything and waits for it: the instances gracefully, then the
+// stand-ins that they still need for that.
 func (s *Stage) Stop() {
+	s.mu.Lock()
+	launched := s.launched
+	s.mu.Unlock()
+	for _, i := range launched {
+		i.stop()
+	}
+	for _, i := range launched {
+		<-i.done
+	}
 	s.cancel()
 	s.running.Wait()
 }
@@ -131,7 +145,7 @@
 	}
 }
 
-func (s *Stage) start() error {
+func (s *Stage) start(ctx context.Context) error {
 	if err := s.startPlatform(); err != nil {
 		return err
 	}
@@ -154,7 +168,7 @@
 		}
 		s.Instances = append(s.Instances, instance)
 	}
-	return s.settle()
+	return s.settle(ctx)
 }
 
 func (s *Stage) startPlatform() error {
@@ -210,15 +224,15 @@
 const settleTime = 30 * time.Second
 
 // settle waits until every engine has an owner that has looked at it.
-func (s *Stage) settle() error {
+func (s *Stage) settle(ctx context.Context) error {
 	deadline := time.Now().Add(settleTime)
 	for time.Now().Before(deadline) {
 		if s.settled() {
 			return nil
 		}
 		select {
-		case <-s.ctx.Done():
-			return s.ctx.Err()
+		case <-ctx.Done():
+			return ctx.Err()
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
--- a/internal/upstream/driver/driver.go
+++ b/internal/upstream/driver/driver.go
@@ -62,13 +62,14 @@
 type engine struct {
 	*orderer.Runner
 
-	address  string
-	asked    time.Time // when the last report was asked for
-	asking   bool      // a report, a fencing number or a clearing is under way
-	fencing  bool
-	reported bool   // a report was taken in since the tenure began
-	version  uint64 // of what is resident
-	waiters  map[string]*waiter
+	address   string
+	asked     time.Time // when the last report was asked for
+	asking    bool      // a report, a fencing number or a clearing is under way
+	fencing   bool
+	releasing int    // requests that ended here and perhaps not in the engine
+	reported  bool   // a report was taken in since the tenure began
+	version   uint64 // of what is resident
+	waiters   map[string]*waiter
 }
 
 // share and limit of a queue before the settings say otherwise.
@@ -183,12 +184,15 @@
 	return e.Keeper.Surrender()
 }
 
-// Idle reports whether no request waits or runs here.
+// Idle reports whether no request waits or runs here. Requests whose callers
+// are gone and which an engine has not confirmed to have ended do not count:
+// nobody waits for them, and an engine that is down would hold the instance for
+// ever. A later owner learns that this process is gone from the list.
 func (d *Driver) Idle() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, e := range d.runners {
-		if len(e.waiters) > 0 || e.Running() > 0 {
+		if len(e.waiters) > 0 || e.Running() > e.releasing {
 			return false
 		}
 	}
--- a/internal/upstream/driver/serve.go
+++ b/internal/upstream/driver/serve.go
@@ -200,6 +200,9 @@
 	head.Stall = d.stall(e, call.Adapter, arrived, began)
 	err := caller.Run(ctx, e.address, handle.String(), call, head, sink)
 	if err != nil && judge.As(err).Verdict != judge.NotRun {
+		d.mu.Lock()
+		e.releasing++
+		d.mu.Unlock()
 		go d.release(context.WithoutCancel(ctx), e, handle, call)
 		return err
 	}
@@ -230,6 +233,7 @@
 		time.Sleep(cancelEvery)
 	}
 	d.mu.Lock()
+	e.releasing--
 	e.Finish(handle)
 	d.mu.Unlock()
 	d.Pump(ctx, time.Now())
