Send new work elsewhere when an engine does not answer; tests of the owner's work

Cause: an engine that is down looked idle and held what was wanted, so every request tried it first. After two reports not given its owner tells it as leaving. What has less than a quarter of a usual run left is refused at once. The links between instances, the callers' API and the frames have tests and fuzzers of their own.

--- /dev/null
+++ b/internal/member/relayer/mesh_test.go
@@ -0,0 +1,181 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
+	"github.com/sardinetiller/sardinetiller/internal/wire/listener"
+)
+
+// A fakeHandler answers with as many parts as the key of a Fetch says, and tells
+// when an opener has gone.
+type fakeHandler struct {
+	beats chan Beat
+	gone  chan string
+}
+
+func (h *fakeHandler) Answer(ctx context.Context, _ heartbeater.Instance, m Message, reply *Reply) error {
+	fetch, ok := m.(Fetch)
+	if !ok {
+		return judge.Refuse(judge.ReasonOwner, "no Fetch")
+	}
+	var parts int
+	if _, err := fmt.Sscan(fetch.Key, &parts); err != nil {
+		return err
+	}
+	for i := range parts {
+		if err := reply.Send(Data{Data: []byte{byte(i)}}); err != nil {
+			h.gone <- fetch.Key
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+func (h *fakeHandler) Heard(_ heartbeater.Instance, beat Beat) { h.beats <- beat }
+
+// newPair returns a mesh that dials, the address of one that answers, and the
+// handler there.
+func newPair(t *testing.T, secret string) (*Mesh, string, *fakeHandler) {
+	t.Helper()
+	l, err := listener.Local()
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &fakeHandler{beats: make(chan Beat, 8), gone: make(chan string, 8)}
+	self := func() heartbeater.Instance { return heartbeater.Instance{ID: "i", Incarnation: "i-1"} }
+	answers := &Mesh{Handler: h, Secret: func() string { return "right" }, Self: self}
+	r := router.New()
+	r.GET(Path, answers.Serve)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	server := listener.Server{Handler: r.Handler, Listener: l, Drain: time.Millisecond}
+	go func() { _ = server.Run(ctx) }()
+	return &Mesh{Handler: h, Secret: func() string { return secret }, Self: self}, l.Addr().String(), h
+}
+
+func drain(t *testing.T, c *Conversation) int {
+	t.Helper()
+	parts := 0
+	for {
+		m, err := c.Next(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, over := m.(End); over {
+			return parts
+		}
+		parts++
+	}
+}
+
+// One caller takes nothing of a long answer. Another one on the same link must
+// get all of its own: the sender waits for grants of the first conversation
+// only.
+func TestSlowReaderHoldsOnlyItself(t *testing.T) {
+	m, address, h := newPair(t, "right")
+	slow, err := m.Open(t.Context(), address, Fetch{Key: "1000"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	quick, err := m.Open(t.Context(), address, Fetch{Key: "5000"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := drain(t, quick); got != 5000 {
+		t.Errorf("quick reader got %d parts, want 5000", got)
+	}
+	slow.Close()
+	if key := <-h.gone; key != "1000" {
+		t.Errorf("told that %s has gone, want 1000", key)
+	}
+}
+
+// The link fails in mid-answer. Whoever waits on it is told at once, without a
+// promise: the peer may have run the request.
+func TestLinkFailureEndsConversations(t *testing.T) {
+	m, address, _ := newPair(t, "right")
+	c, err := m.Open(t.Context(), address, Fetch{Key: "1000"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Cut(address)
+	for {
+		if _, err = c.Next(t.Context()); err != nil {
+			break
+		}
+	}
+	if got := judge.As(err); got.Verdict != judge.MayHaveRun || got.Reason != judge.ReasonPeer {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestFailKeepsItsVerdict(t *testing.T) {
+	m, address, _ := newPair(t, "right")
+	c, err := m.Open(t.Context(), address, Inquire{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = c.Next(t.Context())
+	want := judge.Refuse(judge.ReasonOwner, "no Fetch")
+	if diff := cmp.Diff(want, judge.As(err)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestWrongSecretIsNotHeard(t *testing.T) {
+	m, address, h := newPair(t, "wrong")
+	_, err := m.Open(t.Context(), address, Fetch{Key: "1"})
+	if err == nil || judge.As(err).Verdict != judge.NotRun {
+		t.Errorf("Open = %v, want a refusal", err)
+	}
+	if len(h.beats) > 0 {
+		t.Error("a peer with the wrong secret was heard")
+	}
+}
+
+func TestSequencer(t *testing.T) {
+	var s streamer.Sequencer
+	for i, tc := range []struct {
+		number uint32
+		want   streamer.Place
+	}{{1, streamer.Next}, {1, streamer.Stale}, {2, streamer.Next}, {4, streamer.Gap}, {1, streamer.Stale}, {3, streamer.Next}} {
+		if got := s.Accept(tc.number); got != tc.want {
+			t.Errorf("step %d: Accept(%d) = %v, want %v", i, tc.number, got, tc.want)
+		}
+	}
+}
+
+func FuzzDecodeFrame(f *testing.F) {
+	for _, m := range kinds {
+		if m == nil {
+			continue
+		}
+		data, err := encodeFrame(7, 3, m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame, message, err := decodeFrame(data)
+		if err != nil {
+			return
+		}
+		again, err := encodeFrame(frame.Conversation, frame.Number, message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := decodeFrame(again); err != nil {
+			t.Errorf("%T does not come back: %v", message, err)
+		}
+	})
+}
--- a/internal/upstream/driver/driver.go
+++ b/internal/upstream/driver/driver.go
@@ -67,6 +67,7 @@
 	asking    bool      // a report, a fencing number or a clearing is under way
 	fencing   bool
 	releasing int    // requests that ended here and perhaps not in the engine
+	silent    int    // reports in a row that it did not give
 	reported  bool   // a report was taken in since the tenure began
 	version   uint64 // of what is resident
 	waiters   map[string]*waiter
@@ -308,7 +309,7 @@
 
 func (e *engine) state(number int, name string) relayer.State {
 	return relayer.State{
-		Number: number, Name: name, Owned: e.Keeper.Owned(), Leaving: e.Leaving(),
+		Number: number, Name: name, Owned: e.Keeper.Owned(), Leaving: e.Leaving() || e.silent >= silentReports,
 		Resident: e.Keeper.Resident(), Loading: e.coming(),
 	}
 }
--- /dev/null
+++ b/internal/upstream/driver/driver_test.go
@@ -0,0 +1,173 @@
+package driver_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
+	"github.com/sardinetiller/sardinetiller/internal/setting/parser"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/caller"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/driver"
+)
+
+// A fakeEngine answers orders as it is told and counts them.
+type fakeEngine struct {
+	leaving atomic.Bool
+	orders  atomic.Int64
+	outcome keeper.Outcome
+	silent  atomic.Bool
+}
+
+var _ caller.Engine = (*fakeEngine)(nil)
+
+func (f *fakeEngine) Cancel(context.Context, string, string) bool { return true }
+
+func (f *fakeEngine) Order(context.Context, string, keeper.Action) caller.Answer {
+	f.orders.Add(1)
+	return caller.Answer{Outcome: f.outcome}
+}
+
+func (f *fakeEngine) Raise(context.Context, string, uint64) bool { return true }
+
+func (f *fakeEngine) Report(context.Context, string) (caller.Report, error) {
+	if f.silent.Load() {
+		return caller.Report{}, judge.Judge(judge.Dialed{})
+	}
+	return caller.Report{Engine: "e-1", Leaving: f.leaving.Load()}, nil
+}
+
+// A fakeTenancy owns everything for as long as it is told.
+type fakeTenancy struct{ may, owns atomic.Bool }
+
+var _ driver.Tenancy = (*fakeTenancy)(nil)
+
+func (f *fakeTenancy) Acts(string) (uint64, bool) { return 1, f.owns.Load() }
+
+func (f *fakeTenancy) Cleared(context.Context, string, string) (keeper.Surrender, bool) {
+	return keeper.Surrender{}, true
+}
+
+func (f *fakeTenancy) May(string) bool { return f.may.Load() }
+
+func (f *fakeTenancy) Owns(string) bool { return f.owns.Load() }
+
+func (f *fakeTenancy) Parties() []string { return nil }
+
+// newDriver returns a driver of one engine that ticks until the test ends.
+func newDriver(t *testing.T, e *fakeEngine, tenancy *fakeTenancy) *driver.Driver {
+	tenancy.may.Store(true)
+	tenancy.owns.Store(true)
+	d := &driver.Driver{
+		Domain: "a", Engine: e, Evictor: func() keeper.Evictor { return keeper.LRU{} }, Logger: log.NewNopLogger(),
+		Metrics: metrics.NewSet(), Self: "i-1", Tenancy: tenancy,
+	}
+	d.Declare([]parser.Service{{
+		Name: "llm", Type: parser.TypeEngine, Upstreams: []parser.Upstream{{Name: "r1", Domain: "a", Slots: 2, Batch: 4}},
+	}}, 8, 1)
+	d.Share(parser.Weights{}, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		time.Sleep(time.Minute) // what is under way ends by itself
+	})
+	go func() {
+		for ctx.Err() == nil {
+			d.Tick(ctx, time.Now())
+			time.Sleep(200 * time.Millisecond)
+		}
+	}()
+	time.Sleep(time.Second)
+	return d
+}
+
+// serve runs one request and returns how it failed and after how long.
+func serve(d *driver.Driver, deadline time.Duration) (*judge.Error, time.Duration) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	call := &streamer.Call{ID: "c", Adapter: "x@1", Runner: "r1", Deadline: began.Add(deadline)}
+	err := d.Serve(ctx, call, nil)
+	return judge.As(err), time.Since(began)
+}
+
+func TestServeGivesUp(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		spoil  func(e *fakeEngine, tenancy *fakeTenancy)
+		reason judge.Reason
+		within time.Duration
+	}{
+		// Loads keep failing. The caller is told after the third, long before its
+		// deadline, and when to come back.
+		{"loads fail", func(e *fakeEngine, _ *fakeTenancy) { e.outcome = keeper.Failed }, judge.ReasonLoad, 5 * time.Second},
+		// The engine says that it leaves while a request waits there: the request
+		// is sent back at once, so that another runner can take it.
+		{"engine leaves", func(e *fakeEngine, tenancy *fakeTenancy) {
+			tenancy.may.Store(false)
+			time.AfterFunc(time.Second, func() { e.leaving.Store(true) })
+		}, judge.ReasonUpstream, 5 * time.Second},
+		// The runner passes to another instance while a request waits.
+		{"runner passes on", func(_ *fakeEngine, tenancy *fakeTenancy) {
+			tenancy.may.Store(false)
+			time.AfterFunc(time.Second, func() { tenancy.owns.Store(false) })
+		}, judge.ReasonOwner, 2 * time.Second},
+		// Nothing can be ordered: the deadline ends the wait, without a run.
+		{"deadline", func(_ *fakeEngine, tenancy *fakeTenancy) { tenancy.may.Store(false) }, judge.ReasonDeadline, time.Minute},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, tenancy := &fakeEngine{}, &fakeTenancy{}
+				d := newDriver(t, e, tenancy)
+				tc.spoil(e, tenancy)
+				err, took := serve(d, time.Minute)
+				if err.Verdict != judge.NotRun || err.Reason != tc.reason || took > tc.within {
+					t.Errorf("%v after %s, want %s within %s", err, took, tc.reason, tc.within)
+				}
+				if !d.Idle() {
+					t.Error("the request was left behind")
+				}
+			})
+		})
+	}
+}
+
+// The lease cannot be trusted: no order goes out, however much is waited for.
+func TestNoOrderWithoutLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, tenancy := &fakeEngine{}, &fakeTenancy{}
+		d := newDriver(t, e, tenancy)
+		tenancy.may.Store(false)
+		serve(d, 10*time.Second)
+		if n := e.orders.Load(); n != 0 {
+			t.Errorf("%d orders went out", n)
+		}
+	})
+}
+
+// An engine goes down. Peers are told that it takes no new work, and that it
+// does again when it answers.
+func TestSilentEngineTakesNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &fakeEngine{}
+		d := newDriver(t, e, &fakeTenancy{})
+		leaving := func() bool {
+			_, states, _ := d.Loads(0)
+			return len(states) == 1 && states[0].Leaving
+		}
+		for _, silent := range []bool{false, true, false} {
+			e.silent.Store(silent)
+			time.Sleep(10 * time.Second)
+			if leaving() != silent {
+				t.Errorf("silent %v: told as leaving %v", silent, leaving())
+			}
+		}
+	})
+}
--- a/internal/upstream/driver/look.go
+++ b/internal/upstream/driver/look.go
@@ -62,15 +62,37 @@
 	d.mu.Lock()
 	e.asking = false
 	if err != nil {
-		d.count("sardinetiller_report_failures_total", "report")
+		d.missed(e)
 		d.mu.Unlock()
 		return
 	}
+	if e.silent >= silentReports {
+		d.changed(e)
+	}
+	e.silent = 0
 	d.reconcile(e, asked, report)
 	d.mu.Unlock()
 	d.Pump(ctx, time.Now())
 }
 
+// silentReports is how many reports in a row an engine may not give before new
+// work goes elsewhere. Without that, an engine that is down looks idle and holds
+// what is wanted, and every request would try it first.
+const silentReports = 2
+
+// missed counts a report that an engine did not give and asks again soon.
+func (d *Driver) missed(e *engine) {
+	d.count("sardinetiller_report_failures_total", "report")
+	e.silent++
+	if e.silent == silentReports {
+		d.changed(e)
+		d.warn("engine does not answer", e.Name, nil)
+	}
+	if e.silent < silentReports {
+		e.asked = time.Time{}
+	}
+}
+
 func (d *Driver) clear(ctx context.Context, e *engine, party string, fence uint64) {
 	surrender, ok := d.Tenancy.Cleared(ctx, party, e.Name)
 	if !ok {
--- a/internal/upstream/driver/serve.go
+++ b/internal/upstream/driver/serve.go
@@ -178,9 +178,13 @@
 	return w, e, nil
 }
 
+// leastRun is the part of the usual time of a run below which hardly any run
+// ends: what has less time left cannot be answered any more.
+const leastRun = 4
+
 // expire refuses at once what cannot be answered in time any more.
 func (d *Driver) expire(e *engine, now time.Time) {
-	for _, item := range e.Queue.Expired(now, 0) {
+	for _, item := range e.Queue.Expired(now, d.runs.duration()/leastRun) {
 		e.waiters[item.ID].refuse(judge.Refuse(judge.ReasonDeadline, "the deadline passed while the request waited"))
 		delete(e.waiters, item.ID)
 	}
