--- a/internal/instance/composer/composer.go
+++ b/internal/instance/composer/composer.go
@@ -137,7 +137,7 @@
 }
 
 func newClaimer(i incarnation, s *server.Server, store storer.Store, table tabler.Table) *claimer.Claimer {
-	return &claimer.Claimer{Gone: s.Gone, Self: string(i), Store: store, Table: table, Token: token}
+	return &claimer.Claimer{Gone: s.Gone, Route: s.Route, Self: string(i), Store: store, Table: table, Token: token}
 }
 
 func newDispatcher(p Parts, i incarnation, s *server.Server, d *driver.Driver, f *monitor.Fleet, m *metrics.Set) *dispatcher.Dispatcher {
--- a/internal/instance/server/answer.go
+++ b/internal/instance/server/answer.go
@@ -21,6 +21,8 @@
 	switch m := m.(type) {
 	case relayer.Ask:
 		return s.answerAsk(ctx, &m.Call, reply)
+	case relayer.Commit:
+		return reply.Send(committed(s.Claimer.Gather(ctx, m.Txn)))
 	case relayer.Fetch:
 		data, ok := s.Watcher.Object(m.Key)
 		if !ok {
--- /dev/null
+++ b/internal/instance/server/gather.go
@@ -0,0 +1,74 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+)
+
+// Route commits a transaction through the instance that gathers for the domain,
+// so that the domain writes a few groups a second however many claims there
+// are. That is the first live member of the roster; it needs no lease, because
+// the table's own checks decide. If it cannot be reached this instance writes
+// by itself.
+func (s *Server) Route(ctx context.Context, txn tabler.Txn) error {
+	address, ok := s.gathering(time.Now())
+	if !ok {
+		return s.Claimer.Gather(ctx, txn)
+	}
+	c, err := s.Mesh.Open(ctx, address, relayer.Commit{Txn: txn})
+	if err != nil {
+		return s.Claimer.Gather(ctx, txn)
+	}
+	defer c.Close()
+	m, err := c.Next(ctx)
+	if err != nil {
+		return &tabler.UnknownError{Err: err} // the peer may have written it
+	}
+	answer, ok := m.(relayer.Committed)
+	if !ok {
+		return &tabler.UnknownError{Err: errors.New("the peer gave no answer to a commit")}
+	}
+	return answer.Err()
+}
+
+// gathering returns the address of the peer that gathers, or false if that is
+// this instance.
+func (s *Server) gathering(now time.Time) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.Holder.Roster().Members {
+		if m.Incarnation == s.Incarnation {
+			return "", false
+		}
+		if s.Monitor.Health(m.Incarnation, now) != heartbeater.Live {
+			continue
+		}
+		for _, i := range s.Monitor.Instances(now) {
+			if i.Incarnation == m.Incarnation {
+				return i.Address, true
+			}
+		}
+	}
+	return "", false
+}
+
+// committed returns how a commit ended, as a peer is told.
+func committed(err error) relayer.Committed {
+	var conflict *tabler.ConflictError
+	var unavailable *tabler.UnavailableError
+	switch {
+	case err == nil:
+		return relayer.Committed{}
+	case errors.As(err, &conflict):
+		return relayer.Committed{Conflict: conflict.Key}
+	case errors.As(err, &unavailable):
+		return relayer.Committed{Unavailable: true}
+	default:
+		return relayer.Committed{Unknown: true}
+	}
+}
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"errors"
 	"fmt"
 	"reflect"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
 	"github.com/sardinetiller/sardinetiller/internal/setting/publisher"
@@ -38,6 +40,12 @@
 		Line     int     `cbor:"6,keyasint,omitempty"` // adapters that stand in line for a load: here, or told to another domain, in the whole domain
 	}
 
+	// A Commit asks the instance that gathers for its domain to commit a
+	// transaction together with others.
+	Commit struct {
+		Txn tabler.Txn `cbor:"1,keyasint"`
+	}
+
 	// A Fetch asks for a settings object by its key.
 	Fetch struct {
 		Key string `cbor:"1,keyasint"`
@@ -61,6 +69,13 @@
 
 // Messages that answer.
 type (
+	// A Committed answers a Commit: one of the three failures, or none.
+	Committed struct {
+		Conflict    string `cbor:"1,keyasint,omitempty"` // row that was not as checked
+		Unavailable bool   `cbor:"2,keyasint,omitempty"` // certainly not written
+		Unknown     bool   `cbor:"3,keyasint,omitempty"`
+	}
+
 	// Data is a part of an answer.
 	Data struct {
 		Data []byte `cbor:"1,keyasint"`
@@ -130,6 +145,8 @@
 func (Ask) message()         {}
 func (Beat) message()        {}
 func (Cancel) message()      {}
+func (Commit) message()      {}
+func (Committed) message()   {}
 func (Data) message()        {}
 func (End) message()         {}
 func (Fail) message()        {}
@@ -146,6 +163,7 @@
 var kinds = []Message{
 	1: Ask{}, 2: Beat{}, 3: Cancel{}, 4: Data{}, 5: End{}, 6: Fail{}, 7: Fetch{},
 	8: Grant{}, 9: Head{}, 10: Hello{}, 11: Inquire{}, 12: Surrendered{}, 13: Told{}, 14: Yield{},
+	15: Commit{}, 16: Committed{},
 }
 
 // numbers is the inverse of kinds.
@@ -202,3 +220,17 @@
 func (s Surrendered) Surrender() keeper.Surrender {
 	return keeper.Surrender{Pins: s.Pins, Doomed: s.Doom}
 }
+
+// Err returns how the commit ended, as the table itself would have told.
+func (c Committed) Err() error {
+	switch {
+	case c.Conflict != "":
+		return &tabler.ConflictError{Key: c.Conflict}
+	case c.Unavailable:
+		return &tabler.UnavailableError{Err: errors.New("told by the instance that gathers")}
+	case c.Unknown:
+		return &tabler.UnknownError{Err: errors.New("told by the instance that gathers")}
+	default:
+		return nil
+	}
+}
--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -15,8 +15,9 @@
 
 // A Claimer claims keyed requests. Its fields are set before Run.
 type Claimer struct {
-	Gone  func(incarnation string) bool // whether a process runs no more
-	Self  string                        // incarnation
+	Gone  func(incarnation string) bool                   // whether a process runs no more
+	Route func(ctx context.Context, txn tabler.Txn) error // commits through whoever gathers for the domain; nil for Gather
+	Self  string                                          // incarnation
 	Store storer.Store
 	Table tabler.Table
 	Token func() string
@@ -31,8 +32,8 @@
 }
 
 const (
-	gatherWait  = 5 * time.Millisecond
-	gatherMost  = 64
+	gatherEvery = 40 * time.Millisecond // so that a domain writes 25 groups a second at most
+	gatherMost  = 256
 	claimTime   = 3 * time.Second // for writing one claim
 	pollFirst   = 50 * time.Millisecond
 	pollLast    = time.Second
@@ -122,6 +123,14 @@
 	delete(c.active, claim.Token)
 }
 
+// Gather commits a transaction together with others that arrive at the same
+// time, of this instance and of the peers that route theirs here. It needs no
+// lease: the table's checks decide, whoever writes.
+func (c *Claimer) Gather(ctx context.Context, txn tabler.Txn) error {
+	c.init()
+	return c.gather.commit(ctx, txn)
+}
+
 // Run commits groups and settles what is owed until ctx ends.
 func (c *Claimer) Run(ctx context.Context) {
 	c.init()
@@ -147,7 +156,7 @@
 
 func (c *Claimer) init() {
 	c.started.Do(func() {
-		c.gather = &gatherer{table: c.Table, wait: gatherWait, most: gatherMost, queue: make(chan *pending, gatherMost)}
+		c.gather = &gatherer{table: c.Table, every: gatherEvery, most: gatherMost, queue: make(chan *pending, gatherMost)}
 		c.active = make(map[string]bool)
 		c.ends = make(map[string]Claim)
 		c.owed = make(map[string]debt)
@@ -262,7 +271,10 @@
 	if check != nil {
 		txn.Checks = []tabler.Check{*check}
 	}
-	return c.gather.commit(ctx, txn)
+	if c.Route != nil {
+		return c.Route(ctx, txn)
+	}
+	return c.Gather(ctx, txn)
 }
 
 func (c *Claimer) read(ctx context.Context, row string) (Claim, uint64, error) {
--- a/internal/request/claimer/claimer_test.go
+++ b/internal/request/claimer/claimer_test.go
@@ -62,6 +62,7 @@
 }
 
 func (b *badTable) Get(ctx context.Context, key string) (tabler.Row, error) {
+	time.Sleep(2 * time.Millisecond)
 	if b.down.Load() {
 		return tabler.Row{}, &tabler.UnavailableError{Err: errors.New("down")}
 	}
@@ -191,7 +192,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 2, 1)
 		b.table.set(0, 1)
-		time.AfterFunc(6*time.Millisecond, func() { b.table.down.Store(true) })
+		time.AfterFunc(3*time.Millisecond, func() { b.table.down.Store(true) })
 		verdict, _ := b.request(b.claimers[0], time.Second, false)
 		if verdict != judge.NotRun || b.runs.Load() != 0 {
 			t.Fatalf("first attempt: %s after %d runs", verdict, b.runs.Load())
--- a/internal/request/claimer/gatherer.go
+++ b/internal/request/claimer/gatherer.go
@@ -14,7 +14,7 @@
 // told so and the rest goes on without it.
 type gatherer struct {
 	table tabler.Table
-	wait  time.Duration // for others to join a group
+	every time.Duration // between groups
 	most  int           // transactions in a group
 
 	queue chan *pending
@@ -42,29 +42,33 @@
 	}
 }
 
-// run commits groups until ctx ends.
+// run commits groups until ctx ends. A group that comes after a pause goes at
+// once; under load what arrives between two groups goes together.
 func (g *gatherer) run(ctx context.Context) {
+	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case first := <-g.queue:
-			group := g.collect(ctx, first)
+			group := g.collect(ctx, first, time.Until(last.Add(g.every)))
+			last = time.Now()
 			go g.settle(ctx, group)
 		}
 	}
 }
 
-func (g *gatherer) collect(ctx context.Context, first *pending) []*pending {
+// collect gathers what arrives within the wait, and what is there already.
+func (g *gatherer) collect(ctx context.Context, first *pending, wait time.Duration) []*pending {
 	group := []*pending{first}
-	timer := time.NewTimer(g.wait)
+	timer := time.NewTimer(max(0, wait))
 	defer timer.Stop()
 	for len(group) < g.most {
 		select {
 		case p := <-g.queue:
 			group = append(group, p)
 		case <-timer.C:
-			return group
+			return g.waiting(group)
 		case <-ctx.Done():
 			return group
 		}
@@ -72,6 +76,19 @@
 	return group
 }
 
+// waiting adds what is in the queue already.
+func (g *gatherer) waiting(group []*pending) []*pending {
+	for len(group) < g.most {
+		select {
+		case p := <-g.queue:
+			group = append(group, p)
+		default:
+			return group
+		}
+	}
+	return group
+}
+
 // settle commits a group, without those that conflict.
 func (g *gatherer) settle(ctx context.Context, group []*pending) {
 	for len(group) > 0 {
--- /dev/null
+++ b/internal/request/claimer/gatherer_test.go
@@ -0,0 +1,79 @@
+package claimer_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/request/claimer"
+)
+
+// A countingTable counts transactions and takes a while for each.
+type countingTable struct {
+	tabler.Memory
+	commits atomic.Int64
+}
+
+func (c *countingTable) Commit(ctx context.Context, txn tabler.Txn) error {
+	c.commits.Add(1)
+	time.Sleep(5 * time.Millisecond)
+	return c.Memory.Commit(ctx, txn)
+}
+
+// However many claims come, the one who gathers for a failure domain writes 25
+// groups a second; one that comes alone does not wait.
+func TestGatherBoundsTheWrites(t *testing.T) {
+	for _, tc := range []struct{ claims, most int }{{1, 1}, {1000, 27}} {
+		t.Run(fmt.Sprint(tc.claims), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := &countingTable{}
+				c := &claimer.Claimer{Self: "i", Table: table, Gone: func(string) bool { return false }}
+				ctx, cancel := context.WithCancel(t.Context())
+				go c.Run(ctx)
+				synctest.Wait()
+				began := time.Now()
+				var all sync.WaitGroup
+				for i := range tc.claims {
+					all.Go(func() {
+						time.Sleep(time.Duration(i) * time.Second / time.Duration(tc.claims))
+						key := fmt.Sprint("claim/", i)
+						txn := tabler.Txn{Checks: []tabler.Check{{Key: key}}, Puts: []tabler.Put{{Key: key}}}
+						if err := c.Gather(ctx, txn); err != nil {
+							t.Error(err)
+						}
+					})
+				}
+				all.Wait()
+				if n := table.commits.Load(); n > int64(tc.most) {
+					t.Errorf("%d transactions for %d claims in %s, want at most %d", n, tc.claims, time.Since(began), tc.most)
+				}
+				if took := time.Since(began); tc.claims == 1 && took > 6*time.Millisecond {
+					t.Errorf("a single claim took %s", took)
+				}
+				cancel()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// BenchmarkGather measures what a claim costs its gatherer beside the table.
+func BenchmarkGather(b *testing.B) {
+	c := &claimer.Claimer{Self: "i", Table: &tabler.Memory{}, Gone: func(string) bool { return false }}
+	go c.Run(b.Context())
+	var serial atomic.Int64
+	b.SetParallelism(64)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			key := fmt.Sprint("claim/", serial.Add(1))
+			if err := c.Gather(b.Context(), tabler.Txn{Checks: []tabler.Check{{Key: key}}, Puts: []tabler.Put{{Key: key}}}); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
