--- a/internal/setting/configurer/configurer.go
+++ b/internal/setting/configurer/configurer.go
@@ -54,7 +54,7 @@
 	Operator: "127.0.0.1:8082",
 	Lease:    10 * time.Second,
 	Beat:     time.Second,
-	Poll:     time.Second,
+	Poll:     2 * time.Second,
 	Notice:   2 * time.Second,
 	Drain:    time.Minute,
 	Format:   "logfmt",
