Permits to load: one allocator, the highest bid first

Cause: the weight store is fastest with one or two loads at once for the whole deployment, but every instance loaded on its own: several at once, each waiting in a line of its own. The first live instance now hands out permits to whoever bids the most stall; a permit is a conversation and ends with it. If it cannot be reached, instances keep to their parts of the rate as before. A request that was refused now counts as stalled to its deadline: hash had refused 5 % in the shift change and looked better for it.

--- a/internal/adapter/loader/budget.go
+++ b/internal/adapter/loader/budget.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -71,32 +72,35 @@
 // stall first. Start is asked for each in turn and returns whether the runner
 // could begin it; what it declines costs nothing.
 func (b *Budget) Grant(needs []Need, now time.Time, start func(Need) bool) {
-	if b.running == nil {
-		b.running = make(map[string]bool)
-		b.failed = make(map[string]*failure)
-	}
-	slices.SortStableFunc(needs, func(x, y Need) int {
-		switch sx, sy := saved(x, now), saved(y, now); {
-		case sx > sy:
-			return -1
-		case sx < sy:
-			return 1
-		default:
-			return 0
-		}
-	})
-	for _, n := range needs {
+	for _, n := range b.Order(needs, now) {
 		if len(b.running) >= b.Together || b.Rate.TokensAt(now) < 1 {
 			return
 		}
-		if b.running[key(n)] || now.Before(b.Backoff(n.Adapter)) || !start(n) {
+		if !start(n) {
 			continue
 		}
-		b.running[key(n)] = true
+		b.Begin(n)
 		b.Rate.AllowN(now, 1)
 	}
 }
 
+// Begin records a load that was granted otherwise.
+func (b *Budget) Begin(n Need) {
+	b.init()
+	b.running[key(n)] = true
+}
+
+// Order returns the needs that may be loaded now, those that remove the most
+// stall first.
+func (b *Budget) Order(needs []Need, now time.Time) []Need {
+	b.init()
+	ordered := slices.DeleteFunc(slices.Clone(needs), func(n Need) bool {
+		return b.running[key(n)] || now.Before(b.Backoff(n.Adapter))
+	})
+	slices.SortStableFunc(ordered, func(x, y Need) int { return cmp.Compare(Saved(y, now), Saved(x, now)) })
+	return ordered
+}
+
 // Wait estimates how long a further load waits behind line others.
 func (b *Budget) Wait(line int) time.Duration {
 	limit := b.Rate.Limit()
@@ -119,12 +123,19 @@
 	f.until = now.Add(f.backoff.NextBackOff())
 }
 
+func (b *Budget) init() {
+	if b.running == nil {
+		b.running = make(map[string]bool)
+		b.failed = make(map[string]*failure)
+	}
+}
+
 func key(n Need) string { return n.Runner + "|" + n.Adapter }
 
-// saved estimates the stall that a load removes: every waiting request, more
+// Saved estimates the stall that a load removes: every waiting request, more
 // when a deadline nears, and a little for the age of the wait so that no need
 // waits for ever.
-func saved(n Need, now time.Time) float64 {
+func Saved(n Need, now time.Time) float64 {
 	s := float64(n.Waiting) + now.Sub(n.Oldest).Seconds()
 	if !n.Deadline.IsZero() && n.Deadline.Sub(now) < horizon {
 		s *= 2
--- a/internal/experiment/reporter/report.go
+++ b/internal/experiment/reporter/report.go
@@ -126,15 +126,13 @@
 }
 
 // stallOf is the time that a request waited because its adapter was not
-// resident. One that was given up on while it waited has stalled all along.
+// resident. One that was not answered counts as stalled for as long as its
+// caller would have waited, so that no policy gains by refusing.
 func stallOf(r *sender.Result) time.Duration {
 	if r.Whole {
 		return r.Stall
 	}
-	if r.Verdict == judge.NotRun && r.Reason == judge.ReasonDeadline {
-		return max(r.Took, r.Call.Deadline)
-	}
-	return r.Stall
+	return max(r.Took, r.Call.Deadline)
 }
 
 func counts(m map[string]int) string {
--- a/internal/instance/server/answer.go
+++ b/internal/instance/server/answer.go
@@ -35,6 +35,8 @@
 			return errors.New("no settings are in force here")
 		}
 		return reply.Send(relayer.Told{Head: force.Head})
+	case relayer.Permit:
+		return s.answerPermit(ctx, m, reply)
 	case relayer.Yield:
 		return reply.Send(s.yield(m))
 	default:
--- /dev/null
+++ b/internal/instance/server/permit.go
@@ -0,0 +1,147 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/loader"
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/driver"
+)
+
+var _ driver.Permits = (*Server)(nil)
+
+// permits is the allocator of the deployment, as far as this instance is the
+// one that runs it. It is guarded by the server's lock.
+type permits struct {
+	loader.Allocator
+
+	granted map[uint64]chan struct{} // of bids that wait
+	next    uint64
+}
+
+// loadsOut is after how many times a load's usual time a permit runs out.
+const loadsOut = 5
+
+// Acquire implements driver.Permits.
+func (s *Server) Acquire(ctx context.Context, value float64) (release func(), ok bool) {
+	bid, limited := s.bid(value)
+	if !limited {
+		return func() {}, true
+	}
+	address, remote := s.allocating(time.Now())
+	if !remote {
+		return s.acquireHere(ctx, bid), true
+	}
+	c, err := s.Mesh.Open(ctx, address, bid)
+	if err != nil {
+		return nil, false
+	}
+	m, err := c.Next(ctx)
+	if _, granted := m.(relayer.Granted); err != nil || !granted {
+		c.Close()
+		return nil, ctx.Err() != nil // still in line, or the allocator has gone
+	}
+	return c.Close, true
+}
+
+// bid returns a bid with the limits of the settings in force, or false if there
+// are none.
+func (s *Server) bid(value float64) (relayer.Permit, bool) {
+	force := s.Watcher.Force()
+	if force == nil {
+		return relayer.Permit{}, false
+	}
+	w := force.Resolver.Weights()
+	if w.Rate <= 0 {
+		return relayer.Permit{}, false
+	}
+	together := max(1, w.Together)
+	usual := time.Duration(float64(together) / w.Rate * float64(time.Second))
+	return relayer.Permit{Value: value, Together: together, Time: loadsOut*usual + s.Config.Beat}, true
+}
+
+// allocating returns the address of the instance that hands out permits, or
+// false if that is this one: the first live one by its ID.
+func (s *Server) allocating(now time.Time) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range s.Monitor.Instances(now) {
+		switch {
+		case i.Incarnation == s.Incarnation:
+			return "", false
+		case i.Leaving || s.Monitor.Health(i.Incarnation, now) == heartbeater.Suspect:
+			continue
+		}
+		return i.Address, true
+	}
+	return "", false
+}
+
+// acquireHere waits for a permit of the own allocator. It returns nil if there
+// was none within ctx.
+func (s *Server) acquireHere(ctx context.Context, bid relayer.Permit) func() {
+	id, granted := s.enterBid(bid)
+	select {
+	case <-granted:
+		return func() { s.endBid(id) }
+	case <-ctx.Done():
+		s.endBid(id)
+		return nil
+	}
+}
+
+// answerPermit hands a permit to a peer for as long as its conversation lasts.
+func (s *Server) answerPermit(ctx context.Context, bid relayer.Permit, reply *relayer.Reply) error {
+	release := s.acquireHere(ctx, bid)
+	if release == nil {
+		return ctx.Err()
+	}
+	defer release()
+	if err := reply.Send(relayer.Granted{}); err != nil {
+		return err
+	}
+	<-ctx.Done() // the peer has closed the conversation, or its link has failed
+	return nil
+}
+
+func (s *Server) enterBid(bid relayer.Permit) (uint64, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := &s.permits
+	if p.granted == nil {
+		p.granted = make(map[uint64]chan struct{})
+	}
+	p.Together = bid.Together
+	p.Time = bid.Time
+	p.next++
+	p.granted[p.next] = make(chan struct{})
+	granted := p.granted[p.next]
+	p.Bid(p.next, bid.Value, time.Now())
+	s.grantBids()
+	return p.next, granted
+}
+
+func (s *Server) endBid(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.permits.Done(id)
+	delete(s.permits.granted, id)
+	s.grantBids()
+}
+
+// grantBids tells the bids that are granted now.
+func (s *Server) grantBids() {
+	for _, id := range s.permits.Grant(time.Now()) {
+		close(s.permits.granted[id])
+		delete(s.permits.granted, id)
+	}
+}
+
+// tidyBids grants what permits that ran out have left.
+func (s *Server) tidyBids() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grantBids()
+}
--- a/internal/instance/server/server.go
+++ b/internal/instance/server/server.go
@@ -61,6 +61,7 @@
 	links     map[string]linkState  // by address
 	mu        sync.Mutex
 	outage    atomic.Int64 // unix nanoseconds of the last failed look at the table; 0 after a good one
+	permits   permits      // guarded by mu
 	peerBeats map[string]relayer.Beat
 	pollNow   chan struct{}
 	rosterRow tabler.Row // as last scanned; guarded by mu
@@ -164,6 +165,7 @@
 	every(ctx, driveEvery, nil, func() {
 		now := time.Now()
 		s.share(now)
+		s.tidyBids()
 		s.Driver.Tick(ctx, now)
 	})
 }
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -59,6 +59,14 @@
 	// An Inquire asks for the head of the settings in force.
 	Inquire struct{}
 
+	// A Permit bids for a load from the weight store. The conversation lasts as
+	// long as the load; its end gives the permit back.
+	Permit struct {
+		Value    float64       `cbor:"1,keyasint"` // stall that the load removes
+		Together int           `cbor:"2,keyasint"` // loads at once, as the sender's settings say
+		Time     time.Duration `cbor:"3,keyasint"` // after which the permit runs out
+	}
+
 	// A Yield asks whether the receiver has given a runner up under a roster
 	// epoch, and what its running requests still use.
 	Yield struct {
@@ -92,6 +100,9 @@
 		Retry   time.Duration `cbor:"4,keyasint"`
 	}
 
+	// A Granted says that the load may begin.
+	Granted struct{}
+
 	// A Head begins an answer.
 	Head struct {
 		Head streamer.Head `cbor:"1,keyasint"`
@@ -152,9 +163,11 @@
 func (Fail) message()        {}
 func (Fetch) message()       {}
 func (Grant) message()       {}
+func (Granted) message()     {}
 func (Head) message()        {}
 func (Hello) message()       {}
 func (Inquire) message()     {}
+func (Permit) message()      {}
 func (Surrendered) message() {}
 func (Told) message()        {}
 func (Yield) message()       {}
@@ -163,7 +176,7 @@
 var kinds = []Message{
 	1: Ask{}, 2: Beat{}, 3: Cancel{}, 4: Data{}, 5: End{}, 6: Fail{}, 7: Fetch{},
 	8: Grant{}, 9: Head{}, 10: Hello{}, 11: Inquire{}, 12: Surrendered{}, 13: Told{}, 14: Yield{},
-	15: Commit{}, 16: Committed{},
+	15: Commit{}, 16: Committed{}, 17: Permit{}, 18: Granted{},
 }
 
 // numbers is the inverse of kinds.
--- a/internal/upstream/driver/driver.go
+++ b/internal/upstream/driver/driver.go
@@ -36,6 +36,15 @@
 	Cleared(ctx context.Context, party, runner string) (keeper.Surrender, bool)
 }
 
+// Permits hands out permits to load from the weight store.
+type Permits interface {
+	// Acquire waits for a permit. The value is the stall that the load removes.
+	// A nil release means that there was none within ctx. It returns false if
+	// whoever hands them out cannot be reached; the driver then keeps to its
+	// part of the rate.
+	Acquire(ctx context.Context, value float64) (release func(), ok bool)
+}
+
 // A Driver drives the runners of one failure domain. Its fields are set before
 // use; it is safe for concurrent use.
 type Driver struct {
@@ -45,9 +54,11 @@
 	Evictor func() keeper.Evictor // for engines declared later
 	Logger  log.Logger
 	Metrics *metrics.Set
-	Self    string // incarnation
+	Permits Permits // nil to keep to the part of the rate always
+	Self    string  // incarnation
 	Tenancy Tenancy
 
+	bids    int // for permits, under way
 	budget  *loader.Budget
 	mu      sync.Mutex
 	loads   ewma // seconds that a load takes
--- /dev/null
+++ b/internal/upstream/driver/permit.go
@@ -0,0 +1,102 @@
+package driver
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
+	"github.com/sardinetiller/sardinetiller/internal/adapter/loader"
+)
+
+// permitTime bounds the wait for one permit. A bid that has waited that long is
+// made anew with what it is worth then.
+const permitTime = 5 * time.Second
+
+// bidFor bids for permits, as many at once as the weight store takes loads.
+// Called with the lock held.
+func (d *Driver) bidFor(ctx context.Context, needs []loader.Need, now time.Time) {
+	for d.bids < min(d.budget.Together, len(needs)) {
+		value := loader.Saved(needs[d.bids], now)
+		d.bids++
+		go d.permitted(context.WithoutCancel(ctx), value)
+	}
+}
+
+// permitted waits for a permit and uses it on the best need of that moment.
+func (d *Driver) permitted(ctx context.Context, value float64) {
+	waited, cancel := context.WithTimeout(ctx, permitTime)
+	release, ok := d.Permits.Acquire(waited, value)
+	if release != nil {
+		d.loadOne(ctx)
+		release()
+	}
+	cancel()
+	d.mu.Lock()
+	d.bids--
+	if !ok {
+		d.count("sardinetiller_permit_failures_total", "allocator")
+		d.withoutPermit(ctx)
+	}
+	d.mu.Unlock()
+	if ok {
+		d.Pump(ctx, time.Now())
+	}
+}
+
+// withoutPermit loads within the own part of the rate, as when the instance
+// that hands out permits cannot be reached. Called with the lock held.
+func (d *Driver) withoutPermit(ctx context.Context) {
+	now := time.Now()
+	d.budget.Grant(d.needs(), now, func(n loader.Need) bool { return d.begin(ctx, n, now) })
+}
+
+// loadOne loads the adapter that removes the most stall now, after making room
+// for it if need be.
+func (d *Driver) loadOne(ctx context.Context) {
+	const orders = 2 // an eviction and the load
+	for range orders {
+		e, n, action := d.best()
+		if action == nil {
+			return
+		}
+		d.send(ctx, e, n, action)
+		if _, isLoad := action.(keeper.Load); isLoad {
+			return
+		}
+	}
+}
+
+// best decides on the next order.
+func (d *Driver) best() (*engine, loader.Need, keeper.Action) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, n := range d.budget.Order(d.needs(), now) {
+		e := d.runners[n.Runner]
+		if !d.Tenancy.May(n.Runner) {
+			continue
+		}
+		action := e.Keeper.Want(n.Adapter, now)
+		if action == nil {
+			continue
+		}
+		if _, isLoad := action.(keeper.Load); isLoad {
+			d.budget.Begin(n)
+		}
+		d.changed(e)
+		return e, n, action
+	}
+	return nil, loader.Need{}, nil
+}
+
+// needs returns what requests wait for on the runners whose state is known.
+// Called with the lock held.
+func (d *Driver) needs() []loader.Need {
+	var needs []loader.Need
+	for _, name := range d.names {
+		if e := d.runners[name]; e.reported {
+			needs = append(needs, e.Needs()...)
+		}
+	}
+	return needs
+}
--- a/internal/upstream/driver/serve.go
+++ b/internal/upstream/driver/serve.go
@@ -51,21 +51,22 @@
 func (d *Driver) Pump(ctx context.Context, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var needs []loader.Need
 	for _, name := range d.names {
 		e := d.runners[name]
 		for _, s := range e.Starts(now) {
 			e.waiters[s.Item.ID].start <- s.Handle
 			delete(e.waiters, s.Item.ID)
 		}
-		if e.reported {
-			needs = append(needs, e.Needs()...)
-		}
 	}
+	needs := d.needs()
 	if len(needs) == 0 || d.budget == nil {
 		return
 	}
-	d.budget.Grant(needs, now, func(n loader.Need) bool { return d.begin(ctx, n, now) })
+	if d.Permits == nil {
+		d.budget.Grant(needs, now, func(n loader.Need) bool { return d.begin(ctx, n, now) })
+		return
+	}
+	d.bidFor(ctx, d.budget.Order(needs, now), now)
 }
 
 // begin orders what brings a needed adapter nearer. It returns whether that is
@@ -85,8 +86,14 @@
 	return isLoad
 }
 
-// carryOut sends an order and records how it ended.
+// carryOut sends an order, records how it ended, and looks what is next.
 func (d *Driver) carryOut(ctx context.Context, e *engine, n loader.Need, action keeper.Action) {
+	d.send(ctx, e, n, action)
+	d.Pump(ctx, time.Now())
+}
+
+// send sends an order and records how it ended.
+func (d *Driver) send(ctx context.Context, e *engine, n loader.Need, action keeper.Action) {
 	began := time.Now()
 	answer := caller.Answer{Outcome: keeper.Failed}
 	// The last moment before the order: a process that was paused since it
@@ -104,7 +111,6 @@
 	d.finish(n, action, answer, now, now.Sub(began))
 	d.changed(e)
 	d.mu.Unlock()
-	d.Pump(ctx, now)
 }
 
 func (d *Driver) finish(n loader.Need, action keeper.Action, answer caller.Answer, now time.Time, took time.Duration) {
