--- a/internal/command/commander/yard_test.go
+++ b/internal/command/commander/yard_test.go
@@ -11,6 +11,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -233,19 +234,27 @@
 	e := &entry{process: start(y.t, "serve", "--settings", file), peers: peers, proxy: proxy}
 	e.caller = e.await(y.t, `msg=started caller=(\S+)`)
 	e.operator = e.await(y.t, `msg=started .* operator=(\S+)`)
-	if err := peers.Update(&toxiproxy.Proxy{Listen: peers.Listen, Upstream: e.await(y.t, `msg=started .* peer=(\S+)`), Enabled: true}); err != nil {
-		y.t.Fatal(err)
-	}
+	upstream := e.await(y.t, `msg=started .* peer=(\S+)`)
+	until(y.t, "the proxy listens again", func() bool {
+		return peers.Update(&toxiproxy.Proxy{Listen: peers.Listen, Upstream: upstream, Enabled: true}) == nil
+	})
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	y.instances[id] = e
 }
 
+// proxies counts the proxies. Each listens on a loopback address of its own: on
+// a shared one, a connection that goes out while the proxy is cut can take its
+// port, and the proxy cannot come back. The library frees the port a moment
+// after it says so, hence the waits.
+var proxies atomic.Int64
+
 // proxy starts a proxy that a test can cut.
 func (y *yard) proxy(name, upstream string) *toxiproxy.Proxy {
 	y.t.Helper()
+	n := proxies.Add(1)
 	proxy := toxiproxy.NewProxy()
-	proxy.Name, proxy.Listen, proxy.Upstream = name, "127.0.0.1:0", upstream
+	proxy.Name, proxy.Listen, proxy.Upstream = name, fmt.Sprintf("127.1.%d.%d:0", 1+n/250, 1+n%250), upstream
 	if err := proxy.Start(); err != nil {
 		y.t.Fatal(err)
 	}
@@ -261,9 +270,7 @@
 	}
 	time.Sleep(d)
 	for _, p := range proxies {
-		if err := p.Start(); err != nil {
-			y.t.Error(err)
-		}
+		until(y.t, "the proxy listens again", func() bool { return p.Start() == nil })
 	}
 }
 
--- a/internal/experiment/reporter/report.go
+++ b/internal/experiment/reporter/report.go
@@ -15,7 +15,6 @@
 
 	"github.com/sardinetiller/sardinetiller/internal/experiment/auditor"
 	"github.com/sardinetiller/sardinetiller/internal/experiment/sender"
-	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/standin/generator"
 )
 
