--- a/internal/instance/composer/composer.go
+++ b/internal/instance/composer/composer.go
@@ -24,6 +24,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/request/answerer"
 	"github.com/sardinetiller/sardinetiller/internal/request/claimer"
 	"github.com/sardinetiller/sardinetiller/internal/request/dispatcher"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
 	"github.com/sardinetiller/sardinetiller/internal/setting/watcher"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/caller"
@@ -174,7 +175,18 @@
 	return &relayer.Mesh{Handler: s, Secret: p.Keys.Secret, Self: s.Self, TLS: p.Keys.Dial}
 }
 
-func newMetrics() *metrics.Set { return metrics.NewSet() }
+// newMetrics returns the counters of an instance. Those of refusals and retries
+// are there from the start, so that a reason that has not occurred shows as 0
+// and an alert on its growth works the first time.
+func newMetrics() *metrics.Set {
+	set := metrics.NewSet()
+	for _, reason := range judge.Reasons {
+		label := `{reason="` + string(reason) + `",verdict="` + string(judge.NotRun) + `"}`
+		set.NewCounter("sardinetiller_refusals_total" + label)
+		set.NewCounter("sardinetiller_retries_total" + label)
+	}
+	return set
+}
 
 func newMonitor(p Parts) *heartbeater.Monitor {
 	return &heartbeater.Monitor{Silence: silentBeats * p.Config.Beat, Patience: p.Config.Lease}
--- a/internal/instance/server/server.go
+++ b/internal/instance/server/server.go
@@ -85,6 +85,7 @@
 	s.links = make(map[string]linkState)
 	s.leases = make(map[string]tabler.Row)
 	s.peerBeats = make(map[string]relayer.Beat)
+	s.gauges()
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var loops sync.WaitGroup
--- a/internal/standin/generator/wire.go
+++ b/internal/standin/generator/wire.go
@@ -86,5 +86,4 @@
 	Filled int       `json:"filled"` // requests in those steps, added up
 	Batch  int       `json:"batch"`  // requests that fit in a step
 	Left   time.Time `json:"left"`   // when it first said that it leaves
-	Prefix int       `json:"prefix"` // runs that found their prefix cached
 }
