--- a/internal/adapter/keeper/custody_test.go
+++ b/internal/adapter/keeper/custody_test.go
@@ -132,7 +132,7 @@
 	case "report":
 		return c.report(who)
 	case "pin":
-		if handle, ok := o.keeper.Pin(adapter, c.now); ok {
+		if handle, ok := o.keeper.Pin(adapter); ok {
 			o.ready = append(o.ready, handle)
 		}
 	case "send":
@@ -217,7 +217,7 @@
 	c.pass(1)
 	later := c.owners[1]
 	load(t, later.keeper, "x@1", c.now)
-	handle, _ := later.keeper.Pin("x@1", c.now)
+	handle, _ := later.keeper.Pin("x@1")
 	later.ready = append(later.ready, handle)
 	c.resident[handle.String()] = true
 	c.send(later)
--- a/internal/adapter/keeper/keeper.go
+++ b/internal/adapter/keeper/keeper.go
@@ -21,11 +21,9 @@
 	raised    bool // the engine has confirmed this tenure's fencing number
 	slots     map[string]*Slot
 	uncleared map[string]bool
+	uses      uint64 // of all slots so far
 }
 
-// halfLife is how long a use counts fully in slots whose policy names none.
-const halfLife = time.Minute
-
 // Servable reports whether Pin would find a copy of the adapter.
 func (k *Keeper) Servable(adapter string) bool {
 	return k.copyOf(adapter) != nil
@@ -109,13 +107,13 @@
 // Pin takes a pin on a servable copy of the adapter for one request. The
 // caller must Unpin the handle when the last byte has gone. It returns false
 // when no servable copy is resident.
-func (k *Keeper) Pin(adapter string, now time.Time) (Handle, bool) {
+func (k *Keeper) Pin(adapter string) (Handle, bool) {
 	s := k.copyOf(adapter)
 	if s == nil {
 		return Handle{}, false
 	}
 	s.Pins++
-	s.touch(now, k.halfLife())
+	k.touch(s)
 	return s.Handle, true
 }
 
@@ -166,7 +164,7 @@
 	if len(k.slots) < k.Capacity {
 		return k.load(adapter, now)
 	}
-	victim := k.victim(now)
+	victim := k.victim()
 	if victim == nil {
 		return nil
 	}
@@ -212,13 +210,6 @@
 	return nil
 }
 
-func (k *Keeper) halfLife() time.Duration {
-	if heat, ok := k.Policy.(Heat); ok && heat.HalfLife > 0 {
-		return heat.HalfLife
-	}
-	return halfLife
-}
-
 func (k *Keeper) init() {
 	if k.slots == nil {
 		k.slots = make(map[string]*Slot)
@@ -226,14 +217,22 @@
 	}
 }
 
+// freshHits is what a copy is worth before its first use: enough that the
+// request which waits for it finds it, and little, because most cold adapters
+// are wanted once. Measured against 0 and 1 in docs/design/routing.md.
+const freshHits = 0.3
+
 func (k *Keeper) load(adapter string, now time.Time) Action {
 	k.loads++
 	handle := Handle{Adapter: adapter, Loader: k.Self, Serial: k.loads}
-	k.slots[handle.String()] = &Slot{Handle: handle, Machine: Chart.Machine(), changed: now}
+	slot := &Slot{Handle: handle, Machine: Chart.Machine(), changed: now}
+	slot.hits = freshHits
+	slot.used = k.uses
+	k.slots[handle.String()] = slot
 	return Load{Handle: handle, Fence: k.fence}
 }
 
-func (k *Keeper) victim(now time.Time) *Slot {
+func (k *Keeper) victim() *Slot {
 	var worst *Slot
 	var least float64
 	for _, name := range slices.Sorted(maps.Keys(k.slots)) {
@@ -244,7 +243,7 @@
 		if s.Machine.State == stateDoomed {
 			return s
 		}
-		v := value(k.Policy, s, now)
+		v := k.value(s)
 		if worst == nil || v < least {
 			worst = s
 			least = v
--- a/internal/adapter/keeper/keeper_test.go
+++ b/internal/adapter/keeper/keeper_test.go
@@ -39,7 +39,7 @@
 	order := k.Want("mill-1@1", start)
 	fmt.Printf("%T\n", order)
 	_ = k.Finish(order, keeper.Done, start)
-	handle, ok := k.Pin("mill-1@1", start)
+	handle, ok := k.Pin("mill-1@1")
 	fmt.Println(handle, ok, k.Want("mill-2@1", start))
 	k.Unpin(handle)
 	fmt.Printf("%T\n", k.Want("mill-2@1", start))
@@ -77,7 +77,7 @@
 			if _, err := k.Reconcile(keeper.Report{Held: true, Asked: start, Engine: "e", Resident: []string{"x@1#a"}}); err != nil {
 				t.Fatal(err)
 			}
-			handle, serves := k.Pin("x@1", start)
+			handle, serves := k.Pin("x@1")
 			if serves != tc.serves {
 				t.Errorf("served = %v, want %v", serves, tc.serves)
 			}
@@ -112,7 +112,7 @@
 	if _, err := k.Reconcile(report); err != nil {
 		t.Fatal(err)
 	}
-	if handle, ok := k.Pin("x@1", start); ok {
+	if handle, ok := k.Pin("x@1"); ok {
 		t.Errorf("served doomed copy %s", handle)
 	}
 	again, ok := k.Want("z@1", start.Add(5*time.Second)).(keeper.Evict)
@@ -146,7 +146,7 @@
 	if err != nil || !restarted {
 		t.Fatalf("Reconcile = %v, %v, want a restart", restarted, err)
 	}
-	if _, ok := k.Pin("x@1", start); ok {
+	if _, ok := k.Pin("x@1"); ok {
 		t.Error("pinned an adapter that the restart dropped")
 	}
 }
@@ -161,7 +161,7 @@
 		t.Fatal(err)
 	}
 	load(t, k, "x@1", start.Add(time.Second))
-	handle, _ := k.Pin("x@1", start.Add(time.Second))
+	handle, _ := k.Pin("x@1")
 	report := keeper.Report{Held: true, Asked: start.Add(2 * time.Second), Engine: "e2", Resident: []string{handle.String()}}
 	if _, err := k.Reconcile(report); err != nil {
 		t.Fatal(err)
@@ -173,14 +173,14 @@
 
 func TestHeatKeepsTheHotAdapter(t *testing.T) {
 	k := newKeeper()
-	k.Policy = keeper.Heat{HalfLife: time.Minute}
+	k.Policy = keeper.Heat{}
 	load(t, k, "hot@1", start)
 	load(t, k, "cold@1", start)
 	for range 5 {
-		handle, _ := k.Pin("hot@1", start)
+		handle, _ := k.Pin("hot@1")
 		k.Unpin(handle)
 	}
-	handle, _ := k.Pin("cold@1", start.Add(time.Second))
+	handle, _ := k.Pin("cold@1")
 	k.Unpin(handle)
 	order, ok := k.Want("new@1", start.Add(2*time.Second)).(keeper.Evict)
 	if !ok || order.Handle.Adapter != "cold@1" {
--- a/internal/adapter/keeper/slot.go
+++ b/internal/adapter/keeper/slot.go
@@ -43,24 +43,10 @@
 	Pins      int                  // requests of this owner that use the copy
 
 	changed time.Time // when the last order on the slot ended
-	hits    float64   // uses, decayed to the time of used
-	used    time.Time
+	hits    float64   // uses, aged to the time of used
+	used    uint64    // by the keeper's count of uses
 }
 
 func (s *Slot) resident() bool {
 	return s.Machine.State == stateResident
 }
-
-// touch counts one use. Older uses weigh half after each half-life.
-func (s *Slot) touch(now time.Time, halfLife time.Duration) {
-	s.hits = s.heat(now, halfLife) + 1
-	s.used = now
-}
-
-// heat returns the uses decayed to now.
-func (s *Slot) heat(now time.Time, halfLife time.Duration) float64 {
-	if s.used.IsZero() {
-		return 0
-	}
-	return s.hits * decay(now.Sub(s.used), halfLife)
-}
--- a/internal/instance/composer/composer.go
+++ b/internal/instance/composer/composer.go
@@ -55,7 +55,6 @@
 	platformTimeout = 2 * time.Second
 	orderTimeout    = 30 * time.Second
 	silentBeats     = 4 // heartbeats missed before an instance is suspect
-	heatHalfLife    = 30 * time.Second
 )
 
 // incarnation is the name of one run of an instance.
@@ -149,7 +148,7 @@
 }
 
 func newDriver(p Parts, i incarnation, s *server.Server, f *monitor.Fleet, m *metrics.Set) *driver.Driver {
-	evictor := func() keeper.Evictor { return keeper.Heat{HalfLife: heatHalfLife, Copies: f.Copies} }
+	evictor := func() keeper.Evictor { return keeper.Heat{Copies: f.Copies} }
 	if p.LRU {
 		evictor = func() keeper.Evictor { return keeper.LRU{} }
 	}
--- a/internal/upstream/orderer/runner.go
+++ b/internal/upstream/orderer/runner.go
@@ -95,7 +95,7 @@
 		if !ok {
 			break
 		}
-		handle, _ := r.Keeper.Pin(item.Adapter, now) // Servable was asked just now
+		handle, _ := r.Keeper.Pin(item.Adapter) // Servable was asked just now
 		r.running++
 		starts = append(starts, Start{Item: item, Handle: handle})
 	}
