Ask for the lease under the driver's lock before a tenure begins

Cause: read in review: an instance that was paused between the question and the tenure could surrender the runner in between and then serve copies that its successor may evict. Now one of the two sees the other.

--- a/internal/upstream/driver/look.go
+++ b/internal/upstream/driver/look.go
@@ -13,10 +13,13 @@
 // look brings one runner's tenure up to date and begins what is due: the new
 // fencing number, the clearing of earlier parties, a report.
 func (d *Driver) look(ctx context.Context, name string, now time.Time) {
-	fence, acts := d.Tenancy.Acts(name)
-	owns := d.Tenancy.Owns(name)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	// Asked under the lock: a tenure begun on an older answer could follow this
+	// instance's own surrender, and serve copies that the next owner, which counts
+	// it as cleared, evicts.
+	fence, acts := d.Tenancy.Acts(name)
+	owns := d.Tenancy.Owns(name)
 	e := d.runners[name]
 	switch {
 	case acts && (!e.Keeper.Owned() || e.Keeper.Fence() != fence):
