--- a/internal/request/claimer/claimer_test.go
+++ b/internal/request/claimer/claimer_test.go
@@ -21,7 +21,8 @@
 // after the write, and lets some writes take effect late.
 type badTable struct {
 	tabler.Memory
-	down atomic.Bool
+	blind bool // does not look at the conditions
+	down  atomic.Bool
 
 	mu     sync.Mutex
 	late   float64
@@ -45,6 +46,9 @@
 
 func (b *badTable) Commit(ctx context.Context, txn tabler.Txn) error {
 	time.Sleep(2 * time.Millisecond)
+	if b.blind {
+		txn.Checks = nil
+	}
 	late, lose := b.draw()
 	lost := &tabler.UnknownError{Err: errors.New("answer lost")}
 	switch {
@@ -127,13 +131,36 @@
 // caller who is told it ran sees the one outcome.
 func TestRunsAtMostOnce(t *testing.T) {
 	for seed := range uint64(150) {
-		synctest.Test(t, func(t *testing.T) { runScenario(t, seed) })
+		synctest.Test(t, func(t *testing.T) {
+			if err := runScenario(t, seed, false); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// A table that does not look at the conditions takes the safeguard out: the
+// check above must find requests that ran twice.
+func TestOnceCheckSeesMissingSafeguard(t *testing.T) {
+	found := 0
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			if runScenario(t, seed, true) != nil {
+				found++
+			}
+		})
+	}
+	if found == 0 {
+		t.Error("no request was found to have run twice")
 	}
 }
 
-func runScenario(t *testing.T, seed uint64) {
+// runScenario returns an error if the request ran more than once or callers saw
+// different outcomes.
+func runScenario(t *testing.T, seed uint64, blind bool) error {
 	random := rand.New(rand.NewPCG(seed, 2))
 	b := newBench(t, 3, seed)
+	b.table.blind = blind
 	b.table.set(random.Float64()/4, random.Float64()/2)
 	crash := random.IntN(3) == 0
 	var wg sync.WaitGroup
@@ -160,12 +187,10 @@
 	time.Sleep(time.Second)
 	b.table.down.Store(false)
 	wg.Wait()
-	if runs := b.runs.Load(); runs > 1 {
-		t.Errorf("seed %d: ran %d times", seed, runs)
-	}
-	if len(bodies) > 1 {
-		t.Errorf("seed %d: callers saw outcomes %v", seed, bodies)
+	if runs := b.runs.Load(); runs > 1 || len(bodies) > 1 {
+		return fmt.Errorf("seed %d: ran %d times, callers saw %v", seed, runs, bodies)
 	}
+	return nil
 }
 
 // Two requests with one key meet in one group of claims. Joined into one
