A herd does not keep a quiet account out

Cause: five times the capacity in one second, nine tenths from one account. The instance that chooses counted the whole queue, and its own refused sends, as ahead of the quiet account's requests and refused them for their deadline.

--- /dev/null
+++ b/internal/experiment/stager/herd_test.go
@@ -0,0 +1,104 @@
+package stager_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/sardinetiller/sardinetiller/internal/experiment/sampler"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/sender"
+	"github.com/sardinetiller/sardinetiller/internal/experiment/stager"
+)
+
+const (
+	herdTokens = 20
+	quietKey   = "quiet-key"
+)
+
+// BenchmarkHerd sends, within one second, five times what the engines can serve
+// in a second, nine tenths of it from one account. It reports the goodput, whole
+// answers a second of the busy time, as a part of the capacity, and what part of
+// each account's calls was answered.
+func BenchmarkHerd(b *testing.B) {
+	plan, err := stager.Deployment(stager.Association)
+	if err != nil {
+		b.Fatal(err)
+	}
+	plan.Domains = plan.Domains[:1]
+	plan.Engines, plan.Instances, plan.Services = 2, 2, 1
+	s, err := stager.Start(b.Context(), plan, log.NewNopLogger())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Stop()
+	quiet := fmt.Appendf(nil, "kind: account\nname: quiet\nkeys:\n  - {hash: %x}\nadapters:\n  - {name: quiet, count: 2, versions: [1], service: %s, base: b}\n",
+		sha256.Sum256([]byte(quietKey)), plan.Engine)
+	if _, err := s.Apply(b.Context(), "quiet.yaml", quiet); err != nil {
+		b.Fatal(err)
+	}
+	time.Sleep(3 * time.Second)
+	step := 25 * time.Millisecond / time.Duration(plan.Speed)
+	capacity := float64(plan.Engines*plan.Batch) / (herdTokens * step.Seconds())
+	warm(b, s)
+	for b.Loop() {
+		herd(b, s, capacity)
+	}
+}
+
+// warm loads the adapters of both accounts.
+func warm(b *testing.B, s *stager.Stage) {
+	for _, r := range append(burst(b.Context(), s, stager.Key, "desk", 16), burst(b.Context(), s, quietKey, "quiet", 4)...) {
+		if !r.Whole {
+			b.Fatalf("%s: %s", r.Reason, r.Err)
+		}
+	}
+}
+
+func herd(b *testing.B, s *stager.Stage, capacity float64) {
+	const times = 5
+	n := int(times * capacity)
+	began := time.Now()
+	var loud, quiet []sender.Result
+	var both sync.WaitGroup
+	both.Go(func() { loud = burst(b.Context(), s, stager.Key, "desk", n*9/10) })
+	both.Go(func() { quiet = burst(b.Context(), s, quietKey, "quiet", n/10) })
+	both.Wait()
+	last := began
+	for _, r := range append(append([]sender.Result{}, loud...), quiet...) {
+		if end := r.Sent.Add(r.Took); r.Whole && end.After(last) {
+			last = end
+		}
+	}
+	answered := whole(loud) + whole(quiet)
+	b.ReportMetric(float64(answered)/last.Sub(began).Seconds()/capacity, "goodput")
+	b.ReportMetric(float64(whole(loud))/float64(len(loud)), "loud")
+	b.ReportMetric(float64(whole(quiet))/float64(len(quiet)), "quiet")
+}
+
+// burst sends n calls of one account within a second.
+func burst(ctx context.Context, s *stager.Stage, key, group string, n int) []sender.Result {
+	calls := make([]sampler.Call, n)
+	for i := range calls {
+		calls[i] = sampler.Call{
+			At: time.Second * time.Duration(i) / time.Duration(n), Adapter: fmt.Sprintf("%s-%d@1", group, i%2),
+			Deadline: 5 * time.Second, Marker: fmt.Sprintf("%s-%d", group, i), Tokens: herdTokens,
+		}
+	}
+	send := sender.Sender{Addresses: func() [][]string { return [][]string{{s.Address(0), s.Address(1)}} }, Key: key}
+	return send.Run(ctx, calls)
+}
+
+func whole(results []sender.Result) int {
+	n := 0
+	for _, r := range results {
+		if r.Whole {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -31,6 +31,24 @@
 // that a burst long ago does not count against it.
 const ageing = 0.98
 
+// Ahead returns how many waiting items are served before a further one of the
+// account, if all ask for the same: its own, and of each other account as many
+// as it would hold itself.
+func (q *Queue) Ahead(account string) int {
+	held := make(map[string]int)
+	for i := range q.items {
+		held[q.items[i].Account]++
+	}
+	own := held[account]
+	ahead := own
+	for other, n := range held {
+		if other != account {
+			ahead += min(n, own+1)
+		}
+	}
+	return ahead
+}
+
 // Expired removes and returns the items that cannot be answered in time: their
 // deadline is nearer than the least time a run takes.
 func (q *Queue) Expired(now time.Time, run time.Duration) []Item {
@@ -73,16 +91,53 @@
 	return item, true
 }
 
-// Offer enters an item or refuses it with a NotRun error.
-func (q *Queue) Offer(item Item) error {
-	if len(q.items) >= q.Limit {
-		return judge.Refuse(judge.ReasonQueue, "the queue holds %d requests", len(q.items)).After(time.Second)
-	}
+// Offer enters an item or refuses it with a NotRun error. Into a full queue an
+// account that holds little still gets: the account that holds the most gives up
+// its last item, which is returned and is to be refused with Displaced. Without
+// that the first herd to arrive would keep everyone else out.
+func (q *Queue) Offer(item Item) (displaced *Item, err error) {
 	if 2*len(q.items) >= q.Limit && float64(q.held(item.Account)) >= q.Share*float64(q.Limit) {
-		return judge.Refuse(judge.ReasonShare, "account %s holds its share of the queue", item.Account).After(time.Second)
+		return nil, judge.Refuse(judge.ReasonShare, "account %s holds its share of the queue", item.Account).After(time.Second)
+	}
+	if len(q.items) >= q.Limit {
+		last := q.surplus(item.Account)
+		if last < 0 {
+			return nil, judge.Refuse(judge.ReasonQueue, "the queue holds %d requests", len(q.items)).After(time.Second)
+		}
+		given := q.items[last]
+		displaced = &given
+		q.items = slices.Delete(q.items, last, last+1)
 	}
 	q.items = append(q.items, item)
-	return nil
+	return displaced, nil
+}
+
+// Displaced is what the caller of a displaced item is told.
+func Displaced(item *Item) *judge.Error {
+	return judge.Refuse(judge.ReasonShare, "the queue is full and account %s holds the most of it", item.Account).After(time.Second)
+}
+
+// surplus returns the place of the last item of the account that holds the most,
+// or -1 if the newcomer's account would hold as much.
+func (q *Queue) surplus(newcomer string) int {
+	held := make(map[string]int)
+	heaviest := ""
+	for i := range q.items {
+		account := q.items[i].Account
+		held[account]++
+		if held[account] > held[heaviest] {
+			heaviest = account
+		}
+	}
+	if held[newcomer]+1 >= held[heaviest] {
+		return -1
+	}
+	for i := len(q.items) - 1; i >= 0; i-- {
+		if q.items[i].Account == heaviest {
+			return i
+		}
+	}
+	return -1
 }
 
 // Remove takes out an item whose caller went away. It returns whether the item
--- a/internal/request/admitter/queue_test.go
+++ b/internal/request/admitter/queue_test.go
@@ -36,7 +36,7 @@
 		{ID: "urgent", Account: "a", Priority: 1},
 		{ID: "other", Account: "b"},
 	} {
-		if err := q.Offer(item); err != nil {
+		if _, err := q.Offer(item); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -52,7 +52,7 @@
 	q := &admitter.Queue{Limit: 20, Share: 0.5}
 	refused := 0
 	for i := range 30 {
-		err := q.Offer(admitter.Item{ID: fmt.Sprint(i), Account: "herd"})
+		_, err := q.Offer(admitter.Item{ID: fmt.Sprint(i), Account: "herd"})
 		if err != nil && judge.As(err).Reason == judge.ReasonShare {
 			refused++
 		}
@@ -61,7 +61,7 @@
 		t.Errorf("refused %d for the share, want 20", refused)
 	}
 	for i := range 5 {
-		if err := q.Offer(admitter.Item{ID: fmt.Sprint("q", i), Account: "quiet"}); err != nil {
+		if _, err := q.Offer(admitter.Item{ID: fmt.Sprint("q", i), Account: "quiet"}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -77,11 +77,44 @@
 	}
 }
 
+// Two loud accounts have filled the queue. A quiet one still gets in, at the cost
+// of whoever holds the most, until all hold about as much.
+func TestQuietAccountGetsIntoAFullQueue(t *testing.T) {
+	q := &admitter.Queue{Limit: 10, Share: 1}
+	for i := range 10 {
+		_, _ = q.Offer(admitter.Item{ID: fmt.Sprint("l", i), Account: []string{"loud", "loud", "louder", "louder", "louder"}[i%5]})
+	}
+	var displaced []string
+	for i := range 10 {
+		out, err := q.Offer(admitter.Item{ID: fmt.Sprint("q", i), Account: "quiet"})
+		if err != nil {
+			break
+		}
+		displaced = append(displaced, out.ID)
+	}
+	want := []string{"l9", "l8", "l6"}
+	if diff := cmp.Diff(want, displaced); diff != "" || q.Len() != 10 {
+		t.Errorf("%d wait: %s", q.Len(), diff)
+	}
+}
+
+func TestAhead(t *testing.T) {
+	q := &admitter.Queue{Limit: 20, Share: 1}
+	for i, account := range []string{"loud", "loud", "loud", "loud", "quiet"} {
+		_, _ = q.Offer(admitter.Item{ID: fmt.Sprint(i), Account: account})
+	}
+	for account, want := range map[string]int{"new": 2, "quiet": 3, "loud": 5} {
+		if got := q.Ahead(account); got != want {
+			t.Errorf("Ahead(%s) = %d, want %d", account, got, want)
+		}
+	}
+}
+
 func TestExpired(t *testing.T) {
 	q := &admitter.Queue{Limit: 10, Share: 1}
-	_ = q.Offer(admitter.Item{ID: "late", Deadline: start.Add(time.Second)})
-	_ = q.Offer(admitter.Item{ID: "fine", Deadline: start.Add(time.Minute)})
-	_ = q.Offer(admitter.Item{ID: "open"})
+	_, _ = q.Offer(admitter.Item{ID: "late", Deadline: start.Add(time.Second)})
+	_, _ = q.Offer(admitter.Item{ID: "fine", Deadline: start.Add(time.Minute)})
+	_, _ = q.Offer(admitter.Item{ID: "open"})
 	expired := q.Expired(start.Add(900*time.Millisecond), 200*time.Millisecond)
 	if len(expired) != 1 || expired[0].ID != "late" || q.Len() != 2 {
 		t.Errorf("expired %v, %d left", expired, q.Len())
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -206,12 +206,13 @@
 	return r.Choose(router.Request{Adapter: a.call.Adapter, Left: a.left()}, candidates)
 }
 
-// inTime refuses a request at once that cannot begin before its deadline, so
-// that its caller can act on it.
+// inTime refuses a request at once whose adapter cannot be there before its
+// deadline, so that its caller can act on it. The queue is judged by the owner,
+// who knows whose requests wait in it.
 func (a *attempts) inTime(best router.Terms) error {
-	wait := time.Duration((best.Stall + best.Queue) * float64(time.Second))
+	wait := time.Duration(best.Stall * float64(time.Second))
 	if left := a.left(); left > 0 && wait > left {
-		return judge.Refuse(judge.ReasonDeadline, "the wait is about %s and %s is left", wait.Round(time.Millisecond), left.Round(time.Millisecond)).After(wait)
+		return judge.Refuse(judge.ReasonDeadline, "the adapter takes about %s to load and %s is left", wait.Round(time.Millisecond), left.Round(time.Millisecond)).After(wait - left)
 	}
 	return nil
 }
--- a/internal/upstream/driver/serve.go
+++ b/internal/upstream/driver/serve.go
@@ -173,17 +173,41 @@
 	if !e.Keeper.Servable(call.Adapter) && !slices.Contains(e.coming(), call.Adapter) {
 		d.changed(e) // a further adapter stands in line
 	}
-	if err := e.Queue.Offer(admitter.Item{
+	if err := d.inTime(e, call, now); err != nil {
+		return nil, nil, err
+	}
+	displaced, err := e.Queue.Offer(admitter.Item{
 		ID: call.ID, Account: call.Account, Adapter: call.Adapter, Priority: call.Priority,
 		Arrived: now, Deadline: call.Deadline,
-	}); err != nil {
+	})
+	if err != nil {
 		return nil, nil, err
 	}
+	if displaced != nil {
+		e.waiters[displaced.ID].refuse(admitter.Displaced(displaced))
+		delete(e.waiters, displaced.ID)
+	}
 	w := newWaiter()
 	e.waiters[call.ID] = w
 	return w, e, nil
 }
 
+// inTime refuses a request at once that would not get its turn before its
+// deadline. The owner knows the queue, and that an account with little in it
+// does not wait behind one with much.
+func (d *Driver) inTime(e *engine, call *streamer.Call, now time.Time) error {
+	if call.Deadline.IsZero() {
+		return nil
+	}
+	turns := float64(e.Queue.Ahead(call.Account)) / float64(e.Batch)
+	wait := time.Duration(turns * float64(d.runs.duration()))
+	if left := call.Deadline.Sub(now); wait > left {
+		return judge.Refuse(judge.ReasonDeadline, "the queue takes about %s and %s is left",
+			wait.Round(time.Millisecond), left.Round(time.Millisecond)).After(wait - left)
+	}
+	return nil
+}
+
 // leastRun is the part of the usual time of a run below which hardly any run
 // ends: what has less time left cannot be answered any more.
 const leastRun = 4
--- a/internal/upstream/orderer/runner_test.go
+++ b/internal/upstream/orderer/runner_test.go
@@ -32,7 +32,7 @@
 func TestNeedsGatherTheWaiters(t *testing.T) {
 	r := newRunner(2)
 	for i, adapter := range []string{"x@1", "x@1", "y@1"} {
-		_ = r.Queue.Offer(admitter.Item{ID: fmt.Sprint(i), Adapter: adapter, Arrived: start})
+		_, _ = r.Queue.Offer(admitter.Item{ID: fmt.Sprint(i), Adapter: adapter, Arrived: start})
 	}
 	want := []loader.Need{
 		{Runner: "r", Adapter: "x@1", Waiting: 2, Oldest: start},
@@ -59,7 +59,7 @@
 	order := r.Keeper.Want("x@1", start)
 	_ = r.Keeper.Finish(order, keeper.Done, start)
 	for i := range 4 {
-		_ = r.Queue.Offer(admitter.Item{ID: fmt.Sprint(i), Adapter: "x@1"})
+		_, _ = r.Queue.Offer(admitter.Item{ID: fmt.Sprint(i), Adapter: "x@1"})
 	}
 	starts := r.Starts(start)
 	if len(starts) != 1 {
@@ -108,7 +108,7 @@
 func (m *model) arrive(t *rapid.T) {
 	m.sent++
 	adapter := rapid.SampledFrom([]string{"x@1", "y@1", "z@1"}).Draw(t, "adapter")
-	_ = m.runner.Queue.Offer(admitter.Item{ID: fmt.Sprint(m.sent), Adapter: adapter, Arrived: m.now})
+	_, _ = m.runner.Queue.Offer(admitter.Item{ID: fmt.Sprint(m.sent), Adapter: adapter, Arrived: m.now})
 	for _, s := range m.runner.Starts(m.now) {
 		m.start(s)
 	}
@@ -232,7 +232,7 @@
 func TestPinCheckSeesMissingSafeguard(t *testing.T) {
 	m := newModel(true)
 	for _, adapter := range []string{"x@1", "y@1", "z@1"} {
-		_ = m.runner.Queue.Offer(admitter.Item{ID: adapter, Adapter: adapter, Arrived: m.now})
+		_, _ = m.runner.Queue.Offer(admitter.Item{ID: adapter, Adapter: adapter, Arrived: m.now})
 	}
 	var broken error
 	for range 20 {
