--- a/internal/experiment/auditor/auditor_test.go
+++ b/internal/experiment/auditor/auditor_test.go
@@ -53,8 +53,13 @@
 		{"another caller's part", mixed, generator.Books{}, auditor.Audit{}, auditor.Promises{Whole: 1}},
 		{"told not_run", refused, generator.Books{Runs: []generator.Run{ran("x@1")}}, auditor.Audit{}, auditor.Promises{NotRun: 1}},
 		{"ran twice", once, generator.Books{Runs: []generator.Run{ran("x@1"), ran("x@1")}}, auditor.Audit{}, auditor.Promises{Once: 1}},
-		{"service called twice", sender.Result{Call: sampler.Call{Marker: "c", Once: true}, Verdict: judge.MayHaveRun}, generator.Books{},
-			auditor.Audit{Calls: []responder.Call{{Path: "/records/c"}, {Path: "/records/c"}}}, auditor.Promises{Once: 1}},
+		{
+			"service called twice",
+			sender.Result{Call: sampler.Call{Marker: "c", Once: true}, Verdict: judge.MayHaveRun},
+			generator.Books{},
+			auditor.Audit{Calls: []responder.Call{{Path: "/records/c"}, {Path: "/records/c"}}},
+			auditor.Promises{Once: 1},
+		},
 		{"work to a leaving engine", whole(), generator.Books{
 			Left: left, Runs: []generator.Run{{Marker: "c", Adapter: "x@1", Began: left.Add(4 * time.Second)}},
 		}, auditor.Audit{}, auditor.Promises{Leaving: 1}},
--- a/internal/upstream/driver/driver_test.go
+++ b/internal/upstream/driver/driver_test.go
@@ -145,9 +145,9 @@
 		e, tenancy := &fakeEngine{}, &fakeTenancy{}
 		d := newDriver(t, e, tenancy)
 		tenancy.may.Store(false)
-		serve(d, 10*time.Second)
-		if n := e.orders.Load(); n != 0 {
-			t.Errorf("%d orders went out", n)
+		err, _ := serve(d, 10*time.Second)
+		if n := e.orders.Load(); n != 0 || err.Verdict != judge.NotRun {
+			t.Errorf("%d orders went out, and the caller was told %v", n, err)
 		}
 	})
 }
