adapter preload: load an adapter before it is asked for

An operator who knows that a desk opens can have its adapter loaded; loads with requests waiting go first. The instance that is asked chooses the runner as for a request and passes the wish to its owner.

--- a/internal/command/commander/adaptercmd.go
+++ b/internal/command/commander/adaptercmd.go
@@ -13,10 +13,10 @@
 func (c *Commander) newAdapterCmd() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "adapter",
-		Short: "List and locate adapters",
-		Long:  "Lists the adapters that the settings declare and finds the runners that hold one.",
+		Short: "List, locate and preload adapters",
+		Long:  "Lists the adapters that the settings declare, finds the runners that hold one, and loads one ahead.",
 	}
-	cmd.AddCommand(c.newAdapterListCmd(), c.newAdapterLocateCmd())
+	cmd.AddCommand(c.newAdapterListCmd(), c.newAdapterLocateCmd(), c.newAdapterPreloadCmd())
 	return cmd
 }
 
@@ -81,3 +81,26 @@
 	addOutput(cmd, &output)
 	return cmd
 }
+
+func (c *Commander) newAdapterPreloadCmd() *cobra.Command {
+	var flags operatorFlags
+	var output string
+	cmd := &cobra.Command{
+		Use:   "preload ADAPTER@VERSION",
+		Short: "Load an adapter before it is asked for",
+		Long: "Asks an instance to have an adapter version loaded in its failure domain, on the runner that a request\n" +
+			"for it would go to. Loads that requests wait for go first.",
+		Example: "  sardinetiller adapter preload mill-7@1 --operator 127.0.0.1:8082",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var p server.Preloaded
+			if err := flags.call(cmd.Context(), fasthttp.MethodPost, server.PathPreload+args[0], &p); err != nil {
+				return err
+			}
+			return c.print(output, p, [][]string{{"ADAPTER", "RUNNER"}, {p.Adapter, p.Runner}})
+		},
+	}
+	flags.add(cmd)
+	addOutput(cmd, &output)
+	return cmd
+}
--- a/internal/command/commander/scripts_test.go
+++ b/internal/command/commander/scripts_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -15,17 +16,19 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinetiller/sardinetiller/internal/experiment/stager"
+	"github.com/sardinetiller/sardinetiller/internal/instance/server"
 	"github.com/sardinetiller/sardinetiller/internal/wire/requester"
 )
 
 // The scripts under testdata run whole commands as real processes. Beside the
 // usual words of testscript they know: standin KIND, serve FILE, stop NAME,
-// subst FILE…, exits CODE COMMAND…, answers STATUS BODY, eventually STATUS BODY.
+// subst FILE…, exits CODE COMMAND…, answers STATUS BODY, eventually STATUS BODY,
+// located ADAPTER.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/scripts",
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"answers": cmdAnswers, "eventually": cmdEventually, "exits": cmdExits, "serve": cmdServe,
+			"answers": cmdAnswers, "eventually": cmdEventually, "exits": cmdExits, "located": cmdLocated, "serve": cmdServe,
 			"standin": cmdStandin, "stop": cmdStop, "subst": cmdSubst,
 		},
 		Setup: func(e *testscript.Env) error {
@@ -137,6 +140,17 @@
 	ts.Fatalf("no answer with status %s", args[0])
 }
 
+// cmdLocated waits until a runner holds the adapter.
+func cmdLocated(ts *testscript.TestScript, _ bool, args []string) {
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		var s server.Status
+		if get(ts.Getenv("SARDINETILLER_OPERATOR"), server.PathStatus, &s) && len(s.Runners) > 0 && slices.Contains(s.Runners[0].Resident, args[0]) {
+			return
+		}
+	}
+	ts.Fatalf("%s is resident nowhere", args[0])
+}
+
 func ask(ts *testscript.TestScript, body string) (int, string) {
 	request := &fasthttp.Request{}
 	request.Header.SetMethod(fasthttp.MethodPost)
--- a/internal/instance/server/answer.go
+++ b/internal/instance/server/answer.go
@@ -37,6 +37,8 @@
 		return reply.Send(relayer.Told{Head: force.Head})
 	case relayer.Permit:
 		return s.answerPermit(ctx, m, reply)
+	case relayer.Preload:
+		return s.Driver.Preload(context.WithoutCancel(ctx), m.Runner, m.Adapter)
 	case relayer.Yield:
 		return reply.Send(s.yield(m))
 	default:
--- a/internal/instance/server/operate.go
+++ b/internal/instance/server/operate.go
@@ -20,6 +20,7 @@
 	PathExplain = "/explain/"
 	PathLive    = "/live"
 	PathMetrics = "/metrics"
+	PathPreload = "/preload/"
 	PathReady   = "/ready"
 	PathStatus  = "/status"
 )
@@ -67,6 +68,7 @@
 	r.GET(PathMetrics, s.metrics)
 	r.GET(PathStatus, s.guarded(func(c *fasthttp.RequestCtx) { listener.JSON(c, fasthttp.StatusOK, s.Status()) }))
 	r.GET(PathExplain+"{id}", s.guarded(s.explain))
+	r.POST(PathPreload+"{adapter}", s.guarded(s.preload))
 	r.POST(PathDrain, s.guarded(func(*fasthttp.RequestCtx) { s.Drain() }))
 	return r.Handler
 }
--- /dev/null
+++ b/internal/instance/server/preload.go
@@ -0,0 +1,57 @@
+package server
+
+import (
+	"context"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/wire/listener"
+)
+
+// A Preloaded says on which runner an adapter is being loaded ahead.
+type Preloaded struct {
+	Adapter string `json:"adapter" yaml:"adapter"`
+	Runner  string `json:"runner" yaml:"runner"`
+}
+
+// preload answers an operator who wants an adapter loaded before it is asked
+// for, on the runner that a request for it would go to.
+func (s *Server) preload(c *fasthttp.RequestCtx) {
+	adapter, _ := c.UserValue("adapter").(string)
+	force := s.Force()
+	if force == nil {
+		c.Error("no settings are in force here yet", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	declared, ok := force.Adapter(adapter)
+	if !ok {
+		c.Error("no such adapter; write name@version as adapter list shows it", fasthttp.StatusNotFound)
+		return
+	}
+	step, ok := s.Dispatcher.Choose(declared)
+	if !ok {
+		c.Error("no runner of service "+declared.Service+" can serve here", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	if err := s.loadAhead(c, step.Owner, step.Runner, adapter); err != nil {
+		c.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
+	listener.JSON(c, fasthttp.StatusOK, Preloaded{Adapter: adapter, Runner: step.Runner})
+}
+
+func (s *Server) loadAhead(ctx context.Context, owner, runner, adapter string) error {
+	ctx = context.WithoutCancel(ctx)
+	if owner == s.Incarnation {
+		return s.Driver.Preload(ctx, runner, adapter)
+	}
+	address, _ := s.address(owner)
+	c, err := s.Mesh.Open(ctx, address, relayer.Preload{Runner: runner, Adapter: adapter})
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	_, err = c.Next(ctx)
+	return err
+}
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -59,6 +59,12 @@
 	// An Inquire asks for the head of the settings in force.
 	Inquire struct{}
 
+	// A Preload asks the owner of a runner to load an adapter ahead.
+	Preload struct {
+		Runner  string `cbor:"1,keyasint"`
+		Adapter string `cbor:"2,keyasint"`
+	}
+
 	// A Permit bids for a load from the weight store. The conversation lasts as
 	// long as the load; its end gives the permit back.
 	Permit struct {
@@ -168,6 +174,7 @@
 func (Hello) message()       {}
 func (Inquire) message()     {}
 func (Permit) message()      {}
+func (Preload) message()     {}
 func (Surrendered) message() {}
 func (Told) message()        {}
 func (Yield) message()       {}
@@ -176,7 +183,7 @@
 var kinds = []Message{
 	1: Ask{}, 2: Beat{}, 3: Cancel{}, 4: Data{}, 5: End{}, 6: Fail{}, 7: Fetch{},
 	8: Grant{}, 9: Head{}, 10: Hello{}, 11: Inquire{}, 12: Surrendered{}, 13: Told{}, 14: Yield{},
-	15: Commit{}, 16: Committed{}, 17: Permit{}, 18: Granted{},
+	15: Commit{}, 16: Committed{}, 17: Permit{}, 18: Granted{}, 19: Preload{},
 }
 
 // numbers is the inverse of kinds.
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -70,6 +70,22 @@
 	return err
 }
 
+// Choose returns the runner that a request for the adapter would go to now, and
+// its owner.
+func (d *Dispatcher) Choose(adapter resolver.Adapter) (Step, bool) {
+	force := d.Force()
+	candidates := d.Fleet.Candidates(adapter.Service, adapter.Name, nil, d.Peers.Alive)
+	if force == nil || len(candidates) == 0 {
+		return Step{}, false
+	}
+	a := &attempts{
+		call: &streamer.Call{Adapter: adapter.Name, Service: adapter.Service}, dispatcher: d,
+		values: force.Values(adapter.Account, adapter.Service, d.Domain, ""),
+	}
+	terms := a.choose(candidates)
+	return Step{Runner: terms[0].Runner, Owner: d.Fleet.Owner(terms[0].Runner), Terms: terms}, true
+}
+
 // Explain returns the steps of a request that this instance dispatched lately.
 func (d *Dispatcher) Explain(id string) ([]Step, bool) { return d.journal.find(id) }
 
--- /dev/null
+++ b/internal/upstream/driver/preload.go
@@ -0,0 +1,28 @@
+package driver
+
+import (
+	"context"
+	"time"
+)
+
+// Preload makes an adapter wanted on a runner that this instance owns, before a
+// request asks for it.
+func (d *Driver) Preload(ctx context.Context, runner, adapter string) error {
+	if err := d.wantAhead(runner, adapter); err != nil {
+		return err
+	}
+	d.Pump(ctx, time.Now())
+	return nil
+}
+
+func (d *Driver) wantAhead(runner, adapter string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.runners[runner]
+	if !ok || !e.Keeper.Owned() {
+		return ownerRefusal()
+	}
+	e.Ahead(adapter, time.Now())
+	d.changed(e)
+	return nil
+}
--- a/internal/upstream/orderer/runner.go
+++ b/internal/upstream/orderer/runner.go
@@ -1,6 +1,8 @@
 package orderer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
@@ -16,8 +18,9 @@
 	Keeper *keeper.Keeper
 	Queue  *admitter.Queue
 
-	cold    int  // requests finished since a cold start, up to Batch
-	leaving bool // the engine takes no new work
+	ahead   map[string]time.Time // adapters to load before they are asked for, and since when
+	cold    int                  // requests finished since a cold start, up to Batch
+	leaving bool                 // the engine takes no new work
 	running int
 }
 
@@ -28,6 +31,15 @@
 	Handle keeper.Handle
 }
 
+// Ahead makes an adapter wanted before a request asks for it. It is loaded when
+// no load with requests waiting is before it.
+func (r *Runner) Ahead(adapter string, now time.Time) {
+	if r.ahead == nil {
+		r.ahead = make(map[string]time.Time)
+	}
+	r.ahead[adapter] = now
+}
+
 // Finish gives back the pin and the place of a request.
 func (r *Runner) Finish(handle keeper.Handle) {
 	r.Keeper.Unpin(handle)
@@ -62,6 +74,21 @@
 		}
 		count(&needs[i], item)
 	}
+	return r.needAhead(needs)
+}
+
+// needAhead adds the adapters to load ahead that nobody waits for yet.
+func (r *Runner) needAhead(needs []loader.Need) []loader.Need {
+	for _, adapter := range slices.Sorted(maps.Keys(r.ahead)) {
+		if r.Keeper.Servable(adapter) || r.Keeper.Loading(adapter) {
+			delete(r.ahead, adapter)
+			continue
+		}
+		waited := slices.ContainsFunc(needs, func(n loader.Need) bool { return n.Adapter == adapter })
+		if !waited {
+			needs = append(needs, loader.Need{Runner: r.Name, Adapter: adapter, Oldest: r.ahead[adapter]})
+		}
+	}
 	return needs
 }
 
