--- a/internal/experiment/stager/plan.go
+++ b/internal/experiment/stager/plan.go
@@ -57,7 +57,7 @@
 	case TSH:
 		p.Account, p.Engine, p.Engines = "tsh", "lm-desk", 12
 		p.Service, p.Services, p.Together = "broker-api", 4, 2
-		p.Values = "{stall: 0.3, batch: 1, deadline: 20s}"
+		p.Values = "{stall: 1, batch: 1, deadline: 20s}"
 	default:
 		return Plan{}, fmt.Errorf("deployment %q is unknown; choose %s or %s", name, Association, TSH)
 	}
