Use an engine again that comes back into the settings

Cause: read in review: an engine that left the settings was marked as leaving for good, so one that came back was never given work until it restarted. Its test fails without the change.

--- a/internal/upstream/driver/driver.go
+++ b/internal/upstream/driver/driver.go
@@ -75,6 +75,7 @@
 
 	address   string
 	asked     time.Time // when the last report was asked for
+	dropped   bool      // the settings name it no more
 	asking    bool      // a report, a fencing number or a clearing is under way
 	fencing   bool
 	releasing int    // requests that ended here and perhaps not in the engine
@@ -84,10 +85,10 @@
 	waiters   map[string]*waiter
 }
 
-// share and limit of a queue before the settings say otherwise.
+// What is expected, in seconds, before any load or run was seen.
 const (
-	firstLoad = 0.5 // seconds, before any load was seen
-	firstRun  = 0.5 // seconds, before any request was seen
+	firstLoad = 0.5
+	firstRun  = 0.5
 )
 
 // Declare takes in the engines that the settings name and the bounds of their
@@ -106,17 +107,19 @@
 		}
 	}
 	for name, e := range d.runners {
-		if !declared[name] {
+		if !declared[name] && !e.dropped {
+			e.dropped = true
 			e.Leave() // it ends what it has and takes nothing new
+			d.changed(e)
 		}
 	}
 }
 
-// Names returns the engines of the domain.
+// Names returns the engines of the domain that the settings name.
 func (d *Driver) Names() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.Clone(d.names)
+	return slices.DeleteFunc(slices.Clone(d.names), func(name string) bool { return d.runners[name].dropped })
 }
 
 // Line returns how many adapters stand in line for a load.
@@ -142,9 +145,13 @@
 	return d.loads.duration(), d.runs.duration()
 }
 
-// Tick looks after every runner. It is called several times a second.
+// Tick looks after every runner, also those that the settings name no more:
+// what waits there is sent elsewhere. It is called several times a second.
 func (d *Driver) Tick(ctx context.Context, now time.Time) {
-	for _, name := range d.Names() {
+	d.mu.Lock()
+	names := slices.Clone(d.names)
+	d.mu.Unlock()
+	for _, name := range names {
 		d.look(ctx, name, now)
 	}
 	d.Pump(ctx, now)
@@ -274,6 +281,11 @@
 		d.runners[u.Name] = e
 		d.names = append(d.names, u.Name) // numbers on links are places in names: they never move
 	}
+	if e.dropped {
+		e.dropped = false
+		e.Stay()
+		d.changed(e)
+	}
 	e.address = u.Address
 	e.fencing = u.Fencing
 	e.Batch = u.Batch
--- a/internal/upstream/driver/driver_test.go
+++ b/internal/upstream/driver/driver_test.go
@@ -69,9 +69,7 @@
 		Domain: "a", Engine: e, Evictor: func() keeper.Evictor { return keeper.LRU{} }, Logger: log.NewNopLogger(),
 		Metrics: metrics.NewSet(), Self: "i-1", Tenancy: tenancy,
 	}
-	d.Declare([]parser.Service{{
-		Name: "llm", Type: parser.TypeEngine, Upstreams: []parser.Upstream{{Name: "r1", Domain: "a", Slots: 2, Batch: 4}},
-	}}, 8, 1)
+	d.Declare(declared(), 8, 1)
 	d.Share(parser.Weights{}, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() {
@@ -88,6 +86,28 @@
 	return d
 }
 
+func declared() []parser.Service {
+	return []parser.Service{{
+		Name: "llm", Type: parser.TypeEngine, Upstreams: []parser.Upstream{{Name: "r1", Domain: "a", Slots: 2, Batch: 4}},
+	}}
+}
+
+// An operator takes an engine out of the settings and puts it back. It takes no
+// new work in between, and does afterwards without a restart.
+func TestEngineComesBackIntoTheSettings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDriver(t, &fakeEngine{}, &fakeTenancy{})
+		for _, services := range [][]parser.Service{declared(), nil, declared()} {
+			d.Declare(services, 8, 1)
+			time.Sleep(10 * time.Second)
+			_, states, _ := d.Loads(0)
+			if leaving := services == nil; states[0].Leaving != leaving || len(d.Names()) != len(services) {
+				t.Errorf("with %d services: leaving %v, names %v", len(services), states[0].Leaving, d.Names())
+			}
+		}
+	})
+}
+
 // serve runs one request and returns how it failed and after how long.
 func serve(d *driver.Driver, deadline time.Duration) (*judge.Error, time.Duration) {
 	began := time.Now()
--- a/internal/upstream/orderer/runner.go
+++ b/internal/upstream/orderer/runner.go
@@ -114,6 +114,10 @@
 // Running returns how many requests run.
 func (r *Runner) Running() int { return r.running }
 
+// Stay takes Leave back. An engine that leaves by itself says so again in its
+// next report.
+func (r *Runner) Stay() { r.leaving = false }
+
 // Starts returns the requests that go to the engine now.
 func (r *Runner) Starts(now time.Time) []Start {
 	var starts []Start
