--- a/internal/command/commander/surveycmd.go
+++ b/internal/command/commander/surveycmd.go
@@ -14,6 +14,7 @@
 
 func (c *Commander) newSurveyCmd() *cobra.Command {
 	var output string
+	var only []string
 	var span time.Duration
 	cmd := &cobra.Command{
 		Use:   "survey",
@@ -24,24 +25,30 @@
 		Example: "  sardinetiller survey --output json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return c.runSurvey(cmd.Context(), span, output)
+			return c.runSurvey(cmd.Context(), span, only, output)
 		},
 	}
+	cmd.Flags().StringSliceVar(&only, "only", []string{"peers", "runners", "requests", "tokens", "changes"}, "slopes to measure")
 	cmd.Flags().DurationVar(&span, "span", 8*time.Second, "time of each point")
 	addOutput(cmd, &output)
 	return cmd
 }
 
-func (c *Commander) runSurvey(ctx context.Context, span time.Duration, output string) error {
+func (c *Commander) runSurvey(ctx context.Context, span time.Duration, only []string, output string) error {
 	s := surveyor.Surveyor{Span: span, Progress: func(name string, x float64) { fmt.Fprintf(c.err, "%s at %v\n", name, x) }}
+	measures := map[string]func() (surveyor.Slope, error){
+		"peers":    func() (surveyor.Slope, error) { return s.Peers(ctx, []int{5, 10, 20, 41}) },
+		"runners":  func() (surveyor.Slope, error) { return s.Runners(ctx, []int{20, 80, 150, 300}) },
+		"requests": func() (surveyor.Slope, error) { return s.Requests(ctx, []int{20, 50, 100, 200}) },
+		"tokens":   func() (surveyor.Slope, error) { return s.Tokens(ctx, []int{200, 800, 1600, 3200}) },
+		"changes":  func() (surveyor.Slope, error) { return s.Changes(ctx, []int{1, 2, 5, 10}) },
+	}
 	var slopes []surveyor.Slope
-	for _, measure := range []func() (surveyor.Slope, error){
-		func() (surveyor.Slope, error) { return s.Peers(ctx, []int{5, 10, 20, 41}) },
-		func() (surveyor.Slope, error) { return s.Runners(ctx, []int{20, 80, 150, 300}) },
-		func() (surveyor.Slope, error) { return s.Requests(ctx, []int{20, 50, 100, 200}) },
-		func() (surveyor.Slope, error) { return s.Tokens(ctx, []int{200, 800, 1600, 3200}) },
-		func() (surveyor.Slope, error) { return s.Changes(ctx, []int{1, 2, 5, 10}) },
-	} {
+	for _, name := range only {
+		measure, ok := measures[name]
+		if !ok {
+			return usage(fmt.Errorf("--only: %q is unknown; choose from %v", name, slices.Sorted(maps.Keys(measures))))
+		}
 		slope, err := measure()
 		if err != nil {
 			return err
--- a/internal/experiment/surveyor/surveyor.go
+++ b/internal/experiment/surveyor/surveyor.go
@@ -327,7 +327,7 @@
 	return stager.Plan{
 		Name: fmt.Sprintf("%d instances, %d runners", instances, runners), Account: "survey", Adapters: 20000, Batch: 8,
 		Beat: time.Second, Domains: []string{"a"}, Engine: "engine", Engines: runners, Fencing: true, Instances: instances,
-		Lease: 10 * time.Second, Poll: time.Second, Rate: 1000, Service: "plain", Services: 1, Slots: 8, Speed: 1,
+		Lease: 10 * time.Second, Poll: 2 * time.Second, Rate: 1000, Service: "plain", Services: 1, Slots: 8, Speed: 1,
 		Together: 8, Values: "{}",
 	}
 }
