Survive YAML that makes the library panic

Cause: FuzzParse found within 2 s that a bare ! where a list is expected makes the YAML library panic; an instance told of such a tree, or a command reading it, would end. Decoding now turns a panic into a fault with the file's name.

--- a/internal/command/commander/loadcmd.go
+++ b/internal/command/commander/loadcmd.go
@@ -8,12 +8,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/spf13/cobra"
 
 	"github.com/sardinetiller/sardinetiller/internal/experiment/reporter"
 	"github.com/sardinetiller/sardinetiller/internal/experiment/sampler"
 	"github.com/sardinetiller/sardinetiller/internal/experiment/sender"
+	"github.com/sardinetiller/sardinetiller/internal/setting/decoder"
 )
 
 // loadFlags are the flags of load.
@@ -68,7 +68,7 @@
 		if err != nil {
 			return usage(err)
 		}
-		if err := yaml.UnmarshalWithOptions(data, &flags.workload, yaml.Strict()); err != nil {
+		if err := decoder.Strict(data, &flags.workload); err != nil {
 			return usage(fmt.Errorf("%s: %w", flags.file, err))
 		}
 	}
--- a/internal/experiment/comparer/comparer.go
+++ b/internal/experiment/comparer/comparer.go
@@ -18,6 +18,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/experiment/runner"
 	"github.com/sardinetiller/sardinetiller/internal/experiment/sampler"
 	"github.com/sardinetiller/sardinetiller/internal/experiment/stager"
+	"github.com/sardinetiller/sardinetiller/internal/setting/decoder"
 )
 
 // A Description says what to run. It is read from a YAML file.
@@ -61,7 +62,7 @@
 // Read decodes and checks a description.
 func Read(file string, data []byte) (*Description, error) {
 	var d Description
-	if err := yaml.UnmarshalWithOptions(data, &d, yaml.Strict()); err != nil {
+	if err := decoder.Strict(data, &d); err != nil {
 		return nil, fmt.Errorf("%s: %s", file, yaml.FormatError(err, false, true))
 	}
 	if _, err := stager.Deployment(d.Deployment); err != nil {
--- a/internal/setting/configurer/configurer.go
+++ b/internal/setting/configurer/configurer.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/goccy/go-yaml"
+
+	"github.com/sardinetiller/sardinetiller/internal/setting/decoder"
 )
 
 // A Daemon is the settings of one daemon. Each field may be overridden by an
@@ -141,7 +143,7 @@
 }
 
 func decode(file string, data []byte, d *Daemon) error {
-	err := yaml.UnmarshalWithOptions(data, d, yaml.Strict())
+	err := decoder.Strict(data, d)
 	if err == nil {
 		return nil
 	}
--- a/internal/setting/parser/line.go
+++ b/internal/setting/parser/line.go
@@ -12,7 +12,8 @@
 }
 
 // line returns the line of a YAML path, or 0 if the file does not have it.
-func line(data []byte, path string) int {
+func line(data []byte, path string) (line int) {
+	defer func() { _ = recover() }() // the library may panic; the fault then has no line
 	p, err := yaml.PathString(path)
 	if err != nil {
 		return 0
--- a/internal/setting/parser/parse.go
+++ b/internal/setting/parser/parse.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/goccy/go-yaml"
+
+	"github.com/sardinetiller/sardinetiller/internal/setting/decoder"
 )
 
 // The kinds of file.
@@ -83,7 +85,7 @@
 		Name string `yaml:"name"`
 	}
 	data := p.files[name]
-	if err := yaml.Unmarshal(data, &head); err != nil {
+	if err := decoder.Loose(data, &head); err != nil {
 		p.syntax(name, err)
 		return
 	}
@@ -111,7 +113,7 @@
 }
 
 func (p *parse) decode(name string, into any) bool {
-	err := yaml.UnmarshalWithOptions(p.files[name], into, yaml.Strict())
+	err := decoder.Strict(p.files[name], into)
 	if err != nil {
 		p.syntax(name, err)
 	}
