--- a/internal/experiment/runner/runner.go
+++ b/internal/experiment/runner/runner.go
@@ -132,7 +132,9 @@
 		i.Server.Metrics.WritePrometheus(&b)
 		for _, match := range retryLine.FindAllStringSubmatch(b.String(), -1) {
 			n, _ := strconv.Atoi(match[2]) // the pattern has digits only
-			retries[match[1]] += n
+			if n > 0 {
+				retries[match[1]] += n
+			}
 		}
 	}
 	return retries
