--- a/internal/adapter/keeper/keeper.go
+++ b/internal/adapter/keeper/keeper.go
@@ -81,16 +81,6 @@
 	return k.fire(slot, event)
 }
 
-// Idle reports whether no request of this instance holds a pin.
-func (k *Keeper) Idle() bool {
-	for _, s := range k.slots {
-		if s.Pins > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // Loading reports whether a copy of the adapter is on its way.
 func (k *Keeper) Loading(adapter string) bool {
 	for _, s := range k.slots {
--- a/internal/adapter/loader/allocator.go
+++ b/internal/adapter/loader/allocator.go
@@ -57,9 +57,6 @@
 	return granted
 }
 
-// Line returns how many bids wait.
-func (a *Allocator) Line() int { return len(a.waiting) }
-
 // best returns the highest bid, the oldest among equals.
 func (a *Allocator) best(now time.Time) uint64 {
 	var best uint64
--- a/internal/command/commander/yard_test.go
+++ b/internal/command/commander/yard_test.go
@@ -1,24 +1,18 @@
 package commander_test
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/Shopify/toxiproxy"
-	"github.com/rogpeppe/go-internal/testscript"
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinetiller/sardinetiller/internal/command/commander"
@@ -33,109 +27,6 @@
 	"github.com/sardinetiller/sardinetiller/internal/wire/requester"
 )
 
-// asProgram makes the test binary run as the program, so that tests have real
-// processes without a build of their own.
-const asProgram = "RUN_AS_SARDINETILLER"
-
-func TestMain(m *testing.M) {
-	logrus.SetLevel(logrus.FatalLevel) // the proxy library logs every connection
-	if os.Getenv(asProgram) != "" {
-		os.Exit(commander.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
-	}
-	testscript.Main(m, map[string]func(){
-		"sardinetiller": func() { os.Exit(commander.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
-	})
-}
-
-// A process is the program running with some arguments.
-type process struct {
-	cmd   *exec.Cmd
-	done  chan struct{}
-	mu    sync.Mutex
-	lines []string
-}
-
-// start runs the program until the test ends.
-func start(t *testing.T, args ...string) *process {
-	t.Helper()
-	p := &process{cmd: exec.Command(os.Args[0], args...), done: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), asProgram+"=1")
-	stderr, err := p.cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		defer close(p.done)
-		for scanner := bufio.NewScanner(stderr); scanner.Scan(); {
-			p.mu.Lock()
-			p.lines = append(p.lines, scanner.Text())
-			p.mu.Unlock()
-		}
-		_ = p.cmd.Wait()
-	}()
-	t.Cleanup(func() {
-		p.signal(syscall.SIGCONT)
-		p.signal(syscall.SIGKILL)
-		<-p.done
-		if t.Failed() {
-			t.Logf("%v:\n%s", args, p.tail())
-		}
-	})
-	return p
-}
-
-// await returns the first match of the pattern's group in what the process
-// writes.
-func (p *process) await(t *testing.T, pattern string) string {
-	t.Helper()
-	re := regexp.MustCompile(pattern)
-	var found string
-	until(t, pattern, func() bool {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		for _, line := range p.lines {
-			if match := re.FindStringSubmatch(line); match != nil {
-				found = match[1]
-				return true
-			}
-		}
-		select {
-		case <-p.done:
-			t.Fatalf("the process ended before it wrote %s", pattern)
-		default:
-		}
-		return false
-	})
-	return found
-}
-
-func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
-
-func (p *process) tail() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	text := ""
-	for _, line := range p.lines[max(0, len(p.lines)-15):] {
-		text += line + "\n"
-	}
-	return text
-}
-
-// patience bounds every wait for a condition. No test passes by the clock.
-const patience = 30 * time.Second
-
-func until(t *testing.T, what string, condition func() bool) {
-	t.Helper()
-	for deadline := time.Now().Add(patience); !condition(); time.Sleep(20 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatalf("waited %s for: %s", patience, what)
-		}
-	}
-}
-
 // A yard is a deployment of real processes: a platform, engines and entry
 // instances in domains a and b, each instance behind a proxy of its own to the
 // platform.
--- a/internal/instance/composer/composer.go
+++ b/internal/instance/composer/composer.go
@@ -99,7 +99,6 @@
 	Parts       Parts
 	Server      *server.Server
 	Sharer      *loader.Sharer
-	Store       storer.Store
 	Table       tabler.Table
 	Watcher     *watcher.Watcher
 }
@@ -122,7 +121,6 @@
 	s.Metrics = a.Metrics
 	s.Monitor = a.Monitor
 	s.Sharer = a.Sharer
-	s.Store = a.Store
 	s.Table = a.Table
 	s.TLS = a.Parts.Keys.Take
 	s.Token = a.Parts.Keys.Token
--- a/internal/instance/server/server.go
+++ b/internal/instance/server/server.go
@@ -18,7 +18,6 @@
 	"github.com/sardinetiller/sardinetiller/internal/member/leaser"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/platform/lister"
-	"github.com/sardinetiller/sardinetiller/internal/platform/storer"
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
 	"github.com/sardinetiller/sardinetiller/internal/request/answerer"
 	"github.com/sardinetiller/sardinetiller/internal/request/claimer"
@@ -49,7 +48,6 @@
 	Metrics     *metrics.Set
 	Monitor     *heartbeater.Monitor // guarded by mu
 	Sharer      *loader.Sharer       // guarded by mu
-	Store       storer.Store
 	Table       tabler.Table
 	TLS         *tls.Config   // for links that peers dial; nil for none
 	Token       func() string // operators' key; empty for none
