One lookup of an instance, one beat for all peers, one way to turn requests away

Cause: read over the whole change. A comment on the list of instances told of something that it does not do. Not measured.

--- a/internal/instance/server/answer.go
+++ b/internal/instance/server/answer.go
@@ -175,12 +175,8 @@
 func (s *Server) address(incarnation string) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, i := range s.Monitor.Instances(time.Now()) {
-		if i.Incarnation == incarnation {
-			return i.Address, true
-		}
-	}
-	return "", false
+	i, ok := s.Monitor.Instance(incarnation, time.Now())
+	return i.Address, ok
 }
 
 // Acts implements driver.Tenancy.
--- a/internal/instance/server/beat.go
+++ b/internal/instance/server/beat.go
@@ -53,10 +53,11 @@
 func (s *Server) beat(ctx context.Context, now time.Time) {
 	loads, states, version := s.Driver.Loads(0)
 	s.Fleet.Hear(s.Incarnation, relayer.Beat{Loads: loads, States: states}, now)
+	bare := s.bare()
 	for _, peer := range s.peers(now) {
-		go s.tell(ctx, peer, loads, version)
+		go s.tell(ctx, peer, bare, loads, version)
 	}
-	away := s.bare()
+	away := bare
 	s.mu.Lock()
 	away.Line = s.Sharer.Total(away.Line, now)
 	s.mu.Unlock()
@@ -64,16 +65,16 @@
 		go func() { _ = s.Mesh.Tell(ctx, peer.Address, away) }() // the next beat tries again
 	}
 	if s.Watcher.Force() == nil {
-		s.seed(ctx)
+		s.seed(ctx, bare)
 	}
 }
 
 // seed makes this instance known to the seeds of its settings. One that starts
 // while the platform is away has no list and would find nobody; a seed that
 // hears it answers with its own heartbeats, which tell the settings in force.
-func (s *Server) seed(ctx context.Context) {
+func (s *Server) seed(ctx context.Context, bare relayer.Beat) {
 	for _, address := range s.Config.Seeds {
-		go func() { _ = s.Mesh.Tell(ctx, address, s.bare()) }() // the next beat tries again
+		go func() { _ = s.Mesh.Tell(ctx, address, bare) }() // the next beat tries again
 	}
 }
 
@@ -92,8 +93,7 @@
 }
 
 // tell sends one peer a beat with what changed since the last one on the link.
-func (s *Server) tell(ctx context.Context, peer heartbeater.Instance, loads []relayer.Load, version uint64) {
-	beat := s.bare()
+func (s *Server) tell(ctx context.Context, peer heartbeater.Instance, beat relayer.Beat, loads []relayer.Load, version uint64) {
 	identity, linked := s.Mesh.Linked(peer.Address)
 	state := s.linkState(peer.Address, identity)
 	_, beat.States, _ = s.Driver.Loads(state.version)
--- a/internal/instance/server/gather.go
+++ b/internal/instance/server/gather.go
@@ -48,10 +48,8 @@
 		if s.Monitor.Health(m.Incarnation, now) != heartbeater.Live {
 			continue
 		}
-		for _, i := range s.Monitor.Instances(now) {
-			if i.Incarnation == m.Incarnation {
-				return i.Address, true
-			}
+		if i, ok := s.Monitor.Instance(m.Incarnation, now); ok {
+			return i.Address, true
 		}
 	}
 	return "", false
--- a/internal/member/heartbeater/monitor.go
+++ b/internal/member/heartbeater/monitor.go
@@ -78,13 +78,24 @@
 	}
 }
 
+// Instance returns the instance with the incarnation if it is listed or was
+// heard lately.
+func (m *Monitor) Instance(incarnation string, now time.Time) (Instance, bool) {
+	p, ok := m.peers[incarnation]
+	if !ok || p.instance.ID == "" {
+		return Instance{}, false
+	}
+	known := m.listed[incarnation] || now.Sub(p.heard) <= m.Patience
+	return p.instance, known
+}
+
 // Instances returns every instance that is listed or was heard lately, sorted
-// by ID. A second incarnation of an ID hides the first one once it is heard.
+// by ID and incarnation.
 func (m *Monitor) Instances(now time.Time) []Instance {
 	var instances []Instance
-	for incarnation, p := range m.peers {
-		if p.instance.ID != "" && (m.listed[incarnation] || now.Sub(p.heard) <= m.Patience) {
-			instances = append(instances, p.instance)
+	for incarnation := range m.peers {
+		if i, ok := m.Instance(incarnation, now); ok {
+			instances = append(instances, i)
 		}
 	}
 	slices.SortFunc(instances, func(a, b Instance) int {
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -148,6 +148,9 @@
 	Owned    bool     `cbor:"6,keyasint"` // false: the sender serves it no more
 }
 
+// Hundredths scales what a Load tells in hundredths.
+const Hundredths = 100
+
 // A Load is how busy a runner is; sent when it changed.
 type Load struct {
 	_       struct{} `cbor:",toarray"`
--- a/internal/upstream/driver/driver.go
+++ b/internal/upstream/driver/driver.go
@@ -235,12 +235,7 @@
 // abandon ends a tenure and sends those who wait elsewhere.
 func (d *Driver) abandon(e *engine) {
 	e.Keeper.Abandon()
-	for id, w := range e.waiters {
-		if e.Queue.Remove(id) {
-			w.refuse(ownerRefusal())
-			delete(e.waiters, id)
-		}
-	}
+	e.turnAway(ownerRefusal(), everything)
 	d.changed(e)
 }
 
@@ -320,13 +315,10 @@
 	_ = level.Warn(d.Logger).Log("msg", message, "runner", runner, "err", err)
 }
 
-// hundredths scales what is told in hundredths.
-const hundredths = 100
-
 func (e *engine) load(number int, wait time.Duration) relayer.Load {
 	return relayer.Load{
 		Number: number, Running: e.Running(), Waiting: e.Queue.Len(), Free: e.Keeper.Free(),
-		Ramp: int(hundredths * e.Ramp()), Wait: int(hundredths * wait.Seconds()),
+		Ramp: int(relayer.Hundredths * e.Ramp()), Wait: int(relayer.Hundredths * wait.Seconds()),
 	}
 }
 
--- a/internal/upstream/driver/permit.go
+++ b/internal/upstream/driver/permit.go
@@ -72,18 +72,13 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	for _, n := range d.budget.Order(d.needs(), now) {
-		e := d.runners[n.Runner]
-		if !d.Tenancy.May(n.Runner) {
-			continue
-		}
-		action := e.Keeper.Want(n.Adapter, now)
+		e, action := d.decide(n, now)
 		if action == nil {
 			continue
 		}
 		if _, isLoad := action.(keeper.Load); isLoad {
 			d.budget.Begin(n)
 		}
-		d.changed(e)
 		return e, n, action
 	}
 	return nil, loader.Need{}, nil
--- a/internal/upstream/driver/serve.go
+++ b/internal/upstream/driver/serve.go
@@ -17,16 +17,9 @@
 // A waiter is a request that waits for its start.
 type waiter struct {
 	start  chan keeper.Handle
-	refuse func(*judge.Error)
 	failed chan *judge.Error
 }
 
-func newWaiter() *waiter {
-	w := &waiter{start: make(chan keeper.Handle, 1), failed: make(chan *judge.Error, 1)}
-	w.refuse = func(err *judge.Error) { w.failed <- err }
-	return w
-}
-
 // Serve runs a request on a runner that this instance owns and passes the
 // answer to the sink. It returns when the last byte was passed on or the
 // request failed, with a *judge.Error.
@@ -72,20 +65,29 @@
 // begin orders what brings a needed adapter nearer. It returns whether that is
 // a load.
 func (d *Driver) begin(ctx context.Context, n loader.Need, now time.Time) bool {
-	e := d.runners[n.Runner]
-	if !d.Tenancy.May(n.Runner) {
-		return false
-	}
-	action := e.Keeper.Want(n.Adapter, now)
+	e, action := d.decide(n, now)
 	if action == nil {
 		return false
 	}
-	d.changed(e)
 	_, isLoad := action.(keeper.Load)
 	go d.carryOut(ctx, e, n, action)
 	return isLoad
 }
 
+// decide returns the order that brings a needed adapter nearer, nil if there is
+// none that may be sent. Called with the lock held.
+func (d *Driver) decide(n loader.Need, now time.Time) (*engine, keeper.Action) {
+	e := d.runners[n.Runner]
+	if !d.Tenancy.May(n.Runner) {
+		return e, nil
+	}
+	action := e.Keeper.Want(n.Adapter, now)
+	if action != nil {
+		d.changed(e)
+	}
+	return e, action
+}
+
 // carryOut sends an order, records how it ended, and looks what is next.
 func (d *Driver) carryOut(ctx context.Context, e *engine, n loader.Need, action keeper.Action) {
 	d.send(ctx, e, n, action)
@@ -148,16 +150,9 @@
 	if d.budget.Failures(n.Adapter) < hopeless {
 		return
 	}
-	e := d.runners[n.Runner]
 	retry := max(0, d.budget.Backoff(n.Adapter).Sub(now))
-	for _, item := range slices.Clone(e.Queue.Items()) {
-		if item.Adapter != n.Adapter {
-			continue
-		}
-		e.waiters[item.ID].refuse(judge.Refuse(judge.ReasonLoad, "the adapter could not be loaded %d times in a row", hopeless).After(retry))
-		delete(e.waiters, item.ID)
-		e.Queue.Remove(item.ID)
-	}
+	refusal := judge.Refuse(judge.ReasonLoad, "the adapter could not be loaded %d times in a row", hopeless).After(retry)
+	d.runners[n.Runner].turnAway(refusal, func(i admitter.Item) bool { return i.Adapter == n.Adapter })
 }
 
 func (d *Driver) enter(call *streamer.Call, now time.Time) (*waiter, *engine, error) {
@@ -168,7 +163,7 @@
 		return nil, nil, ownerRefusal()
 	}
 	if e.Leaving() {
-		return nil, nil, judge.Refuse(judge.ReasonUpstream, "runner %s is leaving", e.Name)
+		return nil, nil, leavingRefusal(e)
 	}
 	if !e.Keeper.Servable(call.Adapter) && !slices.Contains(e.coming(), call.Adapter) {
 		d.changed(e) // a further adapter stands in line
@@ -184,10 +179,9 @@
 		return nil, nil, err
 	}
 	if displaced != nil {
-		e.waiters[displaced.ID].refuse(admitter.Displaced(displaced))
-		delete(e.waiters, displaced.ID)
+		e.refuse(displaced.ID, admitter.Displaced(displaced))
 	}
-	w := newWaiter()
+	w := &waiter{start: make(chan keeper.Handle, 1), failed: make(chan *judge.Error, 1)}
 	e.waiters[call.ID] = w
 	return w, e, nil
 }
@@ -215,19 +209,31 @@
 // expire refuses at once what cannot be answered in time any more.
 func (d *Driver) expire(e *engine, now time.Time) {
 	for _, item := range e.Queue.Expired(now, d.runs.duration()/leastRun) {
-		e.waiters[item.ID].refuse(judge.Refuse(judge.ReasonDeadline, "the deadline passed while the request waited"))
-		delete(e.waiters, item.ID)
+		e.refuse(item.ID, judge.Refuse(judge.ReasonDeadline, "the deadline passed while the request waited"))
 	}
-	if !e.Leaving() {
-		return
+	if e.Leaving() {
+		e.turnAway(leavingRefusal(e), everything)
 	}
+}
+
+// refuse tells a request that is out of the queue why it will not start.
+func (e *engine) refuse(id string, refusal *judge.Error) {
+	e.waiters[id].failed <- refusal
+	delete(e.waiters, id)
+}
+
+// turnAway takes the requests that match out of the queue and refuses them.
+func (e *engine) turnAway(refusal *judge.Error, match func(admitter.Item) bool) {
 	for _, item := range slices.Clone(e.Queue.Items()) {
-		e.waiters[item.ID].refuse(judge.Refuse(judge.ReasonUpstream, "runner %s is leaving", e.Name))
-		delete(e.waiters, item.ID)
-		e.Queue.Remove(item.ID)
+		if match(item) {
+			e.Queue.Remove(item.ID)
+			e.refuse(item.ID, refusal)
+		}
 	}
 }
 
+func everything(admitter.Item) bool { return true }
+
 func (d *Driver) run(ctx context.Context, e *engine, handle keeper.Handle, call *streamer.Call, sink streamer.Sink, arrived time.Time) error {
 	began := time.Now()
 	head := streamer.Head{Runner: e.Name, Queued: began.Sub(arrived)}
@@ -303,6 +309,10 @@
 	return judge.Refuse(judge.ReasonCancelled, "withdrawn before it was sent")
 }
 
+func leavingRefusal(e *engine) *judge.Error {
+	return judge.Refuse(judge.ReasonUpstream, "runner %s is leaving", e.Name)
+}
+
 func ownerRefusal() *judge.Error {
 	return judge.Refuse(judge.ReasonOwner, "this instance does not own the runner")
 }
--- a/internal/upstream/monitor/fleet.go
+++ b/internal/upstream/monitor/fleet.go
@@ -269,12 +269,11 @@
 }
 
 func (r *runner) hearLoad(l relayer.Load, now time.Time) {
-	const hundredths = 100
-	r.wait = time.Duration(l.Wait) * time.Second / hundredths
+	r.wait = time.Duration(l.Wait) * time.Second / relayer.Hundredths
 	r.running = l.Running
 	r.waiting = l.Waiting
 	r.free = l.Free
-	r.ramp = float64(l.Ramp) / hundredths
+	r.ramp = float64(l.Ramp) / relayer.Hundredths
 	r.sent = 0
 	r.heard = now
 }
