Count an adapter as there when a runner has taken a request for it

Orders that a runner accepts without counting them made its reports look old for ever.

Change: arrivals are told after the runner took the request; reports that stay behind for a second are taken; a new version waits for the old one to be idle.

--- a/internal/adapter/placer/placer.go
+++ b/internal/adapter/placer/placer.go
@@ -26,8 +26,9 @@
 	past    map[Copy]bool // held before
 	known   bool          // a report has been taken in since the last doubt
 	model   modelState
-	again   bool   // an earlier sending of open had no answer
-	open    *Order // sent, not answered
+	behind  time.Time // since when reports show fewer orders than were counted
+	again   bool      // an earlier sending of open had no answer
+	open    *Order    // sent, not answered
 	retry   time.Time
 	seq     uint64
 	wanted  map[Copy]want
@@ -74,6 +75,8 @@
 	rest = 700 * time.Millisecond
 	// pause keeps orders off a runner that has just refused one.
 	pause = 100 * time.Millisecond
+	// oldReport is more than the age of any report.
+	oldReport = time.Second
 	// modelMargin is how much longer than declared a model may take to load
 	// before a report is asked for: loads slow each other down.
 	modelMargin = 500 * time.Millisecond
@@ -94,9 +97,10 @@
 // that was accepted since, and so says nothing.
 func (p *Placer) Take(r Report, now time.Time) bool {
 	p.init()
-	if p.open != nil || r.Sequence < p.seq {
+	if p.open != nil || r.Sequence < p.seq && !p.overtaken(now) {
 		return false
 	}
+	p.behind = time.Time{}
 	p.seq = r.Sequence
 	p.takeModels(r, now)
 	seen := make(map[Copy]bool)
@@ -119,6 +123,17 @@
 	return true
 }
 
+// overtaken reports whether reports have shown fewer orders than were counted
+// for longer than a report is old. A runner accepts an order that asks for what
+// is being done already without counting it; without this the runner would get
+// no order any more.
+func (p *Placer) overtaken(now time.Time) bool {
+	if p.behind.IsZero() {
+		p.behind = now
+	}
+	return now.Sub(p.behind) > oldReport
+}
+
 func (p *Placer) takeModels(r Report, now time.Time) {
 	switch {
 	case slices.Contains(r.Models, p.Model):
@@ -173,8 +188,15 @@
 	LateReturn            // nor was one that the runner held before
 )
 
-// Use tells that requests use a copy.
-func (p *Placer) Use(c Copy, now time.Time) Arrival {
+// Use tells that requests need a copy to stay.
+func (p *Placer) Use(c Copy, now time.Time) {
+	if s, ok := p.copies[c]; ok {
+		s.used = now
+	}
+}
+
+// There tells that the runner took a request for a copy.
+func (p *Placer) There(c Copy, now time.Time) Arrival {
 	p.init()
 	s, ok := p.copies[c]
 	if !ok {
@@ -255,6 +277,10 @@
 		return Order{}, false
 	}
 	_, again := p.copies[c] // an earlier load had no answer; its place is taken already
+	if old, ok := p.sibling(c); ok {
+		p.copies[old].state = unloading
+		return p.send(Order{Copy: old, Unload: true}), true
+	}
 	if !again && len(p.copies) >= p.Places {
 		return p.evict(now)
 	}
@@ -300,6 +326,9 @@
 		if s, there := p.copies[c]; there && (!s.doubt || s.state == unloading) {
 			continue
 		}
+		if old, ok := p.sibling(c); ok && !p.idle(p.copies[old], now) {
+			continue
+		}
 		if !found || before(c, w, best, bestWant) {
 			best, bestWant, found = c, w, true
 		}
@@ -307,6 +336,18 @@
 	return best, found
 }
 
+// sibling returns another version of the adapter that the runner holds. It has
+// to go first, when nobody uses it any more: a runner that is to replace a
+// version in use takes no other order until its runs have ended.
+func (p *Placer) sibling(c Copy) (Copy, bool) {
+	for other := range p.copies {
+		if other.Model == c.Model && other.Adapter == c.Adapter && other.Version != c.Version {
+			return other, true
+		}
+	}
+	return Copy{}, false
+}
+
 func before(c Copy, w want, other Copy, v want) bool {
 	return cmp.Or(cmp.Compare(w.urgent, v.urgent), w.since.Compare(v.since), cmp.Compare(c.String(), other.String())) < 0
 }
@@ -394,8 +435,10 @@
 }
 
 func (p *Placer) accepted(o *Order, outcome Outcome, now time.Time) {
-	p.seq++
-	p.settle(o)
+	if outcome == Accepted || o.Unload { // what holds already is not counted
+		p.seq++
+		p.settle(o)
+	}
 	if o.Copy.Adapter == "" {
 		p.model = modelLoading
 		if outcome == Holds {
--- a/internal/adapter/placer/placer_test.go
+++ b/internal/adapter/placer/placer_test.go
@@ -113,6 +113,51 @@
 	}
 }
 
+// A caller asks for a new version of an adapter whose old one still runs. An
+// order to replace it would keep every other adapter from coming until those
+// runs have ended, so the old version is given up when it is idle, and the new
+// one is loaded after that.
+func TestNewVersionWaitsForTheOldOneToBeIdle(t *testing.T) {
+	old, fresh := adapter("a1"), adapter("a1")
+	fresh.Version = 2
+	p := newPlacer(2)
+	p.Take(placer.Report{Models: []string{"m"}, Resident: []placer.Copy{old}}, start)
+	p.Use(old, start)
+	p.Want(fresh, 0, start)
+	if order, ok := p.Next(start, true); ok {
+		t.Fatalf("ordered %+v while the old version is in use", order)
+	}
+	later := start.Add(800 * time.Millisecond)
+	p.Want(fresh, 0, later)
+	order, ok := p.Next(later, true)
+	if diff := cmp.Diff(placer.Order{Copy: old, Unload: true}, order); !ok || diff != "" {
+		t.Fatalf("order %v: %s", ok, diff)
+	}
+	p.Finish(placer.Holds, later)
+	order, ok = p.Next(later, true)
+	if diff := cmp.Diff(placer.Order{Copy: fresh, Expected: 1}, order); !ok || diff != "" {
+		t.Errorf("order %v: %s", ok, diff)
+	}
+}
+
+// A runner accepts a load that it is carrying out already and does not count
+// it. The callers of the runner's adapters would wait for ever if its reports
+// were taken for old ones from then on.
+func TestReportsThatStayBehindAreTaken(t *testing.T) {
+	p := newPlacer(2)
+	p.Want(adapter("a1"), 0, start)
+	p.Next(start, true)
+	p.Finish(placer.Accepted, start)
+	report := placer.Report{Models: []string{"m"}, Resident: []placer.Copy{adapter("a1")}}
+	p.Doubt()
+	if p.Take(report, start.Add(200*time.Millisecond)) {
+		t.Error("took a report that may be older than the order")
+	}
+	if !p.Take(report, start.Add(1300*time.Millisecond)) {
+		t.Error("took no report although none can be that old")
+	}
+}
+
 type lateOrder struct {
 	order placer.Order
 	at    time.Time
--- a/internal/instance/gatekeeper/desk.go
+++ b/internal/instance/gatekeeper/desk.go
@@ -285,7 +285,10 @@
 	m.heard = now
 	m.loads = demand.Loads
 	for _, n := range demand.Used {
-		d.with(n, func(p *placer.Placer) { d.gatekeeper.learn(p.Use(n.Copy, now)) })
+		d.with(n, func(p *placer.Placer) { p.Use(n.Copy, now) })
+	}
+	for _, n := range demand.There {
+		d.with(n, func(p *placer.Placer) { d.gatekeeper.learn(p.There(n.Copy, now)) })
 	}
 	for _, n := range demand.Missing {
 		d.with(n, func(p *placer.Placer) { d.gatekeeper.learn(p.Late(n.Copy, now)) })
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -204,14 +204,12 @@
 	}
 }
 
-// pause waits, and returns false if ctx has ended.
-func pause(ctx context.Context, d time.Duration) bool {
+// pause waits, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
-		return false
 	case <-t.C:
-		return true
 	}
 }
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -31,6 +31,7 @@
 // time that the holder was told.
 type needs struct {
 	missing map[needKey]bool
+	there   map[needKey]bool
 	used    map[needKey]bool
 	wants   map[needKey]int // priority
 }
@@ -216,6 +217,10 @@
 	for k := range l.needs.missing {
 		d.Missing = append(d.Missing, relayer.Need{Runner: k.runner, Copy: k.copy})
 	}
+	for k := range l.needs.there {
+		d.There = append(d.There, relayer.Need{Runner: k.runner, Copy: k.copy})
+		delete(l.needs.used, k)
+	}
 	for k := range l.needs.used {
 		d.Used = append(d.Used, relayer.Need{Runner: k.runner, Copy: k.copy})
 	}
@@ -291,18 +296,27 @@
 	}
 }
 
+// There implements forwarder.Placement.
+func (g *Gatekeeper) There(runner string, c placer.Copy) {
+	if l, ok := g.linkOf(runner); ok {
+		l.note(&l.needs.there, needKey{runner, c})
+	}
+}
+
 // Used implements forwarder.Placement.
 func (g *Gatekeeper) Used(runner string, c placer.Copy) {
-	l, ok := g.linkOf(runner)
-	if !ok {
-		return
+	if l, ok := g.linkOf(runner); ok {
+		l.note(&l.needs.used, needKey{runner, c})
 	}
+}
+
+func (l *link) note(set *map[needKey]bool, k needKey) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.needs.used == nil {
-		l.needs.used = make(map[needKey]bool)
+	if *set == nil {
+		*set = make(map[needKey]bool)
 	}
-	l.needs.used[needKey{runner, c}] = true
+	(*set)[k] = true
 }
 
 // Missing implements forwarder.Placement.
@@ -311,12 +325,7 @@
 	if !ok {
 		return
 	}
-	l.mu.Lock()
-	if l.needs.missing == nil {
-		l.needs.missing = make(map[needKey]bool)
-	}
-	l.needs.missing[needKey{runner, c}] = true
-	l.mu.Unlock()
+	l.note(&l.needs.missing, needKey{runner, c})
 	l.hurry()
 }
 
--- a/internal/member/elector/elector_test.go
+++ b/internal/member/elector/elector_test.go
@@ -81,7 +81,7 @@
 		frozen := make([]time.Duration, len(electors))
 		cut := make([]time.Duration, len(electors)) // from the table service
 		pending := make([]func(), len(electors))
-		var last time.Duration = -time.Hour
+		last := -time.Hour
 		holder := ""
 		var fence uint64
 		orders := 0
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -82,6 +82,7 @@
 		Domain  string                  `cbor:"5,keyasint"`
 		Loads   map[string]tracker.Load `cbor:"1,keyasint,omitempty"` // the sender's work on each runner, all that have some
 		Missing []Need                  `cbor:"2,keyasint,omitempty"` // refused for want of the copy
+		There   []Need                  `cbor:"6,keyasint,omitempty"` // used, and known to be there
 		Used    []Need                  `cbor:"3,keyasint,omitempty"`
 		Wants   []Need                  `cbor:"4,keyasint,omitempty"`
 	}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -52,6 +52,7 @@
 	}
 	p.runs++
 	run.First(time.Now())
+	p.there(runner.ID)
 	var err *judge.Error
 	if p.request.Route.Kind == matcher.Streaming && reply.Status < 300 {
 		err = p.stream(ctx, runner, reply, watch)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -97,7 +97,7 @@
 		if !p.again(ctx, failed) {
 			return p.final(failed)
 		}
-		p.Recorder.Log(recorder.Retry, "request", p.request.ID, "runner", runner.ID, "reason", failed.Reason,
+		p.Recorder.Log(recorder.Retry, "request", p.request.ID, "copy", p.request.Copy, "runner", runner.ID, "reason", failed.Reason,
 			"verdict", failed.Verdict, "after", p.after, "arrivals", p.arrivals)
 	}
 }
@@ -243,6 +243,13 @@
 	}
 }
 
+// there tells that a copy is where it was expected.
+func (p *passage) there(runner string) {
+	if p.request.Copy != (placer.Copy{}) {
+		p.Placement.There(runner, p.request.Copy)
+	}
+}
+
 func (p *passage) log(err *judge.Error) {
 	r := p.request
 	fields := []any{
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -82,7 +82,9 @@
 	// Want asks for a copy at a runner. It is called again while a request
 	// waits.
 	Want(runner string, c placer.Copy, priority int)
-	// Used tells that a request uses a copy at a runner.
+	// There tells that a runner took a request for a copy.
+	There(runner string, c placer.Copy)
+	// Used tells that a request needs a copy to stay at a runner.
 	Used(runner string, c placer.Copy)
 	// Missing tells that a runner refused a request for want of a copy.
 	Missing(runner string, c placer.Copy)
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -44,11 +44,14 @@
 // end judges how a stream ended. One whose last event is not whole was cut,
 // also if its framing is complete.
 func (p *passage) end(ctx context.Context, runner tracker.Runner, reply *Reply, err error) *judge.Error {
-	if err == io.EOF && p.split.Rest() > 0 {
+	// A reader says io.EOF itself at the end; an error that wraps it is another.
+	ended := err == io.EOF //nolint:errorlint // see above
+	if ended && p.split.Rest() > 0 {
+		ended = false
 		err = fmt.Errorf("the stream ended within an event: %w", io.ErrUnexpectedEOF)
 	}
-	reply.Close(err == io.EOF)
-	if err != io.EOF {
+	reply.Close(ended)
+	if !ended {
 		p.tried[runner.ID] = true
 		return p.cut(ctx, reply, err)
 	}
--- a/internal/request/matcher/matcher_test.go
+++ b/internal/request/matcher/matcher_test.go
@@ -49,8 +49,9 @@
 	count := map[string]int{}
 	for i := range 10000 {
 		id := fmt.Sprint(i)
-		count[r.Service(id)]++
-		if r.Service(id) != r.Service(id) {
+		first := r.Service(id)
+		count[first]++
+		if again := r.Service(id); again != first {
 			t.Fatalf("request %s moved", id)
 		}
 	}
--- a/internal/setting/configurer/gateway.go
+++ b/internal/setting/configurer/gateway.go
@@ -80,8 +80,11 @@
 		field string
 		value time.Duration
 	}{
-		{"bounds.drain", g.Bounds.Drain}, {"bounds.grace", g.Bounds.Grace}, {"bounds.quiet", g.Bounds.Quiet},
-		{"bounds.version", g.Bounds.Version}, {"bounds.window", g.Bounds.Window},
+		{"bounds.drain", g.Bounds.Drain},
+		{"bounds.grace", g.Bounds.Grace},
+		{"bounds.quiet", g.Bounds.Quiet},
+		{"bounds.version", g.Bounds.Version},
+		{"bounds.window", g.Bounds.Window},
 	} {
 		if f.value <= 0 {
 			return fault(f.field, "%s is too short; write a time such as 3s", f.value)
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -247,6 +247,8 @@
 func (s *state) ready(d Demand, now time.Time) (resident, loading bool, wait time.Duration) {
 	at, ok := s.held[d.Copy]
 	switch {
+	case !ok && s.otherVersion(d.Copy):
+		return false, false, d.Load + replaceTime
 	case !ok:
 		return false, false, d.Load
 	case now.Before(at):
@@ -256,6 +258,19 @@
 	}
 }
 
+// replaceTime is what another version of the adapter adds to the time until one
+// can be used: it has to be left alone for a while before it makes way.
+const replaceTime = time.Second
+
+func (s *state) otherVersion(c placer.Copy) bool {
+	for held := range s.held {
+		if held.Model == c.Model && held.Adapter == c.Adapter && held.Version != c.Version {
+			return true
+		}
+	}
+	return false
+}
+
 // backlog estimates how long the runner needs for what is before a request: the
 // prompts that it has to read first, and the runs that must end if all places
 // are taken.
