--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -74,11 +74,12 @@
 	Store      tabler.Feed
 	Unreadable func(c *fasthttp.RequestCtx, err error)
 
-	catalog atomic.Pointer[matcher.Catalog]
-	kicks   chan struct{}
-	leaving atomic.Bool
-	loads   estimate // of adapters from the weight store
-	returns estimate // of adapters that the runner held before
+	catalog   atomic.Pointer[matcher.Catalog]
+	kicks     chan struct{}
+	leaving   atomic.Bool
+	runnersAt atomic.Int64 // when the store was last asked for the runners with success, in nanoseconds
+	loads     estimate     // of adapters from the weight store
+	returns   estimate     // of adapters that the runner held before
 
 	mu       sync.Mutex
 	versions map[copyName]int // newest version of adapters that have another than the first
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -21,6 +21,7 @@
 
 	mu      sync.Mutex
 	asked   map[needKey]time.Time // wants that the holder was told of in a hurry
+	fresh   time.Time             // when the holder last knew the runners as they were
 	heard   time.Time
 	holder  elector.Tenure
 	members int
@@ -71,6 +72,13 @@
 	return time.Since(l.heard)
 }
 
+// stale returns how long ago the holder knew the runners as they were.
+func (l *link) stale() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(l.fresh)
+}
+
 // told reports whether the holders of all domains tell this instance what
 // changes, so that it need not ask the store itself.
 func (g *Gatekeeper) told() bool {
@@ -78,7 +86,7 @@
 		return false
 	}
 	for _, l := range g.links {
-		if l.silence() > unheard {
+		if l.stale() > unheard {
 			return false
 		}
 	}
@@ -134,6 +142,9 @@
 	now := time.Now()
 	l.mu.Lock()
 	l.heard = now
+	if n.Fresh {
+		l.fresh = now
+	}
 	l.members = n.Members
 	l.mu.Unlock()
 	g := l.gatekeeper
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -14,8 +14,9 @@
 	// longWatch is how long a call for changes of the operator's and the
 	// tenures' rows waits: they change seldom, and each call costs.
 	longWatch = 20 * time.Second
-	// shortWatch is how long one for changes of the runners waits.
-	shortWatch = 2 * time.Second
+	// shortWatch is how long one for changes of the runners waits. It bounds how
+	// old the knowledge of a runner's leaving may get where nothing else changes.
+	shortWatch = 500 * time.Millisecond
 	// paceHolder is the pause between two such calls of an instance that tells
 	// others: the runners of a busy service change many times a second, and each
 	// answer would cost a call.
@@ -170,11 +171,15 @@
 			pause(ctx, unheard/2)
 			continue
 		}
+		asked := time.Now()
 		err := g.refresh(ctx, t, shortWatch)
 		if ctx.Err() != nil {
 			return
 		}
 		g.sawStore(err)
+		if err == nil {
+			g.runnersAt.Store(asked.UnixNano())
+		}
 		g.due()
 		if g.holdsAny() {
 			pause(ctx, paceHolder)
@@ -184,6 +189,13 @@
 	}
 }
 
+// fresh reports whether the runners are as they were in the store a moment ago.
+// A holder that the store turns away goes on telling its members, and without
+// this they would send requests to runners that have left since.
+func (g *Gatekeeper) fresh() bool {
+	return time.Since(time.Unix(0, g.runnersAt.Load())) < shortWatch/2+unheard
+}
+
 func (g *Gatekeeper) runnerRow(r tabler.Row) {
 	runner, err := g.Decoder.Runner(r)
 	if err != nil {
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -144,7 +144,8 @@
 		Age     time.Duration           `cbor:"8,keyasint,omitempty"` // since the renewal in force was sent
 		Renewal uint64                  `cbor:"9,keyasint,omitempty"` // version that it gave the row of the tenure
 		Tenure  elector.Tenure          `cbor:"10,keyasint"`
-		Gone    []string                `cbor:"1,keyasint,omitempty"` // runners
+		Fresh   bool                    `cbor:"11,keyasint,omitempty"` // the runners are as in the store a moment ago
+		Gone    []string                `cbor:"1,keyasint,omitempty"`  // runners
 		Held    []Held                  `cbor:"2,keyasint,omitempty"`
 		Loads   map[string]tracker.Load `cbor:"3,keyasint,omitempty"` // other instances' work on the domain's runners
 		Members int                     `cbor:"4,keyasint"`           // instances that subscribe, the sender included
