Prove the platform's path without the platform; keep its names in one folder

Found by it: a connection stayed open after a malformed header (a hidden request ran), and a refusal without a time to come back.

--- a/internal/command/commander/gatewaycmd.go
+++ b/internal/command/commander/gatewaycmd.go
@@ -5,19 +5,13 @@
 	"fmt"
 	"net"
 	"os"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/spf13/cobra"
 
 	"github.com/sardinetiller/sardinetiller/internal/instance/gatekeeper"
-	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
-	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
-	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
-	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
-	"github.com/sardinetiller/sardinetiller/internal/wire/pooler"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 	"github.com/sardinetiller/sardinetiller/platform"
 )
@@ -51,21 +45,6 @@
 	return cmd
 }
 
-// The bounds on what is outside.
-const (
-	// runnerDial bounds a connection to a runner. A runner that lives takes one
-	// within milliseconds; a lost packet costs a second, which no caller has.
-	runnerDial = 400 * time.Millisecond
-	// orderTimeout bounds an order and a report.
-	orderTimeout = time.Second
-	// storeTimeout bounds a call to the store. It stays usable when it answers
-	// fifty times slower than the few milliseconds of a good day.
-	storeTimeout = 1500 * time.Millisecond
-	// keepTimeout is how long a connection stays unused if its peer names no
-	// time: longer is seldom safe.
-	keepTimeout = 5 * time.Second
-)
-
 func (c *Commander) gateway(ctx context.Context, file string, config configurer.Gateway) error {
 	set := newGatewayMetrics()
 	record := &recorder.Recorder{Instance: config.ID, Metrics: set, Out: c.out}
@@ -84,30 +63,11 @@
 		return usage(err)
 	}
 	go reloadGateway(ctx, file, config, record)
-	return newGatekeeper(config, listeners, set, record).Run(ctx)
-}
-
-// newGatekeeper wires an instance to the platform.
-func newGatekeeper(config configurer.Gateway, listeners gatekeeper.Listeners, set *metrics.Set, record *recorder.Recorder) *gatekeeper.Gatekeeper {
-	pool := &pooler.Pool{Dial: runnerDial, Idle: keepTimeout}
-	runners := &platform.Runners{Pool: pool, Timeout: orderTimeout}
-	fleet := &tracker.Fleet{Domain: config.Domain}
-	g := &gatekeeper.Gatekeeper{
-		Config: config, Decoder: platform.Decoder{}, Engine: runners, Fleet: fleet, Listeners: listeners, Metrics: set,
-		Pool: pool, Ready: platform.Ready, Recorder: record,
-		Store: &platform.Store{Address: config.Platform, Pool: &pooler.Pool{Dial: runnerDial, Idle: keepTimeout}, Timeout: storeTimeout},
-	}
-	g.Forwarder = &forwarder.Forwarder{
-		Burst: g.Burst, Fleet: fleet, LoadTime: g.LoadTime, Part: config.Bounds.Part, Placement: g, Recorder: record,
-		Upstream: runners, Window: config.Bounds.Window,
+	g, err := platform.Compose(platform.Parts{Config: config, Listeners: listeners, Metrics: set, Recorder: record})
+	if err != nil {
+		return err
 	}
-	g.Mesh = &relayer.Mesh{Handler: g, Secret: func() string { return "" }, Self: func() heartbeater.Instance {
-		return heartbeater.Instance{ID: config.ID, Domain: config.Domain, Address: config.Peer, Leaving: g.Leaving()}
-	}}
-	front := &platform.Front{Gate: g}
-	g.Front = front.Handle
-	g.Unreadable = front.Unreadable
-	return g
+	return g.Run(ctx)
 }
 
 // newGatewayMetrics returns the counters of an instance. Those of refusals and
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -63,6 +63,15 @@
 	l.gatekeeper.Recorder.Log(recorder.Belief, "msg", "tenure", "domain", l.domain, "holder", t.Holder, "fence", t.Fence)
 }
 
+// setMembers takes in how many instances there are.
+func (l *link) setMembers(members int) {
+	if members == l.members {
+		return
+	}
+	l.members = members
+	l.gatekeeper.Recorder.Log(recorder.Belief, "msg", "members", "domain", l.domain, "count", members)
+}
+
 func (l *link) self() string { return l.gatekeeper.Config.ID }
 
 // silence returns how long nothing was heard from the holder.
@@ -145,7 +154,7 @@
 	if n.Fresh {
 		l.fresh = now
 	}
-	l.members = n.Members
+	l.setMembers(n.Members)
 	l.mu.Unlock()
 	g := l.gatekeeper
 	if n.Whole {
@@ -261,7 +270,7 @@
 	l := g.links[domain]
 	l.mu.Lock()
 	l.heard = now
-	l.members = members
+	l.setMembers(members)
 	l.mu.Unlock()
 	if len(demand.Wants) > 0 || len(demand.Missing) > 0 {
 		g.kickLead()
--- a/internal/member/relayer/conversation.go
+++ b/internal/member/relayer/conversation.go
@@ -89,10 +89,9 @@
 		c.ended = true
 		return nil, &judge.Error{Verdict: fail.Verdict, Reason: fail.Reason, Message: fail.Message, Retry: fail.Retry}
 	}
-	switch m.(type) {
-	case End, Reserved:
-		c.ended = true
-	}
+	_, ends := m.(End)
+	_, reserved := m.(Reserved)
+	c.ended = ends || reserved
 	return m, nil
 }
 
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -123,7 +123,13 @@
 // final returns the error with a verdict that covers all attempts: a refusal of
 // the last one says nothing of those before it.
 func (p *passage) final(err *judge.Error) *judge.Error {
-	if p.runs == 0 || err.Verdict != judge.NotRun {
+	if err.Verdict != judge.NotRun {
+		return err
+	}
+	if p.runs == 0 {
+		if err.Retry == 0 && err.Reason != judge.ReasonCancelled {
+			return err.After(comeBack(0))
+		}
 		return err
 	}
 	after := *err
