Tell how long the line for loads is, and refuse at once what is hopeless

Change: the holder tells how long a load waits until it begins; the choice of a runner counts it, and a request is refused at once if its adapter is expected at more than twice the time that it may wait.

--- a/internal/instance/gatekeeper/desk.go
+++ b/internal/instance/gatekeeper/desk.go
@@ -163,6 +163,19 @@
 	return d.window.Room(engines) - coming
 }
 
+// wait returns how long an adapter that is asked for now waits until its load
+// begins.
+func (d *desk) wait() time.Duration {
+	engines, waiting := 0, 0
+	for _, c := range d.runners {
+		if c.placer != nil {
+			engines++
+			waiting += c.placer.Waiting()
+		}
+	}
+	return time.Duration(waiting) * d.gatekeeper.LoadTime() / time.Duration(d.window.Room(engines))
+}
+
 // perRunner is how many adapters may be on their way to one runner at once, as
 // engines allow.
 const perRunner = 4
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -184,6 +184,7 @@
 	}
 	g.Fleet.OthersIn(l.domain, n.Loads)
 	g.Fleet.Staffed(l.domain, n.Acting)
+	g.Fleet.Line(l.domain, n.Line)
 	g.desks[l.domain].heardOf(n.Tenure, n.Renewal, n.Age)
 }
 
@@ -263,7 +264,9 @@
 	now := time.Now()
 	d.mu.Lock()
 	others, members := d.others(g.Config.ID, now)
+	line := d.wait()
 	d.mu.Unlock()
+	g.Fleet.Line(domain, line)
 	g.Fleet.OthersIn(domain, others)
 	_, acts := d.acts()
 	g.Fleet.Staffed(domain, acts)
@@ -298,8 +301,7 @@
 		l.needs.wants = make(map[needKey]int)
 	}
 	k := needKey{runner, c}
-	before, known := l.needs.wants[k]
-	if !known || priority < before {
+	if before, known := l.needs.wants[k]; !known || priority < before {
 		l.needs.wants[k] = priority
 	}
 	now := time.Now()
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -83,6 +83,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	news.Loads, news.Members = d.others(member, now)
+	news.Line = d.wait()
 	news.Fresh = d.gatekeeper.fresh()
 	_, news.Acting = d.elector.Acts(uptime())
 	news.Renewal, news.Age = d.elector.Renewal(uptime())
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -147,10 +147,11 @@
 		Fresh   bool                    `cbor:"11,keyasint,omitempty"` // the runners are as in the store a moment ago
 		Gone    []string                `cbor:"1,keyasint,omitempty"`  // runners
 		Held    []Held                  `cbor:"2,keyasint,omitempty"`
-		Loads   map[string]tracker.Load `cbor:"3,keyasint,omitempty"` // other instances' work on the domain's runners
-		Members int                     `cbor:"4,keyasint"`           // instances that subscribe, the sender included
-		Runners []tracker.Runner        `cbor:"5,keyasint,omitempty"` // described anew
-		Whole   bool                    `cbor:"6,keyasint,omitempty"` // Runners and Held are all there are
+		Loads   map[string]tracker.Load `cbor:"3,keyasint,omitempty"`  // other instances' work on the domain's runners
+		Line    time.Duration           `cbor:"12,keyasint,omitempty"` // until an adapter that is asked for now begins to load
+		Members int                     `cbor:"4,keyasint"`            // instances that subscribe, the sender included
+		Runners []tracker.Runner        `cbor:"5,keyasint,omitempty"`  // described anew
+		Whole   bool                    `cbor:"6,keyasint,omitempty"`  // Runners and Held are all there are
 	}
 
 	// A Granted says that the load may begin.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -155,14 +155,15 @@
 			p.queue = time.Duration(best.Queue * float64(time.Second))
 			return runner, p.reserve(ctx, runner)
 		}
+		stall := time.Duration(best.Stall * float64(time.Second))
+		if waited := now.Sub(p.request.Arrived); waited > p.patience() || waited+stall > hopeless*p.patience() {
+			return tracker.Runner{}, judge.Refuse(judge.ReasonLoad, "the adapter comes in %s", stall.Round(time.Millisecond)).After(comeBack(stall))
+		}
 		p.asked = best.Runner
 		p.Placement.Want(best.Runner, p.request.Copy, p.request.Route.Priority)
 		if !p.rest(ctx) {
 			return tracker.Runner{}, p.over(ctx)
 		}
-		if now.Sub(p.request.Arrived) > p.patience() {
-			return tracker.Runner{}, judge.Refuse(judge.ReasonLoad, "the adapter did not arrive in time").After(comeBack(p.LoadTime()))
-		}
 	}
 }
 
@@ -234,6 +235,9 @@
 	// patiencePart is the part of the time that a caller has that its request
 	// may wait for an adapter. What is left is enough to come back once.
 	patiencePart = 3
+	// hopeless is by how much an adapter may be expected too late before its
+	// request is refused at once: others ahead in the line may leave it.
+	hopeless = 2
 	// giveUpLeast, giveUpGoals and giveUpGaps say when callers of streams give
 	// up that have seen nothing: after the longest of that time, so many goals,
 	// and so many of the pauses that are allowed. stayPart is the part of it
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -18,8 +18,9 @@
 
 	mu      sync.Mutex
 	runners map[string]*state
-	paces   map[string]*pace // by service
-	idle    map[string]bool  // failure domains whose runners get no orders now
+	paces   map[string]*pace         // by service
+	lines   map[string]time.Duration // by failure domain: until a load begins there
+	idle    map[string]bool          // failure domains whose runners get no orders now
 }
 
 // A state is a runner with what was seen of it.
@@ -197,6 +198,17 @@
 	f.idle[domain] = !staffed
 }
 
+// Line takes in how long it takes until the load of a further adapter begins in
+// a failure domain.
+func (f *Fleet) Line(domain string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lines == nil {
+		f.lines = make(map[string]time.Duration)
+	}
+	f.lines[domain] = d
+}
+
 // A Demand is what the choice of a runner depends on.
 type Demand struct {
 	Asked   string        // runner where the copy was asked for; empty for none
@@ -223,7 +235,7 @@
 		}
 		c.Crowded = d.Crowd > 0 && c.Backlog+time.Duration(float64(d.Tokens)*f.pace(d.Service).read*float64(time.Second)) > d.Crowd
 		if d.Copy != (placer.Copy{}) {
-			c.Resident, c.Loading, c.Ready = s.ready(d, now)
+			c.Resident, c.Loading, c.Ready = s.ready(d, f.lines[s.Domain], now)
 		}
 		c.Loading = c.Loading || !c.Resident && id == d.Asked
 		if !c.Resident && !c.Loading && f.idle[s.Domain] {
@@ -235,13 +247,15 @@
 }
 
 // ready returns how a copy stands at a runner and how long until it can be used.
-func (s *state) ready(d Demand, now time.Time) (resident, loading bool, wait time.Duration) {
+func (s *state) ready(d Demand, line time.Duration, now time.Time) (resident, loading bool, wait time.Duration) {
 	at, ok := s.held[d.Copy]
 	switch {
 	case !ok && s.otherVersion(d.Copy):
-		return false, false, d.Load + replaceTime
+		return false, false, line + d.Load + replaceTime
+	case !ok && s.ID == d.Asked:
+		return false, false, d.Load // it stands in line already
 	case !ok:
-		return false, false, d.Load
+		return false, false, line + d.Load
 	case now.Before(at):
 		return false, true, at.Sub(now)
 	default:
