Ask other runners for room; a runner that is gone stays gone

In an incident, runners that were gone came back for seconds: a holder cut off from the store told of them again.

Change: after a refusal up to two other runners are asked, and the reading that a holder tells of counts in the next choice; removals carry their revision and older descriptions do not undo them; the time to a first token counts into what is on time.

--- a/internal/instance/gatekeeper/desk.go
+++ b/internal/instance/gatekeeper/desk.go
@@ -70,11 +70,11 @@
 }
 
 // gone takes a runner out.
-func (d *desk) gone(id string) {
+func (d *desk) gone(id string, revision uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.runners, id)
-	d.news.add(event{gone: id})
+	d.news.add(event{gone: &relayer.Gone{Runner: id, Revision: revision}})
 }
 
 // acts reports whether orders may be sent now, and with which fencing number.
--- a/internal/instance/gatekeeper/journal.go
+++ b/internal/instance/gatekeeper/journal.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 )
 
@@ -16,7 +17,7 @@
 
 // An event is one change. One of its fields is set.
 type event struct {
-	gone   string
+	gone   *relayer.Gone
 	held   *heldEvent
 	runner *tracker.Runner
 }
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -163,8 +163,8 @@
 	for _, r := range n.Runners {
 		g.setRunner(r)
 	}
-	for _, id := range n.Gone {
-		g.removeNow(id)
+	for _, gone := range n.Gone {
+		g.removeNow(gone.Runner, gone.Revision)
 	}
 	if n.Whole {
 		whole := make(map[string]map[placer.Copy]time.Time)
@@ -196,7 +196,7 @@
 	}
 	for _, r := range g.Fleet.All() {
 		if r.Domain == domain && !known[r.ID] {
-			g.removeNow(r.ID)
+			g.removeNow(r.ID, r.Revision)
 		}
 	}
 }
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -23,11 +23,11 @@
 		if err != nil {
 			return err
 		}
-		wait, err := d.reserve(m)
+		reserved, err := d.reserve(m)
 		if err != nil {
 			return err
 		}
-		return reply.Finish(relayer.Reserved{Wait: wait})
+		return reply.Finish(reserved)
 	case relayer.Subscribe:
 		d, err := g.held(m.Domain)
 		if err != nil {
@@ -97,8 +97,8 @@
 		switch {
 		case e.runner != nil:
 			news.Runners = append(news.Runners, *e.runner)
-		case e.gone != "":
-			news.Gone = append(news.Gone, e.gone)
+		case e.gone != nil:
+			news.Gone = append(news.Gone, *e.gone)
 		case e.held != nil:
 			news.Held = append(news.Held, e.held.encode(now))
 		}
--- a/internal/instance/gatekeeper/reserve.go
+++ b/internal/instance/gatekeeper/reserve.go
@@ -23,8 +23,9 @@
 		return 0, nil, false
 	}
 	r := relayer.Reserve{Domain: l.domain, Runner: a.Runner, Tokens: a.Tokens, Pause: a.Pause, Within: a.Within}
-	if g.desks[l.domain].holds() {
-		return told(g.desks[l.domain].reserve(r))
+	if d := g.desks[l.domain]; d.holds() {
+		reserved, err := d.reserve(r)
+		return g.learnRoom(a, reserved, err)
 	}
 	l.mu.Lock()
 	holder := l.holder
@@ -40,33 +41,36 @@
 	}
 	defer conversation.Close()
 	message, err := conversation.Next(ctx)
-	if reserved, is := message.(relayer.Reserved); is {
-		return reserved.Wait, nil, true
+	reserved, is := message.(relayer.Reserved)
+	if err == nil && !is {
+		return 0, nil, false
 	}
-	return told(0, err)
+	return g.learnRoom(a, reserved, err)
 }
 
-// told returns what the holder said. Only a refusal for want of room is one;
-// any other failure leaves the request as it was.
-func told(wait time.Duration, err error) (time.Duration, *judge.Error, bool) {
+// learnRoom takes in what the holder said. Only a refusal for want of room is
+// one; any other failure leaves the request as it was.
+func (g *Gatekeeper) learnRoom(a forwarder.Ask, reserved relayer.Reserved, err error) (time.Duration, *judge.Error, bool) {
 	if err == nil {
-		return wait, nil, true
+		g.Fleet.Reading(a.Runner, reserved.Reading)
+		return reserved.Wait, nil, true
 	}
 	var refused *judge.Error
 	if errors.As(err, &refused) && refused.Reason == judge.ReasonQueue {
+		g.Fleet.Reading(a.Runner, a.Within+refused.Retry)
 		return 0, refused, true
 	}
 	return 0, nil, false
 }
 
 // reserve gives a request room at a runner, or refuses it.
-func (d *desk) reserve(r relayer.Reserve) (time.Duration, error) {
+func (d *desk) reserve(r relayer.Reserve) (relayer.Reserved, error) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c, ok := d.runners[r.Runner]
 	if !ok {
-		return 0, judge.Refuse(judge.ReasonUpstream, "runner %s is not known here", r.Runner)
+		return relayer.Reserved{}, judge.Refuse(judge.ReasonUpstream, "runner %s is not known here", r.Runner)
 	}
 	fleet := d.gatekeeper.Fleet
 	wait, ok := c.line.Reserve(admitter.Visit{
@@ -74,7 +78,7 @@
 	}, now)
 	if !ok {
 		refused := judge.Refuse(judge.ReasonQueue, "%s of prompts are to be read there", c.line.Backlog(now).Round(time.Millisecond))
-		return 0, refused.After(wait)
+		return relayer.Reserved{}, refused.After(wait)
 	}
-	return wait, nil
+	return relayer.Reserved{Wait: wait, Reading: c.line.Backlog(now)}, nil
 }
--- a/internal/instance/gatekeeper/runners.go
+++ b/internal/instance/gatekeeper/runners.go
@@ -8,7 +8,13 @@
 )
 
 // removals are runners whose rows are gone while that may be a mistake.
-type removals map[string]time.Time
+type removals map[string]removal
+
+// A removal takes effect at a time, unless the runner is described anew.
+type removal struct {
+	at       time.Time
+	revision uint64
+}
 
 // lapse is how long after the store's return a row that is gone may come back:
 // rows of living runners lapse while the store is away, and runners write them
@@ -21,6 +27,9 @@
 	g.mu.Unlock()
 	before, known := g.Fleet.Get(r.ID)
 	g.Fleet.Set(r)
+	if _, taken := g.Fleet.Get(r.ID); !taken {
+		return // it is gone since
+	}
 	if !known || before.Leaving != r.Leaving {
 		g.Recorder.Log(recorder.Belief, "msg", "runner", "runner", r.ID, "service", r.Service, "domain", r.Domain,
 			"leaving", r.Leaving, "revision", r.Revision)
@@ -30,7 +39,7 @@
 
 // remove takes a runner out, at once or, if the store has just come back, when
 // its row has had the time to come back as well.
-func (g *Gatekeeper) remove(id string) {
+func (g *Gatekeeper) remove(id string, revision uint64) {
 	back, down := g.storeUp.back()
 	if now := time.Now(); !back.IsZero() && !down && now.Sub(back) < lapse {
 		g.mu.Lock()
@@ -38,39 +47,39 @@
 			g.removals = make(removals)
 		}
 		if _, waits := g.removals[id]; !waits {
-			g.removals[id] = back.Add(lapse)
+			g.removals[id] = removal{at: back.Add(lapse), revision: revision}
 		}
 		g.mu.Unlock()
 		return
 	}
-	g.removeNow(id)
+	g.removeNow(id, revision)
 }
 
-func (g *Gatekeeper) removeNow(id string) {
+func (g *Gatekeeper) removeNow(id string, revision uint64) {
 	runner, known := g.Fleet.Get(id)
+	g.Fleet.Remove(id, revision)
 	if !known {
 		return
 	}
-	g.Fleet.Remove(id)
 	g.Pool.Drop(id)
-	g.desk(runner.Domain).gone(id)
+	g.desk(runner.Domain).gone(id, g.Fleet.Gone(id))
 	g.Recorder.Log(recorder.Belief, "msg", "runner gone", "runner", id, "service", runner.Service)
 }
 
 // due takes out the runners whose rows have not come back.
 func (g *Gatekeeper) due() {
 	now := time.Now()
-	var gone []string
+	gone := make(removals)
 	g.mu.Lock()
-	for id, at := range g.removals {
-		if now.After(at) {
-			gone = append(gone, id)
+	for id, r := range g.removals {
+		if now.After(r.at) {
+			gone[id] = r
 			delete(g.removals, id)
 		}
 	}
 	g.mu.Unlock()
-	for _, id := range gone {
-		g.removeNow(id)
+	for id, r := range gone {
+		g.removeNow(id, r.revision)
 	}
 }
 
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -203,7 +203,7 @@
 		return
 	}
 	if r.Removed {
-		g.remove(runner.ID)
+		g.remove(runner.ID, r.Version)
 		return
 	}
 	g.setRunner(runner)
@@ -223,7 +223,7 @@
 	}
 	for _, known := range g.Fleet.All() {
 		if !there[known.ID] {
-			g.remove(known.ID)
+			g.remove(known.ID, known.Revision)
 		}
 	}
 }
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -145,7 +145,7 @@
 		Renewal uint64                  `cbor:"9,keyasint,omitempty"` // version that it gave the row of the tenure
 		Tenure  elector.Tenure          `cbor:"10,keyasint"`
 		Fresh   bool                    `cbor:"11,keyasint,omitempty"` // the runners are as in the store a moment ago
-		Gone    []string                `cbor:"1,keyasint,omitempty"`  // runners
+		Gone    []Gone                  `cbor:"1,keyasint,omitempty"`
 		Held    []Held                  `cbor:"2,keyasint,omitempty"`
 		Loads   map[string]tracker.Load `cbor:"3,keyasint,omitempty"`  // other instances' work on the domain's runners
 		Line    time.Duration           `cbor:"12,keyasint,omitempty"` // until an adapter that is asked for now begins to load
@@ -164,8 +164,9 @@
 
 	// A Reserved answers a Reserve and ends the answer.
 	Reserved struct {
-		_    struct{}      `cbor:",toarray"`
-		Wait time.Duration // before the request is sent
+		_       struct{}      `cbor:",toarray"`
+		Wait    time.Duration // before the request is sent
+		Reading time.Duration // that the runner still reads, this prompt included
 	}
 
 	// A Surrendered answers a Yield.
@@ -218,6 +219,13 @@
 	In     time.Duration // until it can be used; negative: it is not there
 }
 
+// A Gone is a runner that is no more, with the last revision of its description.
+type Gone struct {
+	_        struct{} `cbor:",toarray"`
+	Runner   string
+	Revision uint64
+}
+
 // Hundredths scales what a Load tells in hundredths.
 const Hundredths = 100
 
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -122,7 +122,7 @@
 	run.End(tracker.Refused, time.Now())
 	switch {
 	case reply.Instance != "" && reply.Instance != runner.ID:
-		p.Fleet.Remove(runner.ID) // its address belongs to another one now
+		p.Fleet.Remove(runner.ID, 0) // its address belongs to another one now
 	case reply.Absent:
 		p.Fleet.Missing(runner.ID, p.request.Copy)
 		p.Placement.Missing(runner.ID, p.request.Copy)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -44,16 +44,17 @@
 	sink    Sink
 	budget  *retrier.Budget
 
-	asked    string        // runner where the adapter was asked for
-	at       string        // runner that it was sent to last
-	queue    time.Duration // of work that was thought to be before it there
-	after    int           // last event that the caller was given
-	answered bool          // the caller has the head of an answer
-	arrivals int           // sendings that reached a runner
-	first    time.Duration // from the arrival to the first part of the answer
-	last     time.Time     // when the last event was passed on
-	pause    time.Duration // the longest between two events
-	runs     int           // of the arrivals, the ones that may have run
+	asked    string          // runner where the adapter was asked for
+	at       string          // runner that it was sent to last
+	queue    time.Duration   // of work that was thought to be before it there
+	after    int             // last event that the caller was given
+	answered bool            // the caller has the head of an answer
+	arrivals int             // sendings that reached a runner
+	full     map[string]bool // runners that refused it for want of room
+	first    time.Duration   // from the arrival to the first part of the answer
+	last     time.Time       // when the last event was passed on
+	pause    time.Duration   // the longest between two events
+	runs     int             // of the arrivals, the ones that may have run
 	split    streamer.Splitter
 	tried    map[string]bool
 	waited   time.Duration // for an adapter
@@ -68,7 +69,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	p := &passage{Forwarder: f, request: r, sink: sink, budget: f.budget(r.Service), after: r.After, tried: make(map[string]bool)}
+	p := &passage{Forwarder: f, request: r, sink: sink, budget: f.budget(r.Service), after: r.After, full: make(map[string]bool), tried: make(map[string]bool)}
 	p.budget.Deposit()
 	err := p.run(ctx)
 	p.log(err)
@@ -153,7 +154,12 @@
 				continue
 			}
 			p.queue = time.Duration(best.Queue * float64(time.Second))
-			return runner, p.reserve(ctx, runner)
+			refused := p.reserve(ctx, runner)
+			if refused != nil && refused.Reason == judge.ReasonQueue && len(p.full) < otherRunners {
+				p.full[runner.ID] = true
+				continue
+			}
+			return runner, refused
 		}
 		stall := time.Duration(best.Stall * float64(time.Second))
 		if waited := now.Sub(p.request.Arrived); waited > p.patience() || waited+stall > hopeless*p.patience() {
@@ -200,7 +206,7 @@
 // that waited for its adapter until it was late is served late: the adapter is
 // there for it now.
 func (p *passage) within(now time.Time) time.Duration {
-	left := p.limit() - now.Sub(p.request.Arrived)
+	left := p.limit() - now.Sub(p.request.Arrived) - p.Fleet.Base(p.request.Service)
 	if p.waited > 0 && left < p.limit()/2 || p.arrivals > 0 {
 		return p.limit()
 	}
@@ -235,6 +241,9 @@
 	// patiencePart is the part of the time that a caller has that its request
 	// may wait for an adapter. What is left is enough to come back once.
 	patiencePart = 3
+	// otherRunners is how many more runners are asked for room after one has
+	// none: a much wanted adapter has several copies, and may get one more.
+	otherRunners = 2
 	// hopeless is by how much an adapter may be expected too late before its
 	// request is refused at once: others ahead in the line may leave it.
 	hopeless = 2
@@ -270,7 +279,7 @@
 func (p *passage) best(now time.Time) (router.Terms, *judge.Error) {
 	r := p.request
 	candidates := p.Fleet.Candidates(tracker.Demand{
-		Asked: p.asked, Copy: r.Copy, Crowd: p.crowd(), Load: p.LoadTime(), Service: r.Service, Tokens: r.Tokens, Tried: p.tried,
+		Asked: p.asked, Copy: r.Copy, Crowd: p.crowd(), Load: p.LoadTime(), Service: r.Service, Tokens: r.Tokens, Full: p.full, Tried: p.tried,
 	}, now)
 	if len(candidates) == 0 && len(p.tried) > 0 && p.after > r.After {
 		clear(p.tried) // a stream that has begun is worth trying anywhere
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -17,6 +17,7 @@
 	Domain string // of this instance
 
 	mu      sync.Mutex
+	gone    map[string]uint64 // runners that are gone, and their last revision
 	runners map[string]*state
 	paces   map[string]*pace         // by service
 	lines   map[string]time.Duration // by failure domain: until a load begins there
@@ -33,6 +34,7 @@
 	own       Load
 	suspended time.Time // until when it gets nothing new
 	streak    int       // connections that failed in a row
+	until     time.Time // when it has read what its holder knows of, as last told
 	told      bool      // whether held comes from the instance that gives it orders
 }
 
@@ -54,13 +56,13 @@
 	defer f.mu.Unlock()
 	f.init()
 	s, ok := f.runners[r.ID]
+	if ok && r.Revision < s.Revision || !ok && r.Revision <= f.gone[r.ID] {
+		return
+	}
 	if !ok {
 		s = &state{held: make(map[placer.Copy]time.Time)}
 		f.runners[r.ID] = s
 	}
-	if ok && r.Revision < s.Revision {
-		return
-	}
 	r.Leaving = r.Leaving || s.Leaving // a runner that leaves does not come back under its ID
 	s.Runner = r
 	if !s.told {
@@ -80,13 +82,26 @@
 	}
 }
 
-// Remove takes a runner out.
-func (f *Fleet) Remove(id string) {
+// Remove takes a runner out. Its descriptions up to a revision do not bring it
+// back: an instance that hears late would else tell of it again.
+func (f *Fleet) Remove(id string, revision uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.init()
+	if s, ok := f.runners[id]; ok {
+		revision = max(revision, s.Revision)
+	}
+	f.gone[id] = max(f.gone[id], revision)
 	delete(f.runners, id)
 }
 
+// Gone returns the revision up to which a runner is known to be gone.
+func (f *Fleet) Gone(id string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gone[id]
+}
+
 // Get returns a runner's description.
 func (f *Fleet) Get(id string) (Runner, bool) {
 	f.mu.Lock()
@@ -211,9 +226,10 @@
 
 // A Demand is what the choice of a runner depends on.
 type Demand struct {
-	Asked   string        // runner where the copy was asked for; empty for none
-	Copy    placer.Copy   // zero for a plain service
-	Crowd   time.Duration // of prompts to be read at once that holds up the runs of a runner; 0 for no bound
+	Asked   string          // runner where the copy was asked for; empty for none
+	Copy    placer.Copy     // zero for a plain service
+	Crowd   time.Duration   // of prompts to be read at once that holds up the runs of a runner; 0 for no bound
+	Full    map[string]bool // runners without room for it
 	Load    time.Duration
 	Service string
 	Tokens  int             // of the prompt
@@ -233,6 +249,9 @@
 			Runner: id, Away: s.Domain != f.Domain, Batch: s.Slots, Running: s.own.Running + s.others.Running,
 			Backlog: f.backlog(s, d), Failing: s.failingAt(now), Resident: true,
 		}
+		if d.Full[id] {
+			c.Backlog += fullCost
+		}
 		c.Crowded = d.Crowd > 0 && c.Backlog+time.Duration(float64(d.Tokens)*f.pace(d.Service).read*float64(time.Second)) > d.Crowd
 		if d.Copy != (placer.Copy{}) {
 			c.Resident, c.Loading, c.Ready = s.ready(d, f.lines[s.Domain], now)
@@ -276,13 +295,18 @@
 	return false
 }
 
+// fullCost is what is added to the backlog of a runner that has refused a
+// request: more than any other runner costs that has room, so that it is asked
+// again only if none has.
+const fullCost = 10 * time.Second
+
 // backlog estimates how long the runner needs for what is before a request: the
 // prompts that it has to read first, and the runs that must end if all places
 // are taken.
 func (f *Fleet) backlog(s *state, d Demand) time.Duration {
 	p := f.pace(d.Service)
 	load := s.own.Plus(s.others)
-	wait := float64(load.Unread)*p.read + s.full(p)
+	wait := max(float64(load.Unread)*p.read, time.Until(s.until).Seconds()) + s.full(p)
 	if d.Copy == (placer.Copy{}) && s.Slots > 0 {
 		// Requests to a plain service share its processor before they queue.
 		wait += float64(load.Running) / float64(s.Slots) * p.run
@@ -319,6 +343,22 @@
 	return p.base, p.read
 }
 
+// Reading takes in how long a runner still reads, as its holder said.
+func (f *Fleet) Reading(id string, backlog time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.runners[id]; ok {
+		s.until = time.Now().Add(backlog)
+	}
+}
+
+// Base returns the time to a first token of a short prompt on a free runner.
+func (f *Fleet) Base(service string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.pace(service).base * float64(time.Second))
+}
+
 // Read returns the time that a prompt takes to be read with nothing before it.
 func (f *Fleet) Read(service string, tokens int) time.Duration {
 	f.mu.Lock()
@@ -335,6 +375,7 @@
 
 func (f *Fleet) init() {
 	if f.runners == nil {
+		f.gone = make(map[string]uint64)
 		f.runners = make(map[string]*state)
 		f.paces = make(map[string]*pace)
 	}
