Silence alone does not cut an answer

Change: a silent runner is left only when another one can take over at once and a retry is withdrawn already; within a stream the limit is three quarters of the time after which callers give up. Tests of the forwarder on the runtime's clock; on the code before, the first and the third of them fail.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -14,17 +14,7 @@
 // errGone is a caller that went away.
 var errGone = &judge.Error{Verdict: judge.MayHaveRun, Reason: judge.ReasonCancelled, Message: "the caller went away"}
 
-// errSilent is a runner that gives no sign for longer than one that works.
-var errSilent = errors.New("the runner gives no sign")
-
 const (
-	// silence is how long a runner that may be replaced by another one may stay
-	// without any byte of its answer, as a multiple of the goal. Callers give up
-	// at four times the goal.
-	silence = 2
-	// silenceLeast keeps goals of a few milliseconds from making every pause a
-	// failure.
-	silenceLeast = 500 * time.Millisecond
 	// readSize is how much of a body is read at once, in bytes. An event has
 	// about 60.
 	readSize = 4 << 10
@@ -41,8 +31,8 @@
 	run := p.Fleet.Begin(runner.ID, p.request.Tokens, now)
 	p.at = runner.ID
 	p.used(runner.ID)
-	watch := p.watch(cancel)
-	defer watch.Stop()
+	watch := p.watch(runner.ID, cancel)
+	defer watch.stop()
 	reply, seen := p.Upstream.Send(ctx, Attempt{Request: p.request, Runner: runner, After: p.after, Left: deadline.Sub(now)})
 	if seen != nil {
 		return p.unanswered(ctx, run, runner, seen)
@@ -58,27 +48,13 @@
 	if p.request.Route.Kind == matcher.Streaming && reply.Status < 300 {
 		err = p.stream(ctx, runner, reply, watch)
 	} else {
-		watch.Stop()
+		watch.stop()
 		err = p.whole(ctx, runner, reply)
 	}
 	run.End(ended(ctx, err), time.Now())
 	return err
 }
 
-// watch ends an attempt whose runner gives no sign, if another may take over.
-func (p *passage) watch(cancel context.CancelCauseFunc) *time.Timer {
-	limit := p.silence()
-	t := time.AfterFunc(limit, func() { cancel(errSilent) })
-	if !p.request.Route.Repeatable() || p.runs+1 >= p.request.Route.Attempts {
-		t.Stop()
-	}
-	return t
-}
-
-func (p *passage) silence() time.Duration {
-	return max(silenceLeast, silence*p.request.Route.Goal, silence*p.request.Route.Gap)
-}
-
 func ended(ctx context.Context, err *judge.Error) tracker.End {
 	switch {
 	case err == nil:
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
@@ -54,6 +55,7 @@
 	first    time.Duration   // from the arrival to the first part of the answer
 	last     time.Time       // when the last event was passed on
 	pause    time.Duration   // the longest between two events
+	paid     atomic.Bool     // the next retry is withdrawn already
 	runs     int             // of the arrivals, the ones that may have run
 	split    streamer.Splitter
 	tried    map[string]bool
@@ -118,7 +120,7 @@
 	case !p.request.Route.Repeatable(), p.runs >= p.request.Route.Attempts:
 		return false
 	}
-	return p.arrivals == 0 || p.budget.Withdraw()
+	return p.arrivals == 0 || p.paid.Swap(false) || p.budget.Withdraw()
 }
 
 // final returns the error with a verdict that covers all attempts: a refusal of
@@ -270,17 +272,29 @@
 	if route.Kind != matcher.Streaming {
 		return limit
 	}
-	giveUp := max(giveUpLeast, giveUpGoals*route.Goal, giveUpGaps*route.Gap)
-	return min(limit, time.Duration(stayPart*float64(giveUp)))
+	return min(limit, time.Duration(stayPart*float64(p.giveUp())))
+}
+
+// giveUp returns how long callers of a stream wait without seeing anything.
+func (p *passage) giveUp() time.Duration {
+	route := p.request.Route
+	return max(giveUpLeast, giveUpGoals*route.Goal, giveUpGaps*route.Gap)
+}
+
+// demand returns what the choice of a runner depends on.
+func (p *passage) demand(tried map[string]bool) tracker.Demand {
+	r := p.request
+	return tracker.Demand{
+		Asked: p.asked, Copy: r.Copy, Crowd: p.crowd(), Full: p.full, Load: p.LoadTime(), Service: r.Service, Tokens: r.Tokens,
+		Tried: tried,
+	}
 }
 
 // best returns the runner that is expected to answer first, or refuses the
 // request at once if that would be too late.
 func (p *passage) best(now time.Time) (router.Terms, *judge.Error) {
 	r := p.request
-	candidates := p.Fleet.Candidates(tracker.Demand{
-		Asked: p.asked, Copy: r.Copy, Crowd: p.crowd(), Load: p.LoadTime(), Service: r.Service, Tokens: r.Tokens, Full: p.full, Tried: p.tried,
-	}, now)
+	candidates := p.Fleet.Candidates(p.demand(p.tried), now)
 	if len(candidates) == 0 && len(p.tried) > 0 && p.after > r.After {
 		clear(p.tried) // a stream that has begun is worth trying anywhere
 	}
--- /dev/null
+++ b/internal/request/forwarder/forwarder_test.go
@@ -0,0 +1,214 @@
+package forwarder_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
+)
+
+// An upstream answers attempts as its script says.
+type upstream struct {
+	mu       sync.Mutex
+	attempts []forwarder.Attempt
+	answer   func(ctx context.Context, n int, a forwarder.Attempt) (*forwarder.Reply, judge.Observation)
+}
+
+func (u *upstream) Send(ctx context.Context, a forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+	u.mu.Lock()
+	u.attempts = append(u.attempts, a)
+	n := len(u.attempts)
+	u.mu.Unlock()
+	return u.answer(ctx, n, a)
+}
+
+// A placement has every adapter there and room as its script says.
+type placement struct {
+	reserve func(a forwarder.Ask) (time.Duration, *judge.Error, bool)
+}
+
+func (placement) Want(string, placer.Copy, int) {}
+func (placement) Used(string, placer.Copy)      {}
+func (placement) There(string, placer.Copy)     {}
+func (placement) Missing(string, placer.Copy)   {}
+func (p placement) Reserve(_ context.Context, a forwarder.Ask) (time.Duration, *judge.Error, bool) {
+	if p.reserve == nil {
+		return 0, nil, false
+	}
+	return p.reserve(a)
+}
+
+// A sink keeps what the caller saw.
+type sink struct{ got string }
+
+func (s *sink) Head(*forwarder.Reply) error { return nil }
+func (s *sink) Event(data []byte) error     { s.got += string(data); return nil }
+func (s *sink) Whole(_ *forwarder.Reply, body []byte) error {
+	s.got = string(body)
+	return nil
+}
+
+// A body gives events with pauses between them, and ends with its context.
+type body struct {
+	ctx    context.Context
+	from   int
+	to     int
+	before map[int]time.Duration // pause before an event
+	end    error
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	if b.from > b.to {
+		return 0, b.end
+	}
+	select {
+	case <-time.After(b.before[b.from]):
+	case <-b.ctx.Done():
+		return 0, context.Cause(b.ctx)
+	}
+	n := copy(p, event(b.from))
+	b.from++
+	return n, nil
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\n\n", id) }
+
+func streamed(b *body) *forwarder.Reply {
+	return &forwarder.Reply{
+		Status: 200, Body: b, Close: func(bool) {},
+		Broken: func(err error) judge.Observation { return judge.Broken{Written: 1, Head: true, Err: err} },
+	}
+}
+
+func newForwarder(t *testing.T, u *upstream, p placement, runners int) *forwarder.Forwarder {
+	fleet := &tracker.Fleet{Domain: "a"}
+	for n := range runners {
+		fleet.Set(tracker.Runner{ID: fmt.Sprint("i-", n), Service: "llm", Domain: "a", Slots: 8, Models: []string{"m"}, Revision: 1})
+	}
+	return &forwarder.Forwarder{
+		Burst: func() float64 { return 20 }, Fleet: fleet, LoadTime: func() time.Duration { return time.Second }, Part: 0.2,
+		Placement: p, Recorder: &recorder.Recorder{Metrics: metrics.NewSet(), Out: io.Discard}, Upstream: u, Window: 10 * time.Second,
+	}
+}
+
+func newRequest(route *matcher.Route) *forwarder.Request {
+	now := time.Now()
+	return &forwarder.Request{
+		ID: "q", Arrived: now, Deadline: now.Add(12 * time.Second), Copy: placer.Copy{Model: "m"}, Engine: &matcher.Engine{},
+		Route: route, Service: "llm", Tokens: 100,
+	}
+}
+
+func resuming() *matcher.Route {
+	return &matcher.Route{Kind: matcher.Streaming, Resumes: true, Attempts: 2, Goal: time.Second, Gap: 250 * time.Millisecond, Timeout: 12 * time.Second}
+}
+
+// A caller reads a stream whose runner puts the run back for more urgent ones
+// and is silent for 2.5 s. No other runner can take over. Taking the silence
+// for a failure cut the answer, although the runner would have gone on and the
+// caller still waited.
+func TestSilenceAloneDoesNotCutAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{answer: func(ctx context.Context, _ int, _ forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+			return streamed(&body{ctx: ctx, from: 1, to: 3, before: map[int]time.Duration{1: 2500 * time.Millisecond, 3: 3500 * time.Millisecond}, end: io.EOF}), nil
+		}}
+		var got sink
+		err := newForwarder(t, u, placement{}, 1).Forward(t.Context(), newRequest(resuming()), &got)
+		if diff := cmp.Diff(event(1)+event(2)+event(3), got.got); err != nil || diff != "" {
+			t.Errorf("%v %s", err, diff)
+		}
+	})
+}
+
+// The same with another runner that is free: after a while without a first
+// event it gets the request, and the caller is served in time.
+func TestSilentRunnerIsReplacedByAFreeOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{answer: func(ctx context.Context, n int, _ forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+			b := &body{ctx: ctx, from: 1, to: 2, end: io.EOF}
+			if n == 1 {
+				b.before = map[int]time.Duration{1: time.Hour}
+			}
+			return streamed(b), nil
+		}}
+		var got sink
+		began := time.Now()
+		err := newForwarder(t, u, placement{}, 2).Forward(t.Context(), newRequest(resuming()), &got)
+		if diff := cmp.Diff(event(1)+event(2), got.got); err != nil || diff != "" {
+			t.Errorf("%v %s", err, diff)
+		}
+		if took := time.Since(began); took > 3*time.Second {
+			t.Errorf("took %s", took)
+		}
+	})
+}
+
+// A much wanted adapter lies at two runners and the first has no room. The
+// caller is served by the second one; only when none has room it is refused,
+// with the time to come back and the promise that nothing ran.
+func TestNoRoomAtOneRunnerIsNoRefusal(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		full int
+		want string
+	}{{"one of two full", 1, event(1)}, {"both full", 2, ""}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &upstream{answer: func(ctx context.Context, _ int, _ forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+					return streamed(&body{ctx: ctx, from: 1, to: 1, end: io.EOF}), nil
+				}}
+				full := make(map[string]bool)
+				p := placement{reserve: func(a forwarder.Ask) (time.Duration, *judge.Error, bool) {
+					if full[a.Runner] || len(full) < tc.full {
+						full[a.Runner] = true
+						return 0, judge.Refuse(judge.ReasonQueue, "full").After(300 * time.Millisecond), true
+					}
+					return 0, nil, true
+				}}
+				var got sink
+				err := newForwarder(t, u, p, 2).Forward(t.Context(), newRequest(resuming()), &got)
+				if diff := cmp.Diff(tc.want, got.got); diff != "" {
+					t.Error(diff)
+				}
+				if tc.want == "" && (err == nil || err.Verdict != judge.NotRun || err.Retry < 300*time.Millisecond || len(u.attempts) != 0) {
+					t.Errorf("refused with %+v after %d attempts", err, len(u.attempts))
+				}
+			})
+		})
+	}
+}
+
+// A runner breaks off after its first byte, another one refuses. The refusal
+// says nothing of the first: the caller of a stream that may not go on must not
+// be promised that nothing ran.
+func TestRefusalAfterARunIsNoPromise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{answer: func(ctx context.Context, n int, _ forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+			if n == 1 {
+				return nil, judge.Broken{Written: 10, Err: io.ErrUnexpectedEOF}
+			}
+			return &forwarder.Reply{
+				Status: 503, NotRun: true, Body: &body{ctx: ctx, from: 1, end: io.EOF}, Close: func(bool) {},
+				Broken: func(err error) judge.Observation { return judge.Broken{Written: 1, Head: true, Err: err} },
+			}, nil
+		}}
+		var got sink
+		err := newForwarder(t, u, placement{}, 2).Forward(t.Context(), newRequest(resuming()), &got)
+		if err == nil || err.Verdict != judge.MayHaveRun {
+			t.Errorf("err = %+v", err)
+		}
+	})
+}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -13,14 +13,14 @@
 
 // stream passes the events of an answer on as they come. The caller gets whole
 // events only, each once and in order, also when they come from two runs.
-func (p *passage) stream(ctx context.Context, runner tracker.Runner, reply *Reply, watch *time.Timer) *judge.Error {
+func (p *passage) stream(ctx context.Context, runner tracker.Runner, reply *Reply, watch *watch) *judge.Error {
 	p.split.Reset()
 	buffer := make([]byte, readSize)
 	told := time.Now()
 	for {
 		n, err := reply.Body.Read(buffer)
-		if n > 0 && watch.Stop() {
-			watch.Reset(p.silence())
+		if n > 0 {
+			watch.heard()
 		}
 		if failed := p.pass(reply, buffer[:n]); failed != nil {
 			reply.Close(false)
