Wait for the writer of a link before the library takes the connection back

Change: the handler waits until nothing is written any more. The test cuts links under a flood of answers; without the change it reports the race.

--- a/internal/member/relayer/link.go
+++ b/internal/member/relayer/link.go
@@ -18,6 +18,7 @@
 
 	close  sync.Once
 	closed chan struct{}
+	ended  chan struct{} // closed when nothing is written any more
 }
 
 const (
@@ -34,7 +35,7 @@
 
 func newLink(conn *websocket.Conn, sent *atomic.Int64) *link {
 	conn.SetReadLimit(frameLimit)
-	l := &link{conn: conn, out: make(chan []byte, outgoing), sent: sent, closed: make(chan struct{})}
+	l := &link{conn: conn, out: make(chan []byte, outgoing), sent: sent, closed: make(chan struct{}), ended: make(chan struct{})}
 	go l.write()
 	return l
 }
@@ -80,7 +81,16 @@
 	})
 }
 
+// end shuts the link and waits until nothing is written to it any more. Whoever
+// gives the connection back to the library has to: it hands its buffers to the
+// next connection, and two that write into the same one end the process.
+func (l *link) end() {
+	l.shut()
+	<-l.ended
+}
+
 func (l *link) write() {
+	defer close(l.ended)
 	defer l.shut()
 	for {
 		select {
--- a/internal/member/relayer/mesh.go
+++ b/internal/member/relayer/mesh.go
@@ -129,7 +129,7 @@
 // accept serves a link that a peer dialled.
 func (m *Mesh) accept(conn *websocket.Conn) {
 	l := newLink(conn, &m.bytes)
-	defer l.shut()
+	defer l.end()
 	l.expect()
 	_, first, err := l.read()
 	hello, ok := first.(Hello)
--- a/internal/member/relayer/mesh_test.go
+++ b/internal/member/relayer/mesh_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp"
 
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
@@ -179,3 +182,46 @@
 		}
 	})
 }
+
+// Links are cut while answers are written to them, as when a peer is killed.
+// The library takes a connection back as soon as its handler returns; a writer
+// that is still at it then wrote into nothing, and the process ended with all
+// its callers.
+func TestCutLinksDoNotEndTheProcess(t *testing.T) {
+	server := &relayer.Mesh{Handler: flood{}, Secret: func() string { return "" }, Self: func() heartbeater.Instance { return heartbeater.Instance{} }}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &fasthttp.Server{Handler: server.Serve}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown() })
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 40 {
+				client := &relayer.Mesh{Handler: flood{}, Secret: func() string { return "" }, Self: func() heartbeater.Instance { return heartbeater.Instance{} }}
+				c, err := client.Open(t.Context(), l.Addr().String(), relayer.Subscribe{Domain: "a"})
+				if err != nil {
+					continue
+				}
+				_, _ = c.Next(t.Context()) // whatever comes, the link is cut now
+				client.Cut(l.Addr().String())
+			}
+		})
+	}
+	all.Wait()
+}
+
+// flood answers everything with as much as it can.
+type flood struct{}
+
+func (flood) Answer(_ context.Context, _ heartbeater.Instance, _ relayer.Message, reply *relayer.Reply) error {
+	for {
+		if err := reply.Send(relayer.Data{Data: make([]byte, 16<<10)}); err != nil {
+			return err
+		}
+	}
+}
+
+func (flood) Heard(heartbeater.Instance, relayer.Beat) {}
