--- a/internal/member/relayer/mesh_test.go
+++ b/internal/member/relayer/mesh_test.go
@@ -188,7 +188,7 @@
 // that is still at it then wrote into nothing, and the process ended with all
 // its callers.
 func TestCutLinksDoNotEndTheProcess(t *testing.T) {
-	server := &relayer.Mesh{Handler: flood{}, Secret: func() string { return "" }, Self: func() heartbeater.Instance { return heartbeater.Instance{} }}
+	server := &Mesh{Handler: flood{}, Secret: func() string { return "" }, Self: func() heartbeater.Instance { return heartbeater.Instance{} }}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -200,8 +200,8 @@
 	for range 8 {
 		all.Go(func() {
 			for range 40 {
-				client := &relayer.Mesh{Handler: flood{}, Secret: func() string { return "" }, Self: func() heartbeater.Instance { return heartbeater.Instance{} }}
-				c, err := client.Open(t.Context(), l.Addr().String(), relayer.Subscribe{Domain: "a"})
+				client := &Mesh{Handler: flood{}, Secret: func() string { return "" }, Self: func() heartbeater.Instance { return heartbeater.Instance{} }}
+				c, err := client.Open(t.Context(), l.Addr().String(), Subscribe{Domain: "a"})
 				if err != nil {
 					continue
 				}
@@ -216,12 +216,12 @@
 // flood answers everything with as much as it can.
 type flood struct{}
 
-func (flood) Answer(_ context.Context, _ heartbeater.Instance, _ relayer.Message, reply *relayer.Reply) error {
+func (flood) Answer(_ context.Context, _ heartbeater.Instance, _ Message, reply *Reply) error {
 	for {
-		if err := reply.Send(relayer.Data{Data: make([]byte, 16<<10)}); err != nil {
+		if err := reply.Send(Data{Data: make([]byte, 16<<10)}); err != nil {
 			return err
 		}
 	}
 }
 
-func (flood) Heard(heartbeater.Instance, relayer.Beat) {}
+func (flood) Heard(heartbeater.Instance, Beat) {}
