--- /dev/null
+++ b/internal/instance/gatekeeper/link_test.go
@@ -0,0 +1,70 @@
+package gatekeeper
+
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/elector"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
+)
+
+func newTestGatekeeper() *Gatekeeper {
+	g := &Gatekeeper{
+		Config: configurer.Gateway{ID: "front-2", Domain: "a"}, Fleet: &tracker.Fleet{Domain: "a"},
+		Recorder: &recorder.Recorder{Metrics: metrics.NewSet(), Out: io.Discard},
+	}
+	g.init()
+	return g
+}
+
+// The store turns the holder of the tenure away and serves everybody else. The
+// holder goes on telling its members, but of runners as they were. A runner
+// leaves, and its members send requests to it for as long as they believe that
+// they are told: they must ask the store themselves.
+func TestNewsOfAHolderWithoutTheStoreIsNotBelieved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGatekeeper()
+		l := g.links["a"]
+		l.take(relayer.News{Fresh: true, Tenure: elector.Tenure{Holder: "front-1", Fence: 1}, Renewal: 5})
+		if !g.told() {
+			t.Fatal("fresh news is not believed")
+		}
+		for range 5 {
+			time.Sleep(beat)
+			l.take(relayer.News{})
+		}
+		if l.silence() > unheard {
+			t.Fatal("the holder is silent; the test shows nothing")
+		}
+		if g.told() {
+			t.Error("believes a holder that has not reached the store")
+		}
+	})
+}
+
+// The same holder tells a new member of a runner that the member itself has seen
+// leave the store. Requests must not go there again.
+func TestRunnerThatIsGoneIsNotBroughtBackByOldNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGatekeeper()
+		old := tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 7}
+		g.setRunner(old)
+		g.Fleet.Remove("i-1", 9)
+		g.links["a"].take(relayer.News{Whole: true, Runners: []tracker.Runner{old}})
+		if _, there := g.Fleet.Get("i-1"); there {
+			t.Error("a runner that is gone is back")
+		}
+		old.Revision = 12 // it has registered again
+		g.setRunner(old)
+		if _, there := g.Fleet.Get("i-1"); !there {
+			t.Error("a runner that registered again is not there")
+		}
+	})
+}
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -103,3 +103,32 @@
 		})
 	}
 }
+
+// The terms of the policy that looks for the earliest first token: a load of
+// several callers' prompts, the way to another failure domain, a copy that is
+// there against one that is not.
+func TestFirst(t *testing.T) {
+	first := router.First{Away: 0.015}
+	busy := func(id string, running int) router.Candidate {
+		return router.Candidate{Runner: id, Resident: true, Running: running}
+	}
+	for _, tc := range []struct {
+		name       string
+		candidates []router.Candidate
+		want       string
+	}{
+		{"own domain first", []router.Candidate{{Runner: "away", Resident: true, Away: true}, {Runner: "near", Resident: true}}, "near"},
+		{"away if the own one is behind", []router.Candidate{{Runner: "away", Resident: true, Away: true}, {Runner: "near", Resident: true, Backlog: 50 * time.Millisecond}}, "away"},
+		{"resident first", []router.Candidate{{Runner: "there", Resident: true, Backlog: 100 * time.Millisecond}, {Runner: "absent", Ready: 270 * time.Millisecond}}, "there"},
+		{"another copy when the only one is far above the mean", []router.Candidate{busy("hot", 60), busy("b", 1), busy("c", 1), {Runner: "absent", Ready: 270 * time.Millisecond}}, "b"},
+		{"one that fails last", []router.Candidate{{Runner: "failing", Resident: true, Failing: 0.5}, {Runner: "sound", Resident: true, Backlog: 300 * time.Millisecond}}, "sound"},
+		{"not the crowded one", []router.Candidate{{Runner: "crowded", Resident: true, Crowded: true}, {Runner: "free", Resident: true, Backlog: 100 * time.Millisecond}}, "free"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			terms := newRouter(first).Choose(router.Request{Adapter: "x@1"}, tc.candidates)
+			if terms[0].Runner != tc.want {
+				t.Errorf("chose %s, want %s: %+v", terms[0].Runner, tc.want, terms)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/wire/pooler/pool_test.go
@@ -0,0 +1,175 @@
+package pooler_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/wire/pooler"
+)
+
+// peer serves each request of each connection with a function.
+func peer(t *testing.T, serve func(c net.Conn, nth int, r *http.Request) bool) (address string, connections *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	connections = new(atomic.Int64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				reader := bufio.NewReader(c)
+				for n := 1; ; n++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil || !serve(c, n, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), connections
+}
+
+func call(address, id string) pooler.Call {
+	return pooler.Call{
+		Address: address, Key: address, Message: []byte("GET / HTTP/1.1\r\nHost: a\r\nId: " + id + "\r\n\r\n"),
+		Own: func(h *fasthttp.ResponseHeader) bool { return string(h.Peek("Id")) == id },
+	}
+}
+
+func answer(c net.Conn, id, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func ask(t *testing.T, p *pooler.Pool, c pooler.Call) (string, judge.Observation) {
+	t.Helper()
+	a, seen := p.Do(t.Context(), c)
+	if seen != nil {
+		return "", seen
+	}
+	data, err := io.ReadAll(a.Body)
+	a.Close(err == nil)
+	if err != nil {
+		return "", a.Broken(err)
+	}
+	return string(data), nil
+}
+
+func newPool() *pooler.Pool { return &pooler.Pool{Dial: time.Second, Idle: time.Minute} }
+
+func TestConnectionIsKeptAfterAWholeAnswerOnly(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		serve func(c net.Conn, nth int, r *http.Request) bool
+		want  int64
+	}{
+		{"whole", func(c net.Conn, _ int, r *http.Request) bool {
+			answer(c, r.Header.Get("Id"), "x")
+			return true
+		}, 1},
+		{"peer says close", func(c net.Conn, _ int, r *http.Request) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx", r.Header.Get("Id"))
+			return true
+		}, 3},
+		{"bytes after the answer", func(c net.Conn, _ int, r *http.Request) bool {
+			answer(c, r.Header.Get("Id"), "x")
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\n")
+			return true
+		}, 3},
+		{"no length", func(c net.Conn, _ int, r *http.Request) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nx", r.Header.Get("Id"))
+			return false
+		}, 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			address, connections := peer(t, tc.serve)
+			p := newPool()
+			for n := range 3 {
+				if got, seen := ask(t, p, call(address, fmt.Sprint(n))); seen != nil || got != "x" {
+					t.Fatalf("got %q, %v", got, seen)
+				}
+				time.Sleep(20 * time.Millisecond) // for what comes after the answer
+			}
+			if got := connections.Load(); got != tc.want {
+				t.Errorf("%d connections, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// A caller's request goes out on a kept connection just as the copy of an
+// earlier answer arrives there. Its own answer comes after it and is the one
+// that is taken.
+func TestAnswerThatNamesAnotherRequestIsPassedOver(t *testing.T) {
+	address, _ := peer(t, func(c net.Conn, _ int, r *http.Request) bool {
+		answer(c, "old", "old")
+		answer(c, r.Header.Get("Id"), "own")
+		return true
+	})
+	if got, seen := ask(t, newPool(), call(address, "q")); seen != nil || got != "own" {
+		t.Errorf("got %q, %v", got, seen)
+	}
+}
+
+// The verdict on a failed request hangs on whether a byte of it went out.
+func TestObservations(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	if _, seen := ask(t, newPool(), call(closed.Addr().String(), "q")); judge.Judge(seen).Verdict != judge.NotRun {
+		t.Errorf("nobody listens: %+v", seen)
+	}
+	for _, tc := range []struct{ name, sent string }{
+		{"no answer", ""},
+		{"half a head", "HTTP/1.1 200 OK\r\nId: q\r\nCont"},
+		{"half a body", "HTTP/1.1 200 OK\r\nId: q\r\nContent-Length: 9\r\n\r\nabc"},
+		{"half a chunk", "HTTP/1.1 200 OK\r\nId: q\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc"},
+		{"no answer at all but bytes", "\x00\x01\x02\r\n\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			address, _ := peer(t, func(c net.Conn, _ int, _ *http.Request) bool {
+				fmt.Fprint(c, tc.sent)
+				return false
+			})
+			got, seen := ask(t, newPool(), call(address, "q"))
+			if seen == nil || judge.Judge(seen).Verdict != judge.MayHaveRun {
+				t.Errorf("got %q, %+v", got, seen)
+			}
+		})
+	}
+}
+
+func TestRequestEndsWithItsContext(t *testing.T) {
+	ended := make(chan struct{})
+	address, _ := peer(t, func(c net.Conn, _ int, _ *http.Request) bool {
+		_, _ = c.Read(make([]byte, 1))
+		close(ended)
+		return false
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	if _, seen := newPool().Do(ctx, call(address, "q")); seen == nil {
+		t.Error("an answer came")
+	}
+	<-ended
+}
