--- a/internal/command/commander/reload.go
+++ b/internal/command/commander/reload.go
@@ -11,10 +11,8 @@
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
-// reloadGateway reads the settings again on SIGHUP. Nothing of what an instance
-// takes from them may change while it runs, so a change is told and waits for
-// the next start; requests are not touched.
-func reloadGateway(ctx context.Context, file string, config configurer.Gateway, record *recorder.Recorder) {
+// onHangup calls do at each SIGHUP until ctx ends.
+func onHangup(ctx context.Context, do func()) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
@@ -23,7 +21,16 @@
 		case <-ctx.Done():
 			return
 		case <-hangup:
+			do()
 		}
+	}
+}
+
+// reloadGateway reads the settings again on SIGHUP. Nothing of what an instance
+// takes from them may change while it runs, so a change is told and waits for
+// the next start; requests are not touched.
+func reloadGateway(ctx context.Context, file string, config configurer.Gateway, record *recorder.Recorder) {
+	onHangup(ctx, func() {
 		fresh, err := configurer.ReadGateway(file)
 		switch {
 		case err != nil:
@@ -33,5 +40,5 @@
 		default:
 			record.Log(recorder.Lifecycle, "msg", "settings have changed; a restart is needed")
 		}
-	}
+	})
 }
--- a/internal/command/commander/servecmd.go
+++ b/internal/command/commander/servecmd.go
@@ -7,9 +7,7 @@
 	"fmt"
 	"net"
 	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -184,19 +182,11 @@
 }
 
 func (k *keyring) reloadOnHangup(ctx context.Context, logger log.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-		}
+	onHangup(ctx, func() {
 		if err := k.load(); err != nil {
 			_ = level.Error(logger).Log("msg", "keys not reloaded; the old ones stay", "err", err)
-			continue
+			return
 		}
 		_ = level.Info(logger).Log("msg", "keys reloaded")
-	}
+	})
 }
--- a/internal/setting/configurer/configurer.go
+++ b/internal/setting/configurer/configurer.go
@@ -149,12 +149,30 @@
 	}
 	var known yaml.Error
 	if !errors.As(err, &known) || known.GetToken() == nil {
-		return fmt.Errorf("%s: %w", file, err)
+		return fmt.Errorf("%s%s: %w; write times such as 10s; see docs/SETTINGS.md for the fields", file, lineOf(data, err), err)
 	}
 	token := known.GetToken()
 	return fmt.Errorf("%s:%d: %s: %s; see docs/SETTINGS.md for the fields", file, token.Position.Line, token.Value, known.GetMessage())
 }
 
+// quoted is the value that an error complains of.
+var quoted = regexp.MustCompile(`"([^"]+)"`)
+
+// lineOf returns a colon and the line of the value that an error quotes, or
+// nothing. The library names no line for a value that is not a time.
+func lineOf(data []byte, err error) string {
+	value := quoted.FindStringSubmatch(err.Error())
+	if value == nil {
+		return ""
+	}
+	for n, line := range strings.Split(string(data), "\n") {
+		if strings.Contains(line, value[1]) {
+			return fmt.Sprintf(":%d", n+1)
+		}
+	}
+	return ""
+}
+
 // fromEnvironment returns the overrides among environment variables. Others
 // with the same prefix are left alone: an orchestrator may set some of its own.
 func fromEnvironment(environ []string) map[string]string {
--- /dev/null
+++ b/internal/setting/configurer/gateway_test.go
@@ -0,0 +1,46 @@
+package configurer_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
+)
+
+const goodGateway = "id: front-1\ndomain: a\ncaller: 127.0.0.1:1\nready: 127.0.0.1:2\npeer: 127.0.0.1:3\nplatform: 127.0.0.1:4\n"
+
+// A fault in the settings is one error that names the file, the field and the
+// way to mend it.
+func TestReadGateway(t *testing.T) {
+	for _, tc := range []struct{ name, text, want string }{
+		{"good", goodGateway, ""},
+		{"unknown field", goodGateway + "colour: red\n", "g.yaml:7: colour"},
+		{"no name", strings.Replace(goodGateway, "front-1", "Front 1", 1), "g.yaml: id:"},
+		{"no address", strings.Replace(goodGateway, "127.0.0.1:4", "store", 1), "g.yaml: platform:"},
+		{"time without a unit", goodGateway + "bounds:\n  quiet: fast\n", "g.yaml:8:"},
+		{"time of nothing", goodGateway + "bounds:\n  quiet: 0s\n", "g.yaml: bounds.quiet:"},
+		{"negative", goodGateway + "bounds:\n  slack: -1\n", "g.yaml: bounds:"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "g.yaml")
+			if err := os.WriteFile(file, []byte(tc.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, err := configurer.ReadGateway(file)
+			switch {
+			case tc.want == "" && err != nil:
+				t.Error(err)
+			case tc.want != "" && (err == nil || !strings.Contains(err.Error(), tc.want)):
+				t.Errorf("error %v, want %s in it", err, tc.want)
+			}
+		})
+	}
+}
+
+func TestExampleOfAGatewayIsGood(t *testing.T) {
+	if _, err := configurer.ReadGateway("../../../examples/gateway.yaml"); err != nil {
+		t.Error(err)
+	}
+}
