A leaving runner gets nothing that was held back; hear of it sooner

Change: the runner is looked at again after the wait; members believe news for 0.5 s without a fresh one and look every 0.1 s. The test of the first fails without it.

--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -79,7 +79,7 @@
 		return false
 	}
 	for _, l := range g.links {
-		if l.stale() > unheard {
+		if l.stale() > unfresh {
 			return false
 		}
 	}
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -28,6 +28,12 @@
 	// unheard is how long an instance trusts that it is told of changes without
 	// hearing anything.
 	unheard = 700 * time.Millisecond
+	// unfresh is how long it trusts that without hearing that the holder has
+	// reached the store itself, and toldEvery how often it looks. With the time
+	// for which a holder counts as fresh, an instance learns of a runner's leaving
+	// within 1.4 s also if its holder was turned away just before.
+	unfresh   = 500 * time.Millisecond
+	toldEvery = 100 * time.Millisecond
 )
 
 // A dependency is something that the instance needs and that may be away.
@@ -168,7 +174,7 @@
 	t := &table{name: name, change: g.runnerRow, whole: g.allRunners}
 	for ctx.Err() == nil {
 		if g.told() {
-			pause(ctx, unheard/2)
+			pause(ctx, toldEvery)
 			continue
 		}
 		asked := time.Now()
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -32,6 +32,9 @@
 		p.waited += now.Sub(began)
 		p.queue = time.Duration(best.Queue * float64(time.Second))
 		refused = p.reserve(ctx, runner)
+		if runner, ok = p.Fleet.Get(runner.ID); refused == nil && (!ok || runner.Leaving) {
+			continue // it began to leave while the request was held back
+		}
 		if refused == nil || refused.Reason != judge.ReasonQueue || len(p.full) >= otherRunners {
 			return runner, refused
 		}
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -191,6 +191,34 @@
 	}
 }
 
+// A caller's prompt is held back until its runner has read what is before it.
+// Meanwhile the runner says that it leaves. Sent to it, the request would reach
+// a runner that takes nothing new; it has to go to the other one.
+func TestRunnerThatLeavesWhileARequestIsHeldBackDoesNotGetIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{answer: func(ctx context.Context, _ int, _ forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+			return streamed(&body{ctx: ctx, from: 1, to: 1, end: io.EOF}), nil
+		}}
+		leaving := ""
+		var f *forwarder.Forwarder
+		f = newForwarder(u, placement{reserve: func(a forwarder.Ask) (time.Duration, *judge.Error, bool) {
+			if leaving == "" {
+				leaving = a.Runner
+				time.AfterFunc(100*time.Millisecond, func() {
+					f.Fleet.Set(tracker.Runner{ID: a.Runner, Service: "llm", Domain: "a", Slots: 8, Models: []string{"m"}, Leaving: true, Revision: 2})
+				})
+				return 300 * time.Millisecond, nil, true
+			}
+			return 0, nil, true
+		}}, 2)
+		var got sink
+		err := f.Forward(t.Context(), newRequest(resuming()), &got)
+		if err != nil || len(u.attempts) != 1 || u.attempts[0].Runner.ID == leaving {
+			t.Errorf("%v; %s leaves, sent to %+v", err, leaving, u.attempts)
+		}
+	})
+}
+
 // A runner breaks off after its first byte, another one refuses. The refusal
 // says nothing of the first: the caller of a stream that may not go on must not
 // be promised that nothing ran.
