A holder whose tenure ran out sees that it is vacant; count retries

An instance took its own name in the row of holders for a sign of life, so after a lease that ran out (the store away for longer) it never took its tenure again unless another instance did. The counters of retries stayed at 0, and a stream whose runners were all tried found none although the list had just been cleared.

Change: only a tenure that is held now counts; Retried counts by reason and verdict; the candidates are looked up again. The test of the first fails without it.

--- a/internal/instance/gatekeeper/link_test.go
+++ b/internal/instance/gatekeeper/link_test.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"context"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -49,6 +50,27 @@
 	})
 }
 
+// The store is away for longer than a lease; no other instance of the domain
+// lives to take the tenure over. Its holder must see that nobody gives orders,
+// itself included, and take it again when the store is back. Taking its own name
+// in the row for a sign of life, it left its callers without further adapters
+// for good.
+func TestHolderWhoseTenureRanOutSeesThatItIsVacant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGatekeeper()
+		l := g.links["a"]
+		l.setHolder(elector.Tenure{Holder: g.Config.ID, Fence: 1})
+		ctx, cancel := context.WithCancel(t.Context())
+		go l.speak(ctx)
+		time.Sleep(2 * quietDomain)
+		if !g.desks["a"].vacant() {
+			t.Error("believes that the tenure is held")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // The same holder tells a new member of a runner that the member itself has seen
 // leave the store. Requests must not go there again.
 func TestRunnerThatIsGoneIsNotBroughtBackByOldNews(t *testing.T) {
--- a/internal/instance/gatekeeper/needs.go
+++ b/internal/instance/gatekeeper/needs.go
@@ -40,7 +40,7 @@
 		if l.silence() > unheard {
 			l.gatekeeper.Fleet.Staffed(l.domain, false)
 		}
-		if holder.Holder == l.self() || l.gatekeeper.desks[l.domain].holds() {
+		if l.gatekeeper.desks[l.domain].holds() {
 			l.gatekeeper.atOwnDesk(l.domain, demand)
 			continue
 		}
--- a/internal/instance/gatekeeper/serve.go
+++ b/internal/instance/gatekeeper/serve.go
@@ -76,6 +76,11 @@
 	g.Metrics.GetOrCreateCounter(fmt.Sprintf(`sardinetiller_refusals_total{reason=%q,verdict=%q}`, err.Reason, err.Verdict)).Inc()
 }
 
+// Retried counts a request that goes out again, by what made it.
+func (g *Gatekeeper) Retried(err *judge.Error) {
+	g.Metrics.GetOrCreateCounter(fmt.Sprintf(`sardinetiller_retries_total{reason=%q,verdict=%q}`, err.Reason, err.Verdict)).Inc()
+}
+
 // Refused counts and logs a request that was refused before it was forwarded.
 func (g *Gatekeeper) Refused(id string, err *judge.Error) {
 	g.count(err)
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -121,6 +121,7 @@
 	}
 	if reply.Status >= 500 && p.request.Route.Repeatable() && p.runs < p.request.Route.Attempts && p.budget.Withdraw() {
 		p.tried[runner.ID] = true
+		p.Retried(judge.Judge(judge.Failed{Status: reply.Status}))
 		return p.once(ctx, reply, body)
 	}
 	if p.sink.Whole(reply, body) != nil {
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -131,6 +131,7 @@
 	candidates := p.Fleet.Candidates(p.demand(p.tried), now)
 	if len(candidates) == 0 && len(p.tried) > 0 && p.after > r.After {
 		clear(p.tried) // a stream that has begun is worth trying anywhere
+		candidates = p.Fleet.Candidates(p.demand(p.tried), now)
 	}
 	if len(candidates) == 0 {
 		return router.Terms{}, p.nobody(now)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	Part      float64              // retries that a request pays for
 	Placement Placement
 	Recorder  *recorder.Recorder
+	Retried   func(err *judge.Error) // counts what made a request go out again
 	Upstream  Upstream
 	Window    time.Duration // in which the burst of retries comes back
 
@@ -105,6 +106,7 @@
 		if !p.again(ctx, failed) {
 			return p.final(failed)
 		}
+		p.Retried(failed)
 		p.Recorder.Log(recorder.Retry, "request", p.request.ID, "copy", p.request.Copy, "runner", runner.ID, "reason", failed.Reason,
 			"verdict", failed.Verdict, "after", p.after, "arrivals", p.arrivals)
 	}
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -100,7 +100,7 @@
 	}
 	return &forwarder.Forwarder{
 		Burst: func() float64 { return 20 }, Fleet: fleet, LoadTime: func() time.Duration { return time.Second }, Part: 0.2,
-		Placement: p, Recorder: &recorder.Recorder{Metrics: metrics.NewSet(), Out: io.Discard}, Upstream: u, Window: 10 * time.Second,
+		Placement: p, Recorder: &recorder.Recorder{Metrics: metrics.NewSet(), Out: io.Discard}, Retried: func(*judge.Error) {}, Upstream: u, Window: 10 * time.Second,
 	}
 }
 
