--- a/internal/instance/gatekeeper/desk.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -17,9 +17,9 @@
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
-// A desk is the work of one failure domain's tenure: whoever holds it gives
+// A controller is the work of one failure domain's tenure: whoever holds it gives
 // orders to the domain's runners and tells everybody what they hold.
-type desk struct {
+type controller struct {
 	gatekeeper *Gatekeeper
 	domain     string
 
@@ -28,14 +28,14 @@
 	acting  uint64        // fencing number under which the placers were begun; 0 for none
 	next    time.Duration // before which the store is not asked again
 	calling bool          // a call to the store about the tenure is under way
-	runners map[string]*clerk
+	runners map[string]*runnerState
 	members map[string]*member
 	news    journal
 	window  placer.Window
 }
 
-// A clerk is one runner as the holder of the tenure sees it.
-type clerk struct {
+// A runnerState is one runner as the holder of the tenure sees it.
+type runnerState struct {
 	runner tracker.Runner
 	placer *placer.Placer // nil while this instance does not act, or for a plain service
 	busy   bool           // an order or a report is under way
@@ -55,12 +55,12 @@
 const reportEvery = 250 * time.Millisecond
 
 // set takes in the description of a runner.
-func (d *desk) set(r tracker.Runner, changed bool) {
+func (d *controller) set(r tracker.Runner, changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c, ok := d.runners[r.ID]
 	if !ok {
-		c = &clerk{}
+		c = &runnerState{}
 		d.runners[r.ID] = c
 	}
 	c.runner = r
@@ -70,7 +70,7 @@
 }
 
 // gone takes a runner out.
-func (d *desk) gone(id string, revision uint64) {
+func (d *controller) gone(id string, revision uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.runners, id)
@@ -78,21 +78,21 @@
 }
 
 // acts reports whether orders may be sent now, and with which fencing number.
-func (d *desk) acts() (uint64, bool) {
+func (d *controller) acts() (uint64, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.elector.Acts(uptime())
 }
 
 // holds reports whether this instance holds the tenure.
-func (d *desk) holds() bool {
+func (d *controller) holds() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.elector.Holds(uptime())
 }
 
 // tick sends what is due to the runners.
-func (d *desk) tick(ctx context.Context) {
+func (d *controller) tick(ctx context.Context) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -134,7 +134,7 @@
 }
 
 // order returns the runners' IDs, those with the most requests waiting first.
-func (d *desk) order() []string {
+func (d *controller) order() []string {
 	ids := make([]string, 0, len(d.runners))
 	for id := range d.runners {
 		ids = append(ids, id)
@@ -144,7 +144,7 @@
 	return ids
 }
 
-func (d *desk) waiting(id string) int {
+func (d *controller) waiting(id string) int {
 	if p := d.runners[id].placer; p != nil {
 		return p.Waiting()
 	}
@@ -152,7 +152,7 @@
 }
 
 // room returns how many more adapters may be fetched now.
-func (d *desk) room(now time.Time) int {
+func (d *controller) room(now time.Time) int {
 	engines, coming := 0, 0
 	for _, c := range d.runners {
 		if c.placer != nil {
@@ -165,7 +165,7 @@
 
 // wait returns how long an adapter that is asked for now waits until its load
 // begins.
-func (d *desk) wait() time.Duration {
+func (d *controller) wait() time.Duration {
 	engines, waiting := 0, 0
 	for _, c := range d.runners {
 		if c.placer != nil {
@@ -182,7 +182,7 @@
 
 // begin starts with fresh knowledge: what was known under an earlier tenure may
 // have been changed by another holder since.
-func (d *desk) begin(fence uint64) {
+func (d *controller) begin(fence uint64) {
 	d.acting = fence
 	for _, c := range d.runners {
 		c.placer = nil
@@ -192,7 +192,7 @@
 }
 
 // rest drops what is only valid for a holder.
-func (d *desk) rest() {
+func (d *controller) rest() {
 	if d.acting == 0 {
 		return
 	}
@@ -204,7 +204,7 @@
 }
 
 // placer returns the state of a runner's places, or nil for a plain service.
-func (d *desk) placer(catalog *matcher.Catalog, r tracker.Runner) *placer.Placer {
+func (d *controller) placer(catalog *matcher.Catalog, r tracker.Runner) *placer.Placer {
 	if catalog == nil {
 		return nil
 	}
@@ -227,7 +227,7 @@
 }
 
 // report asks a runner what it holds.
-func (d *desk) report(ctx context.Context, c *clerk) {
+func (d *controller) report(ctx context.Context, c *runnerState) {
 	c.busy = true
 	p, runner := c.placer, c.runner
 	go func() {
@@ -246,7 +246,7 @@
 }
 
 // send sends an order, if the tenure still allows it when it goes out.
-func (d *desk) send(ctx context.Context, c *clerk, o placer.Order) {
+func (d *controller) send(ctx context.Context, c *runnerState, o placer.Order) {
 	c.busy = true
 	p, runner, fence := c.placer, c.runner, d.acting
 	go func() {
@@ -266,7 +266,7 @@
 
 // tell notes for the members what a runner holds that it did not when they were
 // last told.
-func (d *desk) tell(c *clerk) {
+func (d *controller) tell(c *runnerState) {
 	held := c.placer.Held()
 	for copied, at := range held {
 		if before, ok := c.told[copied]; !ok || !before.Equal(at) {
@@ -285,7 +285,7 @@
 }
 
 // demanded takes in what a member's requests need and use.
-func (d *desk) demanded(from string, demand relayer.Demand) {
+func (d *controller) demanded(from string, demand relayer.Demand) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -313,7 +313,7 @@
 	}
 }
 
-func (d *desk) with(n relayer.Need, do func(p *placer.Placer)) {
+func (d *controller) with(n relayer.Need, do func(p *placer.Placer)) {
 	if c, ok := d.runners[n.Runner]; ok && c.placer != nil {
 		do(c.placer)
 	}
@@ -323,8 +323,8 @@
 const silent = 3 * time.Second
 
 // others returns the work of all members but one, and how many members there
-// are. This instance is one of them: it tells its own desk what it needs.
-func (d *desk) others(but string, now time.Time) (map[string]tracker.Load, int) {
+// are. This instance is one of them: it tells its own controller what it needs.
+func (d *controller) others(but string, now time.Time) (map[string]tracker.Load, int) {
 	sum := make(map[string]tracker.Load)
 	count := 0
 	for id, m := range d.members {
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -81,10 +81,10 @@
 	loads     estimate     // of adapters from the weight store
 	returns   estimate     // of adapters that the runner held before
 
-	mu       sync.Mutex
-	versions map[copyName]int // newest version of adapters that have another than the first
-	desks    map[string]*desk // by failure domain
-	links    map[string]*link // by failure domain
+	mu          sync.Mutex
+	versions    map[copyName]int       // newest version of adapters that have another than the first
+	controllers map[string]*controller // by failure domain
+	links       map[string]*link       // by failure domain
 	stopState
 	removals removals
 	storeUp  dependency
@@ -125,7 +125,7 @@
 func (g *Gatekeeper) init() {
 	g.kicks = make(chan struct{}, 1)
 	g.versions = make(map[copyName]int)
-	g.desks = make(map[string]*desk)
+	g.controllers = make(map[string]*controller)
 	g.links = make(map[string]*link)
 	g.loads.set(firstLoad)
 	g.returns.set(firstReturn)
@@ -134,8 +134,8 @@
 		if domain != g.Config.Domain {
 			late = foreignLate
 		}
-		g.desks[domain] = &desk{
-			gatekeeper: g, domain: domain, runners: make(map[string]*clerk),
+		g.controllers[domain] = &controller{
+			gatekeeper: g, domain: domain, runners: make(map[string]*runnerState),
 			elector: elector.Elector{
 				Self: g.Config.ID, Address: g.Config.Peer, Lease: lease, Quiet: g.Config.Bounds.Quiet + quietMargin, Late: late,
 			},
--- a/internal/instance/gatekeeper/learn.go
+++ b/internal/instance/gatekeeper/learn.go
@@ -38,7 +38,7 @@
 func (e *estimate) scale(factor float64) { e.set(time.Duration(float64(e.get()) * factor)) }
 
 // learn takes in what an arrival tells of the time of loads.
-func (d *desk) learn(a placer.Arrival) {
+func (d *controller) learn(a placer.Arrival) {
 	g := d.gatekeeper
 	switch a {
 	case placer.NoArrival:
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -169,7 +169,7 @@
 	g.Fleet.OthersIn(l.domain, n.Loads)
 	g.Fleet.Staffed(l.domain, n.Acting)
 	g.Fleet.Line(l.domain, n.Line)
-	g.desks[l.domain].heardOf(n.Tenure, n.Renewal, n.Age)
+	g.controllers[l.domain].heardOf(n.Tenure, n.Renewal, n.Age)
 }
 
 // dropOthers takes out the runners of a domain that the holder does not know.
--- a/internal/instance/gatekeeper/link_test.go
+++ b/internal/instance/gatekeeper/link_test.go
@@ -63,7 +63,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go l.speak(ctx)
 		time.Sleep(2 * quietDomain)
-		if !g.desks["a"].vacant() {
+		if !g.controllers["a"].vacant() {
 			t.Error("believes that the tenure is held")
 		}
 		cancel()
--- a/internal/instance/gatekeeper/needs.go
+++ b/internal/instance/gatekeeper/needs.go
@@ -40,8 +40,8 @@
 		if l.silence() > unheard {
 			l.gatekeeper.Fleet.Staffed(l.domain, false)
 		}
-		if l.gatekeeper.desks[l.domain].holds() {
-			l.gatekeeper.atOwnDesk(l.domain, demand)
+		if l.gatekeeper.controllers[l.domain].holds() {
+			l.gatekeeper.tellSelf(l.domain, demand)
 			continue
 		}
 		if holder.Holder == "" || l.silence() > unheard {
@@ -78,9 +78,9 @@
 	return d
 }
 
-// atOwnDesk takes in this instance's own needs where it holds the tenure.
-func (g *Gatekeeper) atOwnDesk(domain string, demand relayer.Demand) {
-	d := g.desks[domain]
+// tellSelf takes in this instance's own needs where it holds the tenure.
+func (g *Gatekeeper) tellSelf(domain string, demand relayer.Demand) {
+	d := g.controllers[domain]
 	d.demanded(g.Config.ID, demand)
 	now := time.Now()
 	d.mu.Lock()
@@ -182,7 +182,7 @@
 
 // Demanded implements relayer.Demander.
 func (g *Gatekeeper) Demanded(from heartbeater.Instance, demand relayer.Demand) {
-	d, ok := g.desks[demand.Domain]
+	d, ok := g.controllers[demand.Domain]
 	if !ok {
 		return
 	}
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -39,9 +39,9 @@
 	}
 }
 
-// held returns the desk of a domain whose tenure is held here.
-func (g *Gatekeeper) held(domain string) (*desk, error) {
-	d, ok := g.desks[domain]
+// held returns the controller of a domain whose tenure is held here.
+func (g *Gatekeeper) held(domain string) (*controller, error) {
+	d, ok := g.controllers[domain]
 	if !ok || !d.holds() {
 		return nil, judge.Refuse(judge.ReasonOwner, "the tenure of %s is not held here", domain)
 	}
@@ -54,7 +54,7 @@
 
 // publish tells a member what changes until one of the two leaves or the tenure
 // ends.
-func (d *desk) publish(ctx context.Context, member string, reply *relayer.Reply) error {
+func (d *controller) publish(ctx context.Context, member string, reply *relayer.Reply) error {
 	number, told := -1, time.Time{}
 	ticker := time.NewTicker(newsEvery)
 	defer ticker.Stop()
@@ -78,7 +78,7 @@
 }
 
 // digest returns what a member has not been told, and the number to go on from.
-func (d *desk) digest(member string, number int) (news relayer.News, next int, changed bool) {
+func (d *controller) digest(member string, number int) (news relayer.News, next int, changed bool) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -107,7 +107,7 @@
 }
 
 // whole fills news with all that is known.
-func (d *desk) whole(news *relayer.News, now time.Time) {
+func (d *controller) whole(news *relayer.News, now time.Time) {
 	news.Whole = true
 	for _, c := range d.runners {
 		news.Runners = append(news.Runners, c.runner)
--- a/internal/instance/gatekeeper/reserve.go
+++ b/internal/instance/gatekeeper/reserve.go
@@ -23,7 +23,7 @@
 		return 0, nil, false
 	}
 	r := relayer.Reserve{Domain: l.domain, Runner: a.Runner, Tokens: a.Tokens, Pause: a.Pause, Within: a.Within}
-	if d := g.desks[l.domain]; d.holds() {
+	if d := g.controllers[l.domain]; d.holds() {
 		reserved, err := d.reserve(r)
 		return g.learnRoom(a, reserved, err)
 	}
@@ -64,7 +64,7 @@
 }
 
 // reserve gives a request room at a runner, or refuses it.
-func (d *desk) reserve(r relayer.Reserve) (relayer.Reserved, error) {
+func (d *controller) reserve(r relayer.Reserve) (relayer.Reserved, error) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -73,7 +73,7 @@
 		return relayer.Reserved{}, judge.Refuse(judge.ReasonUpstream, "runner %s is not known here", r.Runner)
 	}
 	fleet := d.gatekeeper.Fleet
-	wait, ok := c.line.Reserve(admitter.Visit{
+	wait, ok := c.line.Reserve(admitter.Prompt{
 		Pause: r.Pause, Queue: fleet.Places(r.Runner), Read: fleet.Read(c.runner.Service, r.Tokens), Within: r.Within,
 	}, now)
 	if !ok {
--- a/internal/instance/gatekeeper/runners.go
+++ b/internal/instance/gatekeeper/runners.go
@@ -34,7 +34,7 @@
 		g.Recorder.Log(recorder.Belief, "msg", "runner", "runner", r.ID, "service", r.Service, "domain", r.Domain,
 			"leaving", r.Leaving, "revision", r.Revision)
 	}
-	g.desk(r.Domain).set(r, !known || before.Leaving != r.Leaving)
+	g.controller(r.Domain).set(r, !known || before.Leaving != r.Leaving)
 }
 
 // remove takes a runner out, at once or, if the store has just come back, when
@@ -62,7 +62,7 @@
 		return
 	}
 	g.Pool.Drop(id)
-	g.desk(runner.Domain).gone(id, g.Fleet.Gone(id))
+	g.controller(runner.Domain).gone(id, g.Fleet.Gone(id))
 	g.Recorder.Log(recorder.Belief, "msg", "runner gone", "runner", id, "service", runner.Service)
 }
 
@@ -83,11 +83,11 @@
 	}
 }
 
-// desk returns the desk of a failure domain; that of the own one for a domain
-// that the settings do not name.
-func (g *Gatekeeper) desk(domain string) *desk {
-	if d, ok := g.desks[domain]; ok {
+// controller returns the controller of a failure domain; that of the own one for
+// a domain that the settings do not name.
+func (g *Gatekeeper) controller(domain string) *controller {
+	if d, ok := g.controllers[domain]; ok {
 		return d
 	}
-	return g.desks[g.Config.Domain]
+	return g.controllers[g.Config.Domain]
 }
--- a/internal/instance/gatekeeper/tenure.go
+++ b/internal/instance/gatekeeper/tenure.go
@@ -37,7 +37,7 @@
 	ticker := time.NewTicker(leadEvery)
 	defer ticker.Stop()
 	for {
-		for _, d := range g.desks {
+		for _, d := range g.controllers {
 			d.tenure(ctx)
 			d.tick(ctx)
 		}
@@ -60,7 +60,7 @@
 
 // holdsAny reports whether this instance holds a tenure.
 func (g *Gatekeeper) holdsAny() bool {
-	for _, d := range g.desks {
+	for _, d := range g.controllers {
 		if d.holds() {
 			return true
 		}
@@ -69,7 +69,7 @@
 }
 
 // tenure reads or writes the row of the tenure if that is due.
-func (d *desk) tenure(ctx context.Context) {
+func (d *controller) tenure(ctx context.Context) {
 	if d.gatekeeper.Leaving() {
 		return
 	}
@@ -97,7 +97,7 @@
 }
 
 // vacant reports whether nobody seems to hold the tenure.
-func (d *desk) vacant() bool {
+func (d *controller) vacant() bool {
 	limit := quietDomain
 	if d.domain != d.gatekeeper.Config.Domain {
 		limit += foreignLate
@@ -106,13 +106,13 @@
 }
 
 // heardOf takes in the renewal that the holder told of.
-func (d *desk) heardOf(row elector.Tenure, version uint64, age time.Duration) {
+func (d *controller) heardOf(row elector.Tenure, version uint64, age time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.elector.Heard(row, version, age, uptime())
 }
 
-func (d *desk) call(do func()) {
+func (d *controller) call(do func()) {
 	d.calling = true
 	go func() {
 		do()
@@ -122,7 +122,7 @@
 	}()
 }
 
-func (d *desk) read(ctx context.Context) {
+func (d *controller) read(ctx context.Context) {
 	row, err := d.gatekeeper.Store.Get(ctx, tableTenures+"/"+d.domain)
 	d.gatekeeper.sawStore(err)
 	var tenure elector.Tenure
@@ -138,7 +138,7 @@
 	d.elector.Read(tenure, row.Version, uptime())
 }
 
-func (d *desk) write(ctx context.Context, w elector.Write) {
+func (d *controller) write(ctx context.Context, w elector.Write) {
 	version, err := d.gatekeeper.Store.Write(ctx, d.txn(w))
 	var conflict *tabler.ConflictError
 	if !errors.As(err, &conflict) {
@@ -163,7 +163,7 @@
 // resign gives up the tenures, and frees their rows as far as the store can be
 // reached; else whoever takes them over waits as long as after a death.
 func (g *Gatekeeper) resign(ctx context.Context) {
-	for _, d := range g.desks {
+	for _, d := range g.controllers {
 		d.mu.Lock()
 		w, held := d.elector.Leave(uptime())
 		d.rest()
@@ -174,13 +174,13 @@
 	}
 }
 
-func (d *desk) free(ctx context.Context, w elector.Write) {
+func (d *controller) free(ctx context.Context, w elector.Write) {
 	_, err := d.gatekeeper.Store.Write(ctx, d.txn(w))
 	d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "tenure given up", "domain", d.domain, "fence", w.Row.Fence, "err", err)
 }
 
 // txn returns the transaction that writes the row of the tenure.
-func (d *desk) txn(w elector.Write) tabler.Txn {
+func (d *controller) txn(w elector.Write) tabler.Txn {
 	value, err := encoder.Marshal(w.Row)
 	if err != nil {
 		panic(err) // a Tenure can always be encoded
--- a/internal/request/admitter/timeline.go
+++ b/internal/request/admitter/timeline.go
@@ -16,8 +16,8 @@
 	until time.Time // when it ends
 }
 
-// A Visit is a request that would like to go to a runner.
-type Visit struct {
+// A Prompt is the prompt of a request that wants to go to a runner.
+type Prompt struct {
 	Pause  time.Duration // that its runs bear between events; 0 for no bound
 	Queue  time.Duration // until a place in the batch is free
 	Read   time.Duration // that its prompt takes
@@ -35,22 +35,22 @@
 
 // Reserve returns how long the request is held back. If it would be too late,
 // ok is false, nothing is reserved, and wait is the time by which it is.
-func (t *Timeline) Reserve(v Visit, now time.Time) (wait time.Duration, ok bool) {
-	wait = v.Queue
-	if v.Pause > 0 {
+func (t *Timeline) Reserve(p Prompt, now time.Time) (wait time.Duration, ok bool) {
+	wait = p.Queue
+	if p.Pause > 0 {
 		ahead := max(0, t.paced.Sub(now)) // bounded first: the first time of all is long ago
-		wait = max(wait, ahead-time.Duration(burst*float64(v.Pause)))
+		wait = max(wait, ahead-time.Duration(burst*float64(p.Pause)))
 	}
 	before := max(wait, t.until.Sub(now))
-	if late := before + v.Read - v.Within; late > 0 {
+	if late := before + p.Read - p.Within; late > 0 {
 		return late, false
 	}
 	sent := now.Add(wait)
-	t.until = now.Add(before + v.Read)
+	t.until = now.Add(before + p.Read)
 	if t.paced.Before(sent) {
 		t.paced = sent
 	}
-	t.paced = t.paced.Add(time.Duration(float64(v.Read) / share))
+	t.paced = t.paced.Add(time.Duration(float64(p.Read) / share))
 	return wait, true
 }
 
--- a/internal/request/admitter/timeline_test.go
+++ b/internal/request/admitter/timeline_test.go
@@ -11,9 +11,9 @@
 func ExampleTimeline_Reserve() {
 	var t admitter.Timeline
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	visit := admitter.Visit{Pause: 200 * time.Millisecond, Read: 60 * time.Millisecond, Within: 350 * time.Millisecond}
+	prompt := admitter.Prompt{Pause: 200 * time.Millisecond, Read: 60 * time.Millisecond, Within: 350 * time.Millisecond}
 	for range 5 {
-		fmt.Println(t.Reserve(visit, now))
+		fmt.Println(t.Reserve(prompt, now))
 	}
 	// Output:
 	// 0s true
@@ -34,7 +34,7 @@
 	var sent []time.Duration
 	refused := 0
 	for range 60 {
-		wait, ok := line.Reserve(admitter.Visit{Pause: pause, Read: read, Within: within}, start)
+		wait, ok := line.Reserve(admitter.Prompt{Pause: pause, Read: read, Within: within}, start)
 		if !ok {
 			refused++
 			continue
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -23,7 +23,7 @@
 )
 
 // try sends the request to one runner and passes its answer on.
-func (p *passage) try(ctx context.Context, runner tracker.Runner) *judge.Error {
+func (p *exchange) try(ctx context.Context, runner tracker.Runner) *judge.Error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	now := time.Now()
@@ -67,7 +67,7 @@
 }
 
 // unanswered judges an attempt without an answer.
-func (p *passage) unanswered(ctx context.Context, run *tracker.Run, runner tracker.Runner, seen judge.Observation) *judge.Error {
+func (p *exchange) unanswered(ctx context.Context, run *tracker.Run, runner tracker.Runner, seen judge.Observation) *judge.Error {
 	err := judge.Judge(seen)
 	_, dark := seen.(judge.Dialed)
 	if !dark {
@@ -92,7 +92,7 @@
 }
 
 // refused takes in that the runner did not run the request.
-func (p *passage) refused(run *tracker.Run, runner tracker.Runner, reply *Reply) *judge.Error {
+func (p *exchange) refused(run *tracker.Run, runner tracker.Runner, reply *Reply) *judge.Error {
 	_, err := io.Copy(io.Discard, io.LimitReader(reply.Body, wholeLimit))
 	reply.Close(err == nil) // a refusal that breaks off is one still
 	run.End(tracker.Refused, time.Now())
@@ -109,7 +109,7 @@
 }
 
 // whole passes an answer on once all of it is there.
-func (p *passage) whole(ctx context.Context, runner tracker.Runner, reply *Reply) *judge.Error {
+func (p *exchange) whole(ctx context.Context, runner tracker.Runner, reply *Reply) *judge.Error {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, wholeLimit))
 	reply.Close(err == nil)
 	if err != nil {
@@ -132,7 +132,7 @@
 
 // once sends a request whose runner failed to another one. If that brings
 // nothing, the caller is given the failure that is at hand.
-func (p *passage) once(ctx context.Context, reply *Reply, body []byte) *judge.Error {
+func (p *exchange) once(ctx context.Context, reply *Reply, body []byte) *judge.Error {
 	if runner, err := p.choose(ctx); err == nil {
 		if p.try(ctx, runner) == nil {
 			return nil
@@ -145,7 +145,7 @@
 }
 
 // cut judges an answer that broke off.
-func (p *passage) cut(ctx context.Context, reply *Reply, err error) *judge.Error {
+func (p *exchange) cut(ctx context.Context, reply *Reply, err error) *judge.Error {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, context.DeadlineExceeded):
 		return &judge.Error{Verdict: judge.MayHaveRun, Reason: judge.ReasonDeadline, Message: "the deadline passed while the runner worked"}
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -11,7 +11,7 @@
 )
 
 // choose returns the runner to send to, when it holds the adapter.
-func (p *passage) choose(ctx context.Context) (tracker.Runner, *judge.Error) {
+func (p *exchange) choose(ctx context.Context) (tracker.Runner, *judge.Error) {
 	began := time.Now()
 	for {
 		now := time.Now()
@@ -45,7 +45,7 @@
 
 // await asks for the adapter at a runner and waits for the next look, or refuses
 // the request if the adapter comes too late for it.
-func (p *passage) await(ctx context.Context, best router.Terms, now time.Time) *judge.Error {
+func (p *exchange) await(ctx context.Context, best router.Terms, now time.Time) *judge.Error {
 	stall := time.Duration(best.Stall * float64(time.Second))
 	waited := now.Sub(p.request.Arrived)
 	if waited > p.patience() || waited+stall > hopeless*p.patience() {
@@ -61,7 +61,7 @@
 
 // reserve asks for room at the runner and holds the request back as long as it
 // is told to. Without anybody to ask the request goes at once.
-func (p *passage) reserve(ctx context.Context, runner tracker.Runner) *judge.Error {
+func (p *exchange) reserve(ctx context.Context, runner tracker.Runner) *judge.Error {
 	r := p.request
 	if r.Engine == nil || p.answered {
 		return nil
@@ -91,7 +91,7 @@
 // within returns the time in which a prompt has to be read to be on time. One
 // that waited for its adapter until it was late is served late: the adapter is
 // there for it now.
-func (p *passage) within(now time.Time) time.Duration {
+func (p *exchange) within(now time.Time) time.Duration {
 	left := p.limit() - now.Sub(p.request.Arrived) - p.Fleet.Base(p.request.Service)
 	if p.waited > 0 && left < p.limit()/2 || p.arrivals > 0 {
 		return p.limit()
@@ -99,12 +99,12 @@
 	return left
 }
 
-func (p *passage) crowd() time.Duration {
+func (p *exchange) crowd() time.Duration {
 	return time.Duration(crowdPart * float64(p.request.Route.Gap))
 }
 
 // rest waits for the next look. It returns false if ctx has ended.
-func (p *passage) rest(ctx context.Context) bool {
+func (p *exchange) rest(ctx context.Context) bool {
 	wait := time.NewTimer(look)
 	defer wait.Stop()
 	select {
@@ -116,7 +116,7 @@
 }
 
 // demand returns what the choice of a runner depends on.
-func (p *passage) demand(tried map[string]bool) tracker.Demand {
+func (p *exchange) demand(tried map[string]bool) tracker.Demand {
 	r := p.request
 	return tracker.Demand{
 		Asked: p.asked, Copy: r.Copy, Crowd: p.crowd(), Full: p.full, Load: p.LoadTime(), Service: r.Service, Tokens: r.Tokens,
@@ -126,7 +126,7 @@
 
 // best returns the runner that is expected to answer first, or refuses the
 // request at once if that would be too late.
-func (p *passage) best(now time.Time) (router.Terms, *judge.Error) {
+func (p *exchange) best(now time.Time) (router.Terms, *judge.Error) {
 	r := p.request
 	candidates := p.Fleet.Candidates(p.demand(p.tried), now)
 	if len(candidates) == 0 && len(p.tried) > 0 && p.after > r.After {
@@ -151,7 +151,7 @@
 
 // nobody refuses a request that no runner can take: there is none, or those
 // that there are do not hold the adapter and nobody can order it now.
-func (p *passage) nobody(now time.Time) *judge.Error {
+func (p *exchange) nobody(now time.Time) *judge.Error {
 	if p.request.Copy.Adapter != "" && p.Fleet.Takes(p.demand(p.tried), now) {
 		return judge.Refuse(judge.ReasonLoad, "nobody gives orders to the runners now").After(comeBack(noneWait))
 	}
@@ -159,7 +159,7 @@
 }
 
 // limit returns how much work may be before the request when it is admitted.
-func (p *passage) limit() time.Duration {
+func (p *exchange) limit() time.Duration {
 	route := p.request.Route
 	part := admitPart - admitStep*float64(min(route.Priority, 5))
 	return time.Duration(part * float64(route.Goal))
@@ -175,7 +175,7 @@
 )
 
 // over returns the error of a request whose time is up or whose caller left.
-func (p *passage) over(ctx context.Context) *judge.Error {
+func (p *exchange) over(ctx context.Context) *judge.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return judge.Refuse(judge.ReasonDeadline, "the deadline passed before the request was sent")
 	}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -37,8 +37,8 @@
 // only for a real difference, as bytes between domains are paid for.
 const away = 0.015
 
-// A passage is one request on its way through the forwarder.
-type passage struct {
+// An exchange is one request on its way through the forwarder.
+type exchange struct {
 	*Forwarder
 	request *Request
 	sink    Sink
@@ -71,7 +71,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	p := &passage{Forwarder: f, request: r, sink: sink, budget: f.budget(r.Service), after: r.After, full: make(map[string]bool), tried: make(map[string]bool)}
+	p := &exchange{Forwarder: f, request: r, sink: sink, budget: f.budget(r.Service), after: r.After, full: make(map[string]bool), tried: make(map[string]bool)}
 	p.budget.Deposit()
 	err := p.run(ctx)
 	p.log(err)
@@ -93,7 +93,7 @@
 	return b
 }
 
-func (p *passage) run(ctx context.Context) *judge.Error {
+func (p *exchange) run(ctx context.Context) *judge.Error {
 	for {
 		runner, refused := p.choose(ctx)
 		if refused != nil {
@@ -113,7 +113,7 @@
 }
 
 // again reports whether the request may be sent once more.
-func (p *passage) again(ctx context.Context, failed *judge.Error) bool {
+func (p *exchange) again(ctx context.Context, failed *judge.Error) bool {
 	switch {
 	case ctx.Err() != nil, errors.Is(failed, errGone):
 		return false
@@ -126,7 +126,7 @@
 
 // final returns the error with a verdict that covers all attempts: a refusal of
 // the last one says nothing of those before it.
-func (p *passage) final(err *judge.Error) *judge.Error {
+func (p *exchange) final(err *judge.Error) *judge.Error {
 	if err.Verdict != judge.NotRun {
 		return err
 	}
@@ -142,20 +142,20 @@
 }
 
 // used tells that a copy is in use, for plain services nothing.
-func (p *passage) used(runner string) {
+func (p *exchange) used(runner string) {
 	if p.request.Copy != (placer.Copy{}) {
 		p.Placement.Used(runner, p.request.Copy)
 	}
 }
 
 // there tells that a copy is where it was expected.
-func (p *passage) there(runner string) {
+func (p *exchange) there(runner string) {
 	if p.request.Copy != (placer.Copy{}) {
 		p.Placement.There(runner, p.request.Copy)
 	}
 }
 
-func (p *passage) log(err *judge.Error) {
+func (p *exchange) log(err *judge.Error) {
 	r := p.request
 	fields := []any{
 		"request", r.ID, "route", r.Route.Name, "service", r.Service, "copy", r.Copy, "runner", p.at, "tokens", r.Tokens, "queue", p.queue, "arrivals", p.arrivals, "runs", p.runs,
--- a/internal/request/forwarder/patience.go
+++ b/internal/request/forwarder/patience.go
@@ -41,7 +41,7 @@
 	admitStep = 0.1
 )
 
-func (p *passage) patience() time.Duration {
+func (p *exchange) patience() time.Duration {
 	route := p.request.Route
 	limit := p.request.Deadline.Sub(p.request.Arrived) / patiencePart
 	if route.Kind != matcher.Streaming {
@@ -51,7 +51,7 @@
 }
 
 // giveUp returns how long callers of a stream wait without seeing anything.
-func (p *passage) giveUp() time.Duration {
+func (p *exchange) giveUp() time.Duration {
 	route := p.request.Route
 	return max(giveUpLeast, giveUpGoals*route.Goal, giveUpGaps*route.Gap)
 }
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -13,7 +13,7 @@
 
 // stream passes the events of an answer on as they come. The caller gets whole
 // events only, each once and in order, also when they come from two runs.
-func (p *passage) stream(ctx context.Context, runner tracker.Runner, reply *Reply, watch *watch) *judge.Error {
+func (p *exchange) stream(ctx context.Context, runner tracker.Runner, reply *Reply, watch *watch) *judge.Error {
 	p.split.Reset()
 	buffer := make([]byte, readSize)
 	told := time.Now()
@@ -43,7 +43,7 @@
 
 // end judges how a stream ended. One whose last event is not whole was cut,
 // also if its framing is complete.
-func (p *passage) end(ctx context.Context, runner tracker.Runner, reply *Reply, err error) *judge.Error {
+func (p *exchange) end(ctx context.Context, runner tracker.Runner, reply *Reply, err error) *judge.Error {
 	// A reader says io.EOF itself at the end; an error that wraps it is another.
 	ended := err == io.EOF //nolint:errorlint // see above
 	if ended && p.split.Rest() > 0 {
@@ -62,7 +62,7 @@
 }
 
 // pass gives the caller the events that the bytes complete.
-func (p *passage) pass(reply *Reply, data []byte) *judge.Error {
+func (p *exchange) pass(reply *Reply, data []byte) *judge.Error {
 	events, err := p.split.Split(data)
 	for _, e := range events {
 		if err := p.inOrder(e); err != nil {
@@ -92,7 +92,7 @@
 }
 
 // timed notes when an event was passed on.
-func (p *passage) timed(now time.Time) {
+func (p *exchange) timed(now time.Time) {
 	if p.last.IsZero() {
 		p.first = now.Sub(p.request.Arrived)
 	} else {
@@ -103,7 +103,7 @@
 
 // inOrder refuses an event after a gap: the events between are lost, and a
 // later run that goes on from the last one can bring them.
-func (p *passage) inOrder(e streamer.Event) *judge.Error {
+func (p *exchange) inOrder(e streamer.Event) *judge.Error {
 	if e.ID > p.after+1 {
 		return &judge.Error{Verdict: judge.MayHaveRun, Reason: judge.ReasonCut, Message: fmt.Sprintf("event %d came after event %d", e.ID, p.after)}
 	}
--- a/internal/request/forwarder/watch.go
+++ b/internal/request/forwarder/watch.go
@@ -30,7 +30,7 @@
 // reason to take an answer from a caller that still waits for it. A runner that
 // has put a run back for more urgent ones may be silent for seconds and go on.
 type watch struct {
-	p      *passage
+	p      *exchange
 	cancel context.CancelCauseFunc
 	demand tracker.Demand
 
@@ -40,7 +40,7 @@
 }
 
 // watch returns the watch of an attempt at a runner.
-func (p *passage) watch(runner string, cancel context.CancelCauseFunc) *watch {
+func (p *exchange) watch(runner string, cancel context.CancelCauseFunc) *watch {
 	tried := maps.Clone(p.tried)
 	tried[runner] = true
 	w := &watch{p: p, cancel: cancel, demand: p.demand(tried), limit: p.silence()}
@@ -90,7 +90,7 @@
 }
 
 // elsewhere reports whether another runner could take the request at once.
-func (p *passage) elsewhere(d tracker.Demand) bool {
+func (p *exchange) elsewhere(d tracker.Demand) bool {
 	for _, c := range p.Fleet.Candidates(d, time.Now()) {
 		if c.Resident && !c.Crowded {
 			return true
@@ -99,10 +99,10 @@
 	return false
 }
 
-func (p *passage) silence() time.Duration {
+func (p *exchange) silence() time.Duration {
 	return max(silenceLeast, silence*p.request.Route.Goal, silence*p.request.Route.Gap)
 }
 
-func (p *passage) pauseLimit() time.Duration {
+func (p *exchange) pauseLimit() time.Duration {
 	return time.Duration(pausePart * float64(p.giveUp()))
 }
