--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -133,6 +133,7 @@
 // once sends a request whose runner failed to another one. If that brings
 // nothing, the caller is given the failure that is at hand.
 func (p *exchange) once(ctx context.Context, reply *Reply, body []byte) *judge.Error {
+	p.renew()
 	if runner, err := p.choose(ctx); err == nil {
 		if p.try(ctx, runner) == nil {
 			return nil
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -20,8 +20,9 @@
 type Forwarder struct {
 	Burst     func() float64 // this instance's share of the retries beyond the part
 	Fleet     *tracker.Fleet
-	LoadTime  func() time.Duration // that an adapter takes to be loaded
-	Part      float64              // retries that a request pays for
+	LoadTime  func() time.Duration            // that an adapter takes to be loaded
+	Newest    func(model, adapter string) int // version of an adapter that a run is to begin on
+	Part      float64                         // retries that a request pays for
 	Placement Placement
 	Recorder  *recorder.Recorder
 	Retried   func(err *judge.Error) // counts what made a request go out again
@@ -106,12 +107,23 @@
 		if !p.again(ctx, failed) {
 			return p.final(failed)
 		}
+		p.renew()
 		p.Retried(failed)
 		p.Recorder.Log(recorder.Retry, "request", p.request.ID, "copy", p.request.Copy, "runner", runner.ID, "reason", failed.Reason,
 			"verdict", failed.Verdict, "after", p.after, "arrivals", p.arrivals)
 	}
 }
 
+// renew makes the next run begin on the newest version of the adapter. A stream
+// may be cut seconds after it began, when its version is no longer to be used;
+// the runner says in the stream that the version has changed.
+func (p *exchange) renew() {
+	c := &p.request.Copy
+	if c.Adapter != "" {
+		c.Version = p.Newest(c.Model, c.Adapter)
+	}
+}
+
 // again reports whether the request may be sent once more.
 func (p *exchange) again(ctx context.Context, failed *judge.Error) bool {
 	switch {
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -99,7 +99,7 @@
 		fleet.Set(tracker.Runner{ID: fmt.Sprint("i-", n), Service: "llm", Domain: "a", Slots: 8, Models: []string{"m"}, Revision: 1})
 	}
 	return &forwarder.Forwarder{
-		Burst: func() float64 { return 20 }, Fleet: fleet, LoadTime: func() time.Duration { return time.Second }, Part: 0.2,
+		Burst: func() float64 { return 20 }, Fleet: fleet, LoadTime: func() time.Duration { return time.Second }, Newest: func(string, string) int { return 2 }, Part: 0.2,
 		Placement: p, Recorder: &recorder.Recorder{Metrics: metrics.NewSet(), Out: io.Discard}, Retried: func(*judge.Error) {}, Upstream: u, Window: 10 * time.Second,
 	}
 }
@@ -219,6 +219,35 @@
 	})
 }
 
+// A caller reads a stream on version 1 of an adapter. Version 2 is named, and
+// seconds later the runner breaks off. The run that goes on begins now, so it has
+// to begin on version 2.
+func TestRunThatGoesOnBeginsOnTheNewestVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{answer: func(ctx context.Context, n int, _ forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+			if n == 1 {
+				return streamed(&body{ctx: ctx, from: 1, to: 2, end: io.ErrUnexpectedEOF}), nil
+			}
+			return streamed(&body{ctx: ctx, from: 3, to: 3, end: io.EOF}), nil
+		}}
+		f := newForwarder(u, placement{}, 2)
+		old, fresh := placer.Copy{Model: "m", Adapter: "a", Version: 1}, placer.Copy{Model: "m", Adapter: "a", Version: 2}
+		f.Fleet.Held("i-0", map[placer.Copy]time.Time{old: {}})
+		f.Fleet.Held("i-1", map[placer.Copy]time.Time{fresh: {}})
+		r := newRequest(resuming())
+		r.Copy = old
+		var got sink
+		err := f.Forward(t.Context(), r, &got)
+		if diff := cmp.Diff(event(1)+event(2)+event(3), got.got); err != nil || diff != "" {
+			t.Fatal(err, diff)
+		}
+		last := u.attempts[len(u.attempts)-1]
+		if last.Runner.ID != "i-1" || last.Request.Copy != fresh {
+			t.Errorf("went on at %s with %v", last.Runner.ID, last.Request.Copy)
+		}
+	})
+}
+
 // A runner breaks off after its first byte, another one refuses. The refusal
 // says nothing of the first: the caller of a stream that may not go on must not
 // be promised that nothing ran.
