Keep times by the steady clock where the time of day may be set back

How fresh a holder's knowledge of the runners is, and how long an instance is stopping, were kept as numbers of the time of day, which jumps: set back, what is long past looks new. Whether an instance is stopping was kept twice.

Change: one type keeps such times with the steady clock's reading, and stopping follows from one of them.

--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -76,10 +76,9 @@
 
 	catalog   atomic.Pointer[matcher.Catalog]
 	kicks     chan struct{}
-	leaving   atomic.Bool
-	runnersAt atomic.Int64 // when the store was last asked for the runners with success, in nanoseconds
-	loads     estimate     // of adapters from the weight store
-	returns   estimate     // of adapters that the runner held before
+	runnersAt moment   // when the store was last asked for the runners with success
+	loads     estimate // of adapters from the weight store
+	returns   estimate // of adapters that the runner held before
 
 	mu          sync.Mutex
 	versions    map[copyName]int       // newest version of adapters that have another than the first
@@ -169,9 +168,6 @@
 // Catalog returns the configuration in force, or nil.
 func (g *Gatekeeper) Catalog() *matcher.Catalog { return g.catalog.Load() }
 
-// Leaving reports whether the instance is stopping.
-func (g *Gatekeeper) Leaving() bool { return g.leaving.Load() }
-
 // Newest returns the version of an adapter that a request is to run on.
 func (g *Gatekeeper) Newest(model, adapter string) int {
 	g.mu.Lock()
@@ -184,7 +180,7 @@
 
 // Serving reports whether callers can be served here.
 func (g *Gatekeeper) Serving() bool {
-	return !g.leaving.Load() && g.catalog.Load() != nil && len(g.Fleet.All()) > 0
+	return !g.Leaving() && g.catalog.Load() != nil && len(g.Fleet.All()) > 0
 }
 
 // sweep closes connections that are not used any more.
--- /dev/null
+++ b/internal/instance/gatekeeper/moment.go
@@ -0,0 +1,21 @@
+package gatekeeper
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// A moment is a time that several goroutines may set and read. It keeps the
+// reading of the steady clock: a time that is stored as a number of seconds does
+// not, and when the time of day is set back, what is long past looks new.
+type moment struct{ at atomic.Pointer[time.Time] }
+
+func (m *moment) set(t time.Time) { m.at.Store(&t) }
+
+// get returns the time that was set last; ok is false if none was.
+func (m *moment) get() (t time.Time, ok bool) {
+	if p := m.at.Load(); p != nil {
+		return *p, true
+	}
+	return time.Time{}, false
+}
--- a/internal/instance/gatekeeper/stop.go
+++ b/internal/instance/gatekeeper/stop.go
@@ -11,7 +11,7 @@
 
 // A stopState is how far an instance is with leaving.
 type stopState struct {
-	since   atomic.Int64 // when it began, in nanoseconds since the epoch of the clock; 0 before
+	since   moment       // when it began
 	working atomic.Int64 // requests under way
 }
 
@@ -37,8 +37,7 @@
 // grace time is over.
 func (g *Gatekeeper) leave(ctx context.Context) {
 	began := time.Now()
-	g.since.Store(began.UnixNano())
-	g.leaving.Store(true)
+	g.since.set(began)
 	g.Recorder.Log(recorder.Lifecycle, "msg", "stopping", "working", g.working.Load())
 	g.resign(ctx)
 	for {
@@ -51,13 +50,16 @@
 	g.Recorder.Log(recorder.Lifecycle, "msg", "stopped", "working", g.working.Load(), "took", time.Since(began))
 }
 
+// Leaving reports whether the instance is stopping.
+func (g *Gatekeeper) Leaving() bool {
+	_, leaving := g.since.get()
+	return leaving
+}
+
 // late refuses a request that an instance which leaves could not finish.
 func (g *Gatekeeper) late() *judge.Error {
-	since := g.since.Load()
-	if since == 0 {
-		return nil
-	}
-	if time.Since(time.Unix(0, since)) < time.Duration(takeIn*float64(g.Config.Bounds.Grace)) {
+	since, leaving := g.since.get()
+	if !leaving || time.Since(since) < time.Duration(takeIn*float64(g.Config.Bounds.Grace)) {
 		return nil
 	}
 	return judge.Refuse(judge.ReasonStopping, "the instance is stopping").After(elsewhere)
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -190,7 +190,7 @@
 		}
 		g.sawStore(err)
 		if err == nil {
-			g.runnersAt.Store(asked.UnixNano())
+			g.runnersAt.set(asked)
 		}
 		g.due()
 		if g.holdsAny() {
@@ -205,7 +205,8 @@
 // A holder that the store turns away goes on telling its members, and without
 // this they would send requests to runners that have left since.
 func (g *Gatekeeper) fresh() bool {
-	return time.Since(time.Unix(0, g.runnersAt.Load())) < paceHolder+shortWatch
+	at, ok := g.runnersAt.get()
+	return ok && time.Since(at) < paceHolder+shortWatch
 }
 
 func (g *Gatekeeper) runnerRow(r tabler.Row) {
