Many late loads at once do not carry the estimate of loads away

Each load that was late made the estimate 5% longer; after a start with empty runners hundreds are late at once, the estimate stood at its bound of 3 s, and callers were refused for want of adapters that would have come in 0.3 s (4,038 refusals, two thirds of them in the first 8 s). Change: a first use says when it was sent, a refusal for want of the copy bounds the time of the load from below, and the estimate grows no further than the two allow.

--- a/internal/adapter/placer/arrival.go
+++ b/internal/adapter/placer/arrival.go
@@ -4,45 +4,31 @@
 	"time"
 )
 
-// An Arrival says what a use or a refusal tells of how long a load took.
-type Arrival int
-
-// The arrivals.
-const (
-	NoArrival     Arrival = iota
-	ArrivedLoad           // an adapter from the weight store was there when expected
-	ArrivedReturn         // so was one that the runner held before
-	LateLoad              // an adapter from the weight store was not
-	LateReturn            // nor was one that the runner held before
-)
+// An Arrival says what the first use of a copy tells of how long its load took.
+type Arrival struct {
+	Least  time.Duration // from the order to the last request that came in vain; 0 for none
+	Most   time.Duration // from the order to the first request that found it there
+	Return bool          // the runner held it before
+}
 
-// There tells that the runner took a request for a copy.
-func (p *Placer) There(c Copy, now time.Time) Arrival {
+// There tells that the runner took a request for a copy that was sent at a time.
+// ok is false if that tells nothing of a load.
+func (p *Placer) There(c Copy, sent time.Time) (a Arrival, ok bool) {
 	p.init()
-	s, ok := p.copies[c]
-	if !ok {
-		return NoArrival
+	s, known := p.copies[c]
+	if !known {
+		return Arrival{}, false
 	}
-	s.used = now
-	if s.state != loading || s.doubt {
-		return NoArrival
+	if s.state != loading || s.doubt || s.ordered.IsZero() {
+		return Arrival{}, false
 	}
 	s.state = resident
-	a := p.arrival(c, s, ArrivedLoad, ArrivedReturn)
-	p.past[c] = true
-	return a
-}
-
-// arrival tells a load's kind once for each load.
-func (p *Placer) arrival(c Copy, s *place, load, back Arrival) Arrival {
-	switch {
-	case s.late:
-		return NoArrival
-	case p.past[c]:
-		return back
-	default:
-		return load
+	a = Arrival{Most: sent.Sub(s.ordered), Return: p.past[c]}
+	if !s.missed.IsZero() {
+		a.Least = s.missed.Sub(s.ordered)
 	}
+	p.past[c] = true
+	return a, true
 }
 
 // time returns how long a copy takes to arrive.
@@ -55,21 +41,19 @@
 
 // Late takes in that a copy was not there when a request came for it. If it was
 // thought to be there for good, a report becomes necessary.
-func (p *Placer) Late(c Copy, now time.Time) Arrival {
+func (p *Placer) Late(c Copy, now time.Time) {
 	s, ok := p.copies[c]
 	switch {
 	case !ok:
-		return NoArrival // given up meanwhile, or never ordered
+		return // given up meanwhile, or never ordered
 	case s.state == resident:
 		p.known = false
-		return NoArrival
+		return
 	case s.state == unloading || now.Before(s.ready):
-		return NoArrival // known already
+		return // known already
 	}
-	a := p.arrival(c, s, LateLoad, LateReturn)
-	s.late = true
+	s.missed = now
 	s.ready = now.Add(p.time(c) / lateParts)
-	return a
 }
 
 // lateParts is the part of a load after which a copy that was late is tried
--- a/internal/adapter/placer/outcome.go
+++ b/internal/adapter/placer/outcome.go
@@ -52,7 +52,7 @@
 	case outcome == Holds:
 		s.state, s.doubt, s.ready, s.used = resident, false, now, now
 	default:
-		s.doubt, s.ready = false, now.Add(p.time(o.Copy))
+		s.doubt, s.ordered, s.ready = false, now, now.Add(p.time(o.Copy))
 		s.used = s.ready
 	}
 }
--- a/internal/adapter/placer/placer.go
+++ b/internal/adapter/placer/placer.go
@@ -52,11 +52,12 @@
 
 // A place is one that an adapter takes.
 type place struct {
-	state placeState
-	ready time.Time // when a load is expected to be complete
-	used  time.Time // last use that was told
-	late  bool      // a request came for it too early
-	doubt bool      // the order that made it had no answer
+	state   placeState
+	ordered time.Time // when its load was accepted; zero if that was not seen
+	ready   time.Time // when a load is expected to be complete
+	used    time.Time // last use that was told
+	missed  time.Time // when a request last came for it too early
+	doubt   bool      // the order that made it had no answer
 }
 
 type want struct {
--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -302,10 +302,13 @@
 		d.with(n, func(p *placer.Placer) { p.Use(n.Copy, now) })
 	}
 	for _, n := range demand.There {
-		d.with(n, func(p *placer.Placer) { d.learn(p.There(n.Copy, now)) })
+		d.with(n, func(p *placer.Placer) {
+			p.Use(n.Copy, now)
+			d.learn(p.There(n.Copy, now.Add(-n.Ago)))
+		})
 	}
 	for _, n := range demand.Missing {
-		d.with(n, func(p *placer.Placer) { d.learn(p.Late(n.Copy, now)) })
+		d.with(n, func(p *placer.Placer) { p.Late(n.Copy, now) })
 	}
 	for _, n := range demand.Wants {
 		d.with(n, func(p *placer.Placer) { p.Want(n.Copy, n.Priority, now) })
--- a/internal/instance/gatekeeper/learn.go
+++ b/internal/instance/gatekeeper/learn.go
@@ -9,16 +9,19 @@
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
-// An estimate is how long something takes that only shows as done or not yet.
+// An estimate is how long a load takes that only shows as done or not yet.
 type estimate struct{ nanoseconds atomic.Int64 }
 
 const (
-	// longer is how much longer a load is taken to be after one that was not
-	// done in time, and shorter how much shorter after one that was. One in ten
-	// is then tried too early, which costs a retry; trying later costs every
-	// request that waits.
-	longer  = 1.05
-	shorter = 0.995
+	// longer bounds by how much one late load makes the estimate longer, and
+	// shorter by how much one that was in time makes it shorter. About one load
+	// in twenty-five is then tried too early, which costs one of the retries that
+	// all instances share; trying later costs every request that waits.
+	longer  = 1.1
+	shorter = 0.996
+	// late is the part of the estimate by which a load that was late is taken to
+	// have ended after the last request that came in vain, if nobody came sooner.
+	late = 4
 	// leastLoad and mostLoad bound what is learned, against a run of odd cases.
 	leastLoad = 10 * time.Millisecond
 	mostLoad  = 3 * time.Second
@@ -35,24 +38,31 @@
 	e.nanoseconds.Store(int64(min(mostLoad, max(leastLoad, d))))
 }
 
-func (e *estimate) scale(factor float64) { e.set(time.Duration(float64(e.get()) * factor)) }
-
-// learn takes in what an arrival tells of the time of loads.
-func (d *controller) learn(a placer.Arrival) {
-	g := d.gatekeeper
-	switch a {
-	case placer.NoArrival:
-	case placer.ArrivedLoad:
-		g.loads.scale(shorter)
-	case placer.ArrivedReturn:
-		g.returns.scale(shorter)
-	case placer.LateLoad:
-		g.loads.scale(longer)
-	case placer.LateReturn:
-		g.returns.scale(longer)
+// learn takes in one load. A late one says how long it took at least, and the
+// estimate does not grow far beyond that: when hundreds of loads are late at
+// once, as after a start with empty runners, growing by a part for each took it
+// to its bound of seconds, and callers were refused for ten seconds for loads
+// that would have taken a third of one.
+func (e *estimate) learn(a placer.Arrival) {
+	now := e.get()
+	took := min(a.Most, a.Least+now/late)
+	switch {
+	case a.Least == 0:
+		e.set(time.Duration(shorter * float64(now)))
+	case took > now:
+		e.set(min(took, time.Duration(longer*float64(now))))
 	}
-	if a == placer.ArrivedLoad || a == placer.LateLoad {
-		d.window.Learn(g.LoadTime())
+}
+
+// learn takes in what the first use of a copy tells of the time of loads.
+func (d *controller) learn(a placer.Arrival, ok bool) {
+	switch {
+	case !ok:
+	case a.Return:
+		d.gatekeeper.returns.learn(a)
+	default:
+		d.gatekeeper.loads.learn(a)
+		d.window.Learn(d.gatekeeper.LoadTime())
 	}
 }
 
--- a/internal/instance/gatekeeper/needs.go
+++ b/internal/instance/gatekeeper/needs.go
@@ -13,7 +13,7 @@
 // time that the holder was told.
 type needs struct {
 	missing map[needKey]bool
-	there   map[needKey]bool
+	there   map[needKey]time.Time // when the first request that found it was sent
 	used    map[needKey]bool
 	wants   map[needKey]int // priority
 }
@@ -60,8 +60,9 @@
 	for k := range l.needs.missing {
 		d.Missing = append(d.Missing, relayer.Need{Runner: k.runner, Copy: k.copy})
 	}
-	for k := range l.needs.there {
-		d.There = append(d.There, relayer.Need{Runner: k.runner, Copy: k.copy})
+	now := time.Now()
+	for k, sent := range l.needs.there {
+		d.There = append(d.There, relayer.Need{Runner: k.runner, Copy: k.copy, Ago: now.Sub(sent)})
 		delete(l.needs.used, k)
 	}
 	for k := range l.needs.used {
@@ -72,7 +73,7 @@
 	}
 	l.needs = needs{}
 	for k, at := range l.asked {
-		if time.Since(at) > hurryAgain {
+		if now.Sub(at) > hurryAgain {
 			delete(l.asked, k)
 		}
 	}
@@ -141,9 +142,19 @@
 }
 
 // There implements forwarder.Placement.
-func (g *Gatekeeper) There(runner string, c placer.Copy) {
-	if l, ok := g.linkOf(runner); ok {
-		l.note(&l.needs.there, needKey{runner, c})
+func (g *Gatekeeper) There(runner string, c placer.Copy, sent time.Time) {
+	l, ok := g.linkOf(runner)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.needs.there == nil {
+		l.needs.there = make(map[needKey]time.Time)
+	}
+	k := needKey{runner, c}
+	if before, known := l.needs.there[k]; !known || sent.Before(before) {
+		l.needs.there[k] = sent
 	}
 }
 
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -209,6 +209,7 @@
 	Runner   string
 	Copy     placer.Copy
 	Priority int
+	Ago      time.Duration // since the first request that found it there was sent
 }
 
 // A Held says how a copy stands at a runner.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -43,7 +43,7 @@
 	}
 	p.runs++
 	run.First(time.Now())
-	p.there(runner.ID)
+	p.there(runner.ID, now)
 	var err *judge.Error
 	if p.request.Route.Kind == matcher.Streaming && reply.Status < 300 {
 		err = p.stream(ctx, runner, reply, watch)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -161,9 +161,9 @@
 }
 
 // there tells that a copy is where it was expected.
-func (p *exchange) there(runner string) {
+func (p *exchange) there(runner string, sent time.Time) {
 	if p.request.Copy != (placer.Copy{}) {
-		p.Placement.There(runner, p.request.Copy)
+		p.Placement.There(runner, p.request.Copy, sent)
 	}
 }
 
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -40,10 +40,10 @@
 	reserve func(a forwarder.Ask) (time.Duration, *judge.Error, bool)
 }
 
-func (placement) Want(string, placer.Copy, int) {}
-func (placement) Used(string, placer.Copy)      {}
-func (placement) There(string, placer.Copy)     {}
-func (placement) Missing(string, placer.Copy)   {}
+func (placement) Want(string, placer.Copy, int)        {}
+func (placement) Used(string, placer.Copy)             {}
+func (placement) There(string, placer.Copy, time.Time) {}
+func (placement) Missing(string, placer.Copy)          {}
 func (p placement) Reserve(_ context.Context, a forwarder.Ask) (time.Duration, *judge.Error, bool) {
 	if p.reserve == nil {
 		return 0, nil, false
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -85,8 +85,8 @@
 	// returns how long to hold the request back, or a refusal. ok is false if
 	// nobody can tell.
 	Reserve(ctx context.Context, a Ask) (wait time.Duration, refused *judge.Error, ok bool)
-	// There tells that a runner took a request for a copy.
-	There(runner string, c placer.Copy)
+	// There tells that a runner took a request for a copy that was sent at a time.
+	There(runner string, c placer.Copy, sent time.Time)
 	// Used tells that a request needs a copy to stay at a runner.
 	Used(runner string, c placer.Copy)
 	// Missing tells that a runner refused a request for want of a copy.
