Loads go on after an order without an answer; least wanted copies make way; hot ones get one more

With a window of one load for a domain no later order could go out: one domain of four loaded nothing from 4.6 s on (TestLostLoadDoesNotKeepTheWeightStoreBusy). - The window of loads closed with every late load and opened by one load in 25: half of the weight store lay idle for ten seconds after a start. It closes once in the time of a load now (TestWindowIsOpenAgainSoonAfterAStart), and the estimate follows faster loads within twenty (TestEstimateFollowsLoadsThatBecomeFaster). - The copy used longest ago made way, also if many wanted it. It is the least wanted now, by the measure of adapter/keeper, which moved to adapter/warmer for both (TestVictimIsWantedLeast). - 211 of 1,208 repeated loads went to a runner that had kept the adapter in its memory; the choice knows of it now (TestRunnerThatHeldTheAdapterFetchesItSooner). - Requests for a hot adapter waited for each other for just less than a load: one more copy is asked for (TestMuchWantedAdapterGetsOneMoreCopy). - A use is told before a request is held back, not after.

--- a/internal/adapter/keeper/keeper.go
+++ b/internal/adapter/keeper/keeper.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/warmer"
 )
 
 // A Keeper is the state of one runner's slots at its owner.
@@ -13,6 +15,7 @@
 	Policy   Evictor // what to give up
 	Self     string  // incarnation of this instance
 
+	clock     warmer.Clock
 	engine    string // incarnation of the engine; empty until the first report
 	fence     uint64
 	foreign   map[string]map[string]int // party to handle to pins still held
@@ -216,7 +219,7 @@
 	k.loads++
 	handle := Handle{Adapter: adapter, Loader: k.Self, Serial: k.loads}
 	slot := &Slot{Handle: handle, Machine: Chart.Machine(), changed: now}
-	slot.hits = freshHits
+	slot.heat = k.clock.Fresh(freshHits)
 	slot.used = k.uses
 	k.slots[handle.String()] = slot
 	return Load{Handle: handle, Fence: k.fence}
--- a/internal/adapter/keeper/slot.go
+++ b/internal/adapter/keeper/slot.go
@@ -4,6 +4,7 @@
 	_ "embed"
 	"time"
 
+	"github.com/sardinetiller/sardinetiller/internal/adapter/warmer"
 	"github.com/sardinetiller/sardinetiller/internal/chart/interpreter"
 )
 
@@ -43,8 +44,8 @@
 	Pins      int                  // requests of this owner that use the copy
 
 	changed time.Time // when the last order on the slot ended
-	hits    float64   // uses, aged to the time of used
-	used    uint64    // by the keeper's count of uses
+	heat    warmer.Heat
+	used    uint64 // by the keeper's count of uses
 }
 
 func (s *Slot) resident() bool {
--- a/internal/adapter/placer/arrival.go
+++ b/internal/adapter/placer/arrival.go
@@ -11,14 +11,15 @@
 	Return bool          // the runner held it before
 }
 
-// There tells that the runner took a request for a copy that was sent at a time.
-// ok is false if that tells nothing of a load.
-func (p *Placer) There(c Copy, sent time.Time) (a Arrival, ok bool) {
+// There tells that the runner took some requests for a copy, the first of which
+// was sent at a time. ok is false if that tells nothing of a load.
+func (p *Placer) There(c Copy, requests int, sent time.Time) (a Arrival, ok bool) {
 	p.init()
 	s, known := p.copies[c]
 	if !known {
 		return Arrival{}, false
 	}
+	p.clock.Touch(&s.heat, requests)
 	if s.state != loading || s.doubt || s.ordered.IsZero() {
 		return Arrival{}, false
 	}
--- a/internal/adapter/placer/placer.go
+++ b/internal/adapter/placer/placer.go
@@ -10,17 +10,21 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/warmer"
 )
 
 // A Placer is what one runner holds and is asked to hold. Its fields are set
 // before use; it is not safe for concurrent use.
 type Placer struct {
-	Model  string        // base model that the runner is to hold
-	Places int           // for adapters
-	Load   time.Duration // that an adapter takes from the weight store
-	Loads  int           // adapters that may be on their way to the runner at once
-	Return time.Duration // that an adapter takes which the runner held before
+	Copies func(Copy) int // runners of the failure domain that hold a copy; nil if unknown
+	Model  string         // base model that the runner is to hold
+	Places int            // for adapters
+	Load   time.Duration  // that an adapter takes from the weight store
+	Loads  int            // adapters that may be on their way to the runner at once
+	Return time.Duration  // that an adapter takes which the runner held before
 
+	clock   warmer.Clock
 	copies  map[Copy]*place
 	past    map[Copy]bool // held before
 	known   bool          // a report has been taken in since the last doubt
@@ -53,6 +57,7 @@
 // A place is one that an adapter takes.
 type place struct {
 	state   placeState
+	heat    warmer.Heat
 	ordered time.Time // when its load was accepted; zero if that was not seen
 	ready   time.Time // when a load is expected to be complete
 	used    time.Time // last use that was told
@@ -105,6 +110,12 @@
 	}
 }
 
+// Holds reports whether the runner has a copy or is getting it.
+func (p *Placer) Holds(c Copy) bool {
+	s, ok := p.copies[c]
+	return ok && s.state != unloading
+}
+
 // Held returns the copies that requests may be sent to, and from when on.
 func (p *Placer) Held() map[Copy]time.Time {
 	held := make(map[Copy]time.Time, len(p.copies))
@@ -124,7 +135,8 @@
 }
 
 // Next returns the order to send now, if there is one. Finish must be called
-// with its outcome. allowed says whether another adapter may be fetched.
+// with its outcome. allowed says whether another adapter may be fetched from the
+// weight store; one that the runner keeps in its memory may come in any case.
 func (p *Placer) Next(now time.Time, allowed bool) (Order, bool) {
 	p.init()
 	if !p.known || p.open != nil || now.Before(p.retry) || p.Model == "" {
@@ -132,33 +144,33 @@
 	}
 	switch p.model {
 	case modelAbsent:
-		return p.send(Order{Copy: Copy{Model: p.Model}}), true
+		return p.send(Order{Copy: Copy{Model: p.Model}}, now), true
 	case modelLoading:
 		if now.After(p.reached) {
 			p.known = false
 		}
 		return Order{}, false
 	}
-	c, ok := p.first(now)
+	c, ok := p.first(now, allowed)
 	if !ok {
 		return Order{}, false
 	}
 	_, again := p.copies[c] // an earlier load had no answer; its place is taken already
 	if old, ok := p.sibling(c); ok {
 		p.copies[old].state = unloading
-		return p.send(Order{Copy: old, Unload: true}), true
+		return p.send(Order{Copy: old, Unload: true}, now), true
 	}
 	if !again && len(p.copies) >= p.Places {
 		return p.evict(now)
 	}
-	if !allowed || p.Coming(now) >= p.Loads {
+	if p.coming(now) >= p.Loads {
 		return Order{}, false
 	}
-	return p.send(Order{Copy: c}), true
+	return p.send(Order{Copy: c}, now), true
 }
 
-// Coming returns how many adapters are on their way to the runner.
-func (p *Placer) Coming(now time.Time) int {
+// coming returns how many adapters are on their way to the runner.
+func (p *Placer) coming(now time.Time) int {
 	n := 0
 	for _, s := range p.copies {
 		if s.state == loading && (s.doubt || now.Before(s.ready)) {
@@ -168,6 +180,23 @@
 	return n
 }
 
+// Fetching returns how many adapters are on their way from the weight store. A
+// load without an answer counts for as long as a load takes: counted for as long
+// as it is in doubt, a few of them would end all loads of a failure domain, and
+// with them the later order that ends the doubt.
+func (p *Placer) Fetching(now time.Time) int {
+	n := 0
+	for c, s := range p.copies {
+		if s.state == loading && now.Before(s.ready) && !p.past[c] {
+			n++
+		}
+	}
+	return n
+}
+
+// Kept reports whether the runner held a copy before.
+func (p *Placer) Kept(c Copy) bool { return p.past[c] }
+
 // Waiting returns how many wanted copies are neither there nor on their way.
 func (p *Placer) Waiting() int {
 	n := 0
@@ -181,7 +210,7 @@
 
 // first returns the wanted copy that is to be loaded next: the most urgent, of
 // these the one that was wanted first.
-func (p *Placer) first(now time.Time) (Copy, bool) {
+func (p *Placer) first(now time.Time, allowed bool) (Copy, bool) {
 	var best Copy
 	var bestWant want
 	found := false
@@ -190,6 +219,9 @@
 			delete(p.wanted, c)
 			continue
 		}
+		if !allowed && !p.past[c] {
+			continue
+		}
 		if s, there := p.copies[c]; there && (!s.doubt || s.state == unloading) {
 			continue
 		}
@@ -207,13 +239,13 @@
 	return cmp.Or(cmp.Compare(w.urgent, v.urgent), w.since.Compare(v.since), cmp.Compare(c.String(), other.String())) < 0
 }
 
-func (p *Placer) send(o Order) Order {
+func (p *Placer) send(o Order, now time.Time) Order {
 	o.Expected = p.seq
 	p.open = &o
 	s, ok := p.copies[o.Copy]
 	p.again = ok && s.doubt
 	if o.Copy.Adapter != "" && !o.Unload {
-		p.copies[o.Copy] = &place{state: loading, doubt: true}
+		p.copies[o.Copy] = &place{state: loading, doubt: true, ready: now.Add(p.time(o.Copy))}
 	}
 	return o
 }
@@ -223,5 +255,6 @@
 		p.copies = make(map[Copy]*place)
 		p.past = make(map[Copy]bool)
 		p.wanted = make(map[Copy]want)
+		p.clock.Half = warmer.Turns * float64(max(1, p.Places))
 	}
 }
--- a/internal/adapter/placer/placer_test.go
+++ b/internal/adapter/placer/placer_test.go
@@ -60,6 +60,31 @@
 	}
 }
 
+// A load was ordered without an answer. Its place stays taken, but the weight
+// store is not busy with it for good: with a window of one load for the domain,
+// no adapter was fetched any more, the doubt was never settled by a later order,
+// and callers were refused for want of adapters for a quarter of a minute.
+func TestLostLoadDoesNotKeepTheWeightStoreBusy(t *testing.T) {
+	p := newPlacer(2)
+	p.Want(adapter("a1"), 0, start)
+	if _, ok := p.Next(start, true); !ok {
+		t.Fatal("no order")
+	}
+	p.Finish(placer.Lost, start)
+	if n := p.Fetching(start.Add(100 * time.Millisecond)); n != 1 {
+		t.Errorf("%d loads under way right after the order, want 1", n)
+	}
+	now := start.Add(2 * time.Second)
+	p.Take(placer.Report{Models: []string{"m"}}, now)
+	if n := p.Fetching(now); n != 0 {
+		t.Errorf("%d loads under way, want none", n)
+	}
+	p.Want(adapter("a2"), 0, now)
+	if order, ok := p.Next(now, true); !ok || order.Copy != adapter("a2") {
+		t.Errorf("ordered %v %v, want the next adapter", order, ok)
+	}
+}
+
 func TestVictimIsTheLeastRecentlyUsedAndNotInUse(t *testing.T) {
 	p := &placer.Placer{Model: "m", Places: 2, Loads: 4}
 	p.Take(placer.Report{Models: []string{"m"}, Resident: []placer.Copy{adapter("old"), adapter("new")}}, start)
@@ -227,3 +252,32 @@
 	back := min(rng.IntN(5), len(f.past)-1)
 	return f.past[len(f.past)-1-back]
 }
+
+// Most adapters are wanted once, a few again and again. If the one used last
+// stays, a passing one pushes out one that many callers want, and they wait for
+// its load.
+func TestVictimIsWantedLeast(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		copies map[placer.Copy]int
+		want   placer.Copy
+	}{
+		{"an adapter wanted once", nil, adapter("once")},
+		{"one that another runner holds too", map[placer.Copy]int{adapter("often"): 2}, adapter("often")},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := &placer.Placer{Model: "m", Places: 2, Loads: 4, Copies: func(c placer.Copy) int { return tc.copies[c] }}
+			p.Take(placer.Report{Models: []string{"m"}, Resident: []placer.Copy{adapter("often"), adapter("once")}}, start)
+			p.There(adapter("often"), 2, start)
+			p.Use(adapter("often"), start)
+			p.There(adapter("once"), 1, start.Add(time.Second))
+			p.Use(adapter("once"), start.Add(time.Second))
+			now := start.Add(5 * time.Second)
+			p.Want(adapter("x"), 0, now)
+			order, ok := p.Next(now, true)
+			if diff := cmp.Diff(placer.Order{Copy: tc.want, Unload: true}, order); !ok || diff != "" {
+				t.Errorf("order %v: %s", ok, diff)
+			}
+		})
+	}
+}
--- a/internal/adapter/placer/victim.go
+++ b/internal/adapter/placer/victim.go
@@ -1,7 +1,10 @@
 package placer
 
 import (
+	"cmp"
 	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/warmer"
 )
 
 // sibling returns another version of the adapter that the runner holds. It has
@@ -16,28 +19,44 @@
 	return Copy{}, false
 }
 
-// evict gives up the copy whose last use is longest ago. One that may be in use
-// is kept: an unload would wait for its runs, and requests for it that are on
-// their way would be refused.
+// evict gives up the copy that is wanted least. One that may be in use is kept:
+// an unload would wait for its runs, and requests for it that are on their way
+// would be refused.
 func (p *Placer) evict(now time.Time) (Order, bool) {
 	var victim Copy
-	var oldest *place
+	var coldest *place
 	for c, s := range p.copies {
 		if s.state == unloading && s.doubt {
-			return p.send(Order{Copy: c, Unload: true}), true
+			return p.send(Order{Copy: c, Unload: true}, now), true
 		}
 		if s.doubt || !p.idle(s, now) {
 			continue
 		}
-		if oldest == nil || s.used.Before(oldest.used) || s.used.Equal(oldest.used) && c.String() < victim.String() {
-			victim, oldest = c, s
+		if coldest == nil || p.colder(c, s, victim, coldest) {
+			victim, coldest = c, s
 		}
 	}
-	if oldest == nil {
-		return p.repeat()
+	if coldest == nil {
+		return p.repeat(now)
+	}
+	coldest.state = unloading
+	return p.send(Order{Copy: victim, Unload: true}, now), true
+}
+
+// colder reports whether a copy is wanted less than another, and if both alike,
+// whether its last use is longer ago.
+func (p *Placer) colder(c Copy, s *place, other Copy, t *place) bool {
+	return cmp.Or(cmp.Compare(p.value(c, s), p.value(other, t)), s.used.Compare(t.used), cmp.Compare(c.String(), other.String())) < 0
+}
+
+// value returns what giving up a copy would cost, in uses: many requests for
+// it, and its load anew if no other runner of the domain has it.
+func (p *Placer) value(c Copy, s *place) float64 {
+	heat := p.clock.Of(s.heat)
+	if p.Copies != nil && p.Copies(c) > 1 {
+		heat *= warmer.CopyDiscount
 	}
-	oldest.state = unloading
-	return p.send(Order{Copy: victim, Unload: true}), true
+	return heat
 }
 
 // idle reports whether a copy can be given up: it has not been used for a
@@ -55,10 +74,10 @@
 
 // repeat sends a load that had no answer once more. When all places are in
 // doubt, only an accepted order can end it, and this one needs no further place.
-func (p *Placer) repeat() (Order, bool) {
+func (p *Placer) repeat(now time.Time) (Order, bool) {
 	for c, s := range p.copies {
 		if s.doubt {
-			return p.send(Order{Copy: c}), true
+			return p.send(Order{Copy: c}, now), true
 		}
 	}
 	return Order{}, false
--- a/internal/adapter/placer/window.go
+++ b/internal/adapter/placer/window.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // A Window decides how many adapters may be on their way from the weight store
 // at once for one failure domain. It is not safe for concurrent use; its zero
@@ -12,8 +15,9 @@
 // they take longer: with loads that wait in line, the first ones are done sooner
 // and the last ones not later.
 type Window struct {
-	best time.Duration // that a load takes when few are under way
-	size float64       // loads for each engine
+	best   time.Duration // that a load takes when few are under way
+	closed time.Time     // when the window was last made smaller
+	size   float64       // loads for each engine
 }
 
 const (
@@ -21,39 +25,46 @@
 	// engine, and mostSize its largest.
 	firstSize = 1
 	mostSize  = 4
-	// leastSize keeps one load going for two engines.
-	leastSize = 0.5
+	// leastSize keeps three loads going for four engines. Loads that share the
+	// store are all slower but not fewer, while a window that is too small leaves
+	// it idle: with one load for two engines, a calm day of the Association had
+	// half of the store's rate for ten seconds, and 500 callers were refused.
+	leastSize = 0.75
 	// slower is how much longer than the shortest a load may take while the
 	// window opens.
-	slower = 1.25
-	// opening is by how much each load opens the window, closing by which part
-	// of it each closes it: a domain of three engines opens by one load in four
-	// seconds at twenty loads a second.
-	opening = 0.02
-	closing = 0.95
+	slower = 1.4
+	// opening is by how much each load opens the window: a domain of three
+	// engines opens by one load in two seconds at four loads a second.
+	opening = 0.04
+	// closing is what is left of the window when loads are too slow. It closes
+	// once in the time of a load: what is learned meanwhile is of loads that began
+	// before.
+	closing = 0.9
 	// forgetting lets the shortest time grow, in case the store has become
 	// slower for good.
 	forgetting = 1.00005
 )
 
 // Learn takes in how long a load is taken to last after one more was seen.
-func (w *Window) Learn(load time.Duration) {
+func (w *Window) Learn(load time.Duration, now time.Time) {
 	w.init()
 	if w.best == 0 || load < w.best {
 		w.best = load
 	}
 	w.best = time.Duration(float64(w.best) * forgetting)
-	if float64(load) > slower*float64(w.best) {
+	switch {
+	case float64(load) <= slower*float64(w.best):
+		w.size = min(mostSize, w.size+opening)
+	case now.Sub(w.closed) >= load:
 		w.size = max(leastSize, w.size*closing)
-		return
+		w.closed = now
 	}
-	w.size = min(mostSize, w.size+opening)
 }
 
 // Room returns how many loads may be under way for a number of engines.
 func (w *Window) Room(engines int) int {
 	w.init()
-	return max(1, int(w.size*float64(engines)))
+	return max(1, int(math.Round(w.size*float64(engines))))
 }
 
 func (w *Window) init() {
--- a/internal/adapter/placer/window_test.go
+++ b/internal/adapter/placer/window_test.go
@@ -25,6 +25,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			var w placer.Window
 			sum := 0
+			now := start
 			const steps = 4000
 			for step := range steps {
 				room := w.Room(engines)
@@ -33,7 +34,9 @@
 					under = room / 4 // demand comes in waves
 				}
 				stretch := max(1, float64(under)/float64(tc.fast))
-				w.Learn(time.Duration(stretch * float64(250*time.Millisecond)))
+				load := time.Duration(stretch * float64(250*time.Millisecond))
+				now = now.Add(load / time.Duration(max(1, under)))
+				w.Learn(load, now)
 				sum += room
 			}
 			if mean := sum / steps; mean < tc.least || mean > tc.max {
@@ -42,3 +45,24 @@
 		})
 	}
 }
+
+// A start with empty runners has all engines load at once, and for a moment
+// every load is slow. The window must not stay small when they are fast again:
+// callers would wait for a store that is idle.
+func TestWindowIsOpenAgainSoonAfterAStart(t *testing.T) {
+	const engines = 4
+	var w placer.Window
+	now := start
+	w.Learn(250*time.Millisecond, now)
+	for range 40 {
+		now = now.Add(25 * time.Millisecond)
+		w.Learn(500*time.Millisecond, now)
+	}
+	for range 8 {
+		now = now.Add(60 * time.Millisecond)
+		w.Learn(250*time.Millisecond, now)
+	}
+	if room := w.Room(engines); room < engines {
+		t.Errorf("room for %d loads over %d engines half a second later", room, engines)
+	}
+}
--- /dev/null
+++ b/internal/adapter/warmer/warmer_test.go
@@ -0,0 +1,16 @@
+package warmer_test
+
+import (
+	"fmt"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/warmer"
+)
+
+func ExampleClock_Touch() {
+	clock := warmer.Clock{Half: 10}
+	var desk, clause warmer.Heat
+	clock.Touch(&desk, 4)
+	clock.Touch(&clause, 10)
+	fmt.Println(clock.Of(desk), clock.Of(clause))
+	// Output: 2 10
+}
--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -114,7 +114,7 @@
 		if c.placer == nil || c.busy || c.runner.Leaving {
 			continue
 		}
-		c.placer.Load, c.placer.Return = d.gatekeeper.LoadTime(), d.gatekeeper.returnTime()
+		c.placer.Load, c.placer.Return = d.gatekeeper.LoadTime(), d.gatekeeper.ReturnTime()
 		switch {
 		case !c.placer.Known():
 			if now.Sub(c.asked) >= reportEvery {
@@ -123,7 +123,7 @@
 			}
 		default:
 			if o, ok := c.placer.Next(now, room > 0); ok {
-				if !o.Unload && o.Copy.Adapter != "" {
+				if !o.Unload && o.Copy.Adapter != "" && !c.placer.Kept(o.Copy) {
 					room--
 				}
 				d.send(ctx, c, o)
@@ -153,7 +153,7 @@
 
 // room returns how many more adapters may be fetched now.
 func (d *controller) room(now time.Time) int {
-	engines, coming := d.sum(func(p *placer.Placer) int { return p.Coming(now) })
+	engines, coming := d.sum(func(p *placer.Placer) int { return p.Fetching(now) })
 	return d.window.Room(engines) - coming
 }
 
@@ -222,7 +222,18 @@
 	if model.AdapterSize > 0 {
 		places = min(places, (engine.Memory-model.Size)/model.AdapterSize)
 	}
-	return &placer.Placer{Model: model.Name, Places: places, Loads: perRunner}
+	return &placer.Placer{Copies: d.copies, Model: model.Name, Places: places, Loads: perRunner}
+}
+
+// copies returns how many runners of the domain hold a copy or are getting it.
+func (d *controller) copies(copied placer.Copy) int {
+	_, copies := d.sum(func(p *placer.Placer) int {
+		if p.Holds(copied) {
+			return 1
+		}
+		return 0
+	})
+	return copies
 }
 
 // report asks a runner what it holds.
@@ -304,7 +315,7 @@
 	for _, n := range demand.There {
 		d.with(n, func(p *placer.Placer) {
 			p.Use(n.Copy, now)
-			d.learn(p.There(n.Copy, now.Add(-n.Ago)))
+			d.learn(p.There(n.Copy, n.Requests, now.Add(-n.Ago)))
 		})
 	}
 	for _, n := range demand.Missing {
--- a/internal/instance/gatekeeper/learn.go
+++ b/internal/instance/gatekeeper/learn.go
@@ -10,15 +10,24 @@
 )
 
 // An estimate is how long a load takes that only shows as done or not yet.
-type estimate struct{ nanoseconds atomic.Int64 }
+type estimate struct {
+	nanoseconds atomic.Int64
+	inTime      atomic.Int64 // loads in a row that were in time
+}
 
 const (
-	// longer bounds by how much one late load makes the estimate longer, and
-	// shorter by how much one that was in time makes it shorter. About one load
-	// in twenty-five is then tried too early, which costs one of the retries that
-	// all instances share; trying later costs every request that waits.
+	// longer bounds by how much one late load makes the estimate longer. Each
+	// load in a row that was in time makes it shorter by one more times shorter.
+	// About one load in ten is then tried too early, which costs one of the
+	// retries that all instances share; trying later costs every request that
+	// waits. Twenty loads undo a start at which all of them were slow; at a fixed
+	// step of 0.4 % they took half a minute on the Association's calm day, and as
+	// the window of loads opens with the estimate, half of the weight store's rate
+	// lay idle meanwhile.
 	longer  = 1.1
-	shorter = 0.996
+	shorter = 0.002
+	// mostInTime bounds the steps, should no load ever be late.
+	mostInTime = 25
 	// late is the part of the estimate by which a load that was late is taken to
 	// have ended after the last request that came in vain, if nobody came sooner.
 	late = 4
@@ -48,9 +57,12 @@
 	took := min(a.Most, a.Least+now/late)
 	switch {
 	case a.Least == 0:
-		e.set(time.Duration(shorter * float64(now)))
+		e.set(time.Duration((1 - shorter*float64(min(mostInTime, e.inTime.Add(1)))) * float64(now)))
 	case took > now:
+		e.inTime.Store(0)
 		e.set(min(took, time.Duration(longer*float64(now))))
+	default:
+		e.inTime.Store(0)
 	}
 }
 
@@ -62,7 +74,7 @@
 		d.gatekeeper.returns.learn(a)
 	default:
 		d.gatekeeper.loads.learn(a)
-		d.window.Learn(d.gatekeeper.LoadTime())
+		d.window.Learn(d.gatekeeper.LoadTime(), time.Now())
 	}
 }
 
@@ -83,14 +95,31 @@
 			}
 			base, read := g.Fleet.Paces(name)
 			g.Recorder.Log(recorder.Belief, "msg", "paces", "service", name, "first", base, "token", read,
-				"load", g.LoadTime(), "return", g.returnTime(), "members", g.Members())
+				"load", g.LoadTime(), "return", g.ReturnTime(), "members", g.Members())
+		}
+		for _, d := range g.controllers {
+			d.tellLoads()
 		}
 	})
 }
 
+// tellLoads logs how the loads of the domain stand, if this instance orders them.
+func (d *controller) tellLoads() {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.acting == 0 {
+		return
+	}
+	engines, fetching := d.sum(func(p *placer.Placer) int { return p.Fetching(now) })
+	_, waiting := d.sum((*placer.Placer).Waiting)
+	d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "loads", "domain", d.domain, "engines", engines, "room", d.window.Room(engines),
+		"fetching", fetching, "waiting", waiting)
+}
+
 // LoadTime returns how long the load of an adapter from the weight store takes.
 func (g *Gatekeeper) LoadTime() time.Duration { return g.loads.get() }
 
-// returnTime returns how long the load of an adapter takes that the runner held
+// ReturnTime returns how long the load of an adapter takes that the runner held
 // before.
-func (g *Gatekeeper) returnTime() time.Duration { return g.returns.get() }
+func (g *Gatekeeper) ReturnTime() time.Duration { return g.returns.get() }
--- a/internal/instance/gatekeeper/learn_test.go
+++ b/internal/instance/gatekeeper/learn_test.go
@@ -31,7 +31,7 @@
 	var e estimate
 	e.set(time.Second)
 	const real = 250 * time.Millisecond
-	for range 1500 {
+	for range 80 {
 		a := placer.Arrival{Most: e.get()}
 		if e.get() < real {
 			a = placer.Arrival{Least: e.get(), Most: real}
--- a/internal/instance/gatekeeper/needs.go
+++ b/internal/instance/gatekeeper/needs.go
@@ -13,11 +13,17 @@
 // time that the holder was told.
 type needs struct {
 	missing map[needKey]bool
-	there   map[needKey]time.Time // when the first request that found it was sent
+	there   map[needKey]found
 	used    map[needKey]bool
 	wants   map[needKey]int // priority
 }
 
+// A found says what requests found a copy at a runner.
+type found struct {
+	requests int
+	sent     time.Time // the first of them
+}
+
 type needKey struct {
 	runner string
 	copy   placer.Copy
@@ -61,8 +67,8 @@
 		d.Missing = append(d.Missing, relayer.Need{Runner: k.runner, Copy: k.copy})
 	}
 	now := time.Now()
-	for k, sent := range l.needs.there {
-		d.There = append(d.There, relayer.Need{Runner: k.runner, Copy: k.copy, Ago: now.Sub(sent)})
+	for k, f := range l.needs.there {
+		d.There = append(d.There, relayer.Need{Runner: k.runner, Copy: k.copy, Requests: f.requests, Ago: now.Sub(f.sent)})
 		delete(l.needs.used, k)
 	}
 	for k := range l.needs.used {
@@ -150,12 +156,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.needs.there == nil {
-		l.needs.there = make(map[needKey]time.Time)
+		l.needs.there = make(map[needKey]found)
 	}
 	k := needKey{runner, c}
-	if before, known := l.needs.there[k]; !known || sent.Before(before) {
-		l.needs.there[k] = sent
+	f := l.needs.there[k]
+	if f.requests == 0 || sent.Before(f.sent) {
+		f.sent = sent
 	}
+	f.requests++
+	l.needs.there[k] = f
 }
 
 // Used implements forwarder.Placement.
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -209,7 +209,8 @@
 	Runner   string
 	Copy     placer.Copy
 	Priority int
-	Ago      time.Duration // since the first request that found it there was sent
+	Requests int           // that found it there
+	Ago      time.Duration // since the first of them was sent
 }
 
 // A Held says how a copy stands at a runner.
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -15,10 +15,11 @@
 	began := time.Now()
 	for {
 		now := time.Now()
-		best, refused := p.best(now)
+		terms, refused := p.best(now)
 		if refused != nil {
 			return tracker.Runner{}, refused
 		}
+		best := terms[0]
 		if best.Stall > 0 {
 			if refused := p.await(ctx, best, now); refused != nil {
 				return tracker.Runner{}, refused
@@ -31,7 +32,8 @@
 		}
 		p.waited += now.Sub(began)
 		p.queue = time.Duration(best.Queue * float64(time.Second))
-		refused = p.reserve(ctx, runner)
+		p.used(runner.ID) // it must not make way while the request is held back
+		refused = p.reserve(ctx, runner, terms)
 		if runner, ok = p.Fleet.Get(runner.ID); refused == nil && (!ok || runner.Leaving) {
 			continue // it began to leave while the request was held back
 		}
@@ -61,7 +63,7 @@
 
 // reserve asks for room at the runner and holds the request back as long as it
 // is told to. Without anybody to ask the request goes at once.
-func (p *exchange) reserve(ctx context.Context, runner tracker.Runner) *judge.Error {
+func (p *exchange) reserve(ctx context.Context, runner tracker.Runner, terms []router.Terms) *judge.Error {
 	r := p.request
 	if r.Engine == nil || p.answered {
 		return nil
@@ -73,11 +75,13 @@
 	case !ok:
 		return nil
 	case refused != nil:
+		p.spread(terms, p.limit())
 		return refused.After(comeBack(refused.Retry))
 	case wait <= 0:
 		return nil
 	}
 	p.queue = wait
+	p.spread(terms, wait)
 	hold := time.NewTimer(wait)
 	defer hold.Stop()
 	select {
@@ -119,14 +123,14 @@
 func (p *exchange) demand(tried map[string]bool) tracker.Demand {
 	r := p.request
 	return tracker.Demand{
-		Asked: p.asked, Copy: r.Copy, Crowd: p.crowd(), Full: p.full, Load: p.LoadTime(), Service: r.Service, Tokens: r.Tokens,
+		Asked: p.asked, Copy: r.Copy, Crowd: p.crowd(), Full: p.full, Load: p.LoadTime(), Return: p.ReturnTime(), Service: r.Service, Tokens: r.Tokens,
 		Tried: tried,
 	}
 }
 
-// best returns the runner that is expected to answer first, or refuses the
-// request at once if that would be too late.
-func (p *exchange) best(now time.Time) (router.Terms, *judge.Error) {
+// best returns the runners in the order in which they are expected to answer, or
+// refuses the request at once if even the first would be too late.
+func (p *exchange) best(now time.Time) ([]router.Terms, *judge.Error) {
 	r := p.request
 	candidates := p.Fleet.Candidates(p.demand(p.tried), now)
 	if len(candidates) == 0 && len(p.tried) > 0 && p.after > r.After {
@@ -134,19 +138,20 @@
 		candidates = p.Fleet.Candidates(p.demand(p.tried), now)
 	}
 	if len(candidates) == 0 {
-		return router.Terms{}, p.nobody(now)
+		return nil, p.nobody(now)
 	}
 	choice := router.Router{Policy: router.First{Away: away}}
 	terms := choice.Choose(router.Request{Adapter: r.Copy.Adapter, Left: r.Deadline.Sub(now)}, candidates)
 	best := terms[0]
 	if p.full[best.Runner] {
-		return best, p.noRoom // and no other runner is better
+		return nil, p.noRoom // and no other runner is better
 	}
 	if limit := p.limit(); best.Queue > limit.Seconds() && p.arrivals == 0 {
+		p.spread(terms, limit)
 		over := time.Duration(best.Queue*float64(time.Second)) - limit
-		return best, judge.Refuse(judge.ReasonQueue, "%.0f ms of work are before it", best.Queue*1000).After(comeBack(over))
+		return nil, judge.Refuse(judge.ReasonQueue, "%.0f ms of work are before it", best.Queue*1000).After(comeBack(over))
 	}
-	return best, nil
+	return terms, nil
 }
 
 // nobody refuses a request that no runner can take: there is none, or those
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -18,16 +18,17 @@
 // A Forwarder answers requests. Its fields are set before use; it is safe for
 // concurrent use.
 type Forwarder struct {
-	Burst     func() float64 // this instance's share of the retries beyond the part
-	Fleet     *tracker.Fleet
-	LoadTime  func() time.Duration            // that an adapter takes to be loaded
-	Newest    func(model, adapter string) int // version of an adapter that a run is to begin on
-	Part      float64                         // retries that a request pays for
-	Placement Placement
-	Recorder  *recorder.Recorder
-	Retried   func(err *judge.Error) // counts what made a request go out again
-	Upstream  Upstream
-	Window    time.Duration // in which the burst of retries comes back
+	Burst      func() float64 // this instance's share of the retries beyond the part
+	Fleet      *tracker.Fleet
+	LoadTime   func() time.Duration            // that an adapter takes from the weight store
+	Newest     func(model, adapter string) int // version of an adapter that a run is to begin on
+	Part       float64                         // retries that a request pays for
+	Placement  Placement
+	Recorder   *recorder.Recorder
+	ReturnTime func() time.Duration   // that one takes which the runner held before
+	Retried    func(err *judge.Error) // counts what made a request go out again
+	Upstream   Upstream
+	Window     time.Duration // in which the burst of retries comes back
 
 	mu      sync.Mutex
 	budgets map[string]*retrier.Budget // by service
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -38,9 +38,14 @@
 // A placement has every adapter there and room as its script says.
 type placement struct {
 	reserve func(a forwarder.Ask) (time.Duration, *judge.Error, bool)
+	want    func(runner string)
 }
 
-func (placement) Want(string, placer.Copy, int)        {}
+func (p placement) Want(runner string, _ placer.Copy, _ int) {
+	if p.want != nil {
+		p.want(runner)
+	}
+}
 func (placement) Used(string, placer.Copy)             {}
 func (placement) There(string, placer.Copy, time.Time) {}
 func (placement) Missing(string, placer.Copy)          {}
@@ -99,8 +104,9 @@
 		fleet.Set(tracker.Runner{ID: fmt.Sprint("i-", n), Service: "llm", Domain: "a", Slots: 8, Models: []string{"m"}, Revision: 1})
 	}
 	return &forwarder.Forwarder{
-		Burst: func() float64 { return 20 }, Fleet: fleet, LoadTime: func() time.Duration { return time.Second }, Newest: func(string, string) int { return 2 }, Part: 0.2,
-		Placement: p, Recorder: &recorder.Recorder{Metrics: metrics.NewSet(), Out: io.Discard}, Retried: func(*judge.Error) {}, Upstream: u, Window: 10 * time.Second,
+		Burst: func() float64 { return 20 }, Fleet: fleet, LoadTime: func() time.Duration { return time.Second },
+		Newest: func(string, string) int { return 2 }, Part: 0.2, Placement: p, Recorder: &recorder.Recorder{Metrics: metrics.NewSet(), Out: io.Discard}, Retried: func(*judge.Error) {},
+		ReturnTime: func() time.Duration { return time.Second }, Upstream: u, Window: 10 * time.Second,
 	}
 }
 
@@ -156,6 +162,51 @@
 	})
 }
 
+// A much wanted adapter lies at one of two runners, and its callers are held back
+// there one after the other. Each wait is shorter than a load, so nobody goes
+// elsewhere, and all are late. One more copy is asked for at the other runner,
+// for those who come after; not for a short wait, and not while one is coming.
+func TestMuchWantedAdapterGetsOneMoreCopy(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		wait   time.Duration
+		coming bool
+		want   []string
+	}{
+		{"long wait", 400 * time.Millisecond, false, []string{"i-1"}},
+		{"short wait", 50 * time.Millisecond, false, nil},
+		{"a copy is on its way", 400 * time.Millisecond, true, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &upstream{answer: func(ctx context.Context, _ int, _ forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+					return streamed(&body{ctx: ctx, from: 1, to: 1, end: io.EOF}), nil
+				}}
+				var wanted []string
+				f := newForwarder(u, placement{
+					reserve: func(forwarder.Ask) (time.Duration, *judge.Error, bool) { return tc.wait, nil, true },
+					want:    func(runner string) { wanted = append(wanted, runner) },
+				}, 2)
+				adapter := placer.Copy{Model: "m", Adapter: "a1", Version: 2}
+				f.Fleet.Held("i-0", map[placer.Copy]time.Time{adapter: {}})
+				f.Fleet.Held("i-1", nil)
+				if tc.coming {
+					f.Fleet.HeldOne("i-1", adapter, time.Now().Add(time.Second), true)
+				}
+				r := newRequest(resuming())
+				r.Copy = adapter
+				var got sink
+				if err := f.Forward(t.Context(), r, &got); err != nil {
+					t.Fatal(err)
+				}
+				if diff := cmp.Diff(tc.want, wanted); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
 // A much wanted adapter lies at two runners and the first has no room. The
 // caller is served by the second one; only when none has room it is refused,
 // with the time to come back and the promise that nothing ran.
--- /dev/null
+++ b/internal/request/forwarder/spread.go
@@ -0,0 +1,32 @@
+package forwarder
+
+import (
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/router"
+)
+
+const (
+	// spreadPart is the part of the goal that a request may be held back where
+	// its adapter is before one more copy of it is asked for.
+	spreadPart = 0.2
+	// spreadRank is how much less urgent that copy is than one that a request
+	// waits for.
+	spreadRank = 10
+)
+
+// spread asks for one more copy of an adapter whose requests wait for each other.
+//
+// A much wanted adapter draws its requests to the runners that hold it. As long
+// as waiting there is shorter than a load, no request would choose a runner
+// without a copy, so all of them wait almost that long and many are late. The
+// copy that is asked for here serves those that come after. While one is on its
+// way no other is asked for.
+func (p *exchange) spread(terms []router.Terms, wait time.Duration) {
+	if p.request.Copy.Adapter == "" || wait < time.Duration(spreadPart*float64(p.request.Route.Goal)) {
+		return
+	}
+	if runner, ok := router.Another(terms); ok {
+		p.Placement.Want(runner, p.request.Copy, p.request.Route.Priority+spreadRank)
+	}
+}
--- a/internal/request/router/policy.go
+++ b/internal/request/router/policy.go
@@ -41,6 +41,7 @@
 	Backlog  time.Duration // until the work that is known to be before this request is done
 	Crowded  bool          // one more request would hold up those that run there
 	Failing  float64       // part of the recent requests that failed there, 0 to 1
+	Kept     bool          // the runner held the adapter before and fetches it from its own memory
 	Ready    time.Duration // until the adapter can be used; 0 if it is resident
 	Resident bool
 	Loading  bool          // the adapter is on its way into a slot or stands in line for it
@@ -61,6 +62,7 @@
 
 // Terms are the parts of a candidate's cost, as explain shows them.
 type Terms struct {
+	Absent  bool    `json:"absent" yaml:"absent"` // the adapter is neither there nor on its way
 	Crowded bool    `json:"crowded" yaml:"crowded"`
 	Runner  string  `json:"runner" yaml:"runner"`
 	Stall   float64 `json:"stall" yaml:"stall"` // seconds
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -125,9 +125,15 @@
 
 // first estimates the time to the first token.
 func (r *Router) first(p First, request Request, c *Candidate, rank, mean float64) Terms {
-	t := Terms{Crowded: c.Crowded, Runner: c.Runner, Queue: c.Backlog.Seconds(), Stall: c.Ready.Seconds()}
+	t := Terms{
+		Absent: !c.Resident && !c.Loading, Crowded: c.Crowded, Runner: c.Runner, Queue: c.Backlog.Seconds(), Stall: c.Ready.Seconds(),
+	}
 	t.Total = max(t.Queue, t.Stall) + failedCost*c.Failing
-	if request.Adapter != "" && !c.Resident && !c.Loading {
+	switch {
+	case request.Adapter == "" || c.Resident || c.Loading:
+	case c.Kept:
+		t.Total += copyCost
+	default:
 		t.Total += homeCost*rank + copyCost
 	}
 	if c.Away {
@@ -140,6 +146,20 @@
 	return t
 }
 
+// Another returns the best runner that could hold one more copy of the adapter.
+// ok is false if there is none, or if a copy is on its way to some runner.
+func Another(terms []Terms) (runner string, ok bool) {
+	for _, t := range terms {
+		switch {
+		case t.Absent && !ok:
+			runner, ok = t.Runner, true
+		case !t.Absent && t.Stall > 0:
+			return "", false
+		}
+	}
+	return runner, ok
+}
+
 // queue estimates the wait for a place in the batch.
 func (r *Router) queue(c *Candidate) float64 {
 	batch := batch(c)
--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -14,7 +14,8 @@
 	Copy    placer.Copy     // zero for a plain service
 	Crowd   time.Duration   // of prompts to be read at once that holds up the runs of a runner; 0 for no bound
 	Full    map[string]bool // runners without room for it
-	Load    time.Duration
+	Load    time.Duration   // that an adapter takes from the weight store
+	Return  time.Duration   // that one takes which the runner held before
 	Service string
 	Tokens  int             // of the prompt
 	Tried   map[string]bool // runners that are out of the question
@@ -57,6 +58,7 @@
 		c.Crowded = d.Crowd > 0 && c.Backlog+read > d.Crowd
 		if d.Copy != (placer.Copy{}) {
 			c.Resident, c.Loading, c.Ready = s.ready(d, f.lines[s.Domain], now)
+			c.Kept = s.kept[d.Copy]
 		}
 		c.Loading = c.Loading || !c.Resident && id == d.Asked
 		if !c.Resident && !c.Loading && f.idle[s.Domain] {
@@ -70,13 +72,17 @@
 // ready returns how a copy stands at a runner and how long until it can be used.
 func (s *state) ready(d Demand, line time.Duration, now time.Time) (resident, loading bool, wait time.Duration) {
 	at, ok := s.held[d.Copy]
+	load := line + d.Load
+	if s.kept[d.Copy] {
+		load = d.Return // from the runner's own memory: the weight store's line is not for it
+	}
 	switch {
 	case !ok && s.otherVersion(d.Copy):
-		return false, false, line + d.Load + replaceTime
+		return false, false, load + replaceTime
 	case !ok && s.ID == d.Asked:
-		return false, false, d.Load // it stands in line already
+		return false, false, min(load, d.Load) // it stands in line already
 	case !ok:
-		return false, false, line + d.Load
+		return false, false, load
 	case now.Before(at):
 		return false, true, at.Sub(now)
 	default:
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -28,6 +28,7 @@
 	failing   float64 // part of recent requests that failed, decaying with time
 	failed    time.Time
 	held      map[placer.Copy]time.Time // from when on a copy can be used; zero: now
+	kept      map[placer.Copy]bool      // given up since; the runner fetches them again in a tenth of the time
 	others    Load                      // of other instances, as last told
 	own       Load
 	suspended time.Time // until when it gets nothing new
@@ -133,11 +134,25 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s, ok := f.runners[id]; ok {
-		s.held = maps.Clone(held) // single copies change here until the next whole
+		for c := range s.held {
+			if _, still := held[c]; !still {
+				s.keep(c)
+			}
+		}
+		s.held = make(map[placer.Copy]time.Time, len(held)) // single copies change here until the next whole
+		maps.Copy(s.held, held)
 		s.told = true
 	}
 }
 
+// keep notes that a runner has given up a copy.
+func (s *state) keep(c placer.Copy) {
+	if s.kept == nil {
+		s.kept = make(map[placer.Copy]bool)
+	}
+	s.kept[c] = true
+}
+
 // HeldOne takes in how one copy stands at a runner.
 func (f *Fleet) HeldOne(id string, c placer.Copy, at time.Time, there bool) {
 	f.mu.Lock()
@@ -149,6 +164,7 @@
 		s.held[c] = at
 	default:
 		delete(s.held, c)
+		s.keep(c)
 	}
 }
 
@@ -158,6 +174,7 @@
 	defer f.mu.Unlock()
 	if s, ok := f.runners[id]; ok {
 		delete(s.held, c)
+		delete(s.kept, c)
 	}
 }
 
--- a/internal/upstream/tracker/fleet_test.go
+++ b/internal/upstream/tracker/fleet_test.go
@@ -63,3 +63,39 @@
 		})
 	}
 }
+
+// A runner has given an adapter up and keeps it in its memory, from where it
+// comes back in a tenth of the time. A caller's request that is sent to any
+// other runner waits for the weight store, and whoever else needs it as well.
+func TestRunnerThatHeldTheAdapterFetchesItSooner(t *testing.T) {
+	adapter := placer.Copy{Model: "m", Adapter: "a1", Version: 1}
+	for _, tc := range []struct {
+		name   string
+		happen func(f *tracker.Fleet)
+		want   time.Duration
+	}{
+		{"never there", func(*tracker.Fleet) {}, time.Second},
+		{"given up", func(f *tracker.Fleet) {
+			f.HeldOne("i-1", adapter, time.Time{}, true)
+			f.HeldOne("i-1", adapter, time.Time{}, false)
+		}, 100 * time.Millisecond},
+		{"given up while it was not looked", func(f *tracker.Fleet) {
+			f.Held("i-1", map[placer.Copy]time.Time{adapter: {}})
+			f.Held("i-1", nil)
+		}, 100 * time.Millisecond},
+		{"refused for want of it", func(f *tracker.Fleet) {
+			f.HeldOne("i-1", adapter, time.Time{}, true)
+			f.Missing("i-1", adapter)
+		}, time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := &tracker.Fleet{Domain: "a"}
+			f.Set(tracker.Runner{ID: "i-1", Service: "llm", Domain: "a", Revision: 1})
+			tc.happen(f)
+			demand := tracker.Demand{Service: "llm", Copy: adapter, Load: time.Second, Return: 100 * time.Millisecond}
+			if diff := cmp.Diff(tc.want, f.Candidates(demand, time.Now())[0].Ready); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
