--- a/internal/command/commander/commander.go
+++ b/internal/command/commander/commander.go
@@ -55,7 +55,10 @@
 func Main(args []string, in io.Reader, out, errOut io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	context.AfterFunc(ctx, stop) // a second Ctrl-C ends the program at once
+	// A second Ctrl-C ends the program at once. A second SIGTERM does not: who
+	// supervises the program may send several, and a graceful stop would cut off
+	// its callers.
+	context.AfterFunc(ctx, func() { signal.Reset(os.Interrupt) })
 	c := &Commander{in: in, out: out, err: errOut}
 	root := c.newRootCmd()
 	root.SetArgs(args)
--- a/internal/command/commander/gatewaycmd.go
+++ b/internal/command/commander/gatewaycmd.go
@@ -34,18 +34,19 @@
 			if file == "" {
 				file = os.Getenv(settingsVariable)
 			}
+			hangups := catchHangups()
 			config, err := configurer.ReadGateway(file)
 			if err != nil {
 				return usage(err)
 			}
-			return c.gateway(cmd.Context(), file, config)
+			return c.gateway(cmd.Context(), hangups, file, config)
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "file with the settings of this instance")
 	return cmd
 }
 
-func (c *Commander) gateway(ctx context.Context, file string, config configurer.Gateway) error {
+func (c *Commander) gateway(ctx context.Context, hangups <-chan os.Signal, file string, config configurer.Gateway) error {
 	set := newGatewayMetrics()
 	record := &recorder.Recorder{Instance: config.ID, Metrics: set, Out: c.out}
 	stop := make(chan struct{})
@@ -62,7 +63,7 @@
 	if err != nil {
 		return usage(err)
 	}
-	go reloadGateway(ctx, file, config, record)
+	go reloadGateway(ctx, hangups, file, config, record)
 	g, err := platform.Compose(platform.Parts{Config: config, Listeners: listeners, Metrics: set, Recorder: record})
 	if err != nil {
 		return err
--- a/internal/command/commander/process_test.go
+++ b/internal/command/commander/process_test.go
@@ -43,16 +43,19 @@
 	t.Helper()
 	p := &process{cmd: exec.Command(os.Args[0], args...), done: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), asProgram+"=1")
-	stderr, err := p.cmd.StderrPipe()
+	out, written, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
+	p.cmd.Stdout, p.cmd.Stderr = written, written
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
+	_ = written.Close() // the process has it; the end of its output shows here when it ends
 	go func() {
 		defer close(p.done)
-		for scanner := bufio.NewScanner(stderr); scanner.Scan(); {
+		defer func() { _ = out.Close() }()
+		for scanner := bufio.NewScanner(out); scanner.Scan(); {
 			p.mu.Lock()
 			p.lines = append(p.lines, scanner.Text())
 			p.mu.Unlock()
--- a/internal/command/commander/reload.go
+++ b/internal/command/commander/reload.go
@@ -11,16 +11,22 @@
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
-// onHangup calls do at each SIGHUP until ctx ends.
-func onHangup(ctx context.Context, do func()) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+// catchHangups takes SIGHUP from now on until the process ends. A hangup that
+// comes before it is asked for, or while the program stops gracefully, would
+// else end the process and cut off its callers.
+func catchHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+// onHangup calls do at each hangup until ctx ends.
+func onHangup(ctx context.Context, hangups <-chan os.Signal, do func()) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-hangups:
 			do()
 		}
 	}
@@ -29,8 +35,8 @@
 // reloadGateway reads the settings again on SIGHUP. Nothing of what an instance
 // takes from them may change while it runs, so a change is told and waits for
 // the next start; requests are not touched.
-func reloadGateway(ctx context.Context, file string, config configurer.Gateway, record *recorder.Recorder) {
-	onHangup(ctx, func() {
+func reloadGateway(ctx context.Context, hangups <-chan os.Signal, file string, config configurer.Gateway, record *recorder.Recorder) {
+	onHangup(ctx, hangups, func() {
 		fresh, err := configurer.ReadGateway(file)
 		switch {
 		case err != nil:
--- a/internal/command/commander/servecmd.go
+++ b/internal/command/commander/servecmd.go
@@ -51,12 +51,13 @@
 }
 
 func (c *Commander) serve(ctx context.Context, config configurer.Daemon) error {
+	hangups := catchHangups()
 	logger := c.newLogger(config)
 	keys := &keyring{config: config}
 	if err := keys.load(); err != nil {
 		return usage(err)
 	}
-	go keys.reloadOnHangup(ctx, logger)
+	go keys.reloadOnHangup(ctx, hangups, logger)
 	listeners, err := listen(config)
 	if err != nil {
 		return usage(err)
@@ -181,8 +182,8 @@
 	return err
 }
 
-func (k *keyring) reloadOnHangup(ctx context.Context, logger log.Logger) {
-	onHangup(ctx, func() {
+func (k *keyring) reloadOnHangup(ctx context.Context, hangups <-chan os.Signal, logger log.Logger) {
+	onHangup(ctx, hangups, func() {
 		if err := k.load(); err != nil {
 			_ = level.Error(logger).Log("msg", "keys not reloaded; the old ones stay", "err", err)
 			return
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -136,7 +136,7 @@
 		g.controllers[domain] = &controller{
 			gatekeeper: g, domain: domain, runners: make(map[string]*runnerState),
 			elector: elector.Elector{
-				Self: g.Config.ID, Address: g.Config.Peer, Lease: lease, Quiet: g.Config.Bounds.Quiet + quietMargin, Late: late,
+				Self: g.Config.ID, Address: g.Config.Reached(), Lease: lease, Quiet: g.Config.Bounds.Quiet + quietMargin, Late: late,
 			},
 		}
 		g.links[domain] = &link{gatekeeper: g, domain: domain, kick: make(chan struct{}, 1)}
--- a/internal/setting/configurer/gateway.go
+++ b/internal/setting/configurer/gateway.go
@@ -10,15 +10,16 @@
 // A Gateway is the settings of an instance that sends requests straight to
 // runners and takes routes from the platform.
 type Gateway struct {
-	ID       string   `yaml:"id"`       // of the instance; kept over restarts
-	Domain   string   `yaml:"domain"`   // failure domain
-	Caller   string   `yaml:"caller"`   // host:port for callers
-	Ready    string   `yaml:"ready"`    // host:port where the balancer asks whether to send callers here
-	Peer     string   `yaml:"peer"`     // host:port for peers
-	Metrics  string   `yaml:"metrics"`  // host:port for counters; empty for none
-	Platform string   `yaml:"platform"` // host:port of the platform's store
-	Domains  []string `yaml:"domains"`  // every failure domain
-	Bounds   Bounds   `yaml:"bounds"`
+	ID        string   `yaml:"id"`        // of the instance; kept over restarts
+	Domain    string   `yaml:"domain"`    // failure domain
+	Caller    string   `yaml:"caller"`    // host:port for callers
+	Ready     string   `yaml:"ready"`     // host:port where the balancer asks whether to send callers here
+	Peer      string   `yaml:"peer"`      // host:port for peers
+	Advertise string   `yaml:"advertise"` // host:port by which peers reach this instance; peer if empty
+	Metrics   string   `yaml:"metrics"`   // host:port for counters; empty for none
+	Platform  string   `yaml:"platform"`  // host:port of the platform's store
+	Domains   []string `yaml:"domains"`   // every failure domain
+	Bounds    Bounds   `yaml:"bounds"`
 }
 
 // Bounds are the limits that a deployment sets.
@@ -41,6 +42,14 @@
 	},
 }
 
+// Reached returns the address by which peers reach the instance.
+func (g *Gateway) Reached() string {
+	if g.Advertise != "" {
+		return g.Advertise
+	}
+	return g.Peer
+}
+
 // ReadGateway reads a file of settings. The result has been checked.
 func ReadGateway(file string) (Gateway, error) {
 	g := GatewayDefaults
@@ -71,6 +80,9 @@
 			return fault(f.field, "%q is no address; write host:port", f.value)
 		}
 	}
+	if _, _, err := net.SplitHostPort(g.Advertise); g.Advertise != "" && err != nil {
+		return fault("advertise", "%q is no address; write host:port, or leave it out", g.Advertise)
+	}
 	if _, _, err := net.SplitHostPort(g.Metrics); g.Metrics != "" && err != nil {
 		return fault("metrics", "%q is no address; write host:port, or leave it out", g.Metrics)
 	}
