--- a/internal/adapter/placer/arrival.go
+++ b/internal/adapter/placer/arrival.go
@@ -59,4 +59,4 @@
 
 // lateParts is the part of a load after which a copy that was late is tried
 // again.
-const lateParts = 4
+const lateParts = 8
--- a/internal/adapter/placer/placer.go
+++ b/internal/adapter/placer/placer.go
@@ -71,6 +71,19 @@
 	urgent int
 }
 
+// Room says what may be fetched from the weight store now.
+type Room int
+
+// The rooms.
+const (
+	NoRoom         Room = iota
+	RoomForWaiting      // copies that requests wait for
+	RoomForAny          // also those that no request waits for
+)
+
+// Spare is the priority of a copy that no request waits for.
+const Spare = 10
+
 const (
 	// forget is how long a want lasts that nobody repeats. Instances repeat
 	// theirs several times a second while a request waits.
@@ -135,9 +148,10 @@
 }
 
 // Next returns the order to send now, if there is one. Finish must be called
-// with its outcome. allowed says whether another adapter may be fetched from the
-// weight store; one that the runner keeps in its memory may come in any case.
-func (p *Placer) Next(now time.Time, allowed bool) (Order, bool) {
+// with its outcome. room says what may be fetched from the weight store; a copy
+// that the runner keeps in its memory and that a request waits for may come in
+// any case.
+func (p *Placer) Next(now time.Time, room Room) (Order, bool) {
 	p.init()
 	if !p.known || p.open != nil || now.Before(p.retry) || p.Model == "" {
 		return Order{}, false
@@ -151,7 +165,7 @@
 		}
 		return Order{}, false
 	}
-	c, ok := p.first(now, allowed)
+	c, ok := p.first(now, room)
 	if !ok {
 		return Order{}, false
 	}
@@ -197,11 +211,12 @@
 // Kept reports whether the runner held a copy before.
 func (p *Placer) Kept(c Copy) bool { return p.past[c] }
 
-// Waiting returns how many wanted copies are neither there nor on their way.
+// Waiting returns how many copies that requests wait for are neither there nor
+// on their way.
 func (p *Placer) Waiting() int {
 	n := 0
-	for c := range p.wanted {
-		if _, ok := p.copies[c]; !ok {
+	for c, w := range p.wanted {
+		if _, ok := p.copies[c]; !ok && w.urgent < Spare {
 			n++
 		}
 	}
@@ -210,7 +225,7 @@
 
 // first returns the wanted copy that is to be loaded next: the most urgent, of
 // these the one that was wanted first.
-func (p *Placer) first(now time.Time, allowed bool) (Copy, bool) {
+func (p *Placer) first(now time.Time, room Room) (Copy, bool) {
 	var best Copy
 	var bestWant want
 	found := false
@@ -219,7 +234,7 @@
 			delete(p.wanted, c)
 			continue
 		}
-		if !allowed && !p.past[c] {
+		if w.urgent >= Spare && room < RoomForAny || room == NoRoom && !p.past[c] {
 			continue
 		}
 		if s, there := p.copies[c]; there && (!s.doubt || s.state == unloading) {
--- a/internal/adapter/placer/placer_test.go
+++ b/internal/adapter/placer/placer_test.go
@@ -24,7 +24,7 @@
 func ExamplePlacer_Next() {
 	p := newPlacer(2)
 	p.Want(adapter("a1"), 0, start)
-	order, _ := p.Next(start, true)
+	order, _ := p.Next(start, placer.RoomForAny)
 	fmt.Println(order.Copy, order.Unload, order.Expected)
 	p.Finish(placer.Accepted, start)
 	fmt.Println(p.Held()[adapter("a1")].Sub(start))
@@ -36,7 +36,7 @@
 func TestNoOrderBeforeAReport(t *testing.T) {
 	p := &placer.Placer{Model: "m", Places: 1}
 	p.Want(adapter("a1"), 0, start)
-	if order, ok := p.Next(start, true); ok {
+	if order, ok := p.Next(start, placer.RoomForAny); ok {
 		t.Errorf("ordered %+v without knowing what the runner holds", order)
 	}
 }
@@ -48,13 +48,13 @@
 func TestLostLoadKeepsItsPlace(t *testing.T) {
 	p := newPlacer(1)
 	p.Want(adapter("a1"), 0, start)
-	first, _ := p.Next(start, true)
+	first, _ := p.Next(start, placer.RoomForAny)
 	p.Finish(placer.Lost, start)
 	now := start.Add(200 * time.Millisecond)
 	p.Take(placer.Report{Models: []string{"m"}}, now)
 	p.Want(adapter("a1"), 5, now)
 	p.Want(adapter("a2"), 0, now)
-	second, ok := p.Next(now, true)
+	second, ok := p.Next(now, placer.RoomForAny)
 	if ok && second.Copy != first.Copy {
 		t.Fatalf("ordered %v while %v may still be loaded", second.Copy, first.Copy)
 	}
@@ -67,7 +67,7 @@
 func TestLostLoadDoesNotKeepTheWeightStoreBusy(t *testing.T) {
 	p := newPlacer(2)
 	p.Want(adapter("a1"), 0, start)
-	if _, ok := p.Next(start, true); !ok {
+	if _, ok := p.Next(start, placer.RoomForAny); !ok {
 		t.Fatal("no order")
 	}
 	p.Finish(placer.Lost, start)
@@ -80,7 +80,7 @@
 		t.Errorf("%d loads under way, want none", n)
 	}
 	p.Want(adapter("a2"), 0, now)
-	if order, ok := p.Next(now, true); !ok || order.Copy != adapter("a2") {
+	if order, ok := p.Next(now, placer.RoomForAny); !ok || order.Copy != adapter("a2") {
 		t.Errorf("ordered %v %v, want the next adapter", order, ok)
 	}
 }
@@ -92,7 +92,7 @@
 	p.Use(adapter("new"), start.Add(2*time.Second))
 	now := start.Add(2100 * time.Millisecond)
 	p.Want(adapter("x"), 0, now)
-	order, ok := p.Next(now, true)
+	order, ok := p.Next(now, placer.RoomForAny)
 	if diff := cmp.Diff(placer.Order{Copy: adapter("old"), Unload: true}, order); !ok || diff != "" {
 		t.Errorf("order %v: %s", ok, diff)
 	}
@@ -115,7 +115,7 @@
 			if !p.Known() {
 				p.Take(runner.report(rng, now), now)
 			}
-			order, ok := p.Next(now, true)
+			order, ok := p.Next(now, placer.RoomForAny)
 			if !ok {
 				continue
 			}
@@ -149,17 +149,17 @@
 	p.Take(placer.Report{Models: []string{"m"}, Resident: []placer.Copy{old}}, start)
 	p.Use(old, start)
 	p.Want(fresh, 0, start)
-	if order, ok := p.Next(start, true); ok {
+	if order, ok := p.Next(start, placer.RoomForAny); ok {
 		t.Fatalf("ordered %+v while the old version is in use", order)
 	}
 	later := start.Add(800 * time.Millisecond)
 	p.Want(fresh, 0, later)
-	order, ok := p.Next(later, true)
+	order, ok := p.Next(later, placer.RoomForAny)
 	if diff := cmp.Diff(placer.Order{Copy: old, Unload: true}, order); !ok || diff != "" {
 		t.Fatalf("order %v: %s", ok, diff)
 	}
 	p.Finish(placer.Holds, later)
-	order, ok = p.Next(later, true)
+	order, ok = p.Next(later, placer.RoomForAny)
 	if diff := cmp.Diff(placer.Order{Copy: fresh, Expected: 1}, order); !ok || diff != "" {
 		t.Errorf("order %v: %s", ok, diff)
 	}
@@ -171,7 +171,7 @@
 func TestReportsThatStayBehindAreTaken(t *testing.T) {
 	p := newPlacer(2)
 	p.Want(adapter("a1"), 0, start)
-	p.Next(start, true)
+	p.Next(start, placer.RoomForAny)
 	p.Finish(placer.Accepted, start)
 	report := placer.Report{Models: []string{"m"}, Resident: []placer.Copy{adapter("a1")}}
 	if p.Take(report, start.Add(200*time.Millisecond)) {
@@ -274,10 +274,39 @@
 			p.Use(adapter("once"), start.Add(time.Second))
 			now := start.Add(5 * time.Second)
 			p.Want(adapter("x"), 0, now)
-			order, ok := p.Next(now, true)
+			order, ok := p.Next(now, placer.RoomForAny)
 			if diff := cmp.Diff(placer.Order{Copy: tc.want, Unload: true}, order); !ok || diff != "" {
 				t.Errorf("order %v: %s", ok, diff)
 			}
 		})
 	}
 }
+
+// A hot adapter is to get one more copy while a caller waits for a cold one. The
+// weight store has room for one load: it is the caller's, also if the hot one was
+// asked for first.
+func TestCopyThatNobodyWaitsForTakesNoRoomFromOneThatSomebodyDoes(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		wants map[placer.Copy]int
+		room  placer.Room
+		want  placer.Copy
+	}{
+		{"both", map[placer.Copy]int{adapter("hot"): placer.Spare, adapter("cold"): 1}, placer.RoomForWaiting, adapter("cold")},
+		{"room for both", map[placer.Copy]int{adapter("hot"): placer.Spare, adapter("cold"): 1}, placer.RoomForAny, adapter("cold")},
+		{"somebody waits elsewhere", map[placer.Copy]int{adapter("hot"): placer.Spare}, placer.RoomForWaiting, placer.Copy{}},
+		{"nobody waits", map[placer.Copy]int{adapter("hot"): placer.Spare}, placer.RoomForAny, adapter("hot")},
+		{"no room", map[placer.Copy]int{adapter("cold"): 1}, placer.NoRoom, placer.Copy{}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPlacer(2)
+			for c, priority := range tc.wants {
+				p.Want(c, priority, start)
+			}
+			order, _ := p.Next(start, tc.room)
+			if diff := cmp.Diff(tc.want, order.Copy); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -105,7 +105,7 @@
 		d.begin(fence)
 	}
 	catalog := d.gatekeeper.Catalog()
-	room := d.room(now)
+	room, waiting := d.room(now)
 	for _, id := range d.order() {
 		c := d.runners[id]
 		if c.placer == nil {
@@ -122,7 +122,7 @@
 				d.report(ctx, c)
 			}
 		default:
-			if o, ok := c.placer.Next(now, room > 0); ok {
+			if o, ok := c.placer.Next(now, roomFor(room, waiting)); ok {
 				if !o.Unload && o.Copy.Adapter != "" && !c.placer.Kept(o.Copy) {
 					room--
 				}
@@ -151,10 +151,26 @@
 	return 0
 }
 
-// room returns how many more adapters may be fetched now.
-func (d *controller) room(now time.Time) int {
+// room returns how many more adapters may be fetched now, and for how many
+// requests wait.
+func (d *controller) room(now time.Time) (room, waiting int) {
 	engines, coming := d.sum(func(p *placer.Placer) int { return p.Fetching(now) })
-	return d.window.Room(engines) - coming
+	_, waiting = d.sum((*placer.Placer).Waiting)
+	return d.window.Room(engines) - coming, waiting
+}
+
+// roomFor returns what may be fetched. A copy that no request waits for must not
+// take the weight store from one that somebody does: on a calm day of the
+// Association, whose adapters bind, that cost 0.025 of the day's worth.
+func roomFor(room, waiting int) placer.Room {
+	switch {
+	case room <= 0:
+		return placer.NoRoom
+	case waiting > 0:
+		return placer.RoomForWaiting
+	default:
+		return placer.RoomForAny
+	}
 }
 
 // sum returns how many engines there are, and the sum of a number of each.
--- a/internal/instance/gatekeeper/learn.go
+++ b/internal/instance/gatekeeper/learn.go
@@ -2,35 +2,38 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
-// An estimate is how long a load takes that only shows as done or not yet.
+// An estimate is how long a load takes that only shows as done or not yet. Its
+// zero value has to be set before use; it is safe for concurrent use.
 type estimate struct {
-	nanoseconds atomic.Int64
-	inTime      atomic.Int64 // loads in a row that were in time
+	mu      sync.Mutex
+	late    time.Time // when a load was last late
+	learnt  time.Time // when one was last taken in
+	current time.Duration
 }
 
 const (
-	// longer bounds by how much one late load makes the estimate longer. Each
-	// load in a row that was in time makes it shorter by one more times shorter.
-	// About one load in ten is then tried too early, which costs one of the
-	// retries that all instances share; trying later costs every request that
-	// waits. Twenty loads undo a start at which all of them were slow; at a fixed
-	// step of 0.4 % they took half a minute on the Association's calm day, and as
-	// the window of loads opens with the estimate, half of the weight store's rate
-	// lay idle meanwhile.
-	longer  = 1.1
-	shorter = 0.002
-	// mostInTime bounds the steps, should no load ever be late.
-	mostInTime = 25
-	// late is the part of the estimate by which a load that was late is taken to
-	// have ended after the last request that came in vain, if nobody came sooner.
-	late = 4
+	// above is the part by which a load that was late is taken to have lasted
+	// longer than was seen.
+	above = 0.05
+	// shrink is how much shorter the estimate becomes in a second right after a
+	// late load, and shrinkTime after how long it is twice that; it goes on growing
+	// with the square of the time, up to mostShrink. The estimate then takes three
+	// seconds to come down to where loads are late, which is found out by all that
+	// began within one load's time: one in ten. When each load in time made it
+	// shorter by a part, hundreds did before the first late one showed: two in
+	// five were late, and each cost one of the retries that all instances share.
+	shrink     = 0.01
+	shrinkTime = 2 * time.Second
+	mostShrink = 0.25
+	// oneStep bounds the time that one load stands for.
+	oneStep = 500 * time.Millisecond
 	// leastLoad and mostLoad bound what is learned, against a run of odd cases.
 	leastLoad = 10 * time.Millisecond
 	mostLoad  = 3 * time.Second
@@ -41,10 +44,16 @@
 	firstReturn = 35 * time.Millisecond
 )
 
-func (e *estimate) get() time.Duration { return time.Duration(e.nanoseconds.Load()) }
+func (e *estimate) get() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current
+}
 
 func (e *estimate) set(d time.Duration) {
-	e.nanoseconds.Store(int64(min(mostLoad, max(leastLoad, d))))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.current = d
 }
 
 // learn takes in one load. A late one says how long it took at least, and the
@@ -52,18 +61,25 @@
 // once, as after a start with empty runners, growing by a part for each took it
 // to its bound of seconds, and callers were refused for ten seconds for loads
 // that would have taken a third of one.
-func (e *estimate) learn(a placer.Arrival) {
-	now := e.get()
-	took := min(a.Most, a.Least+now/late)
-	switch {
-	case a.Least == 0:
-		e.set(time.Duration((1 - shorter*float64(min(mostInTime, e.inTime.Add(1)))) * float64(now)))
-	case took > now:
-		e.inTime.Store(0)
-		e.set(min(took, time.Duration(longer*float64(now))))
-	default:
-		e.inTime.Store(0)
+func (e *estimate) learn(a placer.Arrival, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.Least > 0 {
+		e.late = now
+		took := min(a.Most, time.Duration((1+above)*float64(a.Least)))
+		e.current = min(mostLoad, max(e.current, took))
+	} else {
+		e.current = max(leastLoad, time.Duration((1-e.step(now))*float64(e.current)))
 	}
+	e.learnt = now
+}
+
+// step returns the part by which a load that was in time makes the estimate
+// shorter.
+func (e *estimate) step(now time.Time) float64 {
+	since := float64(now.Sub(e.late)) / float64(shrinkTime)
+	rate := min(mostShrink, shrink*(1+since*since))
+	return rate * min(oneStep, now.Sub(e.learnt)).Seconds()
 }
 
 // learn takes in what the first use of a copy tells of the time of loads.
@@ -71,10 +87,11 @@
 	switch {
 	case !ok:
 	case a.Return:
-		d.gatekeeper.returns.learn(a)
+		d.gatekeeper.returns.learn(a, time.Now())
 	default:
-		d.gatekeeper.loads.learn(a)
-		d.window.Learn(d.gatekeeper.LoadTime(), time.Now())
+		now := time.Now()
+		d.gatekeeper.loads.learn(a, now)
+		d.window.Learn(d.gatekeeper.LoadTime(), now)
 	}
 }
 
--- a/internal/request/forwarder/spread.go
+++ b/internal/request/forwarder/spread.go
@@ -3,17 +3,13 @@
 import (
 	"time"
 
+	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/request/router"
 )
 
-const (
-	// spreadPart is the part of the goal that a request may be held back where
-	// its adapter is before one more copy of it is asked for.
-	spreadPart = 0.2
-	// spreadRank is how much less urgent that copy is than one that a request
-	// waits for.
-	spreadRank = 10
-)
+// spreadPart is the part of the goal that a request may be held back where its
+// adapter is before one more copy of it is asked for.
+const spreadPart = 0.2
 
 // spread asks for one more copy of an adapter whose requests wait for each other.
 //
@@ -27,6 +23,6 @@
 		return
 	}
 	if runner, ok := router.Another(terms); ok {
-		p.Placement.Want(runner, p.request.Copy, p.request.Route.Priority+spreadRank)
+		p.Placement.Want(runner, p.request.Copy, placer.Spare)
 	}
 }
