The window of loads opens no faster than it sees

Cause: 28 engines of a grown domain opened their window to 50 loads within a second, before the first slow load showed; four domains had three times what the weight store serves at full speed under way, loads took 0.9 s for ten seconds, and the estimate came down by 1% a second. Change: in the time of one load the window opens by 0.15 loads an engine at most (TestWindowOpensNoFasterThanItSees); the estimate comes down twice as fast.

--- a/internal/adapter/placer/window.go
+++ b/internal/adapter/placer/window.go
@@ -17,7 +17,9 @@
 type Window struct {
 	best   time.Duration // that a load takes when few are under way
 	closed time.Time     // when the window was last made smaller
-	size   float64       // loads for each engine
+	opened float64       // by how much it was opened since opens
+	opens  time.Time
+	size   float64 // loads for each engine
 }
 
 const (
@@ -34,8 +36,13 @@
 	// window opens.
 	slower = 1.4
 	// opening is by how much each load opens the window: a domain of three
-	// engines opens by one load in two seconds at four loads a second.
-	opening = 0.04
+	// engines opens by one load in two seconds at four loads a second. In the time
+	// of one load it opens by mostOpening at most: what is learned in it is of loads
+	// that began before. Without that bound 28 engines of a grown domain had 50
+	// under way within a second, four domains together three times what the store
+	// serves at full speed, and loads took 0.9 s instead of 0.3 s for ten seconds.
+	opening     = 0.04
+	mostOpening = 0.15
 	// closing is what is left of the window when loads are too slow. It closes
 	// once in the time of a load: what is learned meanwhile is of loads that began
 	// before.
@@ -54,13 +61,22 @@
 	w.best = time.Duration(float64(w.best) * forgetting)
 	switch {
 	case float64(load) <= slower*float64(w.best):
-		w.size = min(mostSize, w.size+opening)
+		w.open(load, now)
 	case now.Sub(w.closed) >= load:
 		w.size = max(leastSize, w.size*closing)
 		w.closed = now
 	}
 }
 
+func (w *Window) open(load time.Duration, now time.Time) {
+	if now.Sub(w.opens) >= load {
+		w.opens, w.opened = now, 0
+	}
+	step := min(opening, mostOpening-w.opened)
+	w.opened += step
+	w.size = min(mostSize, w.size+step)
+}
+
 // Room returns how many loads may be under way for a number of engines.
 func (w *Window) Room(engines int) int {
 	w.init()
--- a/internal/adapter/placer/window_test.go
+++ b/internal/adapter/placer/window_test.go
@@ -66,3 +66,19 @@
 		t.Errorf("room for %d loads over %d engines half a second later", room, engines)
 	}
 }
+
+// A large failure domain begins a hundred loads a second, and the first that are
+// done were fast. The window must not open far before it shows that the store
+// slows down: all loads would take several times as long.
+func TestWindowOpensNoFasterThanItSees(t *testing.T) {
+	const engines = 28
+	var w placer.Window
+	now := start
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		w.Learn(300*time.Millisecond, now)
+	}
+	if room := w.Room(engines); room > 2*engines {
+		t.Errorf("room for %d loads over %d engines within a second", room, engines)
+	}
+}
--- a/internal/instance/gatekeeper/learn.go
+++ b/internal/instance/gatekeeper/learn.go
@@ -24,13 +24,14 @@
 	above = 0.05
 	// shrink is how much shorter the estimate becomes in a second right after a
 	// late load, and shrinkTime after how long it is twice that; it goes on growing
-	// with the square of the time, up to mostShrink. The estimate then takes three
+	// with the square of the time, up to mostShrink. The estimate then takes two
 	// seconds to come down to where loads are late, which is found out by all that
-	// began within one load's time: one in ten. When each load in time made it
+	// began within one load's time: one in seven; after a time in which all loads
+	// were twice as slow it is right again within five. When each load in time made it
 	// shorter by a part, hundreds did before the first late one showed: two in
 	// five were late, and each cost one of the retries that all instances share.
-	shrink     = 0.01
-	shrinkTime = 2 * time.Second
+	shrink     = 0.02
+	shrinkTime = 1500 * time.Millisecond
 	mostShrink = 0.25
 	// oneStep bounds the time that one load stands for.
 	oneStep = 500 * time.Millisecond
