At a start only the tenure of the own domain is looked after

Change: an instance counts a start as a sign of life of the other domains' holders. TestAtAStartOnlyTheOwnTenureIsLookedAfter.

--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -129,9 +129,11 @@
 	g.loads.set(firstLoad)
 	g.returns.set(firstReturn)
 	for _, domain := range g.domains() {
-		late := time.Duration(0)
+		late, heard := time.Duration(0), time.Time{}
 		if domain != g.Config.Domain {
-			late = foreignLate
+			// Nobody is there at a start. Without this each instance asked for the
+			// tenures of all domains at once, 500 calls of 64 instances.
+			late, heard = foreignLate, time.Now()
 		}
 		g.controllers[domain] = &controller{
 			gatekeeper: g, domain: domain, runners: make(map[string]*runnerState),
@@ -139,7 +141,7 @@
 				Self: g.Config.ID, Address: g.Config.Reached(), Lease: lease, Quiet: g.Config.Bounds.Quiet + quietMargin, Late: late,
 			},
 		}
-		g.links[domain] = &link{gatekeeper: g, domain: domain, kick: make(chan struct{}, 1)}
+		g.links[domain] = &link{gatekeeper: g, domain: domain, heard: heard, kick: make(chan struct{}, 1)}
 	}
 }
 
--- a/internal/instance/gatekeeper/link_test.go
+++ b/internal/instance/gatekeeper/link_test.go
@@ -126,3 +126,24 @@
 		t.Error(diff)
 	}
 }
+
+// All instances start together. Each looks at once after the tenure of its own
+// domain; the others' have instances of their own, and asking for them as well
+// only costs, unless nobody takes them for a while.
+func TestAtAStartOnlyTheOwnTenureIsLookedAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGatekeeper()
+		g.Config.Domains = []string{"a", "b"}
+		g.init()
+		vacant := func() map[string]bool {
+			return map[string]bool{"a": g.controllers["a"].vacant(), "b": g.controllers["b"].vacant()}
+		}
+		if diff := cmp.Diff(map[string]bool{"a": true, "b": false}, vacant()); diff != "" {
+			t.Error(diff)
+		}
+		time.Sleep(quietDomain + foreignLate + time.Second)
+		if diff := cmp.Diff(map[string]bool{"a": true, "b": true}, vacant()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
