Split the controller, the stand-ins and the ledger by duty

Moves only: loads and demands out of controller.go, the runner out of the stand-ins of the platform's tests, checks bound to time and the test of the ledger out of it. No behaviour changes.

--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -133,68 +132,6 @@
 	}
 }
 
-// order returns the runners' IDs, those with the most requests waiting first.
-func (d *controller) order() []string {
-	ids := make([]string, 0, len(d.runners))
-	for id := range d.runners {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	slices.SortStableFunc(ids, func(a, b string) int { return d.waiting(b) - d.waiting(a) })
-	return ids
-}
-
-func (d *controller) waiting(id string) int {
-	if p := d.runners[id].placer; p != nil {
-		return p.Waiting()
-	}
-	return 0
-}
-
-// room returns how many more adapters may be fetched now, and for how many
-// requests wait.
-func (d *controller) room(now time.Time) (room, waiting int) {
-	engines, coming := d.sum(func(p *placer.Placer) int { return p.Fetching(now) })
-	_, waiting = d.sum((*placer.Placer).Waiting)
-	return d.window.Room(engines) - coming, waiting
-}
-
-// roomFor returns what may be fetched. A copy that no request waits for must not
-// take the weight store from one that somebody does: on a calm day of the
-// Association, whose adapters bind, that cost 0.025 of the day's worth.
-func roomFor(room, waiting int) placer.Room {
-	switch {
-	case room <= 0:
-		return placer.NoRoom
-	case waiting > 0:
-		return placer.RoomForWaiting
-	default:
-		return placer.RoomForAny
-	}
-}
-
-// sum returns how many engines there are, and the sum of a number of each.
-func (d *controller) sum(of func(p *placer.Placer) int) (engines, sum int) {
-	for _, c := range d.runners {
-		if c.placer != nil {
-			engines++
-			sum += of(c.placer)
-		}
-	}
-	return engines, sum
-}
-
-// wait returns how long an adapter that is asked for now waits until its load
-// begins.
-func (d *controller) wait() time.Duration {
-	engines, waiting := d.sum((*placer.Placer).Waiting)
-	return time.Duration(waiting) * d.gatekeeper.LoadTime() / time.Duration(d.window.Room(engines))
-}
-
-// perRunner is how many adapters may be on their way to one runner at once, as
-// engines allow.
-const perRunner = 4
-
 // begin starts with fresh knowledge: what was known under an earlier tenure may
 // have been changed by another holder since.
 func (d *controller) begin(fence uint64) {
@@ -241,17 +178,6 @@
 	return &placer.Placer{Copies: d.copies, Model: model.Name, Places: places, Loads: perRunner}
 }
 
-// copies returns how many runners of the domain hold a copy or are getting it.
-func (d *controller) copies(copied placer.Copy) int {
-	_, copies := d.sum(func(p *placer.Placer) int {
-		if p.Holds(copied) {
-			return 1
-		}
-		return 0
-	})
-	return copies
-}
-
 // report asks a runner what it holds.
 func (d *controller) report(ctx context.Context, c *runnerState) {
 	c.busy = true
@@ -312,44 +238,6 @@
 	}
 }
 
-// demanded takes in what a member's requests need and use.
-func (d *controller) demanded(from string, demand relayer.Demand) {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	m, ok := d.members[from]
-	if !ok {
-		m = &member{}
-		if d.members == nil {
-			d.members = make(map[string]*member)
-		}
-		d.members[from] = m
-	}
-	m.heard = now
-	m.loads = demand.Loads
-	for _, n := range demand.Used {
-		d.with(n, func(p *placer.Placer) { p.Use(n.Copy, now) })
-	}
-	for _, n := range demand.There {
-		d.with(n, func(p *placer.Placer) {
-			p.Use(n.Copy, now)
-			d.learn(p.There(n.Copy, n.Requests, now.Add(-n.Ago)))
-		})
-	}
-	for _, n := range demand.Missing {
-		d.with(n, func(p *placer.Placer) { p.Late(n.Copy, now) })
-	}
-	for _, n := range demand.Wants {
-		d.with(n, func(p *placer.Placer) { p.Want(n.Copy, n.Priority, now) })
-	}
-}
-
-func (d *controller) with(n relayer.Need, do func(p *placer.Placer)) {
-	if c, ok := d.runners[n.Runner]; ok && c.placer != nil {
-		do(c.placer)
-	}
-}
-
 // silent is how long after its last word a member counts no more.
 const silent = 3 * time.Second
 
--- a/internal/instance/gatekeeper/learn.go
+++ b/internal/instance/gatekeeper/learn.go
@@ -121,20 +121,6 @@
 	})
 }
 
-// tellLoads logs how the loads of the domain stand, if this instance orders them.
-func (d *controller) tellLoads() {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.acting == 0 {
-		return
-	}
-	engines, fetching := d.sum(func(p *placer.Placer) int { return p.Fetching(now) })
-	_, waiting := d.sum((*placer.Placer).Waiting)
-	d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "loads", "domain", d.domain, "engines", engines, "room", d.window.Room(engines),
-		"fetching", fetching, "waiting", waiting)
-}
-
 // LoadTime returns how long the load of an adapter from the weight store takes.
 func (g *Gatekeeper) LoadTime() time.Duration { return g.loads.get() }
 
--- a/internal/instance/gatekeeper/learn_test.go
+++ b/internal/instance/gatekeeper/learn_test.go
@@ -15,15 +15,15 @@
 // it would stand at its bound of three seconds, and callers would be told for
 // many seconds that no adapter can come in time.
 func TestManyLateLoadsAtOnceDoNotCarryTheEstimateAway(t *testing.T) {
-	const real = 500 * time.Millisecond
+	const actual = 500 * time.Millisecond
 	var e estimate
 	e.set(firstLoad)
 	for n := range 250 {
 		// The request that found it there came seconds later: it says little.
 		e.learn(placer.Arrival{Least: 400 * time.Millisecond, Most: 4 * time.Second}, began.Add(time.Duration(n)*time.Millisecond))
 	}
-	if got := e.get(); got < 400*time.Millisecond || got > real*5/4 {
-		t.Errorf("estimate %s after 250 late loads of %s", got, real)
+	if got := e.get(); got < 400*time.Millisecond || got > actual*5/4 {
+		t.Errorf("estimate %s after 250 late loads of %s", got, actual)
 	}
 }
 
@@ -32,16 +32,16 @@
 func TestEstimateFollowsLoadsThatBecomeFaster(t *testing.T) {
 	var e estimate
 	e.set(time.Second)
-	const real = 250 * time.Millisecond
+	const actual = 250 * time.Millisecond
 	for n := range 80 {
 		a := placer.Arrival{Most: e.get()}
-		if e.get() < real {
-			a = placer.Arrival{Least: e.get(), Most: real}
+		if e.get() < actual {
+			a = placer.Arrival{Least: e.get(), Most: actual}
 		}
 		e.learn(a, began.Add(time.Duration(n)*100*time.Millisecond))
 	}
-	if got := e.get(); got < real*9/10 || got > real*5/4 {
-		t.Errorf("estimate %s, want about %s", got, real)
+	if got := e.get(); got < actual*9/10 || got > actual*5/4 {
+		t.Errorf("estimate %s, want about %s", got, actual)
 	}
 }
 
@@ -52,9 +52,9 @@
 // come for an adapter that is not there yet and are refused.
 func TestFewLoadsAreLateWhereManyAreUnderWay(t *testing.T) {
 	const (
-		real  = 288 * time.Millisecond
-		pause = 25 * time.Millisecond
-		loads = 40 * 60
+		actual = 288 * time.Millisecond
+		pause  = 25 * time.Millisecond
+		loads  = 40 * 60
 	)
 	var e estimate
 	e.set(firstLoad)
@@ -71,11 +71,11 @@
 			under = under[1:]
 		}
 		expected := e.get()
-		if expected > real*5/4 {
+		if expected > actual*5/4 {
 			high++
 		}
 		a := placer.Arrival{Most: expected}
-		for a.Most < real {
+		for a.Most < actual {
 			a.Least = a.Most
 			a.Most += expected / 4
 		}
