--- a/internal/adapter/placer/window.go
+++ b/internal/adapter/placer/window.go
@@ -18,19 +18,20 @@
 	best   time.Duration // that a load takes when few are under way
 	closed time.Time     // when the window was last made smaller
 	opened float64       // by how much it was opened since opens
-	opens  time.Time
-	size   float64 // loads for each engine
+	opens  time.Time     // when the time of one load began that bounds opened
+	size   float64       // loads for each engine
 }
 
 const (
 	// firstSize is the window before anything was seen, in loads for each
-	// engine, and mostSize its largest.
+	// engine, and mostSize its largest: an engine takes no more at once.
 	firstSize = 1
 	mostSize  = 4
 	// leastSize keeps three loads going for four engines. Loads that share the
 	// store are all slower but not fewer, while a window that is too small leaves
 	// it idle: with one load for two engines, a calm day of the Association had
-	// half of the store's rate for ten seconds, and 500 callers were refused.
+	// half of the store's rate for ten seconds, and 5 to 7 requests in 100 were
+	// refused.
 	leastSize = 0.75
 	// slower is how much longer than the shortest a load may take while the
 	// window opens.
