--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -124,9 +124,15 @@
 		p.Retried(judge.Judge(judge.Failed{Status: reply.Status}))
 		return p.once(ctx, reply, body)
 	}
+	return p.give(reply, body)
+}
+
+// give passes a whole answer on.
+func (p *exchange) give(reply *Reply, body []byte) *judge.Error {
 	if p.sink.Whole(reply, body) != nil {
 		return errGone
 	}
+	p.status = reply.Status
 	return nil
 }
 
@@ -139,10 +145,10 @@
 			return nil
 		}
 	}
-	if p.answered || p.sink.Whole(reply, body) != nil {
+	if p.answered {
 		return errGone
 	}
-	return nil
+	return p.give(reply, body)
 }
 
 // cut judges an answer that broke off.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -60,6 +60,7 @@
 	paid     atomic.Bool     // the next retry is withdrawn already
 	runs     int             // of the arrivals, the ones that may have run
 	split    streamer.Splitter
+	status   int // of the answer that the caller was given; 0 for none
 	tried    map[string]bool
 	waited   time.Duration // for an adapter
 }
@@ -175,7 +176,7 @@
 		"queue", p.queue, "arrivals", p.arrivals, "runs", p.runs, "after", p.after, "waited", p.waited, "first", p.first, "pause", p.pause, "took", time.Since(r.Arrived),
 	}
 	if err == nil {
-		p.Recorder.Log(recorder.Answered, fields...)
+		p.Recorder.Log(recorder.Answered, append(fields, "status", p.status)...)
 		return
 	}
 	fields = append(fields, "verdict", err.Verdict, "reason", err.Reason, "retry", err.Retry, "err", err.Message)
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -1,9 +1,11 @@
 package forwarder_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -320,3 +322,27 @@
 		}
 	})
 }
+
+// A caller complains of a failure, and the log has its request as answered: the
+// runner itself had failed. The line must say so, or whoever looks for the cause
+// looks in the wrong place.
+func TestLogTellsTheStatusOfAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{answer: func(context.Context, int, forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+			return &forwarder.Reply{Status: 500, Body: strings.NewReader("failed"), Close: func(bool) {}}, nil
+		}}
+		f := newForwarder(u, placement{}, 1)
+		var log bytes.Buffer
+		f.Recorder = &recorder.Recorder{Metrics: metrics.NewSet(), Out: &log}
+		r := newRequest(&matcher.Route{Kind: matcher.NonIdempotent, Attempts: 1, Goal: time.Second, Timeout: 12 * time.Second})
+		if err := f.Forward(t.Context(), r, &sink{}); err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		close(done)
+		f.Recorder.Run(done)
+		if !strings.Contains(log.String(), "kind=answered") || !strings.Contains(log.String(), "status=500") {
+			t.Errorf("logged %s", log.String())
+		}
+	})
+}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -55,8 +55,11 @@
 		p.tried[runner.ID] = true
 		return p.cut(ctx, reply, err)
 	}
-	if !p.answered && p.sink.Head(reply) != nil { // a stream without events
-		return errGone
+	if !p.answered { // a stream without events
+		if p.sink.Head(reply) != nil {
+			return errGone
+		}
+		p.status = reply.Status
 	}
 	return nil
 }
@@ -76,6 +79,7 @@
 				return errGone
 			}
 			p.answered = true
+			p.status = reply.Status
 		}
 		if p.sink.Event(e.Data) != nil {
 			return errGone
