--- a/internal/command/commander/process_test.go
+++ b/internal/command/commander/process_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"regexp"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -66,6 +67,9 @@
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
 		<-p.done
+		if race := p.race(); race != "" {
+			t.Errorf("%v: %s", args, race)
+		}
 		if t.Failed() {
 			t.Logf("%v:\n%s", args, p.tail())
 		}
@@ -98,6 +102,18 @@
 	return found
 }
 
+// race returns what the race detector wrote of the process.
+func (p *process) race() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n, line := range p.lines {
+		if strings.Contains(line, "DATA RACE") {
+			return strings.Join(p.lines[n:min(n+40, len(p.lines))], "\n")
+		}
+	}
+	return ""
+}
+
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 func (p *process) tail() string {
--- a/internal/upstream/driver/driver.go
+++ b/internal/upstream/driver/driver.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -73,10 +74,10 @@
 type engine struct {
 	*orderer.Runner
 
-	address   string
-	asked     time.Time // when the last report was asked for
-	dropped   bool      // the settings name it no more
-	asking    bool      // a report, a fencing number or a clearing is under way
+	at        atomic.Pointer[string] // address, read without the lock while a request or an order goes out
+	asked     time.Time              // when the last report was asked for
+	dropped   bool                   // the settings name it no more
+	asking    bool                   // a report, a fencing number or a clearing is under way
 	fencing   bool
 	releasing int    // requests that ended here and perhaps not in the engine
 	silent    int    // reports in a row that it did not give
@@ -260,6 +261,9 @@
 	e.version = d.version
 }
 
+// address returns where the engine is reached, as the settings said last.
+func (e *engine) address() string { return *e.at.Load() }
+
 func (d *Driver) count(name, reason string) {
 	d.Metrics.GetOrCreateCounter(name + `{reason="` + reason + `"}`).Inc()
 }
@@ -281,7 +285,7 @@
 		e.Stay()
 		d.changed(e)
 	}
-	e.address = u.Address
+	e.at.Store(&u.Address)
 	e.fencing = u.Fencing
 	e.Batch = u.Batch
 	e.Keeper.Capacity = u.Slots
--- a/internal/upstream/driver/look.go
+++ b/internal/upstream/driver/look.go
@@ -52,7 +52,7 @@
 	raise := e.fencing && !e.Keeper.Raised()
 	fence := e.Keeper.Fence()
 	parties := e.Keeper.Uncleared()
-	address := e.address
+	address := e.address()
 	d.mu.Unlock()
 	if raise {
 		d.raise(ctx, e, address, fence)
--- a/internal/upstream/driver/serve.go
+++ b/internal/upstream/driver/serve.go
@@ -101,7 +101,7 @@
 	// The last moment before the order: a process that was paused since it
 	// decided may have lost the runner meanwhile.
 	if d.Tenancy.May(e.Name) {
-		answer = d.Engine.Order(context.WithoutCancel(ctx), e.address, action)
+		answer = d.Engine.Order(context.WithoutCancel(ctx), e.address(), action)
 	} else {
 		d.count("sardinetiller_orders_withheld_total", "lease")
 	}
@@ -238,7 +238,7 @@
 	began := time.Now()
 	head := streamer.Head{Runner: e.Name, Queued: began.Sub(arrived)}
 	head.Stall = d.stall(e, call.Adapter, arrived, began)
-	err := caller.Run(ctx, e.address, handle.String(), call, head, sink)
+	err := caller.Run(ctx, e.address(), handle.String(), call, head, sink)
 	if err != nil && judge.As(err).Verdict != judge.NotRun {
 		d.mu.Lock()
 		e.releasing++
@@ -268,7 +268,7 @@
 // the request does not run. An engine that cannot be reached keeps the pin: it
 // can be told to evict nothing either.
 func (d *Driver) release(ctx context.Context, e *engine, handle keeper.Handle, call *streamer.Call) {
-	for !d.Engine.Cancel(ctx, e.address, call.ID) {
+	for !d.Engine.Cancel(ctx, e.address(), call.ID) {
 		d.count("sardinetiller_cancel_failures_total", "cancel")
 		time.Sleep(cancelEvery)
 	}
