What an instance remembers of the runners' past is bounded

Cause, by reading: each instance remembered every adapter that any runner had ever held, so that its memory grew for as long as it ran. TestRecentRemembersNoMoreThanItsLimit.

--- a/internal/adapter/placer/arrival.go
+++ b/internal/adapter/placer/arrival.go
@@ -24,17 +24,17 @@
 		return Arrival{}, false
 	}
 	s.state = resident
-	a = Arrival{Most: sent.Sub(s.ordered), Return: p.past[c]}
+	a = Arrival{Most: sent.Sub(s.ordered), Return: p.past.Has(c)}
 	if !s.missed.IsZero() {
 		a.Least = s.missed.Sub(s.ordered)
 	}
-	p.past[c] = true
+	p.past.Add(c)
 	return a, true
 }
 
 // time returns how long a copy takes to arrive.
 func (p *Placer) time(c Copy) time.Duration {
-	if p.past[c] {
+	if p.past.Has(c) {
 		return p.Return
 	}
 	return p.Load
--- a/internal/adapter/placer/outcome.go
+++ b/internal/adapter/placer/outcome.go
@@ -45,7 +45,7 @@
 	case s == nil:
 	case o.Unload && outcome == Holds:
 		delete(p.copies, o.Copy)
-		p.past[o.Copy] = true
+		p.past.Add(o.Copy)
 	case o.Unload:
 		p.known = false // it waits for its runs; a report shows when the place is free
 		p.retry = now.Add(rest)
--- a/internal/adapter/placer/placer.go
+++ b/internal/adapter/placer/placer.go
@@ -26,8 +26,8 @@
 
 	clock   warmer.Clock
 	copies  map[Copy]*place
-	past    map[Copy]bool // held before
-	known   bool          // a report has been taken in since the last doubt
+	past    warmer.Recent[Copy] // held before
+	known   bool                // a report has been taken in since the last doubt
 	model   modelState
 	behind  time.Time // since when reports show fewer orders than were counted
 	again   bool      // an earlier sending of open had no answer
@@ -201,7 +201,7 @@
 func (p *Placer) Fetching(now time.Time) int {
 	n := 0
 	for c, s := range p.copies {
-		if s.state == loading && now.Before(s.ready) && !p.past[c] {
+		if s.state == loading && now.Before(s.ready) && !p.past.Has(c) {
 			n++
 		}
 	}
@@ -209,7 +209,7 @@
 }
 
 // Kept reports whether the runner held a copy before.
-func (p *Placer) Kept(c Copy) bool { return p.past[c] }
+func (p *Placer) Kept(c Copy) bool { return p.past.Has(c) }
 
 // Waiting returns how many copies that requests wait for are neither there nor
 // on their way.
@@ -234,7 +234,7 @@
 			delete(p.wanted, c)
 			continue
 		}
-		if w.urgent >= Spare && room < RoomForAny || room == NoRoom && !p.past[c] {
+		if w.urgent >= Spare && room < RoomForAny || room == NoRoom && !p.past.Has(c) {
 			continue
 		}
 		if s, there := p.copies[c]; there && (!s.doubt || s.state == unloading) {
@@ -268,7 +268,7 @@
 func (p *Placer) init() {
 	if p.copies == nil {
 		p.copies = make(map[Copy]*place)
-		p.past = make(map[Copy]bool)
+		p.past.Limit = warmer.Kept
 		p.wanted = make(map[Copy]want)
 		p.clock.Half = warmer.Turns * float64(max(1, p.Places))
 	}
--- /dev/null
+++ b/internal/adapter/warmer/recent_test.go
@@ -0,0 +1,40 @@
+package warmer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/warmer"
+)
+
+func ExampleRecent() {
+	recent := warmer.Recent[string]{Limit: 2}
+	recent.Add("desk")
+	recent.Add("clause")
+	recent.Add("desk")
+	recent.Add("port")
+	fmt.Println(recent.Has("desk"), recent.Has("clause"), recent.Has("port"))
+	// Output: true false true
+}
+
+// An instance runs for months, and its runners hold one adapter after the other.
+// What it remembers of them must not grow with that.
+func TestRecentRemembersNoMoreThanItsLimit(t *testing.T) {
+	recent := warmer.Recent[int]{Limit: 10}
+	for n := range 10_000 {
+		recent.Add(n)
+		recent.Add(1)
+		if n%3 == 0 {
+			recent.Drop(n)
+		}
+	}
+	there := 0
+	for n := range 10_000 {
+		if recent.Has(n) {
+			there++
+		}
+	}
+	if there > 10 || !recent.Has(1) || !recent.Has(9998) {
+		t.Errorf("remembers %d of the last 10", there)
+	}
+}
--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -58,7 +58,7 @@
 		c.Crowded = d.Crowd > 0 && c.Backlog+read > d.Crowd
 		if d.Copy != (placer.Copy{}) {
 			c.Resident, c.Loading, c.Ready = s.ready(d, f.lines[s.Domain], now)
-			c.Kept = s.kept[d.Copy]
+			c.Kept = s.kept.Has(d.Copy)
 		}
 		c.Loading = c.Loading || !c.Resident && id == d.Asked
 		if !c.Resident && !c.Loading && f.idle[s.Domain] {
@@ -73,7 +73,7 @@
 func (s *state) ready(d Demand, line time.Duration, now time.Time) (resident, loading bool, wait time.Duration) {
 	at, ok := s.held[d.Copy]
 	load := line + d.Load
-	if s.kept[d.Copy] {
+	if s.kept.Has(d.Copy) {
 		load = d.Return // from the runner's own memory: the weight store's line is not for it
 	}
 	switch {
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/adapter/warmer"
 )
 
 // A Fleet is every runner that one instance knows. Its fields are set before
@@ -27,9 +28,9 @@
 	Runner
 	failing   float64 // part of recent requests that failed, decaying with time
 	failed    time.Time
-	held      map[placer.Copy]time.Time // from when on a copy can be used; zero: now
-	kept      map[placer.Copy]bool      // given up since; the runner fetches them again in a tenth of the time
-	others    Load                      // of other instances, as last told
+	held      map[placer.Copy]time.Time  // from when on a copy can be used; zero: now
+	kept      warmer.Recent[placer.Copy] // given up since; the runner fetches them again in a tenth of the time
+	others    Load                       // of other instances, as last told
 	own       Load
 	suspended time.Time // until when it gets nothing new
 	streak    int       // connections that failed in a row
@@ -147,10 +148,8 @@
 
 // keep notes that a runner has given up a copy.
 func (s *state) keep(c placer.Copy) {
-	if s.kept == nil {
-		s.kept = make(map[placer.Copy]bool)
-	}
-	s.kept[c] = true
+	s.kept.Limit = warmer.Kept
+	s.kept.Add(c)
 }
 
 // HeldOne takes in how one copy stands at a runner.
@@ -174,7 +173,7 @@
 	defer f.mu.Unlock()
 	if s, ok := f.runners[id]; ok {
 		delete(s.held, c)
-		delete(s.kept, c)
+		s.kept.Drop(c)
 	}
 }
 
