Requests that still wait are given back before a stopping instance ends

Change: one second before the end those that wait are refused, with the promise that they have not run and a time to come back. TestRequestThatWaitsIsGivenBackBeforeTheInstanceEnds (waited on before).

--- a/internal/instance/gatekeeper/stop.go
+++ b/internal/instance/gatekeeper/stop.go
@@ -24,6 +24,10 @@
 	// endBefore is how long before the end of the grace time the process ends
 	// by itself.
 	endBefore = 700 * time.Millisecond
+	// giveBack is how long before that end requests which still wait for an
+	// adapter are told to come back. Without it they were cut off with the process
+	// although nothing of them had run.
+	giveBack = time.Second
 	// settle is how long an instance waits, once nothing is under way, for
 	// callers that have not seen yet that it leaves.
 	settle = 2500 * time.Millisecond
@@ -56,6 +60,13 @@
 	return leaving
 }
 
+// Ending reports whether the instance ends so soon that a request which still
+// waits cannot be answered any more.
+func (g *Gatekeeper) Ending() bool {
+	since, leaving := g.since.get()
+	return leaving && time.Since(since) >= g.Config.Bounds.Grace-endBefore-giveBack
+}
+
 // late refuses a request that an instance which leaves could not finish.
 func (g *Gatekeeper) late() *judge.Error {
 	since, leaving := g.since.get()
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -48,6 +48,9 @@
 // await asks for the adapter at a runner and waits for the next look, or refuses
 // the request if the adapter comes too late for it.
 func (p *exchange) await(ctx context.Context, best router.Terms, now time.Time) *judge.Error {
+	if p.Ending() {
+		return judge.Refuse(judge.ReasonStopping, "the instance ends before the adapter is there").After(comeBack(0))
+	}
 	stall := time.Duration(best.Stall * float64(time.Second))
 	waited := now.Sub(p.request.Arrived)
 	if waited > p.patience() || waited+stall > hopeless*p.patience() {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 // concurrent use.
 type Forwarder struct {
 	Burst      func() float64 // this instance's share of the retries beyond the part
+	Ending     func() bool    // the instance ends so soon that a request which still waits cannot be answered
 	Fleet      *tracker.Fleet
 	LoadTime   func() time.Duration            // that an adapter takes from the weight store
 	Newest     func(model, adapter string) int // version of an adapter that a run is to begin on
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -106,7 +106,7 @@
 		fleet.Set(tracker.Runner{ID: fmt.Sprint("i-", n), Service: "llm", Domain: "a", Slots: 8, Models: []string{"m"}, Revision: 1})
 	}
 	return &forwarder.Forwarder{
-		Burst: func() float64 { return 20 }, Fleet: fleet, LoadTime: func() time.Duration { return time.Second },
+		Burst: func() float64 { return 20 }, Ending: func() bool { return false }, Fleet: fleet, LoadTime: func() time.Duration { return time.Second },
 		Newest: func(string, string) int { return 2 }, Part: 0.2, Placement: p, Recorder: &recorder.Recorder{Metrics: metrics.NewSet(), Out: io.Discard}, Retried: func(*judge.Error) {},
 		ReturnTime: func() time.Duration { return time.Second }, Upstream: u, Window: 10 * time.Second,
 	}
@@ -346,3 +346,29 @@
 		}
 	})
 }
+
+// An instance is told to stop while a request waits for its adapter, which does
+// not come. When the grace time was over the request was cut off with the
+// process, and its caller could not know that it had not run. It is told so, and
+// to come back, while there is time.
+func TestRequestThatWaitsIsGivenBackBeforeTheInstanceEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{answer: func(context.Context, int, forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+			t.Error("sent")
+			return nil, judge.Dialed{Err: io.EOF}
+		}}
+		f := newForwarder(u, placement{}, 1)
+		ends := time.Now().Add(time.Second)
+		f.Ending = func() bool { return !time.Now().Before(ends) }
+		r := newRequest(resuming())
+		r.Copy = placer.Copy{Model: "m", Adapter: "a1", Version: 2}
+		began := time.Now()
+		err := f.Forward(t.Context(), r, &sink{})
+		if err == nil || err.Verdict != judge.NotRun || err.Reason != judge.ReasonStopping || err.Retry == 0 {
+			t.Errorf("got %+v", err)
+		}
+		if took := time.Since(began); took > 1100*time.Millisecond {
+			t.Errorf("after %s", took)
+		}
+	})
+}
