One measure of what giving up an adapter costs

Cause: keeper and placer each weighed the copies of a domain by the discount, and the keeper counted uses beside the clock that counts them too. Change: warmer.Clock.Loss and Heat.Last serve both; the keeper's own count is gone, and how fast uses age is set where the clock is taken and not as an effect of reading. Behaviour is as it was; the tests of keeper, placer and warmer are unchanged and pass.

--- a/internal/adapter/keeper/evictor.go
+++ b/internal/adapter/keeper/evictor.go
@@ -25,32 +25,27 @@
 func (k *Keeper) value(s *Slot) float64 {
 	switch p := k.Policy.(type) {
 	case Heat:
-		heat := k.heat(s)
-		if p.Copies != nil && p.Copies(s.Handle.Adapter) > 1 {
-			heat *= warmer.CopyDiscount
+		copies := 1
+		if p.Copies != nil {
+			copies = p.Copies(s.Handle.Adapter)
 		}
-		return heat
+		return k.aged().Loss(s.heat, copies)
 	case LRU:
-		return float64(s.used)
+		return float64(s.heat.Last())
 	default:
 		panic("keeper: unknown evictor")
 	}
 }
 
-// heat returns the slot's uses, aged.
-func (k *Keeper) heat(s *Slot) float64 {
+// aged returns the clock, by which uses age as the policy says.
+func (k *Keeper) aged() *warmer.Clock {
 	turns := float64(warmer.Turns)
 	if p, ok := k.Policy.(Heat); ok && p.Turns > 0 {
 		turns = p.Turns
 	}
 	k.clock.Half = turns * float64(max(1, k.Capacity))
-	return k.clock.Of(s.heat)
+	return &k.clock
 }
 
 // touch counts one use of the slot.
-func (k *Keeper) touch(s *Slot) {
-	k.heat(s) // sets how fast uses age
-	k.clock.Touch(&s.heat, 1)
-	k.uses++
-	s.used = k.uses
-}
+func (k *Keeper) touch(s *Slot) { k.aged().Touch(&s.heat, 1) }
--- a/internal/adapter/keeper/keeper.go
+++ b/internal/adapter/keeper/keeper.go
@@ -24,7 +24,6 @@
 	raised    bool // the engine has confirmed this tenure's fencing number
 	slots     map[string]*Slot
 	uncleared map[string]bool
-	uses      uint64 // of all slots so far
 }
 
 // Servable reports whether Pin would find a copy of the adapter.
@@ -220,7 +219,6 @@
 	handle := Handle{Adapter: adapter, Loader: k.Self, Serial: k.loads}
 	slot := &Slot{Handle: handle, Machine: Chart.Machine(), changed: now}
 	slot.heat = k.clock.Fresh(freshHits)
-	slot.used = k.uses
 	k.slots[handle.String()] = slot
 	return Load{Handle: handle, Fence: k.fence}
 }
--- a/internal/adapter/keeper/slot.go
+++ b/internal/adapter/keeper/slot.go
@@ -45,7 +45,6 @@
 
 	changed time.Time // when the last order on the slot ended
 	heat    warmer.Heat
-	used    uint64 // by the keeper's count of uses
 }
 
 func (s *Slot) resident() bool {
--- a/internal/adapter/placer/victim.go
+++ b/internal/adapter/placer/victim.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"time"
-
-	"github.com/sardinetiller/sardinetiller/internal/adapter/warmer"
 )
 
 // sibling returns another version of the adapter that the runner holds. It has
@@ -49,14 +47,13 @@
 	return cmp.Or(cmp.Compare(p.value(c, s), p.value(other, t)), s.used.Compare(t.used), cmp.Compare(c.String(), other.String())) < 0
 }
 
-// value returns what giving up a copy would cost, in uses: many requests for
-// it, and its load anew if no other runner of the domain has it.
+// value returns what giving up a copy would cost, in uses.
 func (p *Placer) value(c Copy, s *place) float64 {
-	heat := p.clock.Of(s.heat)
-	if p.Copies != nil && p.Copies(c) > 1 {
-		heat *= warmer.CopyDiscount
+	copies := 1
+	if p.Copies != nil {
+		copies = p.Copies(c)
 	}
-	return heat
+	return p.clock.Loss(s.heat, copies)
 }
 
 // idle reports whether a copy can be given up: it has not been used for a
--- a/internal/adapter/warmer/warmer.go
+++ b/internal/adapter/warmer/warmer.go
@@ -38,10 +38,22 @@
 	h.at = c.uses
 }
 
-// CopyDiscount is the part of its heat that an adapter keeps when another runner
+// Last returns when an adapter was last used, by the clock's count of uses.
+func (h Heat) Last() uint64 { return h.at }
+
+// Loss returns what giving up an adapter would cost, in uses. copies is how many
+// runners of the failure domain hold it, this one included.
+func (c *Clock) Loss(h Heat, copies int) float64 {
+	if copies > 1 {
+		return copyDiscount * c.Of(h)
+	}
+	return c.Of(h)
+}
+
+// copyDiscount is the part of its heat that an adapter keeps when another runner
 // of the failure domain holds it too: losing it costs a longer queue there, not
 // a load.
-const CopyDiscount = 0.4
+const copyDiscount = 0.4
 
 // Turns is after how many uses of a runner, for each of its slots, a use counts
 // half.
