Pauses after failed calls by the library that doubles them elsewhere

Cause: a type of its own did what cenkalti/backoff does for the retries and the loads. Change: the library with the same first, last and factor and no jitter. TestPauseAfterFailedCallsGrows has the same expectations and passes.

--- a/internal/instance/gatekeeper/link_test.go
+++ b/internal/instance/gatekeeper/link_test.go
@@ -116,10 +116,10 @@
 // The store turns an instance away for a while. Each call is paid for, so the
 // pause between them grows; the first answer ends it.
 func TestPauseAfterFailedCallsGrows(t *testing.T) {
-	var b backoff
+	failed := newPauses()
 	var got []time.Duration
 	for _, err := range []error{nil, io.EOF, io.EOF, io.EOF, io.EOF, io.EOF, nil, io.EOF} {
-		got = append(got, b.next(err))
+		got = append(got, after(err, failed))
 	}
 	want := []time.Duration{0, again, 2 * again, 4 * again, lastAgain, lastAgain, 0, again}
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
@@ -134,31 +136,29 @@
 
 // follow keeps a table up to date until ctx ends.
 func (g *Gatekeeper) follow(ctx context.Context, t *table, wait time.Duration) {
-	var failed backoff
+	failed := newPauses()
 	for ctx.Err() == nil {
 		err := g.refresh(ctx, t, wait)
 		if ctx.Err() != nil {
 			return
 		}
 		g.sawStore(err)
-		pause(ctx, failed.next(err))
+		pause(ctx, after(err, failed))
 	}
 }
 
-// A backoff is how long to wait before the next call after some that failed.
-type backoff struct{ wait time.Duration }
+// newPauses returns the pauses after calls that fail one after the other.
+func newPauses() *backoff.ExponentialBackOff {
+	return &backoff.ExponentialBackOff{InitialInterval: again, Multiplier: 2, MaxInterval: lastAgain}
+}
 
-// next returns the wait after a call: none after one that succeeded.
-func (b *backoff) next(err error) time.Duration {
-	switch {
-	case err == nil:
-		b.wait = 0
-	case b.wait == 0:
-		b.wait = again
-	default:
-		b.wait = min(2*b.wait, lastAgain)
+// after returns the pause after a call: none after one that succeeded.
+func after(err error, failed *backoff.ExponentialBackOff) time.Duration {
+	if err == nil {
+		failed.Reset()
+		return 0
 	}
-	return b.wait
+	return failed.NextBackOff()
 }
 
 // watchOperator keeps the configuration and the versions of adapters.
@@ -203,7 +203,7 @@
 func (g *Gatekeeper) watchRunners(ctx context.Context) {
 	_, name := g.Decoder.Tables()
 	t := &table{name: name, change: g.runnerRow, whole: g.allRunners}
-	var failed backoff
+	failed := newPauses()
 	for ctx.Err() == nil {
 		if g.told() {
 			pause(ctx, toldEvery)
@@ -222,7 +222,7 @@
 		if g.holdsAny() {
 			pace = paceHolder
 		}
-		pause(ctx, max(pace, failed.next(err)))
+		pause(ctx, max(pace, after(err, failed)))
 	}
 }
 
