How a domain's loads stand is summed up once

Cause: the order of the runners asked each placer for its waiting copies in every comparison of a sort, 40 times a second, and four functions walked all runners for the same numbers. Change: one pass gives engines, room, fetching and waiting to all of them; the sort compares numbers. Which orders go out is as it was.

--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -104,7 +104,7 @@
 		d.begin(fence)
 	}
 	catalog := d.gatekeeper.Catalog()
-	room, waiting := d.room(now)
+	l := d.loads(now)
 	for _, id := range d.order() {
 		c := d.runners[id]
 		if c.placer == nil {
@@ -121,9 +121,9 @@
 				d.report(ctx, c)
 			}
 		default:
-			if o, ok := c.placer.Next(now, roomFor(room, waiting)); ok {
+			if o, ok := c.placer.Next(now, l.allows()); ok {
 				if !o.Unload && o.Copy.Adapter != "" && !c.placer.Kept(o.Copy) {
-					room--
+					l.fetching++
 				}
 				d.send(ctx, c, o)
 			}
--- a/internal/instance/gatekeeper/loads.go
+++ b/internal/instance/gatekeeper/loads.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -8,62 +9,61 @@
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
-// order returns the runners' IDs, those with the most requests waiting first.
-func (d *controller) order() []string {
-	ids := make([]string, 0, len(d.runners))
-	for id := range d.runners {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	slices.SortStableFunc(ids, func(a, b string) int { return d.waiting(b) - d.waiting(a) })
-	return ids
+// loads is how the loads of a failure domain stand.
+type loads struct {
+	engines  int
+	room     int // adapters that may be on their way from the weight store at once
+	fetching int // that are
+	waiting  int // that requests wait for and that are not on their way
 }
 
-func (d *controller) waiting(id string) int {
-	if p := d.runners[id].placer; p != nil {
-		return p.Waiting()
+// loads sums up how the runners' loads stand.
+func (d *controller) loads(now time.Time) loads {
+	var l loads
+	for _, c := range d.runners {
+		if c.placer != nil {
+			l.engines++
+			l.fetching += c.placer.Fetching(now)
+			l.waiting += c.placer.Waiting()
+		}
 	}
-	return 0
+	l.room = d.window.Room(l.engines)
+	return l
 }
 
-// room returns how many more adapters may be fetched now, and for how many
-// requests wait.
-func (d *controller) room(now time.Time) (room, waiting int) {
-	engines, coming := d.sum(func(p *placer.Placer) int { return p.Fetching(now) })
-	_, waiting = d.sum((*placer.Placer).Waiting)
-	return d.window.Room(engines) - coming, waiting
-}
-
-// roomFor returns what may be fetched. A copy that no request waits for must not
+// allows returns what may be fetched. A copy that no request waits for must not
 // take the weight store from one that somebody does: on a calm day of the
 // Association, whose adapters bind, that cost 0.025 of the day's worth.
-func roomFor(room, waiting int) placer.Room {
+func (l loads) allows() placer.Room {
 	switch {
-	case room <= 0:
+	case l.fetching >= l.room:
 		return placer.NoRoom
-	case waiting > 0:
+	case l.waiting > 0:
 		return placer.RoomForWaiting
 	default:
 		return placer.RoomForAny
 	}
 }
 
-// sum returns how many engines there are, and the sum of a number of each.
-func (d *controller) sum(of func(p *placer.Placer) int) (engines, sum int) {
-	for _, c := range d.runners {
+// order returns the runners' IDs, those with the most requests waiting first.
+func (d *controller) order() []string {
+	ids := make([]string, 0, len(d.runners))
+	waiting := make(map[string]int, len(d.runners))
+	for id, c := range d.runners {
+		ids = append(ids, id)
 		if c.placer != nil {
-			engines++
-			sum += of(c.placer)
+			waiting[id] = c.placer.Waiting()
 		}
 	}
-	return engines, sum
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Or(cmp.Compare(waiting[b], waiting[a]), cmp.Compare(a, b)) })
+	return ids
 }
 
 // wait returns how long an adapter that is asked for now waits until its load
 // begins.
-func (d *controller) wait() time.Duration {
-	engines, waiting := d.sum((*placer.Placer).Waiting)
-	return time.Duration(waiting) * d.gatekeeper.LoadTime() / time.Duration(d.window.Room(engines))
+func (d *controller) wait(now time.Time) time.Duration {
+	l := d.loads(now)
+	return time.Duration(l.waiting) * d.gatekeeper.LoadTime() / time.Duration(l.room)
 }
 
 // perRunner is how many adapters may be on their way to one runner at once, as
@@ -72,12 +72,12 @@
 
 // copies returns how many runners of the domain hold a copy or are getting it.
 func (d *controller) copies(copied placer.Copy) int {
-	_, copies := d.sum(func(p *placer.Placer) int {
-		if p.Holds(copied) {
-			return 1
+	copies := 0
+	for _, c := range d.runners {
+		if c.placer != nil && c.placer.Holds(copied) {
+			copies++
 		}
-		return 0
-	})
+	}
 	return copies
 }
 
@@ -89,8 +89,7 @@
 	if d.acting == 0 {
 		return
 	}
-	engines, fetching := d.sum(func(p *placer.Placer) int { return p.Fetching(now) })
-	_, waiting := d.sum((*placer.Placer).Waiting)
-	d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "loads", "domain", d.domain, "engines", engines, "room", d.window.Room(engines),
-		"fetching", fetching, "waiting", waiting)
+	l := d.loads(now)
+	d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "loads", "domain", d.domain, "engines", l.engines, "room", l.room,
+		"fetching", l.fetching, "waiting", l.waiting)
 }
--- a/internal/instance/gatekeeper/needs.go
+++ b/internal/instance/gatekeeper/needs.go
@@ -93,7 +93,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	others, members := d.others(g.Config.ID, now)
-	line := d.wait()
+	line := d.wait(now)
 	d.mu.Unlock()
 	g.Fleet.Line(domain, line)
 	g.Fleet.OthersIn(domain, others)
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -104,7 +104,7 @@
 	if due {
 		news.Loaded, news.Loads = true, loads
 	}
-	news.Line = d.wait()
+	news.Line = d.wait(now)
 	news.Fresh = d.gatekeeper.fresh()
 	_, news.Acting = d.elector.Acts(uptime())
 	news.Renewal, news.Age = d.elector.Renewal(uptime())
