Both kinds of settings are checked by the same code

Cause: names, addresses and times were checked in two copies, and that of serve went through maps, so that which of several faults was told first changed from run to run. Change: a checker serves both, in the order of the fields. The texts are as they were, but that a wrong advertise of serve is told that it may be left out, as it may.

--- a/internal/setting/configurer/configurer.go
+++ b/internal/setting/configurer/configurer.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"reflect"
 	"regexp"
@@ -88,43 +87,28 @@
 
 // Check returns the first fault with the file, the field and the fix.
 func (d *Daemon) Check(file string) error {
-	fault := func(field, format string, args ...any) error {
-		return fmt.Errorf("%s: %s: %s", file, field, fmt.Sprintf(format, args...))
-	}
-	for field, value := range map[string]string{"id": d.ID, "domain": d.Domain} {
-		if !name.MatchString(value) {
-			return fault(field, "%q is no name; use a-z, 0-9 and -, at most 63", value)
-		}
-	}
-	for field, value := range map[string]string{"caller": d.Caller, "peer": d.Peer, "operator": d.Operator, "platform": d.Platform} {
-		if _, _, err := net.SplitHostPort(value); err != nil {
-			return fault(field, "%q is no address; write host:port", value)
-		}
-	}
-	if _, _, err := net.SplitHostPort(d.Advertise); d.Advertise != "" && err != nil {
-		return fault("advertise", "%q is no address; write host:port", d.Advertise)
-	}
-	for _, seed := range d.Seeds {
-		if _, _, err := net.SplitHostPort(seed); err != nil {
-			return fault("seeds", "%q is no address; write host:port", seed)
-		}
-	}
-	for field, value := range map[string]time.Duration{"lease": d.Lease, "beat": d.Beat, "poll": d.Poll} {
-		if value <= 0 {
-			return fault(field, "%s is too short; write a time such as 10s", value)
-		}
+	c := checker{file}
+	err := first(
+		c.names(field[string]{"id", d.ID}, field[string]{"domain", d.Domain}),
+		c.addresses(field[string]{"caller", d.Caller}, field[string]{"peer", d.Peer}, field[string]{"operator", d.Operator}, field[string]{"platform", d.Platform}),
+		c.optional(field[string]{"advertise", d.Advertise}),
+		c.seeds(d.Seeds),
+		c.times("10s", field[time.Duration]{"lease", d.Lease}, field[time.Duration]{"beat", d.Beat}, field[time.Duration]{"poll", d.Poll}),
+	)
+	if err != nil {
+		return err
 	}
 	if d.Lease < 4*d.Poll {
-		return fault("lease", "%s is less than four times poll (%s); a lease must outlive lost renewals", d.Lease, d.Poll)
+		return c.fault("lease", "%s is less than four times poll (%s); a lease must outlive lost renewals", d.Lease, d.Poll)
 	}
 	if d.Format != "logfmt" && d.Format != "json" {
-		return fault("format", "%q is unknown; write logfmt or json", d.Format)
+		return c.fault("format", "%q is unknown; write logfmt or json", d.Format)
 	}
 	if t := d.TLS; (t.Cert == "") != (t.Key == "") || (t.Cert == "") != (t.CA == "") {
-		return fault("tls", "cert, key and ca go together; set all or none")
+		return c.fault("tls", "cert, key and ca go together; set all or none")
 	}
 	if d.Secret == "" && d.TLS.Cert == "" {
-		return fault("secret", "no secret and no tls; name a file with the secret that all instances share, or set tls")
+		return c.fault("secret", "no secret and no tls; name a file with the secret that all instances share, or set tls")
 	}
 	return nil
 }
--- a/internal/setting/configurer/gateway.go
+++ b/internal/setting/configurer/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"time"
 )
@@ -65,41 +64,19 @@
 
 // Check returns the first fault with the file, the field and the fix.
 func (g *Gateway) Check(file string) error {
-	fault := func(field, format string, args ...any) error {
-		return fmt.Errorf("%s: %s: %s", file, field, fmt.Sprintf(format, args...))
-	}
-	for _, f := range []struct{ field, value string }{{"id", g.ID}, {"domain", g.Domain}} {
-		if !name.MatchString(f.value) {
-			return fault(f.field, "%q is no name; use a-z, 0-9 and -, at most 63", f.value)
-		}
-	}
-	for _, f := range []struct{ field, value string }{
-		{"caller", g.Caller}, {"ready", g.Ready}, {"peer", g.Peer}, {"platform", g.Platform},
-	} {
-		if _, _, err := net.SplitHostPort(f.value); err != nil {
-			return fault(f.field, "%q is no address; write host:port", f.value)
-		}
-	}
-	if _, _, err := net.SplitHostPort(g.Advertise); g.Advertise != "" && err != nil {
-		return fault("advertise", "%q is no address; write host:port, or leave it out", g.Advertise)
-	}
-	if _, _, err := net.SplitHostPort(g.Metrics); g.Metrics != "" && err != nil {
-		return fault("metrics", "%q is no address; write host:port, or leave it out", g.Metrics)
-	}
-	for _, f := range []struct {
-		field string
-		value time.Duration
-	}{
-		{"bounds.grace", g.Bounds.Grace},
-		{"bounds.quiet", g.Bounds.Quiet},
-		{"bounds.window", g.Bounds.Window},
-	} {
-		if f.value <= 0 {
-			return fault(f.field, "%s is too short; write a time such as 3s", f.value)
-		}
+	c := checker{file}
+	err := first(
+		c.names(field[string]{"id", g.ID}, field[string]{"domain", g.Domain}),
+		c.addresses(field[string]{"caller", g.Caller}, field[string]{"ready", g.Ready}, field[string]{"peer", g.Peer}, field[string]{"platform", g.Platform}),
+		c.optional(field[string]{"advertise", g.Advertise}, field[string]{"metrics", g.Metrics}),
+		c.times("3s", field[time.Duration]{"bounds.grace", g.Bounds.Grace}, field[time.Duration]{"bounds.quiet", g.Bounds.Quiet},
+			field[time.Duration]{"bounds.window", g.Bounds.Window}),
+	)
+	if err != nil {
+		return err
 	}
 	if g.Bounds.Part < 0 || g.Bounds.Slack < 0 {
-		return fault("bounds", "part and slack cannot be negative")
+		return c.fault("bounds", "part and slack cannot be negative")
 	}
 	return nil
 }
