--- a/internal/command/commander/gatewaycmd.go
+++ b/internal/command/commander/gatewaycmd.go
@@ -89,18 +89,9 @@
 // the counters, not the instance.
 func (c *Commander) listenGateway(config configurer.Gateway, record *recorder.Recorder) (gatekeeper.Listeners, error) {
 	var l gatekeeper.Listeners
-	for _, socket := range []struct {
-		field, address string
-		listener       *net.Listener
-	}{
-		{"caller", config.Caller, &l.Caller},
-		{"peer", config.Peer, &l.Peer},
-		{"ready", config.Ready, &l.Ready},
-	} {
-		var err error
-		if *socket.listener, err = net.Listen("tcp", socket.address); err != nil {
-			return l, fmt.Errorf("%s: %w; choose a free address", socket.field, err)
-		}
+	err := listenOn(socket{"caller", config.Caller, &l.Caller}, socket{"peer", config.Peer, &l.Peer}, socket{"ready", config.Ready, &l.Ready})
+	if err != nil {
+		return l, err
 	}
 	if config.Metrics == "" {
 		return l, nil
--- /dev/null
+++ b/internal/command/commander/listen.go
@@ -0,0 +1,23 @@
+package commander
+
+import (
+	"fmt"
+	"net"
+)
+
+// A socket is an address of the settings and what listens on it.
+type socket struct {
+	field, address string
+	listener       *net.Listener
+}
+
+// listenOn opens sockets. The error names the field and the fix.
+func listenOn(sockets ...socket) error {
+	for _, s := range sockets {
+		var err error
+		if *s.listener, err = net.Listen("tcp", s.address); err != nil {
+			return fmt.Errorf("%s: %w; choose a free address", s.field, err)
+		}
+	}
+	return nil
+}
--- a/internal/command/commander/servecmd.go
+++ b/internal/command/commander/servecmd.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
-	"net"
 	"os"
 	"sync/atomic"
 
@@ -80,20 +79,8 @@
 
 func listen(config configurer.Daemon) (server.Listeners, error) {
 	var l server.Listeners
-	for _, socket := range []struct {
-		field, address string
-		listener       *net.Listener
-	}{
-		{"caller", config.Caller, &l.Caller},
-		{"operator", config.Operator, &l.Operator},
-		{"peer", config.Peer, &l.Peer},
-	} {
-		var err error
-		if *socket.listener, err = net.Listen("tcp", socket.address); err != nil {
-			return l, fmt.Errorf("%s: %w; choose a free address", socket.field, err)
-		}
-	}
-	return l, nil
+	err := listenOn(socket{"caller", config.Caller, &l.Caller}, socket{"operator", config.Operator, &l.Operator}, socket{"peer", config.Peer, &l.Peer})
+	return l, err
 }
 
 // A keyring holds the keys of a daemon, which may be read again while it runs.
