--- a/internal/instance/composer/composer.go
+++ b/internal/instance/composer/composer.go
@@ -14,6 +14,7 @@
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
 	"github.com/sardinetiller/sardinetiller/internal/adapter/loader"
+	"github.com/sardinetiller/sardinetiller/internal/instance/assembler"
 	"github.com/sardinetiller/sardinetiller/internal/instance/server"
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/leaser"
@@ -62,23 +63,13 @@
 
 // Compose returns an instance that is ready to run.
 func Compose(parts Parts) (*server.Server, error) {
-	c := dig.New()
-	for _, constructor := range []any{
+	return assembler.Assemble[*server.Server](
+		assemble,
 		func() Parts { return parts },
 		func() *server.Server { return &server.Server{} },
 		newIncarnation, newTable, newStore, newLister, newMetrics, newMonitor, newHolder,
 		newMesh, newSharer, newWatcher, newFleet, newDriver, newDispatcher, newClaimer, newAnswerer,
-	} {
-		if err := c.Provide(constructor); err != nil {
-			return nil, err
-		}
-	}
-	if err := c.Invoke(assemble); err != nil {
-		return nil, dig.RootCause(err)
-	}
-	var s *server.Server
-	err := c.Invoke(func(composed *server.Server) { s = composed })
-	return s, err
+	)
 }
 
 // An assembly is every part of a server.
