Loops of a ticker in one place

Cause: six loops waited for a ticker, a signal or the end of a context, in four packages; two functions had the name every and differed in whether they began at once. Change: repeater.Every and repeater.Now, tested on the runtime's clock.

--- /dev/null
+++ b/internal/clock/repeater/repeater_test.go
@@ -0,0 +1,41 @@
+package repeater_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
+)
+
+func TestRepeats(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		repeat func(ctx context.Context, period time.Duration, now <-chan struct{}, do func())
+		want   []time.Duration
+	}{
+		{"every", repeater.Every, []time.Duration{time.Second, 1500 * time.Millisecond, 2 * time.Second}},
+		{"now", repeater.Now, []time.Duration{0, time.Second, 1500 * time.Millisecond, 2 * time.Second}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+				defer cancel()
+				began := time.Now()
+				now := make(chan struct{})
+				go func() {
+					time.Sleep(1500 * time.Millisecond)
+					now <- struct{}{}
+				}()
+				var got []time.Duration
+				tc.repeat(ctx, time.Second, now, func() { got = append(got, time.Since(began)) })
+				if diff := cmp.Diff(tc.want, got); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/elector"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
@@ -187,21 +188,7 @@
 
 // sweep closes connections that are not used any more.
 func (g *Gatekeeper) sweep(ctx context.Context) {
-	every(ctx, time.Second, func() { g.Pool.Sweep(time.Now()) })
-}
-
-// every calls do each period until ctx ends.
-func every(ctx context.Context, period time.Duration, do func()) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			do()
-		}
-	}
+	repeater.Every(ctx, time.Second, nil, func() { g.Pool.Sweep(time.Now()) })
 }
 
 // signal wakes whoever waits for a channel of one place.
--- a/internal/instance/gatekeeper/learn.go
+++ b/internal/instance/gatekeeper/learn.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
@@ -102,7 +103,7 @@
 // tellPaces logs what was learned, for whoever asks later why a request was held
 // back or refused.
 func (g *Gatekeeper) tellPaces(ctx context.Context) {
-	every(ctx, paceEvery, func() {
+	repeater.Every(ctx, paceEvery, nil, func() {
 		catalog := g.Catalog()
 		if catalog == nil {
 			return
--- a/internal/instance/gatekeeper/needs.go
+++ b/internal/instance/gatekeeper/needs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 )
@@ -31,31 +32,26 @@
 
 // speak tells the holder what is needed until ctx ends.
 func (l *link) speak(ctx context.Context) {
-	ticker := time.NewTicker(beat)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-l.kick:
-		}
-		l.mu.Lock()
-		holder := l.holder
-		l.mu.Unlock()
-		demand := l.demand()
-		if l.silence() > unheard {
-			l.gatekeeper.Fleet.Staffed(l.domain, false)
-		}
-		if l.gatekeeper.controllers[l.domain].holds() {
-			l.gatekeeper.tellSelf(l.domain, demand)
-			continue
-		}
-		if holder.Holder == "" || l.silence() > unheard {
-			continue
-		}
-		_ = l.gatekeeper.Mesh.Tell(ctx, holder.Address, demand) // a failed link shows as silence
+	repeater.Every(ctx, beat, l.kick, func() { l.say(ctx) })
+}
+
+// say tells the holder what is needed.
+func (l *link) say(ctx context.Context) {
+	l.mu.Lock()
+	holder := l.holder
+	l.mu.Unlock()
+	demand := l.demand()
+	if l.silence() > unheard {
+		l.gatekeeper.Fleet.Staffed(l.domain, false)
+	}
+	if l.gatekeeper.controllers[l.domain].holds() {
+		l.gatekeeper.tellSelf(l.domain, demand)
+		return
+	}
+	if holder.Holder == "" || l.silence() > unheard {
+		return
 	}
+	_ = l.gatekeeper.Mesh.Tell(ctx, holder.Address, demand) // a failed link shows as silence
 }
 
 // demand takes out what is to be told.
--- a/internal/instance/gatekeeper/tenure.go
+++ b/internal/instance/gatekeeper/tenure.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/elector"
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
@@ -34,20 +35,12 @@
 
 // lead looks after the tenures until ctx ends.
 func (g *Gatekeeper) lead(ctx context.Context) {
-	ticker := time.NewTicker(leadEvery)
-	defer ticker.Stop()
-	for {
+	repeater.Now(ctx, leadEvery, g.kicks, func() {
 		for _, d := range g.controllers {
 			d.tenure(ctx)
 			d.tick(ctx)
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-g.kicks:
-		}
-	}
+	})
 }
 
 // kickLead makes a holder look for orders that are due.
--- a/internal/instance/server/beat.go
+++ b/internal/instance/server/beat.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/platform/lister"
@@ -30,7 +31,7 @@
 func (s *Server) beatLoop(ctx context.Context) {
 	var told, toldEpoch uint64
 	var last time.Time
-	every(ctx, min(changeEvery, s.Config.Beat), nil, func() {
+	repeater.Now(ctx, min(changeEvery, s.Config.Beat), nil, func() {
 		now := time.Now()
 		_, states, version := s.Driver.Loads(told)
 		epoch := s.epoch()
@@ -152,7 +153,7 @@
 
 // listLoop announces this instance and reads the platform's list.
 func (s *Server) listLoop(ctx context.Context) {
-	every(ctx, s.Config.Poll, nil, func() {
+	repeater.Now(ctx, s.Config.Poll, nil, func() {
 		if err := s.announce(ctx, false); err != nil {
 			s.count("sardinetiller_platform_failures_total", "list")
 			return
--- a/internal/instance/server/poll.go
+++ b/internal/instance/server/poll.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/leaser"
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
 	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
@@ -28,7 +29,7 @@
 func DrainKey(domain, upstream string) string { return DomainPrefix(domain) + drainInfix + upstream }
 
 func (s *Server) pollLoop(ctx context.Context) {
-	every(ctx, s.Config.Poll, s.pollNow, func() {
+	repeater.Now(ctx, s.Config.Poll, s.pollNow, func() {
 		s.poll(ctx)
 		s.pollSettings(ctx)
 	})
--- a/internal/instance/server/server.go
+++ b/internal/instance/server/server.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/loader"
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/leaser"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
@@ -161,26 +162,10 @@
 }
 
 func (s *Server) driveLoop(ctx context.Context) {
-	every(ctx, driveEvery, nil, func() {
+	repeater.Now(ctx, driveEvery, nil, func() {
 		now := time.Now()
 		s.share(now)
 		s.tidyBids()
 		s.Driver.Tick(ctx, now)
 	})
 }
-
-// every calls do at once, then each period and whenever now is signalled, until
-// ctx ends.
-func every(ctx context.Context, period time.Duration, now <-chan struct{}, do func()) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		do()
-		select {
-		case <-ctx.Done():
-			return
-		case <-now:
-		case <-ticker.C:
-		}
-	}
-}
--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/platform/storer"
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
@@ -135,16 +136,7 @@
 func (c *Claimer) Run(ctx context.Context) {
 	c.init()
 	go c.gather.run(ctx)
-	ticker := time.NewTicker(tidyEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			c.tidy(ctx, now)
-		}
-	}
+	repeater.Every(ctx, tidyEvery, nil, func() { c.tidy(ctx, time.Now()) })
 }
 
 // Owed returns how many claims wait to be withdrawn.
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -14,6 +14,7 @@
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/wire/listener"
 	"github.com/sardinetiller/sardinetiller/internal/wire/requester"
 )
@@ -296,16 +297,7 @@
 
 // steps gives every running request one token a step.
 func (e *Engine) steps(ctx context.Context) {
-	ticker := time.NewTicker(e.Step)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			e.step(now)
-		}
-	}
+	repeater.Every(ctx, e.Step, nil, func() { e.step(time.Now()) })
 }
 
 func (e *Engine) step(now time.Time) {
