What a copy costs to give up, and how it stands, is worked out once

Cause: the choice of a victim counted the copies of a domain for both sides of every comparison, and a candidate looked up twice whether its runner had kept the copy, also where it holds it. Change: each once. The choices are as they were; tests unchanged.

--- a/internal/adapter/placer/victim.go
+++ b/internal/adapter/placer/victim.go
@@ -21,8 +21,7 @@
 // an unload would wait for its runs, and requests for it that are on their way
 // would be refused.
 func (p *Placer) evict(now time.Time) (Order, bool) {
-	var victim Copy
-	var coldest *place
+	var coldest *victim
 	for c, s := range p.copies {
 		if s.state == unloading && s.doubt {
 			return p.send(Order{Copy: c, Unload: true}, now), true
@@ -30,21 +29,28 @@
 		if s.doubt || !p.idle(s, now) {
 			continue
 		}
-		if coldest == nil || p.colder(c, s, victim, coldest) {
-			victim, coldest = c, s
+		if v := (victim{c, s, p.value(c, s)}); coldest == nil || v.before(coldest) {
+			coldest = &v
 		}
 	}
 	if coldest == nil {
 		return p.repeat(now)
 	}
-	coldest.state = unloading
-	return p.send(Order{Copy: victim, Unload: true}, now), true
+	coldest.place.state = unloading
+	return p.send(Order{Copy: coldest.copy, Unload: true}, now), true
 }
 
-// colder reports whether a copy is wanted less than another, and if both alike,
+// A victim is a copy that may be given up.
+type victim struct {
+	copy  Copy
+	place *place
+	value float64 // what giving it up would cost, in uses
+}
+
+// before reports whether a copy is wanted less than another, and if both alike,
 // whether its last use is longer ago.
-func (p *Placer) colder(c Copy, s *place, other Copy, t *place) bool {
-	return cmp.Or(cmp.Compare(p.value(c, s), p.value(other, t)), s.used.Compare(t.used), cmp.Compare(c.String(), other.String())) < 0
+func (v *victim) before(other *victim) bool {
+	return cmp.Or(cmp.Compare(v.value, other.value), v.place.used.Compare(other.place.used), cmp.Compare(v.copy.String(), other.copy.String())) < 0
 }
 
 // value returns what giving up a copy would cost, in uses.
--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -57,8 +57,7 @@
 		}
 		c.Crowded = d.Crowd > 0 && c.Backlog+read > d.Crowd
 		if d.Copy != (placer.Copy{}) {
-			c.Resident, c.Loading, c.Ready = s.ready(d, f.lines[s.Domain], now)
-			c.Kept = s.kept.Has(d.Copy)
+			s.stand(&c, d, f.lines[s.Domain], now)
 		}
 		c.Loading = c.Loading || !c.Resident && id == d.Asked
 		if !c.Resident && !c.Loading && f.idle[s.Domain] {
@@ -69,24 +68,26 @@
 	return candidates
 }
 
-// ready returns how a copy stands at a runner and how long until it can be used.
-func (s *state) ready(d Demand, line time.Duration, now time.Time) (resident, loading bool, wait time.Duration) {
-	at, ok := s.held[d.Copy]
-	load := line + d.Load
-	if s.kept.Has(d.Copy) {
-		load = d.Return // from the runner's own memory: the weight store's line is not for it
+// stand fills in how a copy stands at the runner, and how long until it can be
+// used there.
+func (s *state) stand(c *router.Candidate, d Demand, line time.Duration, now time.Time) {
+	if at, held := s.held[d.Copy]; held {
+		c.Resident = !now.Before(at)
+		c.Loading = !c.Resident
+		c.Ready = max(0, at.Sub(now))
+		return
+	}
+	c.Resident = false
+	c.Kept = s.kept.Has(d.Copy)
+	c.Ready = line + d.Load
+	if c.Kept {
+		c.Ready = d.Return // from the runner's own memory: the weight store's line is not for it
 	}
 	switch {
-	case !ok && s.otherVersion(d.Copy):
-		return false, false, load + replaceTime
-	case !ok && s.ID == d.Asked:
-		return false, false, min(load, d.Load) // it stands in line already
-	case !ok:
-		return false, false, load
-	case now.Before(at):
-		return false, true, at.Sub(now)
-	default:
-		return true, false, 0
+	case s.otherVersion(d.Copy):
+		c.Ready += replaceTime
+	case s.ID == d.Asked:
+		c.Ready = min(c.Ready, d.Load) // it stands in line already
 	}
 }
 
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -60,7 +60,7 @@
 		return
 	}
 	if !ok {
-		s = &state{held: make(map[placer.Copy]time.Time)}
+		s = &state{held: make(map[placer.Copy]time.Time), kept: warmer.Recent[placer.Copy]{Limit: warmer.Kept}}
 		f.runners[r.ID] = s
 	}
 	r.Leaving = r.Leaving || s.Leaving // a runner that leaves does not come back under its ID
@@ -137,7 +137,7 @@
 	if s, ok := f.runners[id]; ok {
 		for c := range s.held {
 			if _, still := held[c]; !still {
-				s.keep(c)
+				s.kept.Add(c)
 			}
 		}
 		s.held = make(map[placer.Copy]time.Time, len(held)) // single copies change here until the next whole
@@ -146,12 +146,6 @@
 	}
 }
 
-// keep notes that a runner has given up a copy.
-func (s *state) keep(c placer.Copy) {
-	s.kept.Limit = warmer.Kept
-	s.kept.Add(c)
-}
-
 // HeldOne takes in how one copy stands at a runner.
 func (f *Fleet) HeldOne(id string, c placer.Copy, at time.Time, there bool) {
 	f.mu.Lock()
@@ -163,7 +157,7 @@
 		s.held[c] = at
 	default:
 		delete(s.held, c)
-		s.keep(c)
+		s.kept.Add(c)
 	}
 }
 
