--- a/internal/instance/gatekeeper/link_test.go
+++ b/internal/instance/gatekeeper/link_test.go
@@ -147,3 +147,39 @@
 		}
 	})
 }
+
+// The holder of a tenure dies. Whoever takes it over must not order before the
+// quiet time that the settings ask for, counted from when the old lease has run
+// out: the old holder may have ordered until then, and a runner that checks no
+// fencing numbers would take turns between the two.
+func TestNewHolderKeepsTheQuietTimeOfTheSettings(t *testing.T) {
+	g := newTestGatekeeper()
+	g.Config.Bounds.Quiet = 3 * time.Second
+	g.init()
+	e := &g.controllers["a"].elector
+	began := uptime()
+	e.Read(elector.Tenure{Holder: "front-1", Fence: 1}, 5, began)
+	const step = 50 * time.Millisecond
+	now := began
+	for {
+		if w, ok := e.Next(now); ok {
+			e.Written(w, 6, now)
+			break
+		}
+		if now += step; now > began+time.Minute {
+			t.Fatal("never takes over")
+		}
+	}
+	for {
+		if _, acts := e.Acts(now); acts || now > began+time.Minute {
+			break
+		}
+		if w, ok := e.Next(now); ok {
+			e.Written(w, 7, now)
+		}
+		now += step
+	}
+	if quiet := now - began - lease; quiet < g.Config.Bounds.Quiet || quiet > 3*g.Config.Bounds.Quiet {
+		t.Errorf("orders %s after the old lease has run out, want %s or a little more", quiet, g.Config.Bounds.Quiet)
+	}
+}
