Runners by incarnation; rows of others name no runner

Cause: a runner may start again under the name that it had. Everything was kept by that name, so the later start would have inherited copies, order counts, failures and open runs, and a runner that had begun to leave could not have come back. And rows of other writers with missing or mistyped fields became runners; one unreadable value lost the whole answer. Change: a runner's ID is its name with the time of its start; the name is used only towards the runner and the store. A later start replaces the earlier one in one step; news, demands and reports of the earlier one find nothing.

--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -34,7 +34,8 @@
 	Tables() (operator, runners string)
 	// Catalog decodes the configuration; ok is false if the row is another one.
 	Catalog(r tabler.Row) (c *matcher.Catalog, ok bool, err error)
-	// Runner decodes a runner; of one that is gone it returns the ID only.
+	// Runner decodes a runner; of one that is gone, or whose row cannot be read, it
+	// returns the name only, as the ID.
 	Runner(r tabler.Row) (tracker.Runner, error)
 	// Version decodes the newest version of an adapter; ok is false if the row
 	// is another one.
--- a/internal/instance/gatekeeper/runners.go
+++ b/internal/instance/gatekeeper/runners.go
@@ -26,7 +26,9 @@
 	delete(g.removals, r.ID)
 	g.mu.Unlock()
 	before, known := g.Fleet.Get(r.ID)
-	g.Fleet.Set(r)
+	if earlier, ok := g.Fleet.Set(r); ok {
+		g.forget(earlier)
+	}
 	if _, taken := g.Fleet.Get(r.ID); !taken {
 		return // it is gone since
 	}
@@ -58,12 +60,16 @@
 func (g *Gatekeeper) removeNow(id string, revision uint64) {
 	runner, known := g.Fleet.Get(id)
 	g.Fleet.Remove(id, revision)
-	if !known {
-		return
+	if known {
+		g.forget(runner)
 	}
-	g.Pool.Drop(id)
-	g.controller(runner.Domain).gone(id, g.Fleet.Gone(id))
-	g.Recorder.Log(recorder.Belief, "msg", "runner gone", "runner", id, "service", runner.Service)
+}
+
+// forget drops what is kept of a runner that is gone beside its description.
+func (g *Gatekeeper) forget(r tracker.Runner) {
+	g.Pool.Drop(r.ID)
+	g.controller(r.Domain).gone(r.ID, g.Fleet.Gone(r.ID))
+	g.Recorder.Log(recorder.Belief, "msg", "runner gone", "runner", r.ID, "service", r.Service)
 }
 
 // due takes out the runners whose rows have not come back.
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -243,14 +243,23 @@
 func (g *Gatekeeper) runnerRow(r tabler.Row) {
 	runner, err := g.Decoder.Runner(r)
 	if err != nil {
-		g.Recorder.Log(recorder.Belief, "msg", "runner not understood", "row", r.Key, "err", err)
-		return
+		g.foreign(r.Key, err)
 	}
-	if r.Removed {
-		g.remove(runner.ID, r.Version)
+	if err == nil && !r.Removed {
+		g.setRunner(runner)
 		return
 	}
-	g.setRunner(runner)
+	id := g.Fleet.Named(runner.ID)
+	if known, ok := g.Fleet.Get(id); ok && known.Revision < r.Version { // else it was described anew since
+		g.remove(id, r.Version)
+	}
+}
+
+// foreign logs and counts a row among the runners' that cannot be one of theirs.
+// It names no runner, and every other row holds.
+func (g *Gatekeeper) foreign(key string, err error) {
+	g.Metrics.GetOrCreateCounter("sardinetiller_foreign_rows_total").Inc()
+	g.Recorder.Log(recorder.Belief, "msg", "row names no runner", "row", key, "err", err)
 }
 
 // allRunners takes in the whole table: what is not in it is gone.
@@ -259,7 +268,7 @@
 	for _, r := range rows {
 		runner, err := g.Decoder.Runner(r)
 		if err != nil {
-			g.Recorder.Log(recorder.Belief, "msg", "runner not understood", "row", r.Key, "err", err)
+			g.foreign(r.Key, err)
 			continue
 		}
 		there[runner.ID] = true
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -97,7 +97,7 @@
 	reply.Close(err == nil) // a refusal that breaks off is one still
 	run.End(tracker.Refused, time.Now())
 	switch {
-	case reply.Instance != "" && reply.Instance != runner.ID:
+	case reply.Instance != "" && reply.Instance != runner.Name():
 		p.Fleet.Remove(runner.ID, 0) // its address belongs to another one now
 	case reply.Absent:
 		p.Fleet.Missing(runner.ID, p.request.Copy)
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -17,6 +17,7 @@
 
 	mu      sync.Mutex
 	gone    map[string]uint64 // runners that are gone, and their last revision
+	named   map[string]string // the incarnation that goes by a name
 	runners map[string]*state
 	paces   map[string]*pace         // by service
 	lines   map[string]time.Duration // by failure domain: until a load begins there
@@ -50,24 +51,47 @@
 	lastRest  = 4 * time.Second
 )
 
-// Set takes in the description of a runner. An older one changes nothing.
-func (f *Fleet) Set(r Runner) {
+// Set takes in the description of a runner. An older one changes nothing. An
+// incarnation replaces the one before it under its name, which is returned; ok is
+// false if there was none.
+func (f *Fleet) Set(r Runner) (replaced Runner, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.init()
-	s, ok := f.runners[r.ID]
-	if ok && r.Revision < s.Revision || !ok && r.Revision <= f.gone[r.ID] {
-		return
+	s, known := f.runners[r.ID]
+	if known && r.Revision < s.Revision || !known && r.Revision <= f.gone[r.ID] {
+		return Runner{}, false
 	}
-	if !ok {
+	if other, is := f.runners[f.named[r.Name()]]; is && other.ID != r.ID {
+		if r.Revision < other.Revision {
+			f.remove(r.ID, r.Revision) // told late: it has started again since
+			return Runner{}, false
+		}
+		f.remove(other.ID, other.Revision)
+		replaced, ok = other.Runner, true
+	}
+	f.named[r.Name()] = r.ID
+	if !known {
 		s = &state{held: make(map[placer.Copy]time.Time), kept: warmer.Recent[placer.Copy]{Limit: warmer.Kept}}
 		f.runners[r.ID] = s
 	}
-	r.Leaving = r.Leaving || s.Leaving // a runner that leaves does not come back under its ID
+	r.Leaving = r.Leaving || s.Leaving // an incarnation that leaves does not come back
 	s.Runner = r
 	if !s.told {
 		s.assume()
 	}
+	return replaced, ok
+}
+
+// Named returns the incarnation that goes by a name now. Without one it returns
+// the name itself: that of a runner which does not say when it started.
+func (f *Fleet) Named(name string) (id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if id, ok := f.named[name]; ok {
+		return id
+	}
+	return name
 }
 
 // assume takes what a runner told of itself, until the instance that gives it
@@ -88,8 +112,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.init()
+	f.remove(id, revision)
+}
+
+func (f *Fleet) remove(id string, revision uint64) {
 	if s, ok := f.runners[id]; ok {
 		revision = max(revision, s.Revision)
+		if f.named[s.Name()] == id {
+			delete(f.named, s.Name())
+		}
 	}
 	f.gone[id] = max(f.gone[id], revision)
 	delete(f.runners, id)
@@ -222,6 +253,7 @@
 func (f *Fleet) init() {
 	if f.runners == nil {
 		f.gone = make(map[string]uint64)
+		f.named = make(map[string]string)
 		f.runners = make(map[string]*state)
 		f.paces = make(map[string]*pace)
 	}
--- a/internal/upstream/tracker/fleet_test.go
+++ b/internal/upstream/tracker/fleet_test.go
@@ -99,3 +99,34 @@
 		})
 	}
 }
+
+// A runner crashes and starts again under its name. What was believed of the
+// earlier start, and what is told late of it, must not be taken for the later one:
+// requests would go to adapters that it does not hold.
+func TestLaterStartIsKnownAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		adapter := placer.Copy{Model: "m", Adapter: "a1", Version: 1}
+		first := tracker.Runner{ID: tracker.Incarnation("i-1", 100), Born: 100, Service: "llm", Domain: "a", Revision: 1}
+		later := tracker.Runner{ID: tracker.Incarnation("i-1", 200), Born: 200, Service: "llm", Domain: "a", Revision: 5}
+		f := &tracker.Fleet{Domain: "a"}
+		f.Set(first)
+		f.Held(first.ID, map[placer.Copy]time.Time{adapter: {}})
+		run := f.Begin(first.ID, 100, time.Now())
+		replaced, ok := f.Set(later)
+		if diff := cmp.Diff(first, replaced); diff != "" || !ok {
+			t.Error(ok, diff)
+		}
+		late := first
+		late.Revision = 3
+		f.Set(late)
+		f.HeldOne(first.ID, adapter, time.Time{}, true)
+		run.End(tracker.Dark, time.Now())
+		got := f.Candidates(tracker.Demand{Service: "llm", Copy: adapter}, time.Now())
+		if len(got) != 1 || got[0].Runner != later.ID || got[0].Resident || got[0].Running != 0 {
+			t.Errorf("candidates %+v", got)
+		}
+		if f.Named("i-1") != later.ID {
+			t.Errorf("the name stands for %s", f.Named("i-1"))
+		}
+	})
+}
