The holder knows who uses and who awaits a copy, and tells where there is room

Cause: on runners with 5 places, 92 in 100 late answers had waited for their adapter while the weight store stood idle: copies stayed 0.7 s after each use because nobody knew whether one was still used, and requests stood in line at one runner while another had a place idle. Change: instances tell the holder all copies that their requests use and wait for, whole with each word, so that a lost end or a dead instance costs no place; asking for room begins a use; its end is told at once where others wait. A copy that nobody uses can make way at once. The holder tells how long a copy waits for a place at each runner, and the choice weighs it. In line, the copy that serves most requests in time comes first.

--- a/internal/adapter/placer/placer.go
+++ b/internal/adapter/placer/placer.go
@@ -17,12 +17,13 @@
 // A Placer is what one runner holds and is asked to hold. Its fields are set
 // before use; it is not safe for concurrent use.
 type Placer struct {
-	Copies func(Copy) int // runners of the failure domain that hold a copy; nil if unknown
-	Model  string         // base model that the runner is to hold
-	Places int            // for adapters
-	Load   time.Duration  // that an adapter takes from the weight store
-	Loads  int            // adapters that may be on their way to the runner at once
-	Return time.Duration  // that an adapter takes which the runner held before
+	Copies func(Copy) int  // runners of the failure domain that hold a copy; nil if unknown
+	InUse  func(Copy) bool // whether a request needs a copy to stay; nil if that is never told
+	Model  string          // base model that the runner is to hold
+	Places int             // for adapters
+	Load   time.Duration   // that an adapter takes from the weight store
+	Loads  int             // adapters that may be on their way to the runner at once
+	Return time.Duration   // that an adapter takes which the runner held before
 
 	clock   warmer.Clock
 	copies  map[Copy]*place
@@ -65,10 +66,19 @@
 	doubt   bool      // the order that made it had no answer
 }
 
+// A want is the requests that wait for a copy.
 type want struct {
-	since  time.Time
-	last   time.Time
-	urgent int
+	Waiting
+	since time.Time
+	last  time.Time
+}
+
+// Waiting is how many requests wait for a copy, and how urgent they are.
+type Waiting struct {
+	_        struct{} `cbor:",toarray"`
+	Priority int      // of the most urgent one; Spare if none waits
+	Requests int
+	InTime   int // of the requests, those that are still on time if the copy comes next
 }
 
 // Room says what may be fetched from the weight store now.
@@ -88,9 +98,10 @@
 	// forget is how long a want lasts that nobody repeats. Instances repeat
 	// theirs several times a second while a request waits.
 	forget = time.Second
-	// rest is how long a copy that a request may still use is not given up. An
-	// instance tells every use within a few hundred milliseconds.
-	rest = 700 * time.Millisecond
+	// rest is how long a copy stays for a request that was told of room at its
+	// runner. The instance of the request tells of the use with its next word,
+	// and of its end; after that the copy can make way at once.
+	rest = 200 * time.Millisecond
 	// pause keeps orders off a runner that has just refused one.
 	pause = 100 * time.Millisecond
 	// oldReport is more than the age of any report.
@@ -104,19 +115,32 @@
 // needed before any order.
 func (p *Placer) Known() bool { return p.known }
 
-// Want asks for a copy. It is repeated while a request waits for it.
+// Want asks for a copy that one request waits for, or none if the priority is
+// Spare. It is repeated while that is so.
 func (p *Placer) Want(c Copy, priority int, now time.Time) {
+	w := Waiting{Priority: priority, Requests: 1, InTime: 1}
+	if priority >= Spare {
+		w.Requests, w.InTime = 0, 0
+	}
+	p.Wait(c, w, now)
+}
+
+// Wait takes in the requests that wait for a copy now, in place of what was told
+// before. It is repeated while some do.
+func (p *Placer) Wait(c Copy, waiting Waiting, now time.Time) {
 	p.init()
 	w, ok := p.wanted[c]
 	if !ok {
-		w = want{since: now, urgent: priority}
+		w.since = now
 	}
-	w.last = now
-	w.urgent = min(w.urgent, priority)
+	w.Waiting, w.last = waiting, now
 	p.wanted[c] = w
 }
 
-// Use tells that requests need a copy to stay.
+// Unwant takes in that no request waits for a copy any more.
+func (p *Placer) Unwant(c Copy) { delete(p.wanted, c) }
+
+// Use tells that a request was told of room for it, and needs a copy to stay.
 func (p *Placer) Use(c Copy, now time.Time) {
 	if s, ok := p.copies[c]; ok {
 		s.used = now
@@ -216,15 +240,25 @@
 func (p *Placer) Waiting() int {
 	n := 0
 	for c, w := range p.wanted {
-		if _, ok := p.copies[c]; !ok && w.urgent < Spare {
+		if _, ok := p.copies[c]; !ok && w.Priority < Spare {
+			n++
+		}
+	}
+	return n
+}
+
+// Vacant returns how many places are free or hold a copy that can make way now.
+func (p *Placer) Vacant(now time.Time) int {
+	n := max(0, p.Places-len(p.copies))
+	for c, s := range p.copies {
+		if !s.doubt && p.idle(c, s, now) {
 			n++
 		}
 	}
 	return n
 }
 
-// first returns the wanted copy that is to be loaded next: the most urgent, of
-// these the one that was wanted first.
+// first returns the wanted copy that is to be loaded next.
 func (p *Placer) first(now time.Time, room Room) (Copy, bool) {
 	var best Copy
 	var bestWant want
@@ -234,13 +268,13 @@
 			delete(p.wanted, c)
 			continue
 		}
-		if w.urgent >= Spare && room < RoomForAny || room == NoRoom && !p.past.Has(c) {
+		if w.Priority >= Spare && room < RoomForAny || room == NoRoom && !p.past.Has(c) {
 			continue
 		}
 		if s, there := p.copies[c]; there && (!s.doubt || s.state == unloading) {
 			continue
 		}
-		if old, ok := p.sibling(c); ok && !p.idle(p.copies[old], now) {
+		if old, ok := p.sibling(c); ok && !p.idle(old, p.copies[old], now) {
 			continue
 		}
 		if !found || before(c, w, best, bestWant) {
@@ -250,8 +284,12 @@
 	return best, found
 }
 
+// before reports whether a copy is loaded before another: the most urgent first;
+// of these the one for which most requests wait that it would still serve in
+// time, as a place for a while is what is scarce and serves all of them; of these
+// the one that was wanted first.
 func before(c Copy, w want, other Copy, v want) bool {
-	return cmp.Or(cmp.Compare(w.urgent, v.urgent), w.since.Compare(v.since), cmp.Compare(c.String(), other.String())) < 0
+	return cmp.Or(cmp.Compare(w.Priority, v.Priority), cmp.Compare(v.InTime, w.InTime), w.since.Compare(v.since), cmp.Compare(c.String(), other.String())) < 0
 }
 
 func (p *Placer) send(o Order, now time.Time) Order {
--- a/internal/adapter/placer/placer_test.go
+++ b/internal/adapter/placer/placer_test.go
@@ -310,3 +310,59 @@
 		})
 	}
 }
+
+// A long answer runs on an adapter while others wait for a place. It keeps its
+// place however long it runs, or they would wait for an unload that waits for the
+// run; a copy that nobody uses any more makes way at once, though it was used a
+// moment ago.
+func TestOnlyCopiesInUseAreKept(t *testing.T) {
+	used := map[placer.Copy]bool{adapter("long"): true, adapter("short"): true}
+	p := &placer.Placer{Model: "m", Places: 2, Loads: 4, InUse: func(c placer.Copy) bool { return used[c] }}
+	p.Take(placer.Report{Models: []string{"m"}, Resident: []placer.Copy{adapter("long"), adapter("short")}}, start)
+	now := start.Add(10 * time.Second)
+	p.Want(adapter("x"), 0, now)
+	if order, ok := p.Next(now, placer.RoomForAny); ok || p.Vacant(now) != 0 {
+		t.Fatalf("ordered %+v, %d places vacant, while both copies are in use", order, p.Vacant(now))
+	}
+	delete(used, adapter("short"))
+	if n := p.Vacant(now); n != 1 {
+		t.Errorf("%d places vacant, want 1", n)
+	}
+	order, ok := p.Next(now, placer.RoomForAny)
+	if diff := cmp.Diff(placer.Order{Copy: adapter("short"), Unload: true}, order); !ok || diff != "" {
+		t.Errorf("order %v: %s", ok, diff)
+	}
+}
+
+// More adapters are waited for than there are places. A place serves all requests
+// that wait for its adapter: the one that brings the most answers in time goes
+// first, not the one that has waited longest and is late already. What nobody
+// waits for any more is not loaded.
+func TestOrderOfTheLine(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		waits []placer.Waiting // of a0, a1, ...; each a millisecond after the one before
+		gone  string
+		want  string
+	}{
+		{"the first of equals", []placer.Waiting{{Requests: 1, InTime: 1}, {Requests: 1, InTime: 1}}, "", "a0"},
+		{"the one that serves more", []placer.Waiting{{Requests: 1, InTime: 1}, {Requests: 3, InTime: 3}}, "", "a1"},
+		{"not the one that is late", []placer.Waiting{{Requests: 5}, {Requests: 1, InTime: 1}}, "", "a1"},
+		{"the more urgent", []placer.Waiting{{Priority: 1, Requests: 5, InTime: 5}, {Requests: 1, InTime: 1}}, "", "a1"},
+		{"not one that nobody waits for", []placer.Waiting{{Requests: 1, InTime: 1}, {Requests: 1, InTime: 1}}, "a0", "a1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPlacer(2)
+			now := start
+			for n, w := range tc.waits {
+				now = now.Add(time.Millisecond)
+				p.Wait(adapter(fmt.Sprint("a", n)), w, now)
+			}
+			p.Unwant(adapter(tc.gone))
+			order, _ := p.Next(now, placer.RoomForAny)
+			if diff := cmp.Diff(adapter(tc.want), order.Copy); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/adapter/placer/report.go
+++ b/internal/adapter/placer/report.go
@@ -63,7 +63,7 @@
 func (p *Placer) enter(c Copy, state placeState, now time.Time) {
 	s, ok := p.copies[c]
 	if !ok {
-		s = &place{used: now.Add(-rest)}
+		s = &place{used: now} // who uses it is told within that time
 		p.copies[c] = s
 		s.ready = now.Add(p.time(c))
 	}
--- a/internal/adapter/placer/victim.go
+++ b/internal/adapter/placer/victim.go
@@ -26,7 +26,7 @@
 		if s.state == unloading && s.doubt {
 			return p.send(Order{Copy: c, Unload: true}, now), true
 		}
-		if s.doubt || !p.idle(s, now) {
+		if s.doubt || !p.idle(c, s, now) {
 			continue
 		}
 		if v := (victim{c, s, p.value(c, s)}); coldest == nil || v.before(coldest) {
@@ -62,14 +62,20 @@
 	return p.clock.Loss(s.heat, copies)
 }
 
-// idle reports whether a copy can be given up: it has not been used for a
-// while, or nobody came for it after its load.
-func (p *Placer) idle(s *place, now time.Time) bool {
+// idle reports whether a copy can be given up: no request uses it or waits for
+// it, and none was just told of room. A copy that is loaded has to arrive first.
+func (p *Placer) idle(c Copy, s *place, now time.Time) bool {
+	if w, ok := p.wanted[c]; ok && w.Requests > 0 && now.Sub(w.last) <= forget {
+		return false
+	}
+	if p.InUse != nil && p.InUse(c) {
+		return false
+	}
 	switch s.state {
 	case resident:
 		return now.Sub(s.used) >= rest
 	case loading:
-		return now.Sub(s.ready) >= p.Load+rest
+		return now.Sub(s.ready) >= p.Load
 	default:
 		return false
 	}
--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -29,6 +29,7 @@
 	calling bool          // a call to the store about the tenure is under way
 	runners map[string]*runnerState
 	members map[string]*member
+	uses    map[needKey]int // of all members
 	news    journal
 	window  placer.Window
 }
@@ -41,12 +42,7 @@
 	asked  time.Time      // for the last report
 	line   admitter.Timeline
 	told   map[placer.Copy]time.Time
-}
-
-// A member is an instance that subscribes to the news of the domain.
-type member struct {
-	loads map[string]tracker.Load
-	heard time.Time
+	wait   time.Duration // for a place, as last told
 }
 
 // reportEvery bounds how often a runner is asked what it holds. A report is as
@@ -129,6 +125,7 @@
 			}
 		}
 		d.tell(c)
+		d.tellRoom(c, now)
 	}
 }
 
@@ -175,7 +172,8 @@
 	if model.AdapterSize > 0 {
 		places = min(places, (engine.Memory-model.Size)/model.AdapterSize)
 	}
-	return &placer.Placer{Copies: d.copies, Model: model.Name, Places: places, Loads: perRunner}
+	inUse := func(c placer.Copy) bool { return d.uses[needKey{r.ID, c}] > 0 }
+	return &placer.Placer{Copies: d.copies, InUse: inUse, Model: model.Name, Places: places, Loads: perRunner}
 }
 
 // report asks a runner what it holds.
@@ -248,7 +246,7 @@
 	count := 0
 	for id, m := range d.members {
 		if now.Sub(m.heard) > silent {
-			delete(d.members, id)
+			d.drop(id, now)
 			continue
 		}
 		count++
--- /dev/null
+++ b/internal/instance/gatekeeper/demand_test.go
@@ -0,0 +1,105 @@
+package gatekeeper
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+)
+
+// Members tell the holder which copies they use. A copy stays as long as anybody
+// does, and no longer: the end of a use is lost on the way, or its instance dies,
+// and without a bound the place would be lost for good, to all callers.
+func TestUsesEndWithTheirMembers(t *testing.T) {
+	c := placer.Copy{Model: "m", Adapter: "a1", Version: 1}
+	k := needKey{"i-1", c}
+	uses := func(n int) relayer.Demand {
+		return relayer.Demand{Uses: []relayer.Need{{Runner: "i-1", Copy: c, Requests: n}}}
+	}
+	for _, tc := range []struct {
+		name   string
+		happen func(d *controller)
+		want   int
+	}{
+		{"two members use it", func(d *controller) {
+			d.demanded("front-1", uses(1))
+			d.demanded("front-2", uses(2))
+		}, 3},
+		{"one of them tells of the end", func(d *controller) {
+			d.demanded("front-1", uses(1))
+			d.demanded("front-2", uses(2))
+			d.demanded("front-2", relayer.Demand{})
+		}, 1},
+		{"one of them dies", func(d *controller) {
+			d.demanded("front-1", uses(1))
+			time.Sleep(silent - time.Second)
+			d.demanded("front-2", uses(2))
+			time.Sleep(2 * time.Second)
+			d.others("", time.Now())
+		}, 2},
+		{"room was asked for and the use not told yet", func(d *controller) {
+			d.used("front-1", k)
+		}, 1},
+		{"room was asked for and the use told since", func(d *controller) {
+			d.used("front-1", k)
+			d.demanded("front-1", uses(1))
+		}, 1},
+		{"room was asked for by one that dies before it tells", func(d *controller) {
+			d.used("front-1", k)
+			time.Sleep(silent + time.Second)
+			d.others("", time.Now())
+		}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newTestGatekeeper().controllers["a"]
+				tc.happen(d)
+				if diff := cmp.Diff(tc.want, d.uses[k]); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+// A runner has two places; both are in use and three adapters stand in line. Who
+// chooses a runner for a further one must see that: told only that a load takes a
+// quarter of a second, requests waited at one runner while another had a place
+// idle.
+func TestWaitForAPlaceIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGatekeeper()
+		d := g.controllers["a"]
+		copies := make([]placer.Copy, 5)
+		for n := range copies {
+			copies[n] = placer.Copy{Model: "m", Adapter: string(rune('a' + n)), Version: 1}
+		}
+		r := tracker.Runner{ID: "i-1", Service: "llm", Domain: "a"}
+		g.Fleet.Set(r)
+		p := &placer.Placer{InUse: func(c placer.Copy) bool { return d.uses[needKey{"i-1", c}] > 0 }, Model: "m", Places: 2}
+		p.Take(placer.Report{Models: []string{"m"}, Resident: copies[:2]}, time.Now())
+		d.runners["i-1"] = &runnerState{runner: r, placer: p}
+		time.Sleep(time.Second)
+		if wait := d.place(d.runners["i-1"], time.Now()); wait != 0 {
+			t.Errorf("a wait of %s for places that nobody needs", wait)
+		}
+		demand := relayer.Demand{Uses: []relayer.Need{{Runner: "i-1", Copy: copies[0], Requests: 1}, {Runner: "i-1", Copy: copies[1], Requests: 1}}}
+		for _, c := range copies[2:] {
+			demand.Waits = append(demand.Waits, relayer.Wait{Runner: "i-1", Copy: c, Waiting: placer.Waiting{Requests: 1}})
+		}
+		d.demanded("front-1", demand)
+		hold := g.LoadTime() + g.Fleet.Run("llm")
+		if wait := d.place(d.runners["i-1"], time.Now()); wait != 4*hold/2 {
+			t.Errorf("told to wait %s behind three others for two places held %s each", wait, hold)
+		}
+		d.demanded("front-1", relayer.Demand{})
+		if wait := d.place(d.runners["i-1"], time.Now()); wait != 0 {
+			t.Errorf("a wait of %s after all have gone", wait)
+		}
+	})
+}
--- a/internal/instance/gatekeeper/journal.go
+++ b/internal/instance/gatekeeper/journal.go
@@ -19,6 +19,7 @@
 type event struct {
 	gone   *relayer.Gone
 	held   *heldEvent
+	room   *roomEvent
 	runner *tracker.Runner
 }
 
@@ -30,6 +31,12 @@
 	there  bool
 }
 
+// A roomEvent says how long a copy waits for a place at a runner.
+type roomEvent struct {
+	runner string
+	wait   time.Duration
+}
+
 // journalLimit is how many events are kept. A member that is further behind is
 // told everything anew.
 const journalLimit = 2048
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -169,6 +169,13 @@
 	if n.Loaded {
 		g.Fleet.OthersIn(l.domain, n.Loads)
 	}
+	if len(n.Rooms) > 0 {
+		rooms := make(map[string]time.Duration, len(n.Rooms))
+		for _, r := range n.Rooms {
+			rooms[r.Runner] = r.Wait
+		}
+		g.Fleet.Rooms(rooms)
+	}
 	g.Fleet.Staffed(l.domain, n.Acting)
 	g.Fleet.Line(l.domain, n.Line)
 	g.controllers[l.domain].heardOf(n.Tenure, n.Renewal, n.Age)
--- a/internal/instance/gatekeeper/needs.go
+++ b/internal/instance/gatekeeper/needs.go
@@ -8,15 +8,18 @@
 	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
 )
 
-// needs are what requests need and use at the domain's runners, since the last
-// time that the holder was told.
+// needs are what is to be told of requests at the domain's runners. Uses and waits
+// are told whole, so that an end that is lost on the way is told with the next
+// word; the rest is what was seen since the last one.
 type needs struct {
 	missing map[needKey]bool
+	spare   map[needKey]bool
 	there   map[needKey]found
-	used    map[needKey]bool
-	wants   map[needKey]int // priority
+	uses    map[needKey]int
+	waits   map[needKey]map[string]waiter // by request
 }
 
 // A found says what requests found a copy at a runner.
@@ -25,11 +28,22 @@
 	sent     time.Time // the first of them
 }
 
+// A waiter is a request that waits for a copy.
+type waiter struct {
+	inTime   bool
+	last     time.Time // when it said so last
+	priority int
+}
+
 type needKey struct {
 	runner string
 	copy   placer.Copy
 }
 
+// stillWaits is how long a request counts as waiting that does not say so again;
+// it looks every 10 ms.
+const stillWaits = 50 * time.Millisecond
+
 // speak tells the holder what is needed until ctx ends.
 func (l *link) speak(ctx context.Context) {
 	repeater.Every(ctx, beat, l.kick, func() { l.say(ctx) })
@@ -65,15 +79,21 @@
 	now := time.Now()
 	for k, f := range l.needs.there {
 		d.There = append(d.There, relayer.Need{Runner: k.runner, Copy: k.copy, Requests: f.requests, Ago: now.Sub(f.sent)})
-		delete(l.needs.used, k)
 	}
-	for k := range l.needs.used {
-		d.Used = append(d.Used, relayer.Need{Runner: k.runner, Copy: k.copy})
+	for k := range l.needs.spare {
+		d.Spare = append(d.Spare, relayer.Need{Runner: k.runner, Copy: k.copy})
 	}
-	for k, priority := range l.needs.wants {
-		d.Wants = append(d.Wants, relayer.Need{Runner: k.runner, Copy: k.copy, Priority: priority})
+	for k, n := range l.needs.uses {
+		d.Uses = append(d.Uses, relayer.Need{Runner: k.runner, Copy: k.copy, Requests: n})
+	}
+	for k, waiters := range l.needs.waits {
+		if w := sum(waiters, now); w.Requests > 0 {
+			d.Waits = append(d.Waits, relayer.Wait{Runner: k.runner, Copy: k.copy, Waiting: w})
+		} else {
+			delete(l.needs.waits, k)
+		}
 	}
-	l.needs = needs{}
+	l.needs.missing, l.needs.spare, l.needs.there = nil, nil, nil
 	for k, at := range l.asked {
 		if now.Sub(at) > hurryAgain {
 			delete(l.asked, k)
@@ -82,6 +102,23 @@
 	return d
 }
 
+// sum drops the requests that wait no more and sums up the others.
+func sum(waiters map[string]waiter, now time.Time) placer.Waiting {
+	w := placer.Waiting{Priority: placer.Spare}
+	for request, one := range waiters {
+		if now.Sub(one.last) > stillWaits {
+			delete(waiters, request)
+			continue
+		}
+		w.Requests++
+		w.Priority = min(w.Priority, one.priority)
+		if one.inTime {
+			w.InTime++
+		}
+	}
+	return w
+}
+
 // tellSelf takes in this instance's own needs where it holds the tenure.
 func (g *Gatekeeper) tellSelf(domain string, demand relayer.Demand) {
 	d := g.controllers[domain]
@@ -90,8 +127,10 @@
 	d.mu.Lock()
 	others, members := d.others(g.Config.ID, now)
 	line := d.wait(now)
+	rooms := d.rooms(now)
 	d.mu.Unlock()
 	g.Fleet.Line(domain, line)
+	g.Fleet.Rooms(rooms)
 	g.Fleet.OthersIn(domain, others)
 	_, acts := d.acts()
 	g.Fleet.Staffed(domain, acts)
@@ -100,7 +139,7 @@
 	l.heard = now
 	l.setMembers(members)
 	l.mu.Unlock()
-	if len(demand.Wants) > 0 || len(demand.Missing) > 0 {
+	if demand.Urgent() {
 		g.kickLead()
 	}
 }
@@ -115,34 +154,48 @@
 	return l, ok
 }
 
-// Want implements forwarder.Placement.
-func (g *Gatekeeper) Want(runner string, c placer.Copy, priority int) {
-	l, ok := g.linkOf(runner)
+// Wait implements forwarder.Placement.
+func (g *Gatekeeper) Wait(w forwarder.Waiter) {
+	l, ok := g.linkOf(w.Runner)
 	if !ok {
 		return
 	}
+	now := time.Now()
+	k := needKey{w.Runner, w.Copy}
 	l.mu.Lock()
-	if l.needs.wants == nil {
-		l.needs.wants = make(map[needKey]int)
+	if l.needs.waits == nil {
+		l.needs.waits = make(map[needKey]map[string]waiter)
 	}
-	k := needKey{runner, c}
-	if before, known := l.needs.wants[k]; !known || priority < before {
-		l.needs.wants[k] = priority
-	}
-	now := time.Now()
-	fresh := now.Sub(l.asked[k]) > hurryAgain
-	if fresh {
-		if l.asked == nil {
-			l.asked = make(map[needKey]time.Time)
-		}
-		l.asked[k] = now
+	if l.needs.waits[k] == nil {
+		l.needs.waits[k] = make(map[string]waiter)
 	}
+	l.needs.waits[k][w.Request] = waiter{inTime: w.InTime, last: now, priority: w.Priority}
+	fresh := l.sooner(k, now)
 	l.mu.Unlock()
 	if fresh {
 		l.hurry()
 	}
 }
 
+// Spare implements forwarder.Placement.
+func (g *Gatekeeper) Spare(runner string, c placer.Copy) {
+	if l, ok := g.linkOf(runner); ok {
+		l.note(&l.needs.spare, needKey{runner, c})
+	}
+}
+
+// sooner reports whether the holder is to be told of a want at once.
+func (l *link) sooner(k needKey, now time.Time) bool {
+	if now.Sub(l.asked[k]) <= hurryAgain {
+		return false
+	}
+	if l.asked == nil {
+		l.asked = make(map[needKey]time.Time)
+	}
+	l.asked[k] = now
+	return true
+}
+
 // There implements forwarder.Placement.
 func (g *Gatekeeper) There(runner string, c placer.Copy, sent time.Time) {
 	l, ok := g.linkOf(runner)
@@ -163,10 +216,34 @@
 	l.needs.there[k] = f
 }
 
-// Used implements forwarder.Placement.
-func (g *Gatekeeper) Used(runner string, c placer.Copy) {
-	if l, ok := g.linkOf(runner); ok {
-		l.note(&l.needs.used, needKey{runner, c})
+// Use implements forwarder.Placement. The end of a use is told at once where
+// others wait for a place: with the next word it would come up to a beat late, a
+// good part of the time for which a short run needs its place.
+func (g *Gatekeeper) Use(runner string, c placer.Copy) (done func()) {
+	l, ok := g.linkOf(runner)
+	if !ok {
+		return func() {}
+	}
+	k := needKey{runner, c}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.needs.uses == nil {
+		l.needs.uses = make(map[needKey]int)
+	}
+	l.needs.uses[k]++
+	return func() { l.unuse(k) }
+}
+
+func (l *link) unuse(k needKey) {
+	l.mu.Lock()
+	l.needs.uses[k]--
+	over := l.needs.uses[k] <= 0
+	if over {
+		delete(l.needs.uses, k)
+	}
+	l.mu.Unlock()
+	if over && l.gatekeeper.Fleet.Tight(k.runner) {
+		l.hurry()
 	}
 }
 
@@ -199,7 +276,7 @@
 		return
 	}
 	d.demanded(from.ID, demand)
-	if len(demand.Wants) > 0 || len(demand.Missing) > 0 {
+	if demand.Urgent() {
 		g.kickLead()
 	}
 }
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -31,7 +31,7 @@
 		if err != nil {
 			return err
 		}
-		reserved, err := d.reserve(m)
+		reserved, err := d.reserve(from.ID, m)
 		if err != nil {
 			return err
 		}
@@ -122,6 +122,8 @@
 			news.Gone = append(news.Gone, *e.gone)
 		case e.held != nil:
 			news.Held = append(news.Held, e.held.encode(now))
+		case e.room != nil:
+			news.Rooms = append(news.Rooms, relayer.Room{Runner: e.room.runner, Wait: e.room.wait})
 		}
 	}
 	return news, d.news.end(), len(events) > 0
@@ -132,6 +134,7 @@
 	news.Whole = true
 	for _, c := range d.runners {
 		news.Runners = append(news.Runners, c.runner)
+		news.Rooms = append(news.Rooms, relayer.Room{Runner: c.runner.ID, Wait: c.wait})
 		for copied, at := range c.told {
 			news.Held = append(news.Held, heldEvent{runner: c.runner.ID, copy: copied, at: at, there: true}.encode(now))
 		}
--- a/internal/instance/gatekeeper/reserve.go
+++ b/internal/instance/gatekeeper/reserve.go
@@ -17,54 +17,56 @@
 const askTimeout = 40 * time.Millisecond
 
 // Reserve implements forwarder.Placement.
-func (g *Gatekeeper) Reserve(ctx context.Context, a forwarder.Ask) (wait time.Duration, refused *judge.Error, ok bool) {
+func (g *Gatekeeper) Reserve(ctx context.Context, a forwarder.Ask) (room forwarder.Room, refused *judge.Error, ok bool) {
 	l, found := g.linkOf(a.Runner)
 	if !found {
-		return 0, nil, false
+		return forwarder.Room{}, nil, false
 	}
-	r := relayer.Reserve{Domain: l.domain, Runner: a.Runner, Tokens: a.Tokens, Pause: a.Pause, Within: a.Within}
+	r := relayer.Reserve{Domain: l.domain, Runner: a.Runner, Copy: a.Copy, Tokens: a.Tokens, Pause: a.Pause, Within: a.Within}
 	if d := g.controllers[l.domain]; d.holds() {
-		reserved, err := d.reserve(r)
+		reserved, err := d.reserve(g.Config.ID, r)
 		return g.learnRoom(a, reserved, err)
 	}
 	l.mu.Lock()
 	holder := l.holder
 	l.mu.Unlock()
 	if holder.Holder == "" || l.silence() > unheard {
-		return 0, nil, false
+		return forwarder.Room{}, nil, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	conversation, err := g.Mesh.Open(ctx, holder.Address, r)
 	if err != nil {
-		return 0, nil, false
+		return forwarder.Room{}, nil, false
 	}
 	defer conversation.Close()
 	message, err := conversation.Next(ctx)
 	reserved, is := message.(relayer.Reserved)
 	if err == nil && !is {
-		return 0, nil, false
+		return forwarder.Room{}, nil, false
 	}
 	return g.learnRoom(a, reserved, err)
 }
 
 // learnRoom takes in what the holder said. Only a refusal for want of room is
 // one; any other failure leaves the request as it was.
-func (g *Gatekeeper) learnRoom(a forwarder.Ask, reserved relayer.Reserved, err error) (time.Duration, *judge.Error, bool) {
+func (g *Gatekeeper) learnRoom(a forwarder.Ask, reserved relayer.Reserved, err error) (forwarder.Room, *judge.Error, bool) {
 	if err == nil {
-		g.Fleet.Reading(a.Runner, reserved.Reading)
-		return reserved.Wait, nil, true
+		if !reserved.Absent {
+			g.Fleet.Reading(a.Runner, reserved.Reading)
+		}
+		return forwarder.Room{Absent: reserved.Absent, Wait: reserved.Wait}, nil, true
 	}
 	var refused *judge.Error
 	if errors.As(err, &refused) && refused.Reason == judge.ReasonQueue {
 		g.Fleet.Reading(a.Runner, a.Within+refused.Retry)
-		return 0, refused, true
+		return forwarder.Room{}, refused, true
 	}
-	return 0, nil, false
+	return forwarder.Room{}, nil, false
 }
 
 // reserve gives a request room at a runner, or refuses it.
-func (d *controller) reserve(r relayer.Reserve) (relayer.Reserved, error) {
+func (d *controller) reserve(from string, r relayer.Reserve) (relayer.Reserved, error) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -72,6 +74,13 @@
 	if !ok {
 		return relayer.Reserved{}, judge.Refuse(judge.ReasonUpstream, "runner %s is not known here", r.Runner)
 	}
+	if c.placer != nil && r.Copy.Adapter != "" {
+		if c.placer.Known() && !c.placer.Holds(r.Copy) {
+			return relayer.Reserved{Absent: true}, nil
+		}
+		c.placer.Use(r.Copy, now)
+		d.used(from, needKey{r.Runner, r.Copy})
+	}
 	fleet := d.gatekeeper.Fleet
 	wait, ok := c.line.Reserve(admitter.Prompt{
 		Pause: r.Pause, Queue: fleet.Places(r.Runner), Read: fleet.Read(c.runner.Service, r.Tokens), Within: r.Within,
@@ -82,3 +91,15 @@
 	}
 	return relayer.Reserved{Wait: wait, Reading: c.line.Backlog(now)}, nil
 }
+
+// used counts a use that a member has begun. Its next word tells of all its uses,
+// this one included for as long as it lasts.
+func (d *controller) used(by string, k needKey) {
+	m := d.member(by)
+	m.heard = time.Now()
+	if m.uses == nil {
+		m.uses = make(map[needKey]int)
+	}
+	m.uses[k]++
+	d.addUses(k, 1)
+}
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -83,8 +83,9 @@
 		Loads   map[string]tracker.Load `cbor:"1,keyasint,omitempty"` // the sender's work on each runner, all that have some
 		Missing []Need                  `cbor:"2,keyasint,omitempty"` // refused for want of the copy
 		There   []Need                  `cbor:"6,keyasint,omitempty"` // used, and known to be there
-		Used    []Need                  `cbor:"3,keyasint,omitempty"`
-		Wants   []Need                  `cbor:"4,keyasint,omitempty"`
+		Spare   []Need                  `cbor:"7,keyasint,omitempty"` // of use to those that come later; nobody waits
+		Uses    []Need                  `cbor:"3,keyasint,omitempty"` // all copies that requests use now
+		Waits   []Wait                  `cbor:"4,keyasint,omitempty"` // all copies that requests wait for now
 	}
 
 	// A Reserve asks the instance that orders for a failure domain for room at
@@ -93,6 +94,7 @@
 		_      struct{} `cbor:",toarray"`
 		Domain string
 		Runner string
+		Copy   placer.Copy   // that the request uses
 		Tokens int           // of the prompt
 		Pause  time.Duration // between events that its runs bear
 		Within time.Duration // in which the prompt has to be read
@@ -149,6 +151,7 @@
 		Held    []Held                  `cbor:"2,keyasint,omitempty"`
 		Loaded  bool                    `cbor:"13,keyasint,omitempty"` // Loads are told; else they are as before
 		Loads   map[string]tracker.Load `cbor:"3,keyasint,omitempty"`  // other instances' work on the domain's runners
+		Rooms   []Room                  `cbor:"14,keyasint,omitempty"` // that changed
 		Line    time.Duration           `cbor:"12,keyasint,omitempty"` // until an adapter that is asked for now begins to load
 		Members int                     `cbor:"4,keyasint"`            // instances that subscribe, the sender included
 		Runners []tracker.Runner        `cbor:"5,keyasint,omitempty"`  // described anew
@@ -166,6 +169,7 @@
 	// A Reserved answers a Reserve and ends the answer.
 	Reserved struct {
 		_       struct{}      `cbor:",toarray"`
+		Absent  bool          // the runner does not hold the copy any more; the rest says nothing
 		Wait    time.Duration // before the request is sent
 		Reading time.Duration // that the runner still reads, this prompt included
 	}
@@ -204,12 +208,29 @@
 	Owned    bool     `cbor:"6,keyasint"` // false: the sender serves it no more
 }
 
+// Urgent reports whether the receiver is to look at once whether orders are due.
+func (d Demand) Urgent() bool { return len(d.Waits) > 0 || len(d.Missing) > 0 || len(d.Spare) > 0 }
+
+// A Wait is the requests that wait for a copy at a runner.
+type Wait struct {
+	_       struct{} `cbor:",toarray"`
+	Runner  string
+	Copy    placer.Copy
+	Waiting placer.Waiting
+}
+
+// A Room says how long a copy that a runner does not hold waits there for a place.
+type Room struct {
+	_      struct{} `cbor:",toarray"`
+	Runner string
+	Wait   time.Duration
+}
+
 // A Need is a copy at a runner.
 type Need struct {
 	_        struct{} `cbor:",toarray"`
 	Runner   string
 	Copy     placer.Copy
-	Priority int
 	Requests int           // that found it there
 	Ago      time.Duration // since the first of them was sent
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -30,7 +30,8 @@
 	deadline, _ := ctx.Deadline()
 	run := p.Fleet.Begin(runner.ID, p.request.Tokens, now)
 	p.at = runner.ID
-	p.used(runner.ID)
+	p.use(runner.ID)
+	defer p.unuse()
 	watch := p.watch(runner.ID, cancel)
 	defer watch.stop()
 	reply, seen := p.Upstream.Send(ctx, Attempt{Request: p.request, Runner: runner, After: p.after, Left: deadline.Sub(now)})
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -32,8 +32,13 @@
 		}
 		p.waited += now.Sub(began)
 		p.queue = time.Duration(best.Queue * float64(time.Second))
-		p.used(runner.ID) // it must not make way while the request is held back
-		refused = p.reserve(ctx, runner, terms)
+		p.use(runner.ID) // it must not make way while the request is held back
+		there, refused := p.reserve(ctx, runner, terms)
+		if !there {
+			p.unuse()
+			p.Fleet.HeldOne(runner.ID, p.request.Copy, time.Time{}, false)
+			continue
+		}
 		if runner, ok = p.Fleet.Get(runner.ID); refused == nil && (!ok || runner.Leaving) {
 			continue // it began to leave while the request was held back
 		}
@@ -57,7 +62,10 @@
 		return judge.Refuse(judge.ReasonLoad, "the adapter comes in %s", stall.Round(time.Millisecond)).After(comeBack(stall))
 	}
 	p.asked = best.Runner
-	p.Placement.Want(best.Runner, p.request.Copy, p.request.Route.Priority)
+	p.unuse()
+	p.Placement.Wait(Waiter{
+		Copy: p.request.Copy, InTime: waited+stall < p.request.Route.Goal, Priority: p.request.Route.Priority, Request: p.request.ID, Runner: best.Runner,
+	})
 	if !p.rest(ctx) {
 		return p.over(ctx)
 	}
@@ -66,32 +74,34 @@
 
 // reserve asks for room at the runner and holds the request back as long as it
 // is told to. Without anybody to ask the request goes at once.
-func (p *exchange) reserve(ctx context.Context, runner tracker.Runner, terms []router.Terms) *judge.Error {
+func (p *exchange) reserve(ctx context.Context, runner tracker.Runner, terms []router.Terms) (there bool, refused *judge.Error) {
 	r := p.request
 	if r.Engine == nil || p.answered {
-		return nil
+		return true, nil
 	}
-	wait, refused, ok := p.Placement.Reserve(ctx, Ask{
-		Runner: runner.ID, Tokens: r.Tokens, Pause: p.request.Route.Gap, Within: p.within(time.Now()),
+	room, refused, ok := p.Placement.Reserve(ctx, Ask{
+		Copy: r.Copy, Runner: runner.ID, Tokens: r.Tokens, Pause: p.request.Route.Gap, Within: p.within(time.Now()),
 	})
 	switch {
 	case !ok:
-		return nil
+		return true, nil
 	case refused != nil:
 		p.spread(terms, p.limit())
-		return refused.After(comeBack(refused.Retry))
-	case wait <= 0:
-		return nil
-	}
-	p.queue = wait
-	p.spread(terms, wait)
-	hold := time.NewTimer(wait)
+		return true, refused.After(comeBack(refused.Retry))
+	case room.Absent:
+		return false, nil
+	case room.Wait <= 0:
+		return true, nil
+	}
+	p.queue = room.Wait
+	p.spread(terms, room.Wait)
+	hold := time.NewTimer(room.Wait)
 	defer hold.Stop()
 	select {
 	case <-ctx.Done():
-		return p.over(ctx)
+		return true, p.over(ctx)
 	case <-hold.C:
-		return nil
+		return true, nil
 	}
 }
 
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -46,6 +46,7 @@
 	request *Request
 	sink    Sink
 	budget  *retrier.Budget
+	using   use // of a copy now
 
 	asked    string          // runner where the adapter was asked for
 	at       string          // runner that it was sent to last
@@ -78,6 +79,7 @@
 	p := &exchange{Forwarder: f, request: r, sink: sink, budget: f.budget(r.Service), after: r.After, full: make(map[string]bool), tried: make(map[string]bool)}
 	p.budget.Deposit()
 	err := p.run(ctx)
+	p.unuse()
 	p.log(err)
 	return err
 }
@@ -156,11 +158,29 @@
 	return &after
 }
 
-// used tells that a copy is in use, for plain services nothing.
-func (p *exchange) used(runner string) {
-	if p.request.Copy != (placer.Copy{}) {
-		p.Placement.Used(runner, p.request.Copy)
+// A use is a copy that has to stay at a runner.
+type use struct {
+	runner string
+	copy   placer.Copy
+	done   func()
+}
+
+// use tells that a copy is in use, for plain services nothing. One use ends where
+// the next begins.
+func (p *exchange) use(runner string) {
+	c := p.request.Copy
+	if c == (placer.Copy{}) || p.using.done != nil && p.using.runner == runner && p.using.copy == c {
+		return
+	}
+	p.unuse()
+	p.using = use{runner, c, p.Placement.Use(runner, c)}
+}
+
+func (p *exchange) unuse() {
+	if p.using.done != nil {
+		p.using.done()
 	}
+	p.using = use{}
 }
 
 // there tells that a copy is where it was expected.
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -39,21 +39,22 @@
 
 // A placement has every adapter there and room as its script says.
 type placement struct {
-	reserve func(a forwarder.Ask) (time.Duration, *judge.Error, bool)
+	reserve func(a forwarder.Ask) (forwarder.Room, *judge.Error, bool)
 	want    func(runner string)
 }
 
-func (p placement) Want(runner string, _ placer.Copy, _ int) {
+func (p placement) Wait(w forwarder.Waiter) { p.Spare(w.Runner, w.Copy) }
+func (p placement) Spare(runner string, _ placer.Copy) {
 	if p.want != nil {
 		p.want(runner)
 	}
 }
-func (placement) Used(string, placer.Copy)             {}
+func (placement) Use(string, placer.Copy) func()       { return func() {} }
 func (placement) There(string, placer.Copy, time.Time) {}
 func (placement) Missing(string, placer.Copy)          {}
-func (p placement) Reserve(_ context.Context, a forwarder.Ask) (time.Duration, *judge.Error, bool) {
+func (p placement) Reserve(_ context.Context, a forwarder.Ask) (forwarder.Room, *judge.Error, bool) {
 	if p.reserve == nil {
-		return 0, nil, false
+		return forwarder.Room{}, nil, false
 	}
 	return p.reserve(a)
 }
@@ -186,8 +187,10 @@
 				}}
 				var wanted []string
 				f := newForwarder(u, placement{
-					reserve: func(forwarder.Ask) (time.Duration, *judge.Error, bool) { return tc.wait, nil, true },
-					want:    func(runner string) { wanted = append(wanted, runner) },
+					reserve: func(forwarder.Ask) (forwarder.Room, *judge.Error, bool) {
+						return forwarder.Room{Wait: tc.wait}, nil, true
+					},
+					want: func(runner string) { wanted = append(wanted, runner) },
 				}, 2)
 				adapter := placer.Copy{Model: "m", Adapter: "a1", Version: 2}
 				f.Fleet.Held("i-0", map[placer.Copy]time.Time{adapter: {}})
@@ -224,12 +227,12 @@
 					return streamed(&body{ctx: ctx, from: 1, to: 1, end: io.EOF}), nil
 				}}
 				full := make(map[string]bool)
-				p := placement{reserve: func(a forwarder.Ask) (time.Duration, *judge.Error, bool) {
+				p := placement{reserve: func(a forwarder.Ask) (forwarder.Room, *judge.Error, bool) {
 					if full[a.Runner] || len(full) < tc.full {
 						full[a.Runner] = true
-						return 0, judge.Refuse(judge.ReasonQueue, "full").After(300 * time.Millisecond), true
+						return forwarder.Room{}, judge.Refuse(judge.ReasonQueue, "full").After(300 * time.Millisecond), true
 					}
-					return 0, nil, true
+					return forwarder.Room{}, nil, true
 				}}
 				var got sink
 				err := newForwarder(u, p, 2).Forward(t.Context(), newRequest(resuming()), &got)
@@ -254,15 +257,15 @@
 		}}
 		leaving := ""
 		var f *forwarder.Forwarder
-		f = newForwarder(u, placement{reserve: func(a forwarder.Ask) (time.Duration, *judge.Error, bool) {
+		f = newForwarder(u, placement{reserve: func(a forwarder.Ask) (forwarder.Room, *judge.Error, bool) {
 			if leaving == "" {
 				leaving = a.Runner
 				time.AfterFunc(100*time.Millisecond, func() {
 					f.Fleet.Set(tracker.Runner{ID: a.Runner, Service: "llm", Domain: "a", Slots: 8, Models: []string{"m"}, Leaving: true, Revision: 2})
 				})
-				return 300 * time.Millisecond, nil, true
+				return forwarder.Room{Wait: 300 * time.Millisecond}, nil, true
 			}
-			return 0, nil, true
+			return forwarder.Room{}, nil, true
 		}}, 2)
 		var got sink
 		err := f.Forward(t.Context(), newRequest(resuming()), &got)
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -78,25 +78,44 @@
 
 // Placement is who can bring an adapter to a runner.
 type Placement interface {
-	// Want asks for a copy at a runner. It is called again while a request
-	// waits.
-	Want(runner string, c placer.Copy, priority int)
+	// Wait tells that a request waits for a copy at a runner. It is called again
+	// while it does.
+	Wait(w Waiter)
+	// Spare tells that one more copy at a runner would serve those that come
+	// later.
+	Spare(runner string, c placer.Copy)
 	// Reserve asks for room at a runner that holds what the request needs. It
 	// returns how long to hold the request back, or a refusal. ok is false if
 	// nobody can tell.
-	Reserve(ctx context.Context, a Ask) (wait time.Duration, refused *judge.Error, ok bool)
+	Reserve(ctx context.Context, a Ask) (r Room, refused *judge.Error, ok bool)
 	// There tells that a runner took a request for a copy that was sent at a time.
 	There(runner string, c placer.Copy, sent time.Time)
-	// Used tells that a request needs a copy to stay at a runner.
-	Used(runner string, c placer.Copy)
+	// Use tells that a request needs a copy to stay at a runner until done.
+	Use(runner string, c placer.Copy) (done func())
 	// Missing tells that a runner refused a request for want of a copy.
 	Missing(runner string, c placer.Copy)
 }
 
 // An Ask is for room at a runner.
 type Ask struct {
+	Copy   placer.Copy
 	Runner string
 	Tokens int           // of the prompt
 	Pause  time.Duration // between events that the runs there bear
 	Within time.Duration // in which the prompt has to be read
 }
+
+// A Room is what a request is given at a runner.
+type Room struct {
+	Absent bool          // the copy has made way meanwhile
+	Wait   time.Duration // before the request is sent
+}
+
+// A Waiter is a request that waits for a copy.
+type Waiter struct {
+	Copy     placer.Copy
+	InTime   bool // it is still on time if the copy comes next
+	Priority int
+	Request  string
+	Runner   string
+}
--- a/internal/request/forwarder/spread.go
+++ b/internal/request/forwarder/spread.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/request/router"
 )
 
@@ -23,6 +22,6 @@
 		return
 	}
 	if runner, ok := router.Another(terms); ok {
-		p.Placement.Want(runner, p.request.Copy, placer.Spare)
+		p.Placement.Spare(runner, p.request.Copy)
 	}
 }
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -16,7 +16,6 @@
 func (p *exchange) stream(ctx context.Context, runner tracker.Runner, reply *Reply, watch *watch) *judge.Error {
 	p.split.Reset()
 	buffer := make([]byte, readSize)
-	told := time.Now()
 	for {
 		n, err := reply.Body.Read(buffer)
 		if n > 0 {
@@ -27,10 +26,6 @@
 			p.tried[runner.ID] = true
 			return failed
 		}
-		if now := time.Now(); now.Sub(told) > tellEvery {
-			told = now
-			p.used(runner.ID)
-		}
 		if err == nil {
 			continue
 		}
@@ -38,9 +33,6 @@
 	}
 }
 
-// tellEvery is how often a run that goes on tells that it uses its adapter.
-const tellEvery = 200 * time.Millisecond
-
 // end judges how a stream ended. One whose last event is not whole was cut,
 // also if its framing is complete.
 func (p *exchange) end(ctx context.Context, runner tracker.Runner, reply *Reply, err error) *judge.Error {
--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -79,15 +79,15 @@
 	}
 	c.Resident = false
 	c.Kept = s.kept.Has(d.Copy)
-	c.Ready = line + d.Load
+	c.Ready = max(s.room, line) + d.Load
 	if c.Kept {
-		c.Ready = d.Return // from the runner's own memory: the weight store's line is not for it
+		c.Ready = s.room + d.Return // from the runner's own memory: the weight store's line is not for it
 	}
 	switch {
 	case s.otherVersion(d.Copy):
 		c.Ready += replaceTime
 	case s.ID == d.Asked:
-		c.Ready = min(c.Ready, d.Load) // it stands in line already
+		c.Ready = min(c.Ready, s.room+d.Load) // it stands in the weight store's line already
 	}
 }
 
@@ -132,6 +132,13 @@
 	return float64(running-s.Slots+1) / float64(s.Slots) * p.run
 }
 
+// Run returns how long a request of a service runs.
+func (f *Fleet) Run(service string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.pace(service).run * float64(time.Second))
+}
+
 // Places returns how long it takes until a runner has a place free.
 func (f *Fleet) Places(id string) time.Duration {
 	f.mu.Lock()
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -33,10 +33,11 @@
 	kept      warmer.Recent[placer.Copy] // given up since; the runner fetches them again in a tenth of the time
 	others    Load                       // of other instances, as last told
 	own       Load
-	suspended time.Time // until when it gets nothing new
-	streak    int       // connections that failed in a row
-	until     time.Time // when it has read what its holder knows of, as last told
-	told      bool      // whether held comes from the instance that gives it orders
+	suspended time.Time     // until when it gets nothing new
+	streak    int           // connections that failed in a row
+	until     time.Time     // when it has read what its holder knows of, as last told
+	room      time.Duration // that a copy which it does not hold waits for a place, as last told
+	told      bool          // whether held comes from the instance that gives it orders
 }
 
 const (
@@ -239,6 +240,25 @@
 	f.idle[domain] = !staffed
 }
 
+// Rooms takes in how long a copy that runners do not hold waits there for a place.
+func (f *Fleet) Rooms(waits map[string]time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, wait := range waits {
+		if s, ok := f.runners[id]; ok {
+			s.room = wait
+		}
+	}
+}
+
+// Tight reports whether copies wait for a place at a runner.
+func (f *Fleet) Tight(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.runners[id]
+	return ok && s.room > 0
+}
+
 // Line takes in how long it takes until the load of a further adapter begins in
 // a failure domain.
 func (f *Fleet) Line(domain string, d time.Duration) {
--- a/internal/upstream/tracker/fleet_test.go
+++ b/internal/upstream/tracker/fleet_test.go
@@ -130,3 +130,28 @@
 		}
 	})
 }
+
+// An adapter is nowhere. One runner has places in use and others in line, the
+// other has a place idle: the wait for a place counts, or requests stand in line at
+// the first while the second has nothing to do.
+func TestWaitForAPlaceCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		adapter := placer.Copy{Model: "m", Adapter: "a1", Version: 1}
+		f := &tracker.Fleet{Domain: "a"}
+		f.Set(tracker.Runner{ID: "i-1", Service: "llm", Domain: "a", Revision: 1})
+		f.Set(tracker.Runner{ID: "i-2", Service: "llm", Domain: "a", Revision: 1})
+		f.Rooms(map[string]time.Duration{"i-1": time.Second})
+		f.HeldOne("i-1", adapter, time.Time{}, false) // it gave it up: it would come back fast
+		got := make(map[string]time.Duration)
+		for _, c := range f.Candidates(tracker.Demand{Service: "llm", Copy: adapter, Load: 250 * time.Millisecond, Return: 25 * time.Millisecond}, time.Now()) {
+			got[c.Runner] = c.Ready
+		}
+		want := map[string]time.Duration{"i-1": time.Second + 25*time.Millisecond, "i-2": 250 * time.Millisecond}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+		if !f.Tight("i-1") || f.Tight("i-2") {
+			t.Error("the wrong runner is tight")
+		}
+	})
+}
