--- a/internal/adapter/placer/outcome.go
+++ b/internal/adapter/placer/outcome.go
@@ -15,11 +15,11 @@
 	case Accepted, Holds:
 		p.accepted(o, outcome, now)
 	case Lost:
+		// No report is needed: the next order names the number of orders that were
+		// accepted, so it is refused if this one was carried out after all.
 		if s, ok := p.copies[o.Copy]; ok {
 			s.doubt = true
 		}
-		p.known = false
-		p.retry = now.Add(pause)
 	case Mismatch, Refused:
 		p.void(o)
 		p.known = false
--- a/internal/adapter/placer/placer_test.go
+++ b/internal/adapter/placer/placer_test.go
@@ -366,3 +366,24 @@
 		})
 	}
 }
+
+// Half of the orders to a runner get no answer. Each of them must not stop the
+// loads of the runner until a report has come: callers would wait for adapters
+// beside idle places and an idle weight store. The order after it names the same
+// number of orders, so that one of the two is void.
+func TestOrdersGoOnAfterOneWithoutAnAnswer(t *testing.T) {
+	p := newPlacer(2)
+	p.Want(adapter("a1"), 0, start)
+	p.Next(start, placer.RoomForAny)
+	p.Finish(placer.Lost, start)
+	now := start.Add(time.Millisecond)
+	p.Want(adapter("a2"), 0, now)
+	order, ok := p.Next(now, placer.RoomForAny)
+	if !ok || order.Unload || order.Expected != 0 {
+		t.Fatalf("ordered %+v, %v", order, ok)
+	}
+	p.Finish(placer.Accepted, now)
+	if order, ok = p.Next(now, placer.RoomForAny); !ok || order.Unload || order.Expected != 1 {
+		t.Errorf("ordered %+v, %v after that", order, ok)
+	}
+}
