The log tells how the places of a domain are used

Cause: whether places or the weight store bind could not be read from a log. Change: the line on loads tells places, loading, running and vacant.

--- a/internal/instance/gatekeeper/loads.go
+++ b/internal/instance/gatekeeper/loads.go
@@ -12,9 +12,10 @@
 // loads is how the loads of a failure domain stand.
 type loads struct {
 	engines  int
-	room     int // adapters that may be on their way from the weight store at once
-	fetching int // that are
-	waiting  int // that requests wait for and that are not on their way
+	room     int          // adapters that may be on their way from the weight store at once
+	fetching int          // that are
+	waiting  int          // that requests wait for and that are not on their way
+	use      placer.Usage // of the places
 }
 
 // loads sums up how the runners' loads stand.
@@ -25,6 +26,7 @@
 			l.engines++
 			l.fetching += c.placer.Fetching(now)
 			l.waiting += c.placer.Waiting()
+			l.use.Add(c.placer.Usage(now))
 		}
 	}
 	l.room = d.window.Room(l.engines)
@@ -91,5 +93,6 @@
 	}
 	l := d.loads(now)
 	d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "loads", "domain", d.domain, "engines", l.engines, "room", l.room,
-		"fetching", l.fetching, "waiting", l.waiting)
+		"fetching", l.fetching, "waiting", l.waiting,
+		"places", l.use.Places, "loading", l.use.Loading, "running", l.use.Running, "vacant", l.use.Vacant)
 }
