How much runners may read is learned from the pauses that callers saw

Cause: prompts were held back by 0.1 to 0.2 s for a bound of half of the time, on runners whose longest pause was 187 ms of 300 ms. Change: instances tell how many answers had only short pauses and how many a long one; the share grows with the former and shrinks by a hundred steps and more with each of the latter.

--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -32,6 +32,7 @@
 	uses    map[needKey]int // of all members
 	news    journal
 	window  placer.Window
+	share   admitter.Share
 }
 
 // A runnerState is one runner as the holder of the tenure sees it.
--- a/internal/instance/gatekeeper/demand.go
+++ b/internal/instance/gatekeeper/demand.go
@@ -26,6 +26,7 @@
 	m.heard = now
 	m.loads = demand.Loads
 	d.setUses(m, demand.Uses)
+	d.share.Learn(demand.Short, demand.Long)
 	for _, n := range demand.There {
 		d.with(n.Runner, func(p *placer.Placer) { d.learn(p.There(n.Copy, n.Requests, now.Add(-n.Ago))) })
 	}
--- a/internal/instance/gatekeeper/needs.go
+++ b/internal/instance/gatekeeper/needs.go
@@ -8,6 +8,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/request/admitter"
 	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
 )
 
@@ -15,6 +16,8 @@
 // are told whole, so that an end that is lost on the way is told with the next
 // word; the rest is what was seen since the last one.
 type needs struct {
+	short   int // answers with only short pauses
+	long    int // and with a long one
 	missing map[needKey]bool
 	spare   map[needKey]bool
 	there   map[needKey]found
@@ -72,7 +75,7 @@
 func (l *link) demand() relayer.Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := relayer.Demand{Domain: l.domain, Loads: l.gatekeeper.Fleet.LoadsIn(l.domain)}
+	d := relayer.Demand{Domain: l.domain, Loads: l.gatekeeper.Fleet.LoadsIn(l.domain), Short: l.needs.short, Long: l.needs.long}
 	for k := range l.needs.missing {
 		d.Missing = append(d.Missing, relayer.Need{Runner: k.runner, Copy: k.copy})
 	}
@@ -94,6 +97,7 @@
 		}
 	}
 	l.needs.missing, l.needs.spare, l.needs.there = nil, nil, nil
+	l.needs.short, l.needs.long = 0, 0
 	for k, at := range l.asked {
 		if now.Sub(at) > hurryAgain {
 			delete(l.asked, k)
@@ -177,6 +181,22 @@
 	}
 }
 
+// Paused implements forwarder.Placement.
+func (g *Gatekeeper) Paused(runner string, longest, most time.Duration) {
+	l, ok := g.linkOf(runner)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case admitter.Short(longest, most):
+		l.needs.short++
+	case admitter.Long(longest, most):
+		l.needs.long++
+	}
+}
+
 // Spare implements forwarder.Placement.
 func (g *Gatekeeper) Spare(runner string, c placer.Copy) {
 	if l, ok := g.linkOf(runner); ok {
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -81,6 +81,8 @@
 	Demand struct {
 		Domain  string                  `cbor:"5,keyasint"`
 		Loads   map[string]tracker.Load `cbor:"1,keyasint,omitempty"` // the sender's work on each runner, all that have some
+		Short   int                     `cbor:"8,keyasint,omitempty"` // answers that had only short pauses
+		Long    int                     `cbor:"9,keyasint,omitempty"` // that had a long one
 		Missing []Need                  `cbor:"2,keyasint,omitempty"` // refused for want of the copy
 		There   []Need                  `cbor:"6,keyasint,omitempty"` // used, and known to be there
 		Spare   []Need                  `cbor:"7,keyasint,omitempty"` // of use to those that come later; nobody waits
--- /dev/null
+++ b/internal/request/admitter/share_test.go
@@ -0,0 +1,58 @@
+package admitter_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/admitter"
+)
+
+// Two engines bear different amounts of reading between events. On one that reads
+// a bounded piece between two tokens, pauses never grow long and no prompt is to
+// be held back; on one that reads all there is, callers see long pauses as soon as
+// it reads more than half of the time, and few of them may.
+func TestShareFollowsWhatRunsBear(t *testing.T) {
+	const most = 300 * time.Millisecond
+	for _, tc := range []struct {
+		name        string
+		pause       func(rng *rand.Rand, share float64) time.Duration
+		least, most float64
+		long        float64 // part of the answers that may have one
+	}{
+		{"a bounded piece", func(rng *rand.Rand, _ float64) time.Duration {
+			return time.Duration(rng.Float64() * 0.6 * float64(most))
+		}, 2, 2, 0},
+		{"all there is", func(rng *rand.Rand, share float64) time.Duration {
+			return time.Duration(rng.Float64() * share * 1.5 * float64(most))
+		}, 0.5, 0.8, 0.02},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 1))
+			var s admitter.Share
+			sum, late := 0.0, 0
+			const answers = 2000
+			for n := range 2 * answers {
+				pause := tc.pause(rng, s.Value())
+				switch {
+				case admitter.Short(pause, most):
+					s.Learn(1, 0)
+				case admitter.Long(pause, most):
+					s.Learn(0, 1)
+				}
+				if n >= answers {
+					sum += s.Value()
+					if pause > most {
+						late++
+					}
+				}
+			}
+			if mean := sum / answers; mean < tc.least || mean > tc.most {
+				t.Errorf("share %.2f, want %.2f to %.2f", mean, tc.least, tc.most)
+			}
+			if part := float64(late) / answers; part > tc.long {
+				t.Errorf("%.3f of the answers had a pause beyond what callers bear", part)
+			}
+		})
+	}
+}
--- a/internal/request/admitter/timeline.go
+++ b/internal/request/admitter/timeline.go
@@ -21,25 +21,23 @@
 	Pause  time.Duration // that its runs bear between events; 0 for no bound
 	Queue  time.Duration // until a place in the batch is free
 	Read   time.Duration // that its prompt takes
+	Share  float64       // of the time that the runner may read; 0 for the least
 	Within time.Duration // in which the reading has to be done
 }
 
-const (
-	// share is the part of the time that a runner may read in the long run, and
-	// burst the part of a pause that it may read beyond. Within one pause it then
-	// reads for at most share + burst of it; what is left is for the tokens of
-	// an event.
-	share = 0.5
-	burst = 0.3
-)
+// burst is the part of a pause that a runner may read beyond its share, for each
+// unit of the share. With the least share it then reads for at most 0.8 of a
+// pause within one; what is left is for the tokens of an event.
+const burst = 0.6
 
 // Reserve returns how long the request is held back. If it would be too late,
 // ok is false, nothing is reserved, and wait is the time by which it is.
 func (t *Timeline) Reserve(p Prompt, now time.Time) (wait time.Duration, ok bool) {
+	share := max(leastShare, p.Share)
 	wait = p.Queue
 	if p.Pause > 0 {
 		ahead := max(0, t.paced.Sub(now)) // bounded first: the first time of all is long ago
-		wait = max(wait, ahead-time.Duration(burst*float64(p.Pause)))
+		wait = max(wait, ahead-time.Duration(burst*share*float64(p.Pause)))
 	}
 	before := max(wait, t.until.Sub(now))
 	if late := before + p.Read - p.Within; late > 0 {
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -48,6 +48,9 @@
 	var err *judge.Error
 	if p.request.Route.Kind == matcher.Streaming && reply.Status < 300 {
 		err = p.stream(ctx, runner, reply, watch)
+		if gap := p.request.Route.Gap; err == nil && p.runs == 1 && p.pause > 0 && gap > 0 {
+			p.Placement.Paused(runner.ID, p.pause, gap)
+		}
 	} else {
 		watch.stop()
 		err = p.whole(ctx, runner, reply)
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -49,9 +49,10 @@
 		p.want(runner)
 	}
 }
-func (placement) Use(string, placer.Copy) func()       { return func() {} }
-func (placement) There(string, placer.Copy, time.Time) {}
-func (placement) Missing(string, placer.Copy)          {}
+func (placement) Use(string, placer.Copy) func()              { return func() {} }
+func (placement) There(string, placer.Copy, time.Time)        {}
+func (placement) Paused(string, time.Duration, time.Duration) {}
+func (placement) Missing(string, placer.Copy)                 {}
 func (p placement) Reserve(_ context.Context, a forwarder.Ask) (forwarder.Room, *judge.Error, bool) {
 	if p.reserve == nil {
 		return forwarder.Room{}, nil, false
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -92,6 +92,9 @@
 	There(runner string, c placer.Copy, sent time.Time)
 	// Use tells that a request needs a copy to stay at a runner until done.
 	Use(runner string, c placer.Copy) (done func())
+	// Paused tells of the longest pause between the events of an answer, beside
+	// the most that its caller bears.
+	Paused(runner string, longest, most time.Duration)
 	// Missing tells that a runner refused a request for want of a copy.
 	Missing(runner string, c placer.Copy)
 }
