Runners that do not answer orders are passed over

Cause: the row of a crashed runner stays for seconds; with all places vacant it drew every request whose adapter was nowhere. Change: the holder counts connections that fail and orders without an answer, and tells a long wait for places there until the next answer.

--- a/internal/adapter/placer/order.go
+++ b/internal/adapter/placer/order.go
@@ -14,16 +14,17 @@
 
 // The outcomes.
 const (
-	Accepted Outcome = iota // is being carried out
-	Holds                   // was carried out at once, or held already
-	Lost                    // no answer: it may be carried out at any later time
-	Mismatch                // refused: another order was accepted meanwhile, or one is under way
-	Refused                 // refused for another reason
+	Accepted  Outcome = iota // is being carried out
+	Holds                    // was carried out at once, or held already
+	Lost                     // no answer: it may be carried out at any later time
+	Mismatch                 // refused: another order was accepted meanwhile, or one is under way
+	Refused                  // refused for another reason
+	Unreached                // not sent: the runner took no connection
 )
 
 // String returns the outcome as logs and counters name it.
 func (o Outcome) String() string {
-	return [...]string{"accepted", "holds", "lost", "mismatch", "refused"}[o]
+	return [...]string{"accepted", "holds", "lost", "mismatch", "refused", "unreached"}[o]
 }
 
 // A Report is what a runner says that it holds. It may be some hundred
--- a/internal/adapter/placer/outcome.go
+++ b/internal/adapter/placer/outcome.go
@@ -20,7 +20,7 @@
 		if s, ok := p.copies[o.Copy]; ok {
 			s.doubt = true
 		}
-	case Mismatch, Refused:
+	case Mismatch, Refused, Unreached:
 		p.void(o)
 		p.known = false
 		p.retry = now.Add(pause)
--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -44,6 +44,7 @@
 	line   admitter.Timeline
 	told   map[placer.Copy]time.Time
 	wait   time.Duration // for a place, as last told
+	dark   darkness
 }
 
 // reportEvery bounds how often a runner is asked what it holds. A report is as
@@ -186,6 +187,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		c.busy = false
+		c.dark.report(err)
 		if err != nil {
 			d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "no report", "runner", runner.ID, "err", err)
 			return
@@ -208,6 +210,7 @@
 		}
 		d.mu.Lock()
 		p.Finish(outcome, time.Now())
+		c.dark.order(outcome)
 		c.busy = false
 		d.mu.Unlock()
 		d.gatekeeper.ordered(runner, o, outcome, fence, time.Since(began), err)
--- a/internal/instance/gatekeeper/loads.go
+++ b/internal/instance/gatekeeper/loads.go
@@ -25,7 +25,9 @@
 		if c.placer != nil {
 			l.engines++
 			l.fetching += c.placer.Fetching(now)
-			l.waiting += c.placer.Waiting()
+			if c.dark < dark {
+				l.waiting += c.placer.Waiting()
+			}
 			l.use.Add(c.placer.Usage(now))
 		}
 	}
--- a/internal/instance/gatekeeper/room.go
+++ b/internal/instance/gatekeeper/room.go
@@ -7,6 +7,9 @@
 // copies stand in line. Beyond, each place comes free after a load and a run, and
 // all of them together so many times as often.
 func (d *controller) place(c *runnerState, now time.Time) time.Duration {
+	if c.dark >= dark {
+		return darkWait
+	}
 	p := c.placer
 	ahead := p.Waiting() - p.Vacant(now) + 1
 	if ahead <= 0 || p.Places == 0 {
