--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -58,7 +58,7 @@
 	}
 	stall := time.Duration(best.Stall * float64(time.Second))
 	waited := now.Sub(p.request.Arrived)
-	if waited > p.patience() || waited+stall > hopeless*p.patience() {
+	if waited+stall > p.patience() {
 		return judge.Refuse(judge.ReasonLoad, "the adapter comes in %s", stall.Round(time.Millisecond)).After(comeBack(stall))
 	}
 	p.asked = best.Runner
--- a/internal/request/forwarder/patience.go
+++ b/internal/request/forwarder/patience.go
@@ -16,14 +16,14 @@
 	// is there: small beside the time of a load.
 	look = 10 * time.Millisecond
 	// patiencePart is the part of the time that a caller has that its request
-	// may wait for an adapter. What is left is enough to come back once.
+	// may wait for an adapter. What is left is enough to come back once. A request
+	// whose adapter is expected later is refused at once: waiting in the hope that
+	// others leave the line kept places busy for answers that came late, and cost
+	// two answers in time of 100 on runners with five places.
 	patiencePart = 3
 	// otherRunners is how many more runners are asked for room after one has
 	// none: a much wanted adapter has several copies, and may get one more.
 	otherRunners = 2
-	// hopeless is by how much an adapter may be expected too late before its
-	// request is refused at once: others ahead in the line may leave it.
-	hopeless = 2
 	// giveUpLeast, giveUpGoals and giveUpGaps say when callers of streams give
 	// up that have seen nothing: after the longest of that time, so many goals,
 	// and so many of the pauses that are allowed. stayPart is the part of it
