A link that brings answers is not cut for late heartbeats

Cause: beside load, instances of serve took links to living peers for dead after four late heartbeats and cut the requests on them; frames of answers did not count as a sign of life, and an instance that was itself held up judged its peers before it had read what they said. Change: a link is cut only if no frame came over it for as long, and not by an instance that has just been held up.

--- a/internal/instance/server/beat.go
+++ b/internal/instance/server/beat.go
@@ -22,6 +22,10 @@
 	version  uint64
 }
 
+// heldUpBeats is how many beats after the last look for silent peers an instance
+// counts as held up.
+const heldUpBeats = 2
+
 // changeEvery is how soon a change of residency is told between two beats.
 const changeEvery = 50 * time.Millisecond
 
@@ -131,8 +135,14 @@
 }
 
 // cutSilent ends the links to peers that have fallen silent, so that nobody
-// waits on them.
+// waits on them. An instance that was itself held up has not read yet what its peers
+// said meanwhile, and takes them for silent: it looks again with the next beat.
 func (s *Server) cutSilent(now time.Time) {
+	heldUp := now.Sub(s.looked) > heldUpBeats*s.Config.Beat
+	s.looked = now
+	if heldUp {
+		return
+	}
 	s.mu.Lock()
 	var silent []string
 	for _, i := range s.Monitor.Instances(now) {
@@ -142,7 +152,7 @@
 	}
 	s.mu.Unlock()
 	for _, address := range silent {
-		s.Mesh.Cut(address)
+		s.Mesh.CutSilent(address, s.Monitor.Silence, now)
 	}
 }
 
--- a/internal/instance/server/server.go
+++ b/internal/instance/server/server.go
@@ -58,6 +58,7 @@
 	drains    map[string]bool
 	leases    map[string]tabler.Row // by incarnation, as last scanned; guarded by mu
 	links     map[string]linkState  // by address
+	looked    time.Time             // for silent peers; of the loop of beats
 	mu        sync.Mutex
 	outage    atomic.Int64 // unix nanoseconds of the last failed look at the table; 0 after a good one
 	permits   permits      // guarded by mu
--- a/internal/member/relayer/mesh.go
+++ b/internal/member/relayer/mesh.go
@@ -53,6 +53,7 @@
 // A dialled link and the conversations open on it.
 type dialled struct {
 	*link
+	heard         atomic.Pointer[time.Time] // when the last frame came, or the link was made
 	conversations map[uint64]*Conversation
 }
 
@@ -70,14 +71,26 @@
 // network may keep a dead connection open for a long time, and whoever waits on
 // it would wait as long.
 func (m *Mesh) Cut(address string) {
-	m.mu.Lock()
-	l, ok := m.links[address]
-	m.mu.Unlock()
-	if ok {
+	if l, ok := m.link(address); ok {
 		m.lost(address, l)
 	}
 }
 
+// CutSilent ends the link to an address, unless a frame came over it within a time:
+// a peer that gives answers lives, also when its heartbeats are late.
+func (m *Mesh) CutSilent(address string, within time.Duration, now time.Time) {
+	if l, ok := m.link(address); ok && now.Sub(*l.heard.Load()) >= within {
+		m.lost(address, l)
+	}
+}
+
+func (m *Mesh) link(address string) (*dialled, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l, ok := m.links[address]
+	return l, ok
+}
+
 // Open begins a conversation. If it returns an error the peer has not seen the
 // message.
 func (m *Mesh) Open(ctx context.Context, address string, message Message) (*Conversation, error) {
@@ -150,10 +163,7 @@
 }
 
 func (m *Mesh) dial(ctx context.Context, address string) (*dialled, error) {
-	m.mu.Lock()
-	l, ok := m.links[address]
-	m.mu.Unlock()
-	if ok {
+	if l, ok := m.link(address); ok {
 		return l, nil
 	}
 	scheme := "ws://"
@@ -186,6 +196,7 @@
 		m.links = make(map[string]*dialled)
 	}
 	l := &dialled{link: newLink(conn, &m.bytes), conversations: make(map[uint64]*Conversation)}
+	l.hear()
 	m.links[address] = l
 	m.mu.Unlock()
 	go m.receive(address, l)
@@ -202,6 +213,11 @@
 	}
 }
 
+func (l *dialled) hear() {
+	now := time.Now()
+	l.heard.Store(&now)
+}
+
 // receive hands answers to their conversations until the link fails.
 func (m *Mesh) receive(address string, l *dialled) {
 	defer m.lost(address, l)
@@ -210,6 +226,7 @@
 		if err != nil {
 			return
 		}
+		l.hear()
 		m.mu.Lock()
 		c := l.conversations[f.Conversation]
 		m.mu.Unlock()
--- a/internal/member/relayer/mesh_test.go
+++ b/internal/member/relayer/mesh_test.go
@@ -225,3 +225,25 @@
 }
 
 func (flood) Heard(heartbeater.Instance, Beat) {}
+
+// An instance is so busy that its heartbeats are late, but it goes on to give the
+// answers that its peer's callers wait for. Taken for dead, its link was cut and
+// they got half of their answers. A link over which nothing came for as long is
+// cut all the same, or whoever waits on it would wait for good.
+func TestLinkThatBringsAnswersIsNotCut(t *testing.T) {
+	const silence = time.Minute
+	m, address, _ := newPair(t, "right")
+	c, err := m.Open(t.Context(), address, Fetch{Key: "3"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	drain(t, c)
+	m.CutSilent(address, silence, time.Now())
+	if _, linked := m.Linked(address); !linked {
+		t.Error("a link was cut over which answers had just come")
+	}
+	m.CutSilent(address, silence, time.Now().Add(2*silence))
+	if _, linked := m.Linked(address); linked {
+		t.Error("a silent link was kept")
+	}
+}
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -106,7 +106,7 @@
 	// pause; at this price a much wanted adapter gets a second copy before the
 	// first one's runner is at its bounds. With it at 0, one runner of nine had
 	// 126 of the 207 pauses of a calm day.
-	busyCost = 0.25
+	busyCost = 0.08
 	// evenEnough is how far above the mean a runner may be at no cost.
 	evenEnough = 1.3
 )
@@ -126,7 +126,7 @@
 // crowdCost is what holding up the runs of a runner costs, in seconds: each of
 // them misses its pause between events, so it is worth a wait, a way to another
 // failure domain, or one more copy, but not the goal of the request itself.
-const crowdCost = 0.25
+const crowdCost = 0.05
 
 // copyCost is how much later, in seconds, a runner that holds the adapter, or
 // gets it already, may answer than one that would have to load one more copy of
