--- a/internal/adapter/placer/placer.go
+++ b/internal/adapter/placer/placer.go
@@ -247,47 +247,6 @@
 	return n
 }
 
-// A Usage is how the places of a runner are used.
-type Usage struct {
-	Loading int // the copy is on its way
-	Running int // requests use the copy
-	Vacant  int // free, or with a copy that can make way now
-	Places  int
-}
-
-// Add adds the places of another runner.
-func (u *Usage) Add(other Usage) {
-	u.Loading += other.Loading
-	u.Running += other.Running
-	u.Vacant += other.Vacant
-	u.Places += other.Places
-}
-
-// Usage returns how the runner's places are used.
-func (p *Placer) Usage(now time.Time) Usage {
-	u := Usage{Places: p.Places, Vacant: p.Vacant(now)}
-	for c, s := range p.copies {
-		switch {
-		case s.state == loading && now.Before(s.ready):
-			u.Loading++
-		case p.InUse != nil && p.InUse(c):
-			u.Running++
-		}
-	}
-	return u
-}
-
-// Vacant returns how many places are free or hold a copy that can make way now.
-func (p *Placer) Vacant(now time.Time) int {
-	n := max(0, p.Places-len(p.copies))
-	for c, s := range p.copies {
-		if !s.doubt && p.idle(c, s, now) {
-			n++
-		}
-	}
-	return n
-}
-
 // first returns the wanted copy that is to be loaded next.
 func (p *Placer) first(now time.Time, room Room) (Copy, bool) {
 	var best Copy
--- a/internal/instance/gatekeeper/demand_test.go
+++ b/internal/instance/gatekeeper/demand_test.go
@@ -85,7 +85,7 @@
 		p.Take(placer.Report{Models: []string{"m"}, Resident: copies[:2]}, time.Now())
 		d.runners["i-1"] = &runnerState{runner: r, placer: p}
 		time.Sleep(time.Second)
-		if wait := d.place(d.runners["i-1"], time.Now()); wait != 0 {
+		if wait := d.placeWait(d.runners["i-1"], time.Now()); wait != 0 {
 			t.Errorf("a wait of %s for places that nobody needs", wait)
 		}
 		demand := relayer.Demand{Uses: []relayer.Need{{Runner: "i-1", Copy: copies[0], Requests: 1}, {Runner: "i-1", Copy: copies[1], Requests: 1}}}
@@ -94,11 +94,11 @@
 		}
 		d.demanded("front-1", demand)
 		hold := g.LoadTime() + g.Fleet.Run("llm")
-		if wait := d.place(d.runners["i-1"], time.Now()); wait != 4*hold/2 {
+		if wait := d.placeWait(d.runners["i-1"], time.Now()); wait != 4*hold/2 {
 			t.Errorf("told to wait %s behind three others for two places held %s each", wait, hold)
 		}
 		d.demanded("front-1", relayer.Demand{})
-		if wait := d.place(d.runners["i-1"], time.Now()); wait != 0 {
+		if wait := d.placeWait(d.runners["i-1"], time.Now()); wait != 0 {
 			t.Errorf("a wait of %s after all have gone", wait)
 		}
 	})
--- a/internal/instance/gatekeeper/needs.go
+++ b/internal/instance/gatekeeper/needs.go
@@ -174,7 +174,7 @@
 		l.needs.waits[k] = make(map[string]waiter)
 	}
 	l.needs.waits[k][w.Request] = waiter{inTime: w.InTime, last: now, priority: w.Priority}
-	fresh := l.sooner(k, now)
+	fresh := l.newlyAsked(k, now)
 	l.mu.Unlock()
 	if fresh {
 		l.hurry()
@@ -204,8 +204,9 @@
 	}
 }
 
-// sooner reports whether the holder is to be told of a want at once.
-func (l *link) sooner(k needKey, now time.Time) bool {
+// newlyAsked reports whether a copy was not asked for a moment ago, so that the
+// holder is to be told at once.
+func (l *link) newlyAsked(k needKey, now time.Time) bool {
 	if now.Sub(l.asked[k]) <= hurryAgain {
 		return false
 	}
--- a/internal/instance/gatekeeper/room.go
+++ b/internal/instance/gatekeeper/room.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// place returns how long a copy that a runner does not hold waits there for a
+// placeWait returns how long a copy that a runner does not hold waits there for a
 // place. None is to be waited for as long as more of them can be had at once than
 // copies stand in line. Beyond, each place comes free after a load and a run, and
 // all of them together so many times as often.
-func (d *controller) place(c *runnerState, now time.Time) time.Duration {
+func (d *controller) placeWait(c *runnerState, now time.Time) time.Duration {
 	if c.dark >= dark {
 		return darkWait
 	}
@@ -22,7 +22,7 @@
 // tellRoom notes for the members how long a copy waits for a place at a runner, if
 // that is another time than they were told.
 func (d *controller) tellRoom(c *runnerState, now time.Time) {
-	wait := d.place(c, now).Round(roomStep)
+	wait := d.placeWait(c, now).Round(roomStep)
 	if wait == c.wait {
 		return
 	}
@@ -39,7 +39,7 @@
 	rooms := make(map[string]time.Duration, len(d.runners))
 	for id, c := range d.runners {
 		if c.placer != nil {
-			rooms[id] = d.place(c, now)
+			rooms[id] = d.placeWait(c, now)
 		}
 	}
 	return rooms
--- /dev/null
+++ b/internal/member/relayer/gateway.go
@@ -0,0 +1,119 @@
+package relayer
+
+import (
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/member/elector"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+)
+
+// The messages between the members of a failure domain and the instance that gives
+// orders to its runners.
+
+// A Demand tells the instance that orders for a failure domain what the
+// sender's requests need and use there. It stands alone.
+type Demand struct {
+	Domain  string                  `cbor:"5,keyasint"`
+	Loads   map[string]tracker.Load `cbor:"1,keyasint,omitempty"` // the sender's work on each runner, all that have some
+	Short   int                     `cbor:"8,keyasint,omitempty"` // answers that had only short pauses
+	Long    int                     `cbor:"9,keyasint,omitempty"` // that had a long one
+	Missing []Need                  `cbor:"2,keyasint,omitempty"` // refused for want of the copy
+	There   []Need                  `cbor:"6,keyasint,omitempty"` // used, and known to be there
+	Spare   []Need                  `cbor:"7,keyasint,omitempty"` // of use to those that come later; nobody waits
+	Uses    []Need                  `cbor:"3,keyasint,omitempty"` // all copies that requests use now
+	Waits   []Wait                  `cbor:"4,keyasint,omitempty"` // all copies that requests wait for now
+}
+
+// A Reserve asks the instance that orders for a failure domain for room at
+// one of its runners.
+type Reserve struct {
+	_      struct{} `cbor:",toarray"`
+	Domain string
+	Runner string
+	Copy   placer.Copy   // that the request uses
+	Tokens int           // of the prompt
+	Pause  time.Duration // between events that its runs bear
+	Within time.Duration // in which the prompt has to be read
+}
+
+// A Reserved answers a Reserve and ends the answer.
+type Reserved struct {
+	_       struct{}      `cbor:",toarray"`
+	Absent  bool          // the runner does not hold the copy any more; the rest says nothing
+	Wait    time.Duration // before the request is sent
+	Reading time.Duration // that the runner still reads, this prompt included
+}
+
+// A Subscribe asks for the News of the failure domain that the receiver
+// orders for.
+type Subscribe struct {
+	Domain string `cbor:"1,keyasint"`
+}
+
+// News answers a Subscribe, again and again: what has changed since the
+// last one. Without a change it is a heartbeat.
+type News struct {
+	Acting  bool                    `cbor:"7,keyasint,omitempty"` // orders are given now
+	Age     time.Duration           `cbor:"8,keyasint,omitempty"` // since the renewal in force was sent
+	Renewal uint64                  `cbor:"9,keyasint,omitempty"` // version that it gave the row of the tenure
+	Tenure  elector.Tenure          `cbor:"10,keyasint"`
+	Fresh   bool                    `cbor:"11,keyasint,omitempty"` // the runners are as in the store a moment ago
+	Gone    []Gone                  `cbor:"1,keyasint,omitempty"`
+	Held    []Held                  `cbor:"2,keyasint,omitempty"`
+	Loaded  bool                    `cbor:"13,keyasint,omitempty"` // Loads are told; else they are as before
+	Loads   map[string]tracker.Load `cbor:"3,keyasint,omitempty"`  // other instances' work on the domain's runners
+	Rooms   []Room                  `cbor:"14,keyasint,omitempty"` // that changed
+	Line    time.Duration           `cbor:"12,keyasint,omitempty"` // until an adapter that is asked for now begins to load
+	Members int                     `cbor:"4,keyasint"`            // instances that subscribe, the sender included
+	Runners []tracker.Runner        `cbor:"5,keyasint,omitempty"`  // described anew
+	Whole   bool                    `cbor:"6,keyasint,omitempty"`  // Runners and Held are all there are
+}
+
+// Urgent reports whether the receiver is to look at once whether orders are due.
+func (d Demand) Urgent() bool { return len(d.Waits) > 0 || len(d.Missing) > 0 || len(d.Spare) > 0 }
+
+// A Wait is the requests that wait for a copy at a runner.
+type Wait struct {
+	_       struct{} `cbor:",toarray"`
+	Runner  string
+	Copy    placer.Copy
+	Waiting placer.Waiting
+}
+
+// A Room says how long a copy that a runner does not hold waits there for a place.
+type Room struct {
+	_      struct{} `cbor:",toarray"`
+	Runner string
+	Wait   time.Duration
+}
+
+// A Need is a copy at a runner.
+type Need struct {
+	_        struct{} `cbor:",toarray"`
+	Runner   string
+	Copy     placer.Copy
+	Requests int           // that found it there
+	Ago      time.Duration // since the first of them was sent
+}
+
+// A Held says how a copy stands at a runner.
+type Held struct {
+	_      struct{} `cbor:",toarray"`
+	Runner string
+	Copy   placer.Copy
+	In     time.Duration // until it can be used; negative: it is not there
+}
+
+// A Gone is a runner that is no more, with the last revision of its description.
+type Gone struct {
+	_        struct{} `cbor:",toarray"`
+	Runner   string
+	Revision uint64
+}
+
+func (Demand) message()    {}
+func (News) message()      {}
+func (Reserve) message()   {}
+func (Reserved) message()  {}
+func (Subscribe) message() {}
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -9,14 +9,11 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
-	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
-	"github.com/sardinetiller/sardinetiller/internal/member/elector"
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
 	"github.com/sardinetiller/sardinetiller/internal/setting/publisher"
-	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
 )
 
@@ -76,38 +73,6 @@
 		Time     time.Duration `cbor:"3,keyasint"` // after which the permit runs out
 	}
 
-	// A Demand tells the instance that orders for a failure domain what the
-	// sender's requests need and use there. It stands alone.
-	Demand struct {
-		Domain  string                  `cbor:"5,keyasint"`
-		Loads   map[string]tracker.Load `cbor:"1,keyasint,omitempty"` // the sender's work on each runner, all that have some
-		Short   int                     `cbor:"8,keyasint,omitempty"` // answers that had only short pauses
-		Long    int                     `cbor:"9,keyasint,omitempty"` // that had a long one
-		Missing []Need                  `cbor:"2,keyasint,omitempty"` // refused for want of the copy
-		There   []Need                  `cbor:"6,keyasint,omitempty"` // used, and known to be there
-		Spare   []Need                  `cbor:"7,keyasint,omitempty"` // of use to those that come later; nobody waits
-		Uses    []Need                  `cbor:"3,keyasint,omitempty"` // all copies that requests use now
-		Waits   []Wait                  `cbor:"4,keyasint,omitempty"` // all copies that requests wait for now
-	}
-
-	// A Reserve asks the instance that orders for a failure domain for room at
-	// one of its runners.
-	Reserve struct {
-		_      struct{} `cbor:",toarray"`
-		Domain string
-		Runner string
-		Copy   placer.Copy   // that the request uses
-		Tokens int           // of the prompt
-		Pause  time.Duration // between events that its runs bear
-		Within time.Duration // in which the prompt has to be read
-	}
-
-	// A Subscribe asks for the News of the failure domain that the receiver
-	// orders for.
-	Subscribe struct {
-		Domain string `cbor:"1,keyasint"`
-	}
-
 	// A Yield asks whether the receiver has given a runner up under a roster
 	// epoch, and what its running requests still use.
 	Yield struct {
@@ -141,25 +106,6 @@
 		Retry   time.Duration `cbor:"4,keyasint"`
 	}
 
-	// News answers a Subscribe, again and again: what has changed since the
-	// last one. Without a change it is a heartbeat.
-	News struct {
-		Acting  bool                    `cbor:"7,keyasint,omitempty"` // orders are given now
-		Age     time.Duration           `cbor:"8,keyasint,omitempty"` // since the renewal in force was sent
-		Renewal uint64                  `cbor:"9,keyasint,omitempty"` // version that it gave the row of the tenure
-		Tenure  elector.Tenure          `cbor:"10,keyasint"`
-		Fresh   bool                    `cbor:"11,keyasint,omitempty"` // the runners are as in the store a moment ago
-		Gone    []Gone                  `cbor:"1,keyasint,omitempty"`
-		Held    []Held                  `cbor:"2,keyasint,omitempty"`
-		Loaded  bool                    `cbor:"13,keyasint,omitempty"` // Loads are told; else they are as before
-		Loads   map[string]tracker.Load `cbor:"3,keyasint,omitempty"`  // other instances' work on the domain's runners
-		Rooms   []Room                  `cbor:"14,keyasint,omitempty"` // that changed
-		Line    time.Duration           `cbor:"12,keyasint,omitempty"` // until an adapter that is asked for now begins to load
-		Members int                     `cbor:"4,keyasint"`            // instances that subscribe, the sender included
-		Runners []tracker.Runner        `cbor:"5,keyasint,omitempty"`  // described anew
-		Whole   bool                    `cbor:"6,keyasint,omitempty"`  // Runners and Held are all there are
-	}
-
 	// A Granted says that the load may begin.
 	Granted struct{}
 
@@ -168,14 +114,6 @@
 		Head streamer.Head `cbor:"1,keyasint"`
 	}
 
-	// A Reserved answers a Reserve and ends the answer.
-	Reserved struct {
-		_       struct{}      `cbor:",toarray"`
-		Absent  bool          // the runner does not hold the copy any more; the rest says nothing
-		Wait    time.Duration // before the request is sent
-		Reading time.Duration // that the runner still reads, this prompt included
-	}
-
 	// A Surrendered answers a Yield.
 	Surrendered struct {
 		Given bool           `cbor:"1,keyasint"` // false: not yet, ask again
@@ -210,48 +148,6 @@
 	Owned    bool     `cbor:"6,keyasint"` // false: the sender serves it no more
 }
 
-// Urgent reports whether the receiver is to look at once whether orders are due.
-func (d Demand) Urgent() bool { return len(d.Waits) > 0 || len(d.Missing) > 0 || len(d.Spare) > 0 }
-
-// A Wait is the requests that wait for a copy at a runner.
-type Wait struct {
-	_       struct{} `cbor:",toarray"`
-	Runner  string
-	Copy    placer.Copy
-	Waiting placer.Waiting
-}
-
-// A Room says how long a copy that a runner does not hold waits there for a place.
-type Room struct {
-	_      struct{} `cbor:",toarray"`
-	Runner string
-	Wait   time.Duration
-}
-
-// A Need is a copy at a runner.
-type Need struct {
-	_        struct{} `cbor:",toarray"`
-	Runner   string
-	Copy     placer.Copy
-	Requests int           // that found it there
-	Ago      time.Duration // since the first of them was sent
-}
-
-// A Held says how a copy stands at a runner.
-type Held struct {
-	_      struct{} `cbor:",toarray"`
-	Runner string
-	Copy   placer.Copy
-	In     time.Duration // until it can be used; negative: it is not there
-}
-
-// A Gone is a runner that is no more, with the last revision of its description.
-type Gone struct {
-	_        struct{} `cbor:",toarray"`
-	Runner   string
-	Revision uint64
-}
-
 // Hundredths scales what a Load tells in hundredths.
 const Hundredths = 100
 
@@ -272,7 +168,6 @@
 func (Commit) message()      {}
 func (Committed) message()   {}
 func (Data) message()        {}
-func (Demand) message()      {}
 func (End) message()         {}
 func (Fail) message()        {}
 func (Fetch) message()       {}
@@ -281,12 +176,8 @@
 func (Head) message()        {}
 func (Hello) message()       {}
 func (Inquire) message()     {}
-func (News) message()        {}
 func (Permit) message()      {}
 func (Preload) message()     {}
-func (Reserve) message()     {}
-func (Reserved) message()    {}
-func (Subscribe) message()   {}
 func (Surrendered) message() {}
 func (Told) message()        {}
 func (Yield) message()       {}
