Instances tell how old what they believe is, and why

Cause: the record of an incident could not tell a call that nobody answers from a change that was told and lost; the counters of calls to the store stood beyond the part of the page that is kept. No decision changed. Result: tests of the package and of platform/ pass; sight only.

--- /dev/null
+++ b/internal/instance/gatekeeper/age.go
@@ -0,0 +1,54 @@
+package gatekeeper
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
+	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
+)
+
+// views returns what this instance knows of the store's tables.
+func (g *Gatekeeper) views() []*view { return []*view{&g.operator, &g.holders, &g.runners} }
+
+// version returns that of the configuration in force, 0 if there is none.
+func (g *Gatekeeper) version() uint64 {
+	if c := g.Catalog(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// measureAges shows on the page of counters how old what the instance believes is
+// and why. The names sort to its beginning: a monitor may keep only the first few
+// kilobytes of a page.
+func (g *Gatekeeper) measureAges() {
+	if g.Metrics == nil {
+		return
+	}
+	g.Metrics.GetOrCreateGauge("sardinetiller_belief_config_version", func() float64 { return float64(g.version()) })
+	for _, v := range g.views() {
+		gauge := func(what string, value func(s viewState) float64) {
+			g.Metrics.GetOrCreateGauge(fmt.Sprintf("sardinetiller_belief_%s{table=%q}", what, v.name), func() float64 {
+				return value(v.state(time.Now()))
+			})
+		}
+		gauge("age_seconds", func(s viewState) float64 { return s.Age.Seconds() })
+		gauge("failed_calls", func(s viewState) float64 { return float64(s.Failed) })
+		gauge("waits_seconds", func(s viewState) float64 { return s.Waits.Seconds() })
+	}
+}
+
+// tellAges logs the same, for whoever asks later why an instance went by an older
+// configuration than another.
+func (g *Gatekeeper) tellAges(ctx context.Context) {
+	repeater.Every(ctx, paceEvery, nil, func() {
+		now := time.Now()
+		for _, v := range g.views() {
+			s := v.state(now)
+			g.Recorder.Log(recorder.Config, "msg", "age", "table", v.name, "version", g.version(), "after", s.After, "age", s.Age,
+				"waits", s.Waits, "failed", s.Failed, "err", s.Err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/instance/gatekeeper/age_test.go
@@ -0,0 +1,99 @@
+package gatekeeper
+
+import (
+	"bytes"
+	"context"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
+)
+
+// An instance goes by an older configuration than the others, as its call for
+// changes gets no answer. Nothing fails and nothing is refused, so without the age
+// of what it believes and the time for which it has waited nobody could tell that
+// from an instance that was told of the change and lost it.
+func TestAgeOfTheConfigurationAndItsCauseAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, store := newFedGatekeeper()
+		var log, page bytes.Buffer
+		g.Metrics = metrics.NewSet()
+		g.Recorder = &recorder.Recorder{Metrics: g.Metrics, Out: &log}
+		g.setViews()
+		g.measureAges()
+		ctx, cancel := context.WithCancel(t.Context())
+		stop := make(chan struct{})
+		go g.Recorder.Run(stop)
+		go g.watchOperator(ctx)
+		go g.tellAges(ctx)
+		time.Sleep(time.Second)
+		store.set(swallows)
+		store.configure(2) // the call that waits is answered; the next one is not
+		time.Sleep(4*time.Second + 10*time.Millisecond)
+		g.Metrics.WritePrometheus(&page)
+		cancel()
+		close(stop)
+		synctest.Wait()
+		first, _, _ := strings.Cut(page.String(), "sardinetiller_log")
+		counters := make(map[string]float64)
+		for l := range strings.Lines(first) {
+			name, value, _ := strings.Cut(strings.TrimSpace(l), " ")
+			counters[name], _ = strconv.ParseFloat(value, 64)
+		}
+		if counters["sardinetiller_belief_config_version"] != 2 {
+			t.Errorf("the page of counters lacks the version in force:\n%s", first)
+		}
+		if age := counters[`sardinetiller_belief_age_seconds{table="operator"}`]; age < 4 || age > 6 {
+			t.Errorf("age of the configuration %v s:\n%s", age, first)
+		}
+		if counters[`sardinetiller_belief_waits_seconds{table="operator"}`]+counters[`sardinetiller_belief_failed_calls{table="operator"}`] == 0 {
+			t.Errorf("no reason for the age:\n%s", first)
+		}
+		line := ""
+		for l := range strings.Lines(log.String()) {
+			if strings.Contains(l, "msg=age table=operator") {
+				line = l
+			}
+		}
+		if !regexp.MustCompile(`version=2 .*age=[45]\.\S+s waits=\S+ failed=\d+ err=`).MatchString(line) {
+			t.Errorf("the log does not tell age and reason: %q", line)
+		}
+	})
+}
+
+func TestStateOfAView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var v view
+		start := time.Now()
+		if diff := cmp.Diff(viewState{Age: never}, v.state(start)); diff != "" {
+			t.Error("before the first call:", diff)
+		}
+		v.began(start)
+		if diff := cmp.Diff(viewState{Age: never, Waits: time.Second}, v.state(start.Add(time.Second))); diff != "" {
+			t.Error("while a call is under way:", diff)
+		}
+		v.ended(nil)
+		v.reached(7, true)
+		v.at.set(start)
+		if diff := cmp.Diff(viewState{After: 7, Age: time.Minute}, v.state(start.Add(time.Minute))); diff != "" {
+			t.Error("after it:", diff)
+		}
+		v.ended(errNoAnswer)
+		v.ended(errNoAnswer)
+		got := v.state(start)
+		if got.Failed != 2 || got.Err == nil {
+			t.Errorf("after two that failed: %+v", got)
+		}
+		v.ended(nil)
+		if got := v.state(start); got.Failed != 0 || got.Err != nil {
+			t.Errorf("after one that succeeded: %+v", got)
+		}
+	})
+}
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -76,11 +76,15 @@
 	Store      tabler.Feed
 	Unreadable func(c *fasthttp.RequestCtx, err error)
 
-	catalog   atomic.Pointer[matcher.Catalog]
-	kicks     chan struct{}
-	runnersAt moment   // when the store was last asked for the runners with success
-	loads     estimate // of adapters from the weight store
-	returns   estimate // of adapters that the runner held before
+	catalog atomic.Pointer[matcher.Catalog]
+	kicks   chan struct{}
+	loads   estimate // of adapters from the weight store
+	returns estimate // of adapters that the runner held before
+
+	viewsSet sync.Once
+	operator view // of the configuration and the versions of adapters
+	holders  view // of who holds the tenures
+	runners  view // of the runners
 
 	mu          sync.Mutex
 	versions    map[copyName]int       // newest version of adapters that have another than the first
@@ -100,12 +104,14 @@
 // Run serves until ctx ends, then leaves gracefully.
 func (g *Gatekeeper) Run(ctx context.Context) error {
 	g.init()
+	g.setViews()
+	g.measureAges()
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	defer cancel()
-	for _, loop := range []func(context.Context){g.watchOperator, g.watchRunners, g.watchHolders, g.lead, g.sweep, g.tellPaces} {
+	for _, loop := range []func(context.Context){g.watchOperator, g.watchRunners, g.watchHolders, g.lead, g.sweep, g.tellPaces, g.tellAges} {
 		loops.Go(func() { loop(work) })
 	}
 	for _, l := range g.links {
--- a/internal/instance/gatekeeper/tenure.go
+++ b/internal/instance/gatekeeper/tenure.go
@@ -188,7 +188,8 @@
 
 // watchHolders keeps who holds the tenures.
 func (g *Gatekeeper) watchHolders(ctx context.Context) {
-	g.follow(ctx, &table{name: tableHolders, change: g.holderRow}, longWatch)
+	g.setViews()
+	g.follow(ctx, &g.holders, longWatch)
 }
 
 func (g *Gatekeeper) holderRow(r tabler.Row) {
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -82,63 +81,11 @@
 	g.Recorder.Log(recorder.Lifecycle, "msg", "the store is back")
 }
 
-// A table is what one loop knows of a table of the store.
-type table struct {
-	name   string
-	known  bool
-	after  uint64                  // the version up to which it is known
-	asOf   time.Time               // when it was so at the earliest
-	whole  func(rows []tabler.Row) // nil: each row is a change
-	change func(row tabler.Row)
-}
-
-// take takes in all rows of the table.
-func (t *table) take(rows []tabler.Row) {
-	if t.whole != nil {
-		t.whole(rows)
-		return
-	}
-	for _, row := range rows {
-		t.change(row)
-	}
-}
-
-// refresh reads a table whole, or waits for its changes.
-func (g *Gatekeeper) refresh(ctx context.Context, t *table, wait time.Duration) error {
-	asked := time.Now()
-	if !t.known {
-		rows, version, err := g.Store.Scan(ctx, t.name)
-		if err != nil {
-			return err
-		}
-		t.take(rows)
-		t.known, t.after, t.asOf = true, version, asked
-		return nil
-	}
-	rows, version, err := g.Store.Watch(ctx, t.name, t.after, wait)
-	if errors.Is(err, tabler.ErrForgotten) {
-		g.Recorder.Log(recorder.Belief, "msg", "changes forgotten by the store; reading all", "table", t.name, "after", t.after)
-		t.known = false
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	for _, row := range rows {
-		t.change(row)
-	}
-	t.after, t.asOf = version, asked
-	if len(rows) == 0 {
-		t.asOf = asked.Add(wait) // the store answers without a change only when the wait is over
-	}
-	return nil
-}
-
-// follow keeps a table up to date until ctx ends.
-func (g *Gatekeeper) follow(ctx context.Context, t *table, wait time.Duration) {
+// follow keeps a view up to date until ctx ends.
+func (g *Gatekeeper) follow(ctx context.Context, v *view, wait time.Duration) {
 	failed := newPauses()
 	for ctx.Err() == nil {
-		err := g.refresh(ctx, t, wait)
+		err := g.refresh(ctx, v, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -163,8 +110,8 @@
 
 // watchOperator keeps the configuration and the versions of adapters.
 func (g *Gatekeeper) watchOperator(ctx context.Context) {
-	name, _ := g.Decoder.Tables()
-	g.follow(ctx, &table{name: name, change: g.operatorRow}, longWatch)
+	g.setViews()
+	g.follow(ctx, &g.operator, longWatch)
 }
 
 // operatorRow takes in a row of the operator. An older configuration than the
@@ -201,22 +148,19 @@
 
 // watchRunners keeps the runners, as long as no peer tells of them.
 func (g *Gatekeeper) watchRunners(ctx context.Context) {
-	_, name := g.Decoder.Tables()
-	t := &table{name: name, change: g.runnerRow, whole: g.allRunners}
+	g.setViews()
+	v := &g.runners
 	failed := newPauses()
 	for ctx.Err() == nil {
 		if g.told() {
 			pause(ctx, toldEvery)
 			continue
 		}
-		err := g.refresh(ctx, t, shortWatch)
+		err := g.refresh(ctx, v, shortWatch)
 		if ctx.Err() != nil {
 			return
 		}
 		g.sawStore(err)
-		if err == nil {
-			g.runnersAt.set(t.asOf)
-		}
 		g.due()
 		pace := paceAlone
 		if g.holdsAny() {
@@ -230,7 +174,7 @@
 // A holder that the store turns away goes on telling its members, and without
 // this they would send requests to runners that have left since.
 func (g *Gatekeeper) fresh() bool {
-	at, ok := g.runnersAt.get()
+	at, ok := g.runners.at.get()
 	return ok && time.Since(at) < paceHolder+shortWatch+freshMargin
 }
 
