What an instance knows of the operator is doubted, whatever becomes of its calls

Cause: a call for changes that the store took and never answered was awaited for 30.5 s; until then the instance went by an older configuration. The loop about runners had the same fault in small: its pause was counted from the end of a call that had waited in vain, so it asked every 3.7 s. A new holder of a tenure was learned from a call of the same kind only.

--- a/internal/instance/gatekeeper/age_test.go
+++ b/internal/instance/gatekeeper/age_test.go
@@ -75,13 +75,13 @@
 		if diff := cmp.Diff(viewState{Age: never}, v.state(start)); diff != "" {
 			t.Error("before the first call:", diff)
 		}
-		v.began(start)
+		v.began(start, nil)
 		if diff := cmp.Diff(viewState{Age: never, Waits: time.Second}, v.state(start.Add(time.Second))); diff != "" {
 			t.Error("while a call is under way:", diff)
 		}
+		v.idle()
 		v.ended(nil)
-		v.reached(7, true)
-		v.at.set(start)
+		v.reached(nil, 7, start)
 		if diff := cmp.Diff(viewState{After: 7, Age: time.Minute}, v.state(start.Add(time.Minute))); diff != "" {
 			t.Error("after it:", diff)
 		}
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -86,6 +86,8 @@
 	holders  view // of who holds the tenures
 	runners  view // of the runners
 
+	operatorTold moment // as of when others showed the operator's rows to be as known here
+
 	mu          sync.Mutex
 	versions    map[copyName]int       // newest version of adapters that have another than the first
 	controllers map[string]*controller // by failure domain
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -143,6 +143,9 @@
 	}
 	l.mu.Unlock()
 	g := l.gatekeeper
+	if n.Operator.Newest > 0 && g.operator.hear(n.Operator.Newest, now) {
+		g.operatorTold.advance(now.Add(-n.Operator.Age))
+	}
 	if n.Whole {
 		g.dropOthers(l.domain, n.Runners)
 	}
--- a/internal/instance/gatekeeper/moment.go
+++ b/internal/instance/gatekeeper/moment.go
@@ -12,6 +12,16 @@
 
 func (m *moment) set(t time.Time) { m.at.Store(&t) }
 
+// advance sets the time unless a later one was set.
+func (m *moment) advance(t time.Time) {
+	for {
+		p := m.at.Load()
+		if p != nil && !t.After(*p) || m.at.CompareAndSwap(p, &t) {
+			return
+		}
+	}
+}
+
 // get returns the time that was set last; ok is false if none was.
 func (m *moment) get() (t time.Time, ok bool) {
 	if p := m.at.Load(); p != nil {
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -102,6 +102,7 @@
 	if due {
 		news.Loads, news.Members = d.others(member, now)
 		news.Loaded = true
+		news.Operator = d.gatekeeper.tellOperator(now)
 	}
 	news.Line = d.wait(now)
 	news.Fresh = d.gatekeeper.fresh()
@@ -128,6 +129,16 @@
 	return news, d.news.end(), len(events) > 0
 }
 
+// tellOperator returns up to which row, and as of when, this instance knows the
+// operator's rows.
+func (g *Gatekeeper) tellOperator(now time.Time) relayer.Known {
+	newest, age, ok := g.operator.tell(now)
+	if !ok {
+		return relayer.Known{}
+	}
+	return relayer.Known{Newest: newest, Age: age.Round(time.Millisecond)}
+}
+
 // whole fills news with all that is known.
 func (d *controller) whole(news *relayer.News, now time.Time) {
 	news.Whole = true
--- a/internal/instance/gatekeeper/tenure.go
+++ b/internal/instance/gatekeeper/tenure.go
@@ -122,6 +122,11 @@
 	if err == nil && row.Version > 0 {
 		err = encoder.Unmarshal(row.Value, &tenure)
 	}
+	if err == nil {
+		// The call that waits for changes of the holders may be one that nobody
+		// answers; the instance would not follow the new one.
+		d.gatekeeper.links[d.domain].setHolder(tenure)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err != nil {
--- a/internal/instance/gatekeeper/view.go
+++ b/internal/instance/gatekeeper/view.go
@@ -2,31 +2,41 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
-	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
 // A view is what this instance knows of a table of the store, and as of when.
-// The fields before mu are set before its loop begins.
+// The fields before mu are set before its loops begin.
 type view struct {
-	name   string
-	whole  func(rows []tabler.Row) // nil: each row is a change
-	change func(row tabler.Row)
+	name     string
+	whole    func(rows []tabler.Row) // nil: each row is a change
+	change   func(row tabler.Row)
+	others   func() (asOf time.Time, ok bool) // what other instances tell of it
+	patience func() time.Duration             // the age at which the store is asked
 
-	at moment // as of when it is known, at the earliest
+	mu      sync.Mutex
+	known   bool
+	after   uint64    // the version up to which it is known
+	newest  uint64    // version of the newest row that a call brought
+	at      time.Time // as of when calls showed it to be current
+	ahead   uint64    // newest version of a row that another instance told of
+	aheadAt time.Time // when it told of it first
 
-	mu     sync.Mutex
-	known  bool
-	after  uint64    // the version up to which it is known
-	asked  time.Time // when the call under way was sent; zero if there is none
-	failed int       // calls that failed since the last one that succeeded
-	err    error     // of the last of them
+	last   time.Time // when the last call that waits for changes was sent
+	asked  time.Time // the same, zero if it has ended
+	cancel context.CancelCauseFunc
+	failed int   // calls that failed since the last one that succeeded
+	err    error // of the last of them
 }
 
+// errReplaced ends a call in whose place another one is sent.
+var errReplaced = errors.New("replaced by a later call")
+
 // A viewState tells how old a view is, and why.
 type viewState struct {
 	After  uint64        // the version up to which it is known
@@ -42,7 +52,7 @@
 // state returns how old the view is at now, and why.
 func (v *view) state(now time.Time) viewState {
 	s := viewState{Age: never}
-	if at, ok := v.at.get(); ok {
+	if at, ok := v.asOf(); ok {
 		s.Age = max(0, now.Sub(at))
 	}
 	v.mu.Lock()
@@ -54,28 +64,89 @@
 	return s
 }
 
-// began notes that a call is sent, and returns from which version it is to ask;
-// known is false if all is to be read.
-func (v *view) began(now time.Time) (after uint64, known bool) {
+// asOf returns as of when the view is known to be current, by calls of this
+// instance or by what others tell; ok is false if it is not known yet.
+func (v *view) asOf() (at time.Time, ok bool) {
+	at, ok = v.firsthand()
+	if v.others == nil {
+		return at, ok
+	}
+	if heard, told := v.others(); told && heard.After(at) {
+		return heard, true
+	}
+	return at, ok
+}
+
+// firsthand returns as of when calls of this instance showed the view to be
+// current.
+func (v *view) firsthand() (at time.Time, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.at, !v.at.IsZero()
+}
+
+// doubtful reports whether the store is to be asked about the view: nothing shows
+// that it is current, or another instance knows of a row that has not come.
+func (v *view) doubtful(now time.Time) bool {
+	at, ok := v.asOf()
+	if !ok {
+		return false // the first call is under way
+	}
+	if now.Sub(at) > v.patience() {
+		return true
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.ahead > v.after && now.Sub(v.aheadAt) > onTheWay
+}
+
+// hear takes in that another instance knows the table up to the row with a
+// version. It reports whether this instance knows that row too.
+func (v *view) hear(newest uint64, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.asked = now
+	if newest <= v.after {
+		return true
+	}
+	if newest > v.ahead {
+		if v.ahead <= v.after {
+			v.aheadAt = now
+		}
+		v.ahead = newest
+	}
+	return false
+}
+
+// tell returns what to tell other instances: the version of the newest row, and
+// how long ago a call of this instance showed that there is no newer one. What it
+// was told itself it does not pass on: two instances that told each other in turn
+// would find each other current for ever.
+func (v *view) tell(now time.Time) (newest uint64, age time.Duration, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.newest, now.Sub(v.at), v.newest > 0
+}
+
+// began notes that the call that waits for changes is sent, and returns from which
+// version it is to ask; known is false if all is to be read.
+func (v *view) began(now time.Time, cancel context.CancelCauseFunc) (after uint64, known bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.last, v.asked, v.cancel = now, now, cancel
 	return v.after, v.known
 }
 
-// reached notes up to which version the table is known; known is false if all has
-// to be read anew.
-func (v *view) reached(after uint64, known bool) {
+// lately reports whether a call that waits for changes was sent a moment ago.
+func (v *view) lately(now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.after, v.known = after, known
+	return !v.last.IsZero() && now.Sub(v.last) < 2*lastAgain
 }
 
 // ended notes how a call ended.
 func (v *view) ended(err error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.asked = time.Time{}
 	if err != nil {
 		v.failed++
 		v.err = err
@@ -84,63 +155,96 @@
 	v.failed, v.err = 0, nil
 }
 
-// take takes in all rows of the table.
-func (v *view) take(rows []tabler.Row) {
-	if v.whole != nil {
-		v.whole(rows)
-		return
+// idle notes that no call waits for changes.
+func (v *view) idle() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.asked, v.cancel = time.Time{}, nil
+}
+
+// replace ends the call that waits for changes, if it was sent before a time;
+// another one is sent in its place.
+func (v *view) replace(before time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.cancel != nil && v.asked.Before(before) {
+		v.cancel(errReplaced)
 	}
-	for _, row := range rows {
-		v.change(row)
+}
+
+// reached takes in the rows of a call, and up to which version, as of when, the
+// table is known.
+func (v *view) reached(rows []tabler.Row, version uint64, at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.known = true
+	v.after = max(v.after, version)
+	if at.After(v.at) {
+		v.at = at
 	}
+	for _, r := range rows {
+		v.newest = max(v.newest, r.Version)
+	}
+}
+
+// forget notes that the changes since the last call are not to be had: all is to
+// be read.
+func (v *view) forget() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.known = false
 }
 
-// setViews sets what the views are of.
+// setViews sets what the views are of, and what others tell of each.
 func (g *Gatekeeper) setViews() {
 	g.viewsSet.Do(func() {
 		operator, runners := g.Decoder.Tables()
-		g.operator.name, g.operator.change = operator, g.operatorRow
-		g.holders.name, g.holders.change = tableHolders, g.holderRow
-		g.runners.name, g.runners.change, g.runners.whole = runners, g.runnerRow, g.allRunners
+		v := &g.operator
+		v.name, v.change = operator, g.operatorRow
+		v.others = g.operatorTold.get
+		v.patience = func() time.Duration {
+			if g.holdsAny() {
+				return patienceHolder
+			}
+			return patience
+		}
+		v = &g.holders
+		v.name, v.change = tableHolders, g.holderRow
+		v.others = func() (time.Time, bool) { return g.sinceAll(func(l *link) time.Time { return l.heard }) }
+		v.patience = func() time.Duration { return patienceTenures }
+		v = &g.runners
+		v.name, v.change, v.whole = runners, g.runnerRow, g.allRunners
+		v.others = func() (time.Time, bool) {
+			at, ok := g.sinceAll(func(l *link) time.Time { return l.fresh })
+			return at.Add(-freshFor), ok && !g.holdsAny()
+		}
 	})
 }
 
-// refresh reads a table whole, or waits for its changes.
-func (g *Gatekeeper) refresh(ctx context.Context, v *view, wait time.Duration) error {
-	err := g.ask(ctx, v, wait)
-	v.ended(err)
-	return err
-}
-
-func (g *Gatekeeper) ask(ctx context.Context, v *view, wait time.Duration) error {
-	asked := time.Now()
-	after, known := v.began(asked)
-	if !known {
-		rows, version, err := g.Store.Scan(ctx, v.name)
-		if err != nil {
-			return err
+// sinceAll returns the earliest of a time of each link; ok is false if one has
+// none.
+func (g *Gatekeeper) sinceAll(of func(l *link) time.Time) (earliest time.Time, ok bool) {
+	for _, l := range g.links {
+		l.mu.Lock()
+		at := of(l)
+		l.mu.Unlock()
+		if at.IsZero() {
+			return time.Time{}, false
+		}
+		if earliest.IsZero() || at.Before(earliest) {
+			earliest = at
 		}
-		v.take(rows)
-		v.reached(version, true)
-		v.at.set(asked)
-		return nil
-	}
-	rows, version, err := g.Store.Watch(ctx, v.name, after, wait)
-	if errors.Is(err, tabler.ErrForgotten) {
-		g.Recorder.Log(recorder.Belief, "msg", "changes forgotten by the store; reading all", "table", v.name, "after", after)
-		v.reached(after, false)
-		return nil
 	}
-	if err != nil {
-		return err
+	return earliest, !earliest.IsZero()
+}
+
+// take takes in all rows of the table.
+func (v *view) take(rows []tabler.Row) {
+	if v.whole != nil {
+		v.whole(rows)
+		return
 	}
 	for _, row := range rows {
 		v.change(row)
 	}
-	v.reached(version, true)
-	if len(rows) == 0 {
-		asked = asked.Add(wait) // the store answers without a change only when the wait is over
-	}
-	v.at.set(asked)
-	return nil
 }
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -5,16 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
 const (
-	// longWatch is how long a call for changes of the operator's and the
-	// tenures' rows waits: they change seldom, and each call costs.
-	longWatch = 29 * time.Second
 	// shortWatch is how long one for changes of the runners waits. It bounds how
 	// old the knowledge of a runner's leaving may get where nothing else changes.
 	shortWatch = 250 * time.Millisecond
@@ -24,13 +19,6 @@
 	paceHolder = 400 * time.Millisecond
 	// paceAlone is the pause of an instance that nobody tells.
 	paceAlone = 600 * time.Millisecond
-	// again is the pause after a failed call. It doubles up to lastAgain: calls
-	// that the store turns away are paid for like others, and with 22 of 64
-	// instances turned away for nine seconds they were half of a day's calls. An
-	// instance that the store serves again has this long to catch up before
-	// anything is asked of it in time, which is three seconds later.
-	again     = 250 * time.Millisecond
-	lastAgain = 2 * time.Second
 	// unheard is how long an instance trusts that it is told of changes without
 	// hearing anything.
 	unheard = 700 * time.Millisecond
@@ -79,35 +67,11 @@
 		return
 	}
 	g.Recorder.Log(recorder.Lifecycle, "msg", "the store is back")
-}
-
-// follow keeps a view up to date until ctx ends.
-func (g *Gatekeeper) follow(ctx context.Context, v *view, wait time.Duration) {
-	failed := newPauses()
-	for ctx.Err() == nil {
-		err := g.refresh(ctx, v, wait)
-		if ctx.Err() != nil {
-			return
-		}
-		g.sawStore(err)
-		pause(ctx, after(err, failed))
+	for _, v := range g.views() {
+		v.replace(time.Now()) // a store that was away may have forgotten the calls that it had taken
 	}
 }
 
-// newPauses returns the pauses after calls that fail one after the other.
-func newPauses() *backoff.ExponentialBackOff {
-	return &backoff.ExponentialBackOff{InitialInterval: again, Multiplier: 2, MaxInterval: lastAgain}
-}
-
-// after returns the pause after a call: none after one that succeeded.
-func after(err error, failed *backoff.ExponentialBackOff) time.Duration {
-	if err == nil {
-		failed.Reset()
-		return 0
-	}
-	return failed.NextBackOff()
-}
-
 // watchOperator keeps the configuration and the versions of adapters.
 func (g *Gatekeeper) watchOperator(ctx context.Context) {
 	g.setViews()
@@ -156,6 +120,7 @@
 			pause(ctx, toldEvery)
 			continue
 		}
+		began := time.Now()
 		err := g.refresh(ctx, v, shortWatch)
 		if ctx.Err() != nil {
 			return
@@ -166,7 +131,7 @@
 		if g.holdsAny() {
 			pace = paceHolder
 		}
-		pause(ctx, max(pace, after(err, failed)))
+		pause(ctx, max(pace, after(err, failed)-time.Since(began)))
 	}
 }
 
@@ -174,10 +139,14 @@
 // A holder that the store turns away goes on telling its members, and without
 // this they would send requests to runners that have left since.
 func (g *Gatekeeper) fresh() bool {
-	at, ok := g.runners.at.get()
-	return ok && time.Since(at) < paceHolder+shortWatch+freshMargin
+	at, ok := g.runners.firsthand()
+	return ok && time.Since(at) < freshFor
 }
 
+// freshFor is how old what a holder knows of the runners may be for it to be told
+// as fresh.
+const freshFor = paceHolder + shortWatch + freshMargin
+
 // freshMargin is for the way to the store and back. Without it a holder counted
 // as fresh for two thirds of the time only, and each of its members asked the
 // store itself every few seconds: 1,400 of 3,600 calls of a calm day of 64
--- a/internal/member/relayer/gateway.go
+++ b/internal/member/relayer/gateway.go
@@ -54,20 +54,28 @@
 // News answers a Subscribe, again and again: what has changed since the
 // last one. Without a change it is a heartbeat.
 type News struct {
-	Acting  bool                    `cbor:"7,keyasint,omitempty"` // orders are given now
-	Age     time.Duration           `cbor:"8,keyasint,omitempty"` // since the renewal in force was sent
-	Renewal uint64                  `cbor:"9,keyasint,omitempty"` // version that it gave the row of the tenure
-	Tenure  elector.Tenure          `cbor:"10,keyasint"`
-	Fresh   bool                    `cbor:"11,keyasint,omitempty"` // the runners are as in the store a moment ago
-	Gone    []Gone                  `cbor:"1,keyasint,omitempty"`
-	Held    []Held                  `cbor:"2,keyasint,omitempty"`
-	Loaded  bool                    `cbor:"13,keyasint,omitempty"` // Loads are told; else they are as before
-	Loads   map[string]tracker.Load `cbor:"3,keyasint,omitempty"`  // other instances' work on the domain's runners
-	Rooms   []Room                  `cbor:"14,keyasint,omitempty"` // that changed
-	Line    time.Duration           `cbor:"12,keyasint,omitempty"` // until an adapter that is asked for now begins to load
-	Members int                     `cbor:"4,keyasint"`            // instances that subscribe, the sender included
-	Runners []tracker.Runner        `cbor:"5,keyasint,omitempty"`  // described anew
-	Whole   bool                    `cbor:"6,keyasint,omitempty"`  // Runners and Held are all there are
+	Acting   bool                    `cbor:"7,keyasint,omitempty"` // orders are given now
+	Age      time.Duration           `cbor:"8,keyasint,omitempty"` // since the renewal in force was sent
+	Renewal  uint64                  `cbor:"9,keyasint,omitempty"` // version that it gave the row of the tenure
+	Tenure   elector.Tenure          `cbor:"10,keyasint"`
+	Fresh    bool                    `cbor:"11,keyasint,omitempty"` // the runners are as in the store a moment ago
+	Gone     []Gone                  `cbor:"1,keyasint,omitempty"`
+	Held     []Held                  `cbor:"2,keyasint,omitempty"`
+	Loaded   bool                    `cbor:"13,keyasint,omitempty"` // Loads are told; else they are as before
+	Loads    map[string]tracker.Load `cbor:"3,keyasint,omitempty"`  // other instances' work on the domain's runners
+	Rooms    []Room                  `cbor:"14,keyasint,omitempty"` // that changed
+	Line     time.Duration           `cbor:"12,keyasint,omitempty"` // until an adapter that is asked for now begins to load
+	Operator Known                   `cbor:"15,keyasint,omitzero"`  // what the sender knows of the operator's rows
+	Members  int                     `cbor:"4,keyasint"`            // instances that subscribe, the sender included
+	Runners  []tracker.Runner        `cbor:"5,keyasint,omitempty"`  // described anew
+	Whole    bool                    `cbor:"6,keyasint,omitempty"`  // Runners and Held are all there are
+}
+
+// A Known says how far the sender knows a table of the store by calls of its own.
+type Known struct {
+	_      struct{}      `cbor:",toarray"`
+	Newest uint64        // version of the newest row
+	Age    time.Duration // since a call showed that there is no newer one
 }
 
 // Urgent reports whether the receiver is to look at once whether orders are due.
