--- a/internal/instance/server/settings.go
+++ b/internal/instance/server/settings.go
@@ -136,13 +136,24 @@
 	return c.Store.Put(ctx, key, data)
 }
 
+// objectTime bounds how long one peer is asked for an object; it answers within
+// milliseconds from what it holds. Links to other failure domains are not watched
+// for silence, and the loop that asks renews the lease as well: with a peer that
+// had fallen silent an instance kept its old settings and lost its runners.
+const objectTime = time.Second
+
 func (c *ChainStore) ask(ctx context.Context, address, key string) ([]byte, bool) {
+	ctx, cancel := context.WithTimeout(ctx, objectTime)
+	defer cancel()
 	conversation, err := c.Mesh.Open(ctx, address, relayer.Fetch{Key: key})
 	if err != nil {
 		return nil, false
 	}
 	defer conversation.Close()
 	answer, err := conversation.Next(ctx)
+	if ctx.Err() != nil {
+		c.Mesh.Cut(address) // the next one who asks dials anew
+	}
 	data, ok := answer.(relayer.Data)
 	return data.Data, ok && err == nil
 }
