--- a/internal/instance/gatekeeper/age.go
+++ b/internal/instance/gatekeeper/age.go
@@ -52,3 +52,30 @@
 		}
 	})
 }
+
+// An ageAlarm logs when a view becomes older than doubting it should allow, and when
+// it is current again.
+type ageAlarm struct {
+	gatekeeper *Gatekeeper
+	view       *view
+	old        bool
+}
+
+// tooOld is how many times its patience a view may be old before that is logged: an
+// answer to the first doubt comes well before.
+const tooOld = 2
+
+func (a *ageAlarm) look(now time.Time) {
+	s := a.view.state(now)
+	old := s.Age > tooOld*a.view.patience()
+	if old == a.old {
+		return
+	}
+	a.old = old
+	msg := "current again"
+	if old {
+		msg = "may be old"
+	}
+	g := a.gatekeeper
+	g.Recorder.Log(recorder.Config, "msg", msg, "table", a.view.name, "version", g.version(), "age", s.Age, "waits", s.Waits, "failed", s.Failed, "err", s.Err)
+}
--- a/internal/instance/gatekeeper/age_test.go
+++ b/internal/instance/gatekeeper/age_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"regexp"
 	"strconv"
 	"strings"
@@ -68,6 +69,37 @@
 	})
 }
 
+// The store answers nobody for a while. On-call finds in the log of each instance from
+// when on it may have gone by an older configuration, why, and until when.
+func TestAnOldConfigurationIsLoggedUntilItIsCurrentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, store := newFedGatekeeper()
+		var log bytes.Buffer
+		g.Recorder = &recorder.Recorder{Metrics: metrics.NewSet(), Out: &log}
+		ctx, cancel := context.WithCancel(t.Context())
+		stop := make(chan struct{})
+		go g.Recorder.Run(stop)
+		go g.watchOperator(ctx)
+		time.Sleep(10 * time.Second)
+		store.set(swallows)
+		time.Sleep(10 * time.Second)
+		store.set(serves)
+		time.Sleep(10 * time.Second)
+		cancel()
+		close(stop)
+		synctest.Wait()
+		var got []string
+		for l := range strings.Lines(log.String()) {
+			if m := regexp.MustCompile(`msg="(may be old|current again)" table=operator .*failed=(\d)`).FindStringSubmatch(l); m != nil {
+				got = append(got, fmt.Sprint(m[1], ", calls fail: ", m[2] != "0"))
+			}
+		}
+		if diff := cmp.Diff([]string{"may be old, calls fail: true", "current again, calls fail: false"}, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 func TestStateOfAView(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var v view
--- a/internal/instance/gatekeeper/follow.go
+++ b/internal/instance/gatekeeper/follow.go
@@ -74,9 +74,11 @@
 // until ctx ends.
 func (g *Gatekeeper) doubt(ctx context.Context, v *view) {
 	failed := newPauses()
+	alarm := ageAlarm{gatekeeper: g, view: v}
 	for ctx.Err() == nil {
 		pause(ctx, toldEvery)
 		now := time.Now()
+		alarm.look(now)
 		if !v.doubtful(now) || g.futile() {
 			continue
 		}
