--- a/internal/experiment/surveyor/surveyor.go
+++ b/internal/experiment/surveyor/surveyor.go
@@ -9,12 +9,9 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
-	"gonum.org/v1/gonum/stat"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
 	"github.com/sardinetiller/sardinetiller/internal/experiment/sampler"
@@ -23,34 +20,6 @@
 	"github.com/sardinetiller/sardinetiller/internal/upstream/caller"
 )
 
-// A Point is what was measured at one size. Times are in seconds, sizes in
-// bytes.
-type Point struct {
-	X       float64 `json:"x"`
-	CPU     float64 `json:"cpu"`     // of a core, for each instance
-	Memory  float64 `json:"memory"`  // heap in use, for each instance
-	Peers   float64 `json:"peers"`   // bytes a second to peers, for each instance
-	Reads   float64 `json:"reads"`   // of the platform a second, for each instance
-	Commits float64 `json:"commits"` // of the table a second, for each instance
-	Bytes   float64 `json:"bytes"`   // from and to the platform a second, for each instance
-}
-
-// A Slope is a series of points with a straight line through each figure.
-type Slope struct {
-	Name   string         `json:"name"`
-	Over   string         `json:"over"` // what X counts
-	Points []Point        `json:"points"`
-	Fits   map[string]Fit `json:"fits"` // by figure
-}
-
-// A Fit is a straight line: At0 + Each*X, with the part of the variance that
-// it explains.
-type Fit struct {
-	At0  float64 `json:"at0"`
-	Each float64 `json:"each"`
-	R2   float64 `json:"r2"`
-}
-
 // A Surveyor measures. Its fields are set before use.
 type Surveyor struct {
 	Span     time.Duration // of each point
@@ -268,60 +237,6 @@
 	return (after.cpu - before.cpu) / after.at.Sub(before.at).Seconds(), nil
 }
 
-// A reading is the state of the counters at one moment.
-type reading struct {
-	at      time.Time
-	bytes   int64
-	commits int
-	cpu     float64
-	memory  float64
-	peers   int64
-	reads   int
-}
-
-func read(stage *stager.Stage) reading {
-	var usage syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage) // never fails for the own process
-	runtime.GC()
-	var memory runtime.MemStats
-	runtime.ReadMemStats(&memory)
-	books := stage.Platform.Books()
-	r := reading{
-		at: time.Now(), bytes: books.Bytes, commits: books.Commits, reads: books.Reads, memory: float64(memory.HeapAlloc),
-		cpu: time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds(),
-	}
-	for _, i := range stage.Instances {
-		r.peers += i.Server.Mesh.Bytes()
-	}
-	return r
-}
-
-func (r reading) to(after reading, idle, x, instances float64) Point {
-	span := after.at.Sub(r.at).Seconds()
-	each := span * instances
-	return Point{
-		X: x, CPU: max(0, (after.cpu-r.cpu)/span-idle) / instances, Memory: after.memory / instances,
-		Peers: float64(after.peers-r.peers) / each, Reads: float64(after.reads-r.reads) / each,
-		Commits: float64(after.commits-r.commits) / each, Bytes: float64(after.bytes-r.bytes) / each,
-	}
-}
-
-func (s *Slope) fit() {
-	s.Fits = make(map[string]Fit)
-	xs := make([]float64, len(s.Points))
-	for i := range s.Points {
-		xs[i] = s.Points[i].X
-	}
-	for name, figure := range figures {
-		ys := make([]float64, len(s.Points))
-		for i := range s.Points {
-			ys[i] = figure(&s.Points[i])
-		}
-		at0, each := stat.LinearRegression(xs, ys, nil, false)
-		s.Fits[name] = Fit{At0: at0, Each: each, R2: stat.RSquared(xs, ys, nil, at0, each)}
-	}
-}
-
 // plan is one failure domain with the times that a daemon has by default.
 func plan(instances, runners int) stager.Plan {
 	return stager.Plan{
@@ -331,12 +246,3 @@
 		Together: 8, Values: "{}",
 	}
 }
-
-// Values returns the figure's value at each point, for display.
-func (s *Slope) Values(figure string) []string {
-	values := make([]string, len(s.Points))
-	for i := range s.Points {
-		values[i] = fmt.Sprintf("%v:%.4g", s.Points[i].X, figures[figure](&s.Points[i]))
-	}
-	return values
-}
--- a/internal/instance/gatekeeper/follow.go
+++ b/internal/instance/gatekeeper/follow.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		g.sawStore(err)
-		pause(ctx, after(err, failed)-time.Since(began))
+		pause(ctx, pauseAfter(err, failed)-time.Since(began))
 	}
 }
 
@@ -87,7 +87,7 @@
 			return
 		}
 		g.sawStore(err)
-		pause(ctx, after(err, failed)-time.Since(now))
+		pause(ctx, pauseAfter(err, failed)-time.Since(now))
 	}
 }
 
@@ -185,11 +185,11 @@
 	return &backoff.ExponentialBackOff{InitialInterval: again, Multiplier: 2, MaxInterval: lastAgain}
 }
 
-// after returns the time from the beginning of a call to that of the next one:
+// pauseAfter returns the time from the beginning of a call to that of the next one:
 // none after one that succeeded. It counts from the beginning, as a call may have
 // waited in vain for a good part of it: counted from its end, an instance asked a
 // store that answers nobody every 3.7 s, and learned too late that it was back.
-func after(err error, failed *backoff.ExponentialBackOff) time.Duration {
+func pauseAfter(err error, failed *backoff.ExponentialBackOff) time.Duration {
 	if err == nil {
 		failed.Reset()
 		return 0
--- a/internal/instance/gatekeeper/link_test.go
+++ b/internal/instance/gatekeeper/link_test.go
@@ -119,7 +119,7 @@
 	failed := newPauses()
 	var got []time.Duration
 	for _, err := range []error{nil, io.EOF, io.EOF, io.EOF, io.EOF, io.EOF, nil, io.EOF} {
-		got = append(got, after(err, failed))
+		got = append(got, pauseAfter(err, failed))
 	}
 	want := []time.Duration{0, again, 2 * again, 4 * again, lastAgain, lastAgain, 0, again}
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
@@ -30,33 +29,6 @@
 	toldEvery = 100 * time.Millisecond
 )
 
-// A dependency is something that the instance needs and that may be away.
-type dependency struct {
-	mu    sync.Mutex
-	down  bool
-	since time.Time // of the last change
-}
-
-// set takes in whether a call succeeded and reports whether that changed.
-func (d *dependency) set(up bool, now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	changed := d.down == up
-	if changed {
-		d.down = !up
-		d.since = now
-	}
-	return changed
-}
-
-// back returns when the dependency came back; the zero time if it never was
-// away.
-func (d *dependency) back() (at time.Time, down bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.since, d.down
-}
-
 // sawStore takes in how a call to the store ended.
 func (g *Gatekeeper) sawStore(err error) {
 	if !g.storeUp.set(err == nil, time.Now()) {
@@ -131,7 +103,7 @@
 		if g.holdsAny() {
 			pace = paceHolder
 		}
-		pause(ctx, max(pace, after(err, failed)-time.Since(began)))
+		pause(ctx, max(pace, pauseAfter(err, failed)-time.Since(began)))
 	}
 }
 
--- /dev/null
+++ b/internal/upstream/driver/average.go
@@ -0,0 +1,15 @@
+package driver
+
+import (
+	"time"
+)
+
+// An ewma is a moving average of seconds.
+type ewma struct{ value float64 }
+
+// weight is how much the newest value counts.
+const weight = 0.1
+
+func (a *ewma) add(d time.Duration) { a.value += weight * (d.Seconds() - a.value) }
+
+func (a *ewma) duration() time.Duration { return time.Duration(a.value * float64(time.Second)) }
--- a/internal/upstream/driver/driver.go
+++ b/internal/upstream/driver/driver.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -69,23 +68,6 @@
 	version uint64 // grows when what is resident anywhere changes
 }
 
-// An engine is one runner with what the driver knows of it beside the
-// decisions.
-type engine struct {
-	*orderer.Runner
-
-	at        atomic.Pointer[string] // address, read without the lock while a request or an order goes out
-	asked     time.Time              // when the last report was asked for
-	dropped   bool                   // the settings name it no more
-	asking    bool                   // a report, a fencing number or a clearing is under way
-	fencing   bool
-	releasing int    // requests that ended here and perhaps not in the engine
-	silent    int    // reports in a row that it did not give
-	reported  bool   // a report was taken in since the tenure began
-	version   uint64 // of what is resident
-	waiters   map[string]*waiter
-}
-
 // What is expected, in seconds, before any load or run was seen.
 const (
 	firstLoad = 0.5
@@ -261,9 +243,6 @@
 	e.version = d.version
 }
 
-// address returns where the engine is reached, as the settings said last.
-func (e *engine) address() string { return *e.at.Load() }
-
 func (d *Driver) count(name, reason string) {
 	d.Metrics.GetOrCreateCounter(name + `{reason="` + reason + `"}`).Inc()
 }
@@ -318,37 +297,3 @@
 func (d *Driver) warn(message, runner string, err error) {
 	_ = level.Warn(d.Logger).Log("msg", message, "runner", runner, "err", err)
 }
-
-func (e *engine) load(number int, wait time.Duration) relayer.Load {
-	return relayer.Load{
-		Number: number, Running: e.Running(), Waiting: e.Queue.Len(), Free: e.Keeper.Free(),
-		Ramp: int(relayer.Hundredths * e.Ramp()), Wait: int(relayer.Hundredths * wait.Seconds()),
-	}
-}
-
-func (e *engine) state(number int, name string) relayer.State {
-	return relayer.State{
-		Number: number, Name: name, Owned: e.Keeper.Owned(), Leaving: e.Leaving() || e.silent >= silentReports,
-		Resident: e.Keeper.Resident(), Loading: e.coming(),
-	}
-}
-
-// coming returns the adapters that are being loaded or stand in line for it.
-// Others that want one of them do best to join.
-func (e *engine) coming() []string {
-	adapters := e.Keeper.Coming()
-	for _, n := range e.Needs() {
-		adapters = append(adapters, n.Adapter)
-	}
-	return adapters
-}
-
-// An ewma is a moving average of seconds.
-type ewma struct{ value float64 }
-
-// weight is how much the newest value counts.
-const weight = 0.1
-
-func (a *ewma) add(d time.Duration) { a.value += weight * (d.Seconds() - a.value) }
-
-func (a *ewma) duration() time.Duration { return time.Duration(a.value * float64(time.Second)) }
