The store is lost and back once for each outage

Calls sent into an outage fail when it is over, and each counted as a new loss; a probe that made no call, as all was being read, counted as an answer of the store; a short call about the runners was replaced when the store was back and counted as one that failed. Change: a failure of a call that was sent before another one succeeded says nothing; nothing is doubted while all is read; only long calls are replaced.

--- a/internal/instance/gatekeeper/dependency.go
+++ b/internal/instance/gatekeeper/dependency.go
@@ -10,13 +10,20 @@
 	mu    sync.Mutex
 	down  bool
 	since time.Time // of the last change
+	up    time.Time // when a call succeeded last
 }
 
-// set takes in whether a call succeeded and reports whether that changed.
-func (d *dependency) set(up bool, now time.Time) bool {
+// set takes in whether a call succeeded that was sent at a time, and reports whether
+// that changed what is known. A failure of a call that was sent before another one
+// succeeded says nothing: calls into an outage fail when it is over. Each made the
+// instance find the store lost and back once more.
+func (d *dependency) set(up bool, sent, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	changed := d.down == up
+	if up {
+		d.up = now
+	}
+	changed := d.down == up && (up || !sent.Before(d.up))
 	if changed {
 		d.down = !up
 		d.since = now
--- /dev/null
+++ b/internal/instance/gatekeeper/dependency_test.go
@@ -0,0 +1,35 @@
+package gatekeeper
+
+import (
+	"testing"
+	"time"
+)
+
+// Calls that were sent into an outage of the store fail one after the other when it is
+// over. On-call reads in the log when the store was lost and when it was back, and
+// runners whose rows lapsed are given time from its return: both must be told once.
+func TestFailureOfAnEarlierCallDoesNotLoseTheStoreAgain(t *testing.T) {
+	start := time.Now()
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	var d dependency
+	for _, step := range []struct {
+		name      string
+		up        bool
+		sent, now int // seconds
+		changed   bool
+	}{
+		{"a call succeeds", true, 0, 0, false},
+		{"one fails", false, 1, 2, true},
+		{"one succeeds", true, 5, 6, true},
+		{"one that was sent before fails", false, 4, 7, false},
+		{"one that was sent since fails", false, 7, 8, true},
+		{"one that waited all the while is answered", true, 0, 9, true},
+	} {
+		if got := d.set(step.up, at(step.sent), at(step.now)); got != step.changed {
+			t.Errorf("%s: changed %v, want %v", step.name, got, step.changed)
+		}
+	}
+	if back, down := d.back(); down || !back.Equal(at(9)) {
+		t.Errorf("back at %s, down %v", back.Sub(start), down)
+	}
+}
--- a/internal/instance/gatekeeper/doubt_test.go
+++ b/internal/instance/gatekeeper/doubt_test.go
@@ -122,6 +122,46 @@
 	})
 }
 
+// The store was away and is back while calls are under way. Those that wait long are
+// replaced; were that taken for a failure of the store, it would count as lost again,
+// and its return would replace the next ones, again and again.
+func TestReturnOfTheStoreDoesNotMakeItLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, _ := newFedGatekeeper()
+		defer start(t, g.watchOperator, g.watchRunners)()
+		for range 40 {
+			time.Sleep(130 * time.Millisecond)
+			g.sawStore(time.Now(), errNoAnswer)
+			g.sawStore(time.Now(), nil)
+			synctest.Wait()
+			if _, down := g.storeUp.back(); down {
+				t.Fatal("the store counts as lost")
+			}
+		}
+	})
+}
+
+// All rows are being read, as the changes were forgotten. No call about changes is
+// made beside that, and none that was not made counts as an answer of the store.
+func TestNothingIsDoubtedWhileAllIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, store := newFedGatekeeper()
+		g.setViews()
+		g.operator.reached(nil, 1, time.Now())
+		time.Sleep(time.Minute)
+		if !g.operator.doubtful(time.Now()) {
+			t.Fatal("an old view is not doubted; the test shows nothing")
+		}
+		g.operator.forget()
+		end := start(t, func(ctx context.Context) { g.doubt(ctx, &g.operator) })
+		time.Sleep(10 * time.Second)
+		end()
+		if n := store.made(); n != 0 {
+			t.Errorf("%d calls", n)
+		}
+	})
+}
+
 // The connection of the call for changes falls silent, and nothing else. Another
 // instance tells of a row that has not come here: callers wait for it as long as it
 // may be on its way and one call takes, not until this instance doubts by itself.
--- a/internal/instance/gatekeeper/follow.go
+++ b/internal/instance/gatekeeper/follow.go
@@ -65,7 +65,7 @@
 		if errors.Is(err, errReplaced) {
 			continue
 		}
-		g.sawStore(err)
+		g.sawStore(began, err)
 		pause(ctx, pauseAfter(err, failed)-time.Since(began))
 	}
 }
@@ -86,7 +86,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		g.sawStore(err)
+		g.sawStore(now, err)
 		pause(ctx, pauseAfter(err, failed)-time.Since(now))
 	}
 }
@@ -103,12 +103,7 @@
 // waits for them has not told of them, and is not trusted any more.
 func (g *Gatekeeper) probe(ctx context.Context, v *view) error {
 	asked := time.Now()
-	v.mu.Lock()
-	after, known := v.after, v.known
-	v.mu.Unlock()
-	if !known {
-		return nil // all is being read
-	}
+	after := v.upTo()
 	rows, version, err := g.Store.Watch(ctx, v.name, after, 0)
 	if errors.Is(err, tabler.ErrForgotten) {
 		g.forgotten(v, after)
--- a/internal/instance/gatekeeper/tenure.go
+++ b/internal/instance/gatekeeper/tenure.go
@@ -116,8 +116,9 @@
 }
 
 func (d *controller) read(ctx context.Context) {
+	sent := time.Now()
 	row, err := d.gatekeeper.Store.Get(ctx, tableTenures+"/"+d.domain)
-	d.gatekeeper.sawStore(err)
+	d.gatekeeper.sawStore(sent, err)
 	var tenure elector.Tenure
 	if err == nil && row.Version > 0 {
 		err = encoder.Unmarshal(row.Value, &tenure)
@@ -137,10 +138,11 @@
 }
 
 func (d *controller) write(ctx context.Context, w elector.Write) {
+	sent := time.Now()
 	version, err := d.gatekeeper.Store.Write(ctx, d.txn(w))
 	var conflict *tabler.ConflictError
 	if !errors.As(err, &conflict) {
-		d.gatekeeper.sawStore(err)
+		d.gatekeeper.sawStore(sent, err)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/instance/gatekeeper/view.go
+++ b/internal/instance/gatekeeper/view.go
@@ -88,16 +88,21 @@
 // doubtful reports whether the store is to be asked about the view: nothing shows
 // that it is current, or another instance knows of a row that has not come.
 func (v *view) doubtful(now time.Time) bool {
-	at, ok := v.asOf()
-	if !ok {
-		return false // the first call is under way
-	}
-	if now.Sub(at) > v.patience() {
-		return true
+	at, _ := v.asOf()
+	old := now.Sub(at) > v.patience()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.known {
+		return false // all is being read, which shows as much
 	}
+	return old || v.ahead > v.after && now.Sub(v.aheadAt) > onTheWay
+}
+
+// upTo returns the version up to which the table is known.
+func (v *view) upTo() uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.ahead > v.after && now.Sub(v.aheadAt) > onTheWay
+	return v.after
 }
 
 // hear takes in that another instance knows the table up to the row with a
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -29,9 +29,9 @@
 	toldEvery = 100 * time.Millisecond
 )
 
-// sawStore takes in how a call to the store ended.
-func (g *Gatekeeper) sawStore(err error) {
-	if !g.storeUp.set(err == nil, time.Now()) {
+// sawStore takes in how a call to the store ended that was sent at a time.
+func (g *Gatekeeper) sawStore(sent time.Time, err error) {
+	if !g.storeUp.set(err == nil, sent, time.Now()) {
 		return
 	}
 	if err != nil {
@@ -39,8 +39,10 @@
 		return
 	}
 	g.Recorder.Log(recorder.Lifecycle, "msg", "the store is back")
-	for _, v := range g.views() {
-		v.replace(time.Now()) // a store that was away may have forgotten the calls that it had taken
+	// A store that was away may have forgotten the calls that it had taken. Those about
+	// the runners are short.
+	for _, v := range []*view{&g.operator, &g.holders} {
+		v.replace(time.Now())
 	}
 }
 
@@ -97,7 +99,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		g.sawStore(err)
+		g.sawStore(began, err)
 		g.due()
 		pace := paceAlone
 		if g.holdsAny() {
