A caller that leaves is given one answer

A second runner's answer that cannot be given, as the caller has just left, was followed by giving the first one's failure, which closes the channel of the answer a second time. Change: what a caller that has gone was given is the end of it. Result: the test gave two answers in three cases of three and gives one now.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -145,8 +145,11 @@
 func (p *exchange) once(ctx context.Context, reply *Reply, body []byte) *judge.Error {
 	p.renew()
 	if runner, err := p.choose(ctx); err == nil {
-		if p.try(ctx, runner) == nil {
-			return nil
+		failed := p.try(ctx, runner)
+		if failed == nil || errors.Is(failed, errGone) {
+			// A caller that left while it was given this answer is not given another: the
+			// second one ended the process, and the requests of all its other callers.
+			return failed
 		}
 	}
 	if p.answered {
