A holder tells nothing of runners before it knows them

Two instances had the newest configuration and refused every request: a holder that had started again took its tenure over before the slow store had told it the runners, and told its members of none; they dropped all of its domain.

--- a/internal/instance/gatekeeper/link_test.go
+++ b/internal/instance/gatekeeper/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -11,7 +12,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sardinetiller/sardinetiller/internal/member/elector"
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
@@ -51,6 +54,23 @@
 	})
 }
 
+// An instance starts again and takes its tenure over before it has read the runners,
+// as the store is slow. Whatever it told its members of them would be that there are
+// none: they dropped all runners of the domain and refused every request, until each
+// runner had written its row anew.
+func TestHolderTellsNothingBeforeItKnowsTheRunners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, _ := newFedGatekeeper()
+		g.setViews()
+		hold(g, "a")
+		err := g.Answer(t.Context(), heartbeater.Instance{ID: "front-1", Domain: "a"}, relayer.Subscribe{Domain: "a"}, nil)
+		var refused *judge.Error
+		if !errors.As(err, &refused) || refused.Reason != judge.ReasonStarting {
+			t.Errorf("got %v, want a refusal as it is starting", err)
+		}
+	})
+}
+
 // The store is away for longer than a lease; no other instance of the domain
 // lives to take the tenure over. Its holder must see that nobody gives orders,
 // itself included, and take it again when the store is back. Taking its own name
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -41,6 +41,12 @@
 		if err != nil {
 			return err
 		}
+		if _, known := g.runners.firsthand(); !known {
+			// It may hold the tenure already, under the name that it had before a restart.
+			// Members would take its silence about runners for their end, drop them all and
+			// refuse every request. They ask again in 200 ms and keep what they know.
+			return judge.Refuse(judge.ReasonStarting, "the runners are not known here yet")
+		}
 		return d.publish(ctx, from, reply)
 	default:
 		return judge.Refuse(judge.ReasonPeer, "a gateway answers no %T", m)
