--- a/internal/instance/gatekeeper/age.go
+++ b/internal/instance/gatekeeper/age.go
@@ -9,9 +9,6 @@
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
-// views returns what this instance knows of the store's tables.
-func (g *Gatekeeper) views() []*view { return []*view{&g.operator, &g.holders, &g.runners} }
-
 // version returns that of the configuration in force, 0 if there is none.
 func (g *Gatekeeper) version() uint64 {
 	if c := g.Catalog(); c != nil {
--- a/internal/instance/gatekeeper/view.go
+++ b/internal/instance/gatekeeper/view.go
@@ -27,11 +27,11 @@
 	ahead   uint64    // newest version of a row that another instance told of
 	aheadAt time.Time // when it told of it first
 
-	last   time.Time // when the last call that waits for changes was sent
-	asked  time.Time // the same, zero if it has ended
-	cancel context.CancelCauseFunc
-	failed int   // calls that failed since the last one that succeeded
-	err    error // of the last of them
+	last   time.Time               // when the last call that waits for changes was sent
+	asked  time.Time               // the same; zero if it has ended
+	cancel context.CancelCauseFunc // ends it
+	failed int                     // calls that failed since the last one that succeeded
+	err    error                   // of the last of them
 }
 
 // errReplaced ends a call in whose place another one is sent.
@@ -177,8 +177,8 @@
 	}
 }
 
-// reached takes in the rows of a call, and up to which version, as of when, the
-// table is known.
+// reached takes in the rows of a call, and up to which version and as of when the
+// table is known by it.
 func (v *view) reached(rows []tabler.Row, version uint64, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -200,57 +200,6 @@
 	v.known = false
 }
 
-// setViews sets what the views are of, and what others tell of each.
-func (g *Gatekeeper) setViews() {
-	g.viewsSet.Do(func() {
-		operator, runners := g.Decoder.Tables()
-		v := &g.operator
-		v.name, v.change = operator, g.operatorRow
-		v.others = g.operatorTold.get
-		v.patience = g.operatorPatience
-		v = &g.holders
-		v.name, v.change = tableHolders, g.holderRow
-		v.others = func() (time.Time, bool) { return g.sinceAll(func(l *link) time.Time { return l.heard }) }
-		v.patience = func() time.Duration { return patienceTenures }
-		v = &g.runners
-		v.name, v.change, v.whole = runners, g.runnerRow, g.allRunners
-		v.others = func() (time.Time, bool) {
-			at, ok := g.sinceAll(func(l *link) time.Time { return l.fresh })
-			return at.Add(-freshFor), ok && !g.holdsAny()
-		}
-	})
-}
-
-// operatorPatience returns the age at which this instance asks about the operator's
-// rows.
-func (g *Gatekeeper) operatorPatience() time.Duration {
-	own := patienceHolder
-	for _, domain := range g.domains() {
-		if g.controllers[domain].holds() {
-			return min(own, patience)
-		}
-		own += stagger
-	}
-	return patience
-}
-
-// sinceAll returns the earliest of a time of each link; ok is false if one has
-// none.
-func (g *Gatekeeper) sinceAll(of func(l *link) time.Time) (earliest time.Time, ok bool) {
-	for _, l := range g.links {
-		l.mu.Lock()
-		at := of(l)
-		l.mu.Unlock()
-		if at.IsZero() {
-			return time.Time{}, false
-		}
-		if earliest.IsZero() || at.Before(earliest) {
-			earliest = at
-		}
-	}
-	return earliest, !earliest.IsZero()
-}
-
 // take takes in all rows of the table.
 func (v *view) take(rows []tabler.Row) {
 	if v.whole != nil {
--- /dev/null
+++ b/internal/instance/gatekeeper/views.go
@@ -0,0 +1,59 @@
+package gatekeeper
+
+import (
+	"time"
+)
+
+// setViews sets what the views are of, and what others tell of each.
+func (g *Gatekeeper) setViews() {
+	g.viewsSet.Do(func() {
+		operator, runners := g.Decoder.Tables()
+		v := &g.operator
+		v.name, v.change = operator, g.operatorRow
+		v.others = g.operatorTold.get
+		v.patience = g.operatorPatience
+		v = &g.holders
+		v.name, v.change = tableHolders, g.holderRow
+		v.others = func() (time.Time, bool) { return g.sinceAll(func(l *link) time.Time { return l.heard }) }
+		v.patience = func() time.Duration { return patienceTenures }
+		v = &g.runners
+		v.name, v.change, v.whole = runners, g.runnerRow, g.allRunners
+		v.others = func() (time.Time, bool) {
+			at, ok := g.sinceAll(func(l *link) time.Time { return l.fresh })
+			return at.Add(-freshFor), ok && !g.holdsAny()
+		}
+	})
+}
+
+// operatorPatience returns the age at which this instance asks about the operator's
+// rows.
+func (g *Gatekeeper) operatorPatience() time.Duration {
+	own := patienceHolder
+	for _, domain := range g.domains() {
+		if g.controllers[domain].holds() {
+			return min(own, patience)
+		}
+		own += stagger
+	}
+	return patience
+}
+
+// sinceAll returns the earliest of a time of each link; ok is false if one has
+// none.
+func (g *Gatekeeper) sinceAll(of func(l *link) time.Time) (earliest time.Time, ok bool) {
+	for _, l := range g.links {
+		l.mu.Lock()
+		at := of(l)
+		l.mu.Unlock()
+		if at.IsZero() {
+			return time.Time{}, false
+		}
+		if earliest.IsZero() || at.Before(earliest) {
+			earliest = at
+		}
+	}
+	return earliest, !earliest.IsZero()
+}
+
+// views returns what this instance knows of the store's tables.
+func (g *Gatekeeper) views() []*view { return []*view{&g.operator, &g.holders, &g.runners} }
