Runners are not dropped on the word of a holder that does not reach the store

A member that makes its link anew is told of all runners; from a holder that the store turns away this is what was true before, and members dropped runners that had registered since, until these wrote their rows anew. Change: only fresh news drops runners.

--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -146,7 +146,9 @@
 	if n.Operator.Newest > 0 && g.operator.hear(n.Operator.Newest, now) {
 		g.operatorTold.advance(now.Add(-n.Operator.Age))
 	}
-	if n.Whole {
+	if n.Whole && n.Fresh {
+		// A holder that has not reached the store lately does not know all that there
+		// are. This instance asks the store itself then, and sees who is gone.
 		g.dropOthers(l.domain, n.Runners)
 	}
 	for _, r := range n.Runners {
--- a/internal/instance/gatekeeper/link_test.go
+++ b/internal/instance/gatekeeper/link_test.go
@@ -54,6 +54,28 @@
 	})
 }
 
+// The store turns a holder away, and a runner registers meanwhile. A member that
+// reads the store itself knows it; when its link to the holder is made anew it is told
+// of all runners as they were. It must not drop the new one, or refuse what only that
+// one could take.
+func TestOldNewsOfAllRunnersDropsNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGatekeeper()
+		l := g.links["a"]
+		old := tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 1}
+		g.setRunner(old)
+		g.setRunner(tracker.Runner{ID: "i-2", Domain: "a", Service: "llm", Revision: 2})
+		l.take(relayer.News{Whole: true, Runners: []tracker.Runner{old}})
+		if _, there := g.Fleet.Get("i-2"); !there {
+			t.Error("a runner was dropped that the holder could not know")
+		}
+		l.take(relayer.News{Fresh: true, Whole: true, Runners: []tracker.Runner{old}})
+		if _, there := g.Fleet.Get("i-2"); there {
+			t.Error("a runner is kept that is gone")
+		}
+	})
+}
+
 // An instance starts again and takes its tenure over before it has read the runners,
 // as the store is slow. Whatever it told its members of them would be that there are
 // none: they dropped all runners of the domain and refused every request, until each
