Test of old news of runners has what it needs

Result: the test fails without the change (a runner was dropped that the holder could not know) and passes with it, with the race detector.

--- a/internal/instance/gatekeeper/link_test.go
+++ b/internal/instance/gatekeeper/link_test.go
@@ -17,6 +17,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/pooler"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
@@ -61,6 +62,7 @@
 func TestOldNewsOfAllRunnersDropsNone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newTestGatekeeper()
+		g.Pool = &pooler.Pool{}
 		l := g.links["a"]
 		old := tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 1}
 		g.setRunner(old)
