--- a/internal/member/gatherer/gatherer.go
+++ b/internal/member/gatherer/gatherer.go
@@ -17,7 +17,7 @@
 // A Gatherer holds the last word of each member. Its fields are set before use;
 // it is not safe for concurrent use.
 type Gatherer struct {
-	Freed  func(k Key)                       // is told when the last use of a copy has ended; may be nil
+	Freed  func(k Key)                     // is told when the last use of a copy has ended; may be nil
 	Silent time.Duration                   // after its last word a member counts no more
 	Waits  func(k Key, all placer.Waiting) // is told of all requests that wait for a copy, whenever a member tells of some; may be nil
 
--- /dev/null
+++ b/internal/member/gatherer/gatherer_test.go
@@ -0,0 +1,171 @@
+package gatherer_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/member/gatherer"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+)
+
+const silent = 3 * time.Second
+
+var (
+	begun = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	hot   = gatherer.Key{Runner: "i-1", Copy: placer.Copy{Model: "m", Adapter: "a1", Version: 1}}
+	cold  = gatherer.Key{Runner: "i-1", Copy: placer.Copy{Model: "m", Adapter: "a2", Version: 1}}
+)
+
+func ExampleGatherer_Tell() {
+	g := gatherer.Gatherer{Silent: silent}
+	g.Tell("front-1", gatherer.Word{Instances: 1, Uses: map[gatherer.Key]int{hot: 2}}, begun)
+	g.Tell("front-2", gatherer.Word{Instances: 1, Uses: map[gatherer.Key]int{hot: 1}}, begun)
+	fmt.Println(g.Uses(hot))
+	g.Tell("front-1", gatherer.Word{Instances: 1}, begun) // whole: its uses have ended
+	fmt.Println(g.Uses(hot))
+	g.Expire(begun.Add(silent + time.Second)) // nobody has said anything since
+	fmt.Println(g.Uses(hot), g.Instances())
+	// Output:
+	// 3
+	// 1
+	// 0 0
+}
+
+// Callers wait for a copy at two instances. What the placer is told must be all of
+// them, whoever spoke last: told of one instance's only, it gave the place to a copy
+// for which fewer waited.
+func TestWaitsOfAllAreTold(t *testing.T) {
+	told := make(map[gatherer.Key]placer.Waiting)
+	g := gatherer.Gatherer{Silent: silent, Waits: func(k gatherer.Key, all placer.Waiting) { told[k] = all }}
+	waits := func(priority, requests, inTime int) gatherer.Word {
+		return gatherer.Word{Waits: map[gatherer.Key]placer.Waiting{hot: {Priority: priority, Requests: requests, InTime: inTime}}}
+	}
+	g.Tell("front-1", waits(1, 2, 1), begun)
+	g.Tell("front-2", waits(0, 3, 2), begun)
+	if diff := cmp.Diff(placer.Waiting{Priority: 0, Requests: 5, InTime: 3}, told[hot], cmp.AllowUnexported(placer.Waiting{})); diff != "" {
+		t.Error("both wait:", diff)
+	}
+	g.Tell("front-2", gatherer.Word{}, begun)
+	if diff := cmp.Diff(placer.Waiting{Priority: 1, Requests: 2, InTime: 1}, told[hot], cmp.AllowUnexported(placer.Waiting{})); diff != "" {
+		t.Error("the urgent ones have gone:", diff)
+	}
+	g.Drop("front-1")
+	if told[hot].Requests != 0 {
+		t.Errorf("%d wait after all have gone", told[hot].Requests)
+	}
+}
+
+// Copies are in line at a runner and the last request that used another one there
+// has ended. Whoever passes words on has to hear of that end as such, or the place
+// stays taken until the next word.
+func TestTheLastEndOfAUseIsTold(t *testing.T) {
+	var freed []gatherer.Key
+	g := gatherer.Gatherer{Silent: silent, Freed: func(k gatherer.Key) { freed = append(freed, k) }}
+	uses := func(n int) gatherer.Word { return gatherer.Word{Uses: map[gatherer.Key]int{hot: n, cold: 1}} }
+	g.Tell("front-1", uses(2), begun)
+	g.Tell("front-2", uses(1), begun)
+	g.Tell("front-1", uses(1), begun)
+	g.Tell("front-2", gatherer.Word{Uses: map[gatherer.Key]int{cold: 1}}, begun)
+	if len(freed) > 0 {
+		t.Errorf("told that %v are free, which are in use", freed)
+	}
+	g.Tell("front-1", gatherer.Word{Uses: map[gatherer.Key]int{cold: 1}}, begun)
+	if diff := cmp.Diff([]gatherer.Key{hot}, freed); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Instances speak, fall silent, come back and leave in any order. The sums that are
+// kept must be those that counting anew gives: a rest that stays would keep a place
+// for good, one that is missing would give up a copy in use.
+func TestSumsAreThoseOfTheLastWords(t *testing.T) {
+	for seed := range uint64(200) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playWords(t, rand.New(rand.NewPCG(seed, seed))) })
+	}
+}
+
+func playWords(t *testing.T, rng *rand.Rand) {
+	g := gatherer.Gatherer{Silent: silent}
+	words := make(map[string]gatherer.Word)
+	heard := make(map[string]time.Time)
+	now := begun
+	for range 200 {
+		now = now.Add(time.Duration(rng.Int64N(int64(400 * time.Millisecond))))
+		id := fmt.Sprint("front-", rng.IntN(6))
+		switch rng.IntN(8) {
+		case 0:
+			g.Drop(id)
+			delete(words, id)
+		case 1:
+			k := randomKey(rng)
+			g.Use(id, k, now)
+			if _, known := words[id]; !known {
+				heard[id] = now
+				words[id] = gatherer.Word{Uses: make(map[gatherer.Key]int)}
+			}
+			words[id].Uses[k]++
+		case 2:
+			g.Expire(now)
+			for other := range words {
+				if now.Sub(heard[other]) > silent {
+					delete(words, other)
+				}
+			}
+		default:
+			w := randomWord(rng)
+			words[id], heard[id] = w, now
+			w.Uses = maps.Clone(w.Uses)
+			g.Tell(id, w, now)
+		}
+		var want gatherer.Word
+		for _, w := range words {
+			want.Add(w)
+		}
+		if diff := cmp.Diff(want, g.Word(), cmpopts.EquateEmpty(), cmp.AllowUnexported(placer.Waiting{}, tracker.Load{})); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+}
+
+func randomKey(rng *rand.Rand) gatherer.Key {
+	return gatherer.Key{Runner: fmt.Sprint("i-", rng.IntN(3)), Copy: placer.Copy{Model: "m", Adapter: fmt.Sprint("a", rng.IntN(3)), Version: 1}}
+}
+
+func randomWord(rng *rand.Rand) gatherer.Word {
+	w := gatherer.Word{
+		Instances: 1 + rng.IntN(3), Loads: make(map[string]tracker.Load), Uses: make(map[gatherer.Key]int), Waits: make(map[gatherer.Key]placer.Waiting),
+	}
+	for range rng.IntN(4) {
+		w.Loads[randomKey(rng).Runner] = tracker.Load{Running: 1 + rng.IntN(5), Unread: rng.IntN(1000)}
+		w.Uses[randomKey(rng)] = 1 + rng.IntN(3)
+		w.Waits[randomKey(rng)] = placer.Waiting{Priority: rng.IntN(3), Requests: 1 + rng.IntN(4), InTime: rng.IntN(2)}
+	}
+	return w
+}
+
+// What one word costs, beside that of 30 to 1,000 members: it must not depend on how
+// many there are.
+func BenchmarkTell(b *testing.B) {
+	for _, members := range []int{30, 100, 300, 1000} {
+		b.Run(fmt.Sprint("members=", members), func(b *testing.B) {
+			rng := rand.New(rand.NewPCG(1, 1))
+			g := gatherer.Gatherer{Silent: silent, Waits: func(gatherer.Key, placer.Waiting) {}}
+			for n := range members {
+				g.Tell(fmt.Sprint("front-", n), randomWord(rng), begun)
+			}
+			words := []gatherer.Word{randomWord(rng), randomWord(rng)}
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				g.Tell("front-0", words[n%2], begun)
+				g.Loads("front-0")
+			}
+		})
+	}
+}
--- a/internal/member/relayer/gateway.go
+++ b/internal/member/relayer/gateway.go
@@ -18,21 +18,21 @@
 	Domain  string                  `cbor:"5,keyasint"`
 	Others  int                     `cbor:"10,keyasint,omitempty"` // instances that it speaks for beside the sender
 	Parted  bool                    `cbor:"11,keyasint,omitempty"` // the sender tells somebody else from now on; the rest says nothing
-	Loads   map[string]tracker.Load `cbor:"1,keyasint,omitempty"` // the sender's work on each runner, all that have some
-	Short   int                     `cbor:"8,keyasint,omitempty"` // answers that had only short pauses
-	Long    int                     `cbor:"9,keyasint,omitempty"` // that had a long one
-	Missing []Need                  `cbor:"2,keyasint,omitempty"` // refused for want of the copy
-	There   []Need                  `cbor:"6,keyasint,omitempty"` // used, and known to be there
-	Spare   []Need                  `cbor:"7,keyasint,omitempty"` // of use to those that come later; nobody waits
-	Uses    []Need                  `cbor:"3,keyasint,omitempty"` // all copies that requests use now
-	Waits   []Wait                  `cbor:"4,keyasint,omitempty"` // all copies that requests wait for now
+	Loads   map[string]tracker.Load `cbor:"1,keyasint,omitempty"`  // the sender's work on each runner, all that have some
+	Short   int                     `cbor:"8,keyasint,omitempty"`  // answers that had only short pauses
+	Long    int                     `cbor:"9,keyasint,omitempty"`  // that had a long one
+	Missing []Need                  `cbor:"2,keyasint,omitempty"`  // refused for want of the copy
+	There   []Need                  `cbor:"6,keyasint,omitempty"`  // used, and known to be there
+	Spare   []Need                  `cbor:"7,keyasint,omitempty"`  // of use to those that come later; nobody waits
+	Uses    []Need                  `cbor:"3,keyasint,omitempty"`  // all copies that requests use now
+	Waits   []Wait                  `cbor:"4,keyasint,omitempty"`  // all copies that requests wait for now
 }
 
 // A Reserve asks the instance that orders for a failure domain for room at
 // one of its runners.
 type Reserve struct {
 	_      struct{} `cbor:",toarray"`
-	By     string // who tells the receiver of the sender's uses; empty for the sender itself
+	By     string   // who tells the receiver of the sender's uses; empty for the sender itself
 	Domain string
 	Runner string
 	Copy   placer.Copy   // that the request uses
