--- a/internal/instance/gatekeeper/begin.go
+++ b/internal/instance/gatekeeper/begin.go
@@ -14,7 +14,7 @@
 	// for the first word of the instance that tells. Within both, callers cannot be
 	// served yet.
 	firstAnswer = 300 * time.Millisecond
-	firstWord   = 250 * time.Millisecond
+	firstWord   = 300 * time.Millisecond
 	// firstSpread is over how long the instances of a deployment that starts for the
 	// first time spread their first call: whoever comes first takes the tenure, within
 	// some 30 ms, and tells the others. Callers come seconds later.
@@ -42,14 +42,14 @@
 	}
 }
 
-// afterFirstWord returns a loop that begins when it is known that nobody tells this
+// unlessTold returns a loop that begins when it is known that nobody tells this
 // instance what the loop would ask the store.
-func (g *Gatekeeper) afterFirstWord(loop func(context.Context)) func(context.Context) {
+func (g *Gatekeeper) unlessTold(loop func(context.Context), told func(now time.Time) bool) func(context.Context) {
 	return func(ctx context.Context) {
 		g.await(ctx, func(known time.Time) bool {
 			_, telling := g.teller()
 			now := time.Now()
-			return !telling || g.operator.isSpared(now) || now.Sub(known) > firstWord
+			return !telling || told(now) || now.Sub(known) > firstWord
 		})
 		loop(ctx)
 	}
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -117,12 +117,12 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	defer cancel()
-	loops.Go(func() {
-		g.begin(work)
-		g.watchHolders(work)
-	})
 	for _, loop := range []func(context.Context){
-		g.afterFirstWord(g.watchOperator), g.afterFirstWord(g.watchRunners), g.afterHolders(g.lead), g.sweep, g.tellPaces, g.tellAges,
+		g.begin, g.afterHolders(g.lead),
+		g.unlessTold(g.watchHolders, g.holders.isSpared),
+		g.unlessTold(g.watchOperator, g.operator.isSpared),
+		g.unlessTold(g.watchRunners, func(time.Time) bool { return g.told() }),
+		g.sweep, g.tellPaces, g.tellAges,
 	} {
 		loops.Go(func() { loop(work) })
 	}
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -43,8 +43,10 @@
 	beat = 150 * time.Millisecond
 	// hurryAgain is how long the holder is not told of a want in a hurry again.
 	hurryAgain = time.Second
-	// redial is the pause after a link that failed.
+	// redial is the pause after a link that failed, and relook the one before an
+	// instance that may tell by now is asked.
 	redial = 200 * time.Millisecond
+	relook = 20 * time.Millisecond
 )
 
 // setHolder takes in who holds the tenure.
@@ -113,13 +115,19 @@
 // listen follows the instance that passes the holder's word on, until ctx ends.
 func (l *link) listen(ctx context.Context) {
 	for ctx.Err() == nil {
-		if t, ok := l.gatekeeper.teller(); ok && l.passable(t) {
+		t, ok := l.gatekeeper.teller()
+		switch {
+		case !ok:
+			pause(ctx, redial)
+		case !l.passable(t):
+			pause(ctx, relook)
+		default:
 			l.subscribe(ctx, t, func() bool {
 				now, ok := l.gatekeeper.teller()
 				return ok && now == t
 			})
+			pause(ctx, relook)
 		}
-		pause(ctx, redial)
 	}
 }
 
@@ -166,7 +174,7 @@
 	g := l.gatekeeper
 	conversation, err := g.Mesh.Open(ctx, from.address, l.question(from))
 	if err != nil {
-		g.choice.lost(from, time.Now())
+		g.choice.lost(from, err, time.Now())
 		return // it is tried again, and silence shows in what follows from it
 	}
 	defer conversation.Close()
@@ -176,8 +184,8 @@
 		cancel()
 		news, ok := message.(relayer.News)
 		if err != nil || !ok {
-			g.choice.lost(from, time.Now())
-			if !refuses(err) {
+			g.choice.lost(from, err, time.Now())
+			if !is(err, judge.ReasonOwner) && !is(err, judge.ReasonStarting) { // else it has answered, and its link is sound
 				g.Mesh.Cut(from.address)
 			}
 			return
@@ -187,11 +195,10 @@
 	}
 }
 
-// refuses reports whether an instance has answered that it tells nothing. Its link
-// is sound then.
-func refuses(err error) bool {
+// is reports whether an error is a refusal for a reason.
+func is(err error, reason judge.Reason) bool {
 	var refused *judge.Error
-	return errors.As(err, &refused) && (refused.Reason == judge.ReasonOwner || refused.Reason == judge.ReasonStarting)
+	return errors.As(err, &refused) && refused.Reason == reason
 }
 
 // question returns what an instance is asked to tell.
--- a/internal/instance/gatekeeper/teller.go
+++ b/internal/instance/gatekeeper/teller.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sardinetiller/sardinetiller/internal/member/elector"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
@@ -26,10 +27,13 @@
 	unfit map[source]time.Time // until when those that fell silent or refused are passed over
 }
 
-// unfitFor is how long an instance that told nothing is passed over. One that starts
-// again needs about as long, and one that is cut off is asked no more often than
-// links are made anew.
-const unfitFor = time.Second
+// unfitFor is how long an instance that told nothing is passed over: one that is cut
+// off is asked no more often than that. startingFor is the same for one that has said
+// that it is starting, which it does within some 50 ms.
+const (
+	unfitFor    = time.Second
+	startingFor = 50 * time.Millisecond
+)
 
 // fit reports whether an instance may be chosen.
 func (c *choice) fit(s source, now time.Time) bool {
@@ -38,8 +42,12 @@
 	return !now.Before(c.unfit[s])
 }
 
-// lost takes in that an instance told nothing.
-func (c *choice) lost(s source, now time.Time) {
+// lost takes in that an instance told nothing, and why.
+func (c *choice) lost(s source, err error, now time.Time) {
+	away := unfitFor
+	if is(err, judge.ReasonStarting) {
+		away = startingFor
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.unfit == nil {
@@ -50,7 +58,7 @@
 			delete(c.unfit, other)
 		}
 	}
-	c.unfit[s] = now.Add(unfitFor)
+	c.unfit[s] = now.Add(away)
 }
 
 // set takes in the choice; it reports whether it is another one than before.
