--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -26,7 +26,8 @@
 	mu      sync.Mutex
 	elector elector.Elector
 	acting  uint64        // fencing number under which the placers were begun; 0 for none
-	next    time.Duration // before which the store is not asked again
+	next    time.Duration // before which the store is not asked again, after a call that failed
+	look    time.Duration // before which the row of the tenure is not looked at again
 	calling bool          // a call to the store about the tenure is under way
 	looking bool          // nobody seems to hold the tenure
 	runners map[string]*runnerState
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -31,7 +31,7 @@
 	idle    bool // the last word told of nothing
 	members int
 	needs   needs
-	passed  time.Time // when the last word of the holder came through another instance
+	passed  time.Time // when the last word of the holder that came through another instance was said
 	parting time.Time // until when former is told as well
 	said    time.Time // when the last word was told
 	via     source    // that told of the domain last, and is told
@@ -56,7 +56,7 @@
 	if t.Fence <= l.holder.Fence {
 		return
 	}
-	if l.heard.IsZero() && t.Holder != l.self() {
+	if l.heard.IsZero() && t.Holder != "" && t.Holder != l.self() {
 		l.heard = time.Now() // it has the time to speak before its tenure is looked after
 	}
 	l.holder = t
@@ -217,16 +217,14 @@
 	if t, ok := g.teller(); ok && t == from {
 		g.choice.heard(from, time.Now())
 	}
-	if n.Mute {
+	if mute(n) {
 		return
 	}
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if from.id != l.holder.Holder {
-		l.passed = now
-	} else if t, ok := g.choice.now(); ok && t == from {
-		l.passed = now
+	if t, ok := g.choice.now(); ok && t == from {
+		l.passed = now.Add(-n.Silence)
 	}
 	if l.via == from {
 		return
@@ -282,8 +280,8 @@
 	if n.Fresh {
 		l.fresh = now
 	}
-	if !n.Mute {
-		l.heard = now
+	if heard := now.Add(-n.Silence); heard.After(l.heard) {
+		l.heard = heard
 	}
 	if n.Loaded {
 		l.setMembers(n.Members)
@@ -297,7 +295,7 @@
 		g.operator.told.advance(now.Add(-n.Operator.Age))
 	}
 	l.takeRunners(n)
-	if n.Mute {
+	if mute(n) {
 		return
 	}
 	l.takeHeld(n, now)
--- a/internal/instance/gatekeeper/pass.go
+++ b/internal/instance/gatekeeper/pass.go
@@ -66,8 +66,8 @@
 	l := d.gatekeeper.links[d.domain]
 	news.Tenure = d.elector.Holder()
 	news.Renewal, news.Age = d.elector.Renewal(uptime())
-	news.Mute = l.silence() > unheard
-	if news.Mute {
+	news.Silence = l.silence()
+	if mute(*news) {
 		return
 	}
 	news.Acting, news.Line = d.heard.acting, d.heard.line
@@ -98,6 +98,10 @@
 	return loads
 }
 
+// mute reports whether news is of a domain whose holder the sender does not hear. It
+// tells only which runners there are, which the sender reads from the store itself.
+func mute(n relayer.News) bool { return n.Silence > unheard }
+
 func addLoads(sum, more map[string]tracker.Load) {
 	for runner, load := range more {
 		sum[runner] = sum[runner].Plus(load)
--- /dev/null
+++ b/internal/instance/gatekeeper/pass_test.go
@@ -0,0 +1,361 @@
+package gatekeeper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/member/elector"
+	"github.com/sardinetiller/sardinetiller/internal/member/gatherer"
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/pooler"
+)
+
+// A chain is a holder of domain b, a holder of domain a, and a member of a that is
+// told of b by the holder of its own domain. Words pass when the test says so.
+type chain struct {
+	holder, passer, member *Gatekeeper
+	toPasser, toMember     int // up to where each was told
+}
+
+func newChain() *chain {
+	c := &chain{holder: newChained("b-1", "b"), passer: newChained("a-1", "a"), member: newChained("a-2", "a")}
+	c.begin()
+	return c
+}
+
+func newChained(id, domain string) *Gatekeeper {
+	g := newTestGatekeeper()
+	g.Config.ID, g.Config.Domain, g.Config.Domains = id, domain, []string{"a", "b"}
+	g.Fleet = &tracker.Fleet{Domain: domain}
+	g.Pool = &pooler.Pool{}
+	g.Store, g.Decoder = newFeedStore(), feedDecoder{}
+	g.init()
+	g.setViews()
+	return g
+}
+
+func (c *chain) begin() {
+	hold(c.holder, "b")
+	hold(c.passer, "a")
+	c.toPasser, c.toMember = -1, -1
+	for _, g := range []*Gatekeeper{c.passer, c.member} {
+		g.links["a"].setHolder(elector.Tenure{Holder: "a-1", Address: "a-1", Fence: 1})
+		g.links["b"].setHolder(elector.Tenure{Holder: "b-1", Address: "b-1", Fence: 1})
+	}
+}
+
+// hear passes the holder's news on to the passer, and retell that of the passer on to
+// the member.
+func (c *chain) hear() {
+	news, next, _ := c.holder.controllers["b"].digest("a-1", c.toPasser, true)
+	c.toPasser = next
+	l := c.passer.links["b"]
+	l.heardBy(source{"b-1", "b-1"}, news)
+	l.take(news)
+}
+
+func (c *chain) retell() {
+	defer c.passer.controllers["b"].followed()()
+	news, next, _ := c.passer.controllers["b"].digest("a-2", c.toMember, true)
+	c.toMember = next
+	l := c.member.links["b"]
+	l.heardBy(source{"a-1", "a-1"}, news)
+	l.take(news)
+}
+
+// speak passes the member's needs on to the passer, and pass those that the passer
+// has gathered on to the holder.
+func (c *chain) speak() {
+	c.passer.Demanded(heartbeater.Instance{ID: "a-2", Domain: "a"}, c.member.links["b"].demand())
+}
+
+func (c *chain) pass() {
+	c.holder.Demanded(heartbeater.Instance{ID: "a-1", Domain: "a"}, c.passer.links["b"].demand())
+}
+
+var chained = gatherer.Key{Runner: "i-1", Copy: placer.Copy{Model: "m", Adapter: "a1", Version: 1}}
+
+func (c *chain) addRunner() {
+	for _, g := range []*Gatekeeper{c.holder, c.passer, c.member} {
+		g.setRunner(tracker.Runner{ID: "i-1", Domain: "b", Service: "llm", Revision: 1})
+	}
+}
+
+// A caller's request uses a copy in another failure domain, and its instance tells the
+// holder there through the holder of its own domain. The copy must stay for as long as
+// the request runs, and its place must come free afterwards, whoever has died or
+// missed a word meanwhile.
+func TestUsesArePassedOn(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		happen func(c *chain, done func())
+		want   int
+	}{
+		{"begins", func(c *chain, _ func()) {
+			c.speak()
+			c.pass()
+		}, 1},
+		{"room was asked for, and neither word has come yet", func(c *chain, _ func()) {
+			c.holder.controllers["b"].used("a-1", chained)
+		}, 1},
+		{"room was asked for, and both words have come", func(c *chain, _ func()) {
+			c.holder.controllers["b"].used("a-1", chained)
+			c.speak()
+			c.pass()
+		}, 1},
+		{"ends", func(c *chain, done func()) {
+			c.speak()
+			c.pass()
+			done()
+			c.speak()
+			c.pass()
+		}, 0},
+		{"ends, and that word is lost", func(c *chain, done func()) {
+			c.speak()
+			c.pass()
+			done()
+			_ = c.member.links["b"].demand()
+			c.speak()
+			c.pass()
+		}, 0},
+		{"goes on while the passer misses a word", func(c *chain, _ func()) {
+			c.speak()
+			c.pass()
+			time.Sleep(silent / 2)
+			c.pass()
+		}, 1},
+		{"the member dies", func(c *chain, _ func()) {
+			c.speak()
+			c.pass()
+			for range 30 {
+				time.Sleep(beat)
+				c.pass()
+			}
+		}, 0},
+		{"the passer dies", func(c *chain, _ func()) {
+			c.speak()
+			c.pass()
+			time.Sleep(silent + time.Second)
+			c.holder.controllers["b"].others("", time.Now())
+		}, 0},
+		{"the passer loses its tenure, and the member tells the holder itself", func(c *chain, _ func()) {
+			c.speak()
+			c.pass()
+			c.passer.controllers["a"].elector.Leave(uptime())
+			c.pass()
+			c.holder.Demanded(heartbeater.Instance{ID: "a-2", Domain: "a"}, c.member.links["b"].demand())
+		}, 1},
+		{"the member told the holder itself before, and has parted since", func(c *chain, done func()) {
+			c.holder.Demanded(heartbeater.Instance{ID: "a-2", Domain: "a"}, c.member.links["b"].demand())
+			c.speak()
+			c.pass()
+			c.holder.Demanded(heartbeater.Instance{ID: "a-2", Domain: "a"}, relayer.Demand{Domain: "b", Parted: true})
+			done()
+			c.speak()
+			c.pass()
+		}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newChain()
+				c.addRunner()
+				tc.happen(c, c.member.Use(chained.Runner, chained.Copy))
+				if diff := cmp.Diff(tc.want, c.holder.controllers["b"].gather.Uses(chained)); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+// The members of a domain choose a runner of another one. Told of the work of all
+// others there, their own included or left out twice, they would all send to the
+// same runner or none.
+func TestLoadsOfAllOthersAreRetold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newChain()
+		c.addRunner()
+		loads := func(n int) relayer.Demand {
+			return relayer.Demand{Domain: "b", Loads: map[string]tracker.Load{"i-1": {Running: n}}}
+		}
+		c.holder.Demanded(heartbeater.Instance{ID: "b-2", Domain: "b"}, loads(100))
+		c.passer.Fleet.Begin("i-1", 0, time.Now())
+		c.member.Fleet.Begin("i-1", 0, time.Now())
+		c.member.Fleet.Begin("i-1", 0, time.Now())
+		c.passer.Demanded(heartbeater.Instance{ID: "a-3", Domain: "a"}, loads(10))
+		c.speak()
+		c.pass()
+		c.hear()
+		c.retell()
+		running := func(g *Gatekeeper) int {
+			return g.Fleet.Candidates(tracker.Demand{Service: "llm"}, time.Now())[0].Running
+		}
+		got := map[string]int{"passer": running(c.passer), "member": running(c.member), "holder": c.holder.controllers["b"].gather.Loads("")["i-1"].Running}
+		if diff := cmp.Diff(map[string]int{"passer": 113, "member": 113, "holder": 113}, got); diff != "" {
+			t.Error(diff)
+		}
+		if got := c.member.links["b"].members; got != 4 {
+			t.Errorf("%d instances share the retries, want 4", got)
+		}
+	})
+}
+
+// A copy arrives at a runner of another failure domain, and makes way again. Members
+// that are not told of either send requests there in vain, or fetch it once more.
+func TestWhatRunnersHoldIsRetold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newChain()
+		c.addRunner()
+		done := c.passer.controllers["b"].followed()
+		defer done()
+		holds := func() bool {
+			held, _ := c.member.Fleet.Standing("i-1")
+			_, ok := held[chained.Copy]
+			return ok
+		}
+		at := time.Now()
+		c.holder.controllers["b"].news.add(event{held: &heldEvent{runner: "i-1", copy: chained.Copy, at: at, there: true}})
+		c.hear()
+		c.retell()
+		c.hear() // in case the first word was one of all there is
+		c.retell()
+		c.holder.controllers["b"].news.add(event{held: &heldEvent{runner: "i-1", copy: chained.Copy, at: at, there: true}})
+		c.holder.controllers["b"].news.add(event{room: &roomEvent{runner: "i-1", wait: time.Second}})
+		c.hear()
+		c.retell()
+		if !holds() {
+			t.Error("not told of a copy")
+		}
+		if !c.member.Fleet.Tight("i-1") {
+			t.Error("not told that a place is waited for")
+		}
+		c.holder.controllers["b"].news.add(event{held: &heldEvent{runner: "i-1", copy: chained.Copy}})
+		c.hear()
+		c.retell()
+		if holds() {
+			t.Error("not told that the copy is gone")
+		}
+	})
+}
+
+// The holder of another domain dies. The instance that passes its words on lives, and
+// must not pass for it: members would wait for adapters that nobody orders. That
+// runners come and go is told all the same, as it is read from the store here.
+func TestSilenceOfAHolderIsNotHiddenByWhoeverPassesItsWordsOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newChain()
+		c.passer.runners.reached(nil, 1, time.Now())
+		c.hear()
+		c.retell()
+		if c.member.links["b"].silence() > 0 {
+			t.Fatal("the holder is silent; the test shows nothing")
+		}
+		c.passer.setRunner(tracker.Runner{ID: "i-9", Domain: "b", Service: "llm", Revision: 9})
+		for range 8 {
+			time.Sleep(beat)
+			c.passer.runners.reached(nil, 1, time.Now())
+			c.retell()
+		}
+		if silence := c.member.links["b"].silence(); silence < unheard {
+			t.Errorf("a silent holder was heard %s ago", silence)
+		}
+		if _, ok := c.member.links["b"].direct(); !ok {
+			t.Error("does not ask the holder itself")
+		}
+		if _, known := c.member.Fleet.Get("i-9"); !known {
+			t.Error("not told of a new runner")
+		}
+		if c.member.links["b"].stale() > beat {
+			t.Error("the runners count as not known, and each member would ask the store")
+		}
+	})
+}
+
+// Requests of a member begin and end while words are lost and late, and while the
+// instance that passes them on stands still, loses its tenure or starts again. Once
+// all has been calm for a while, what the holder counts is what is in use; and at no
+// time is a copy free that a request has used for longer than words take.
+func TestUsesSurviveWhoeverPassesThemOn(t *testing.T) {
+	for seed := range uint64(200) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playChain(t, rand.New(rand.NewPCG(seed, seed))) })
+		})
+	}
+}
+
+func playChain(t *testing.T, rng *rand.Rand) {
+	c := newChain()
+	c.addRunner()
+	var running []func()
+	frozen, direct := time.Time{}, false
+	used := time.Now() // since when the copy has been in use
+	for range 400 {
+		now := time.Now()
+		switch n := rng.IntN(40); {
+		case n < 3 && len(running) < 3:
+			if len(running) == 0 {
+				used = now
+			}
+			running = append(running, c.member.Use(chained.Runner, chained.Copy))
+			by := "a-1"
+			if direct {
+				by = "a-2"
+			}
+			c.holder.controllers["b"].used(by, chained)
+		case n < 6 && len(running) > 0:
+			running[0]()
+			running = running[1:]
+		case n == 6:
+			frozen = now.Add(time.Duration(rng.Int64N(int64(5 * time.Second))))
+		case n == 7: // it starts again, and knows nothing
+			c.passer = newChained("a-1", "a")
+			c.passer.links["a"].setHolder(elector.Tenure{Holder: "a-1", Address: "a-1", Fence: 1})
+			hold(c.passer, "a")
+			c.addRunner()
+			frozen = time.Time{}
+		}
+		away := now.Before(frozen)
+		if !direct && away && frozen.Sub(now) > unheard {
+			direct = true // its silence shows within that time
+		}
+		if direct && !away {
+			direct = false
+			c.speak()
+			c.pass()
+			c.holder.Demanded(heartbeater.Instance{ID: "a-2", Domain: "a"}, relayer.Demand{Domain: "b", Parted: true})
+		}
+		lost := rng.IntN(10) == 0
+		switch {
+		case direct:
+			c.holder.Demanded(heartbeater.Instance{ID: "a-2", Domain: "a"}, c.member.links["b"].demand())
+		case !away && !lost:
+			c.speak()
+			c.pass()
+		}
+		c.holder.controllers["b"].others("", now)
+		if uses := c.holder.controllers["b"].gather.Uses(chained); uses == 0 && len(running) > 0 && now.Sub(used) > time.Second {
+			t.Fatalf("%d requests use a copy that counts as free", len(running))
+		}
+		time.Sleep(beat)
+	}
+	for _, done := range running {
+		done()
+	}
+	for range 50 {
+		c.speak()
+		c.pass()
+		c.holder.controllers["b"].others("", time.Now())
+		time.Sleep(beat)
+	}
+	if uses := c.holder.controllers["b"].gather.Uses(chained); uses != 0 {
+		t.Errorf("%d uses are counted after all have ended", uses)
+	}
+}
--- a/internal/instance/gatekeeper/store_test.go
+++ b/internal/instance/gatekeeper/store_test.go
@@ -206,3 +206,24 @@
 	g.Store, g.Decoder = s, feedDecoder{}
 	return g, s
 }
+
+// Write implements tabler.Feed.
+func (s *feedStore) Write(ctx context.Context, txn tabler.Txn) (uint64, error) {
+	if err := s.admit(ctx, 0); err != nil {
+		return 0, &tabler.UnavailableError{Err: err}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range txn.Checks {
+		if s.rows[c.Key].Version != c.Version {
+			return 0, &tabler.ConflictError{Key: c.Key}
+		}
+	}
+	s.version++
+	for _, p := range txn.Puts {
+		s.rows[p.Key] = tabler.Row{Key: p.Key, Value: p.Value, Version: s.version}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.version, nil
+}
--- a/internal/instance/gatekeeper/tenure.go
+++ b/internal/instance/gatekeeper/tenure.go
@@ -36,11 +36,11 @@
 	// domain before its row is looked at, and lookEvery how often from then on.
 	quietDomain = time.Second
 	lookEvery   = time.Second
-	// looks is how many looks at a row all instances of a domain take together in
+	// lookers is how many looks at a row all instances of a domain take together in
 	// lookEvery, if there are more than that. A holder that stopped as planned is
 	// replaced an eighth of a second later then; with a look of each of 35 a second,
 	// the nine seconds after a death cost 300 calls.
-	looks = 8
+	lookers = 8
 )
 
 // lead looks after the tenures until ctx ends.
@@ -78,16 +78,10 @@
 	if d.calling || now < d.next {
 		return
 	}
-	if !d.elector.Holds(now) {
-		if !d.vacant() {
-			d.looking = false
-			return
-		}
-		if !d.looking {
-			d.looking = true
-			d.next = now + rand.N(d.lookPeriod())
-			return
-		}
+	holds := d.elector.Holds(now)
+	if !holds && !d.vacant() {
+		d.looking = false
+		return
 	}
 	if d.elector.Stale() {
 		d.call(func() { d.read(ctx) })
@@ -97,17 +91,31 @@
 		d.call(func() { d.write(ctx, w) })
 		return
 	}
-	if !d.elector.Holds(now) {
-		d.next = now + d.lookPeriod()
+	if !holds && d.looks(now) {
 		d.call(func() { d.read(ctx) })
 	}
 }
 
+// looks reports whether this instance looks at the row of a tenure now that nobody
+// seems to hold. Those of a domain look in turns.
+func (d *controller) looks(now time.Duration) bool {
+	period := d.lookPeriod()
+	if !d.looking {
+		d.looking = true
+		d.look = now + rand.N(period)
+	}
+	if now < d.look {
+		return false
+	}
+	d.look = now + period
+	return true
+}
+
 // lookPeriod returns how long after one look at the row this instance looks again.
 func (d *controller) lookPeriod() time.Duration {
 	g := d.gatekeeper
 	neighbours := g.Members() / len(g.domains())
-	return max(lookEvery, time.Duration(neighbours)*lookEvery/looks)
+	return max(lookEvery, time.Duration(neighbours)*lookEvery/lookers)
 }
 
 // vacant reports whether nobody seems to hold the tenure.
@@ -195,11 +203,34 @@
 	}
 }
 
+// free frees the row. A renewal that was under way may have changed it meanwhile;
+// left as it is then, nobody would order there until its lease has run out.
 func (d *controller) free(ctx context.Context, w elector.Write) {
 	_, err := d.gatekeeper.Store.Write(ctx, d.txn(w))
+	var conflict *tabler.ConflictError
+	if errors.As(err, &conflict) {
+		err = d.freeAgain(ctx, w)
+	}
 	d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "tenure given up", "domain", d.domain, "fence", w.Row.Fence, "err", err)
 }
 
+func (d *controller) freeAgain(ctx context.Context, w elector.Write) error {
+	row, err := d.gatekeeper.Store.Get(ctx, tableTenures+"/"+d.domain)
+	if err != nil {
+		return err
+	}
+	var tenure elector.Tenure
+	if err := encoder.Unmarshal(row.Value, &tenure); err != nil {
+		return err
+	}
+	if tenure.Holder != d.gatekeeper.Config.ID || tenure.Fence != w.Row.Fence {
+		return nil // somebody else holds it already
+	}
+	w.Version = row.Version
+	_, err = d.gatekeeper.Store.Write(ctx, d.txn(w))
+	return err
+}
+
 // txn returns the transaction that writes the row of the tenure.
 func (d *controller) txn(w elector.Write) tabler.Txn {
 	value, err := encoder.Marshal(w.Row)
--- /dev/null
+++ b/internal/instance/gatekeeper/tenure_test.go
@@ -0,0 +1,120 @@
+package gatekeeper
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/elector"
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
+)
+
+func tenureIn(t *testing.T, s *feedStore, domain string) elector.Tenure {
+	t.Helper()
+	var tenure elector.Tenure
+	if err := encoder.Unmarshal(s.rows[tableTenures+"/"+domain].Value, &tenure); err != nil {
+		t.Fatal(err)
+	}
+	return tenure
+}
+
+func putTenure(t *testing.T, s *feedStore, domain string, tenure elector.Tenure) {
+	t.Helper()
+	value, err := encoder.Marshal(tenure)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.put(tabler.Row{Key: tableTenures + "/" + domain, Value: value})
+}
+
+// A holder is stopped as planned while a renewal of its tenure is under way. The
+// renewal changes the row just before it is to be freed; left as it is then, no
+// adapter is loaded in the domain until the lease has run out, for nine seconds.
+func TestPlannedStopFreesTheTenureBesideARenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, store := newFedGatekeeper()
+		d := g.controllers["a"]
+		held := elector.Tenure{Holder: g.Config.ID, Fence: 1, Serial: 7, Settled: true}
+		putTenure(t, store, "a", held)
+		d.elector.Read(held, store.version, uptime())
+		w, _ := d.elector.Next(uptime())
+		d.elector.Written(w, store.version, uptime())
+		putTenure(t, store, "a", w.Row) // the renewal; its answer is on its way
+		free, _ := d.elector.Leave(uptime())
+		d.free(t.Context(), free)
+		if holder := tenureIn(t, store, "a").Holder; holder != "" {
+			t.Errorf("the row names %s", holder)
+		}
+	})
+}
+
+// The same row was taken over meanwhile. Whoever stops must leave it alone.
+func TestPlannedStopDoesNotFreeWhatAnotherHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, store := newFedGatekeeper()
+		d := g.controllers["a"]
+		hold(g, "a")
+		putTenure(t, store, "a", elector.Tenure{Holder: "front-9", Fence: 2})
+		free, _ := d.elector.Leave(uptime())
+		d.free(t.Context(), free)
+		if holder := tenureIn(t, store, "a").Holder; holder != "front-9" {
+			t.Errorf("the row names %q, want front-9", holder)
+		}
+	})
+}
+
+// A holder has freed its tenure. Whoever looks and sees that must take it at once:
+// waiting for the next look left callers of the domain without adapters for five
+// seconds where 27 instances look in turns.
+func TestTenureThatIsSeenToBeFreeIsTakenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, store := newFedGatekeeper()
+		d := g.controllers["a"]
+		d.elector.Late = 0
+		d.elector.Heard(elector.Tenure{Holder: "front-1", Fence: 1}, store.version, 0, uptime())
+		putTenure(t, store, "a", elector.Tenure{Fence: 1, Serial: 9})
+		d.looking, d.look = true, uptime()
+		d.tenure(t.Context()) // looks
+		time.Sleep(100 * time.Millisecond)
+		d.tenure(t.Context())
+		time.Sleep(100 * time.Millisecond)
+		if holder := tenureIn(t, store, "a").Holder; holder != g.Config.ID {
+			t.Errorf("the row names %q", holder)
+		}
+	})
+}
+
+// The holder of a domain is gone. Somebody has to look at the row soon, as it may
+// have been freed, and 35 instances that each look once a second only cost calls.
+func TestInstancesLookAtATenureInTurns(t *testing.T) {
+	for _, instances := range []int{1, 8, 35, 100} {
+		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
+			var all []*controller
+			for range instances {
+				g := newTestGatekeeper()
+				g.links["a"].members = instances
+				all = append(all, g.controllers["a"])
+			}
+			looks, first := 0, time.Duration(-1)
+			const step, span = 25 * time.Millisecond, 9 * time.Second
+			for now := time.Duration(0); now < span; now += step {
+				for _, d := range all {
+					if d.looks(now) {
+						looks++
+						if first < 0 {
+							first = now
+						}
+					}
+				}
+			}
+			if first > lookEvery {
+				t.Errorf("the first look after %s", first)
+			}
+			if most := int(span/lookEvery+1) * max(lookers+1, min(instances, lookers+1)); looks > most {
+				t.Errorf("%d looks, want %d at most", looks, most)
+			}
+		})
+	}
+}
--- a/internal/member/relayer/gateway.go
+++ b/internal/member/relayer/gateway.go
@@ -71,7 +71,7 @@
 	Loads    map[string]tracker.Load `cbor:"3,keyasint,omitempty"`  // other instances' work on the domain's runners
 	Rooms    []Room                  `cbor:"14,keyasint,omitempty"` // that changed
 	Line     time.Duration           `cbor:"12,keyasint,omitempty"` // until an adapter that is asked for now begins to load
-	Mute     bool                    `cbor:"16,keyasint,omitempty"` // the sender hears nothing of who orders there; only Fresh, Gone, Runners and Tables are told
+	Silence  time.Duration           `cbor:"16,keyasint,omitempty"` // since the last word of who orders there; zero from that instance itself
 	Operator Known                   `cbor:"15,keyasint,omitzero"`  // what the sender knows of the operator's rows
 	Tables   []Table                 `cbor:"17,keyasint,omitempty"` // that were asked for
 	Members  int                     `cbor:"4,keyasint"`            // instances that subscribe, the sender included
