--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -35,6 +35,7 @@
 	news    journal
 	window  placer.Window
 	share   admitter.Share
+	cut     severance
 	heard   retold // of the holder, while another instance is that
 
 	followers int           // members that are told of the domain here
@@ -108,6 +109,10 @@
 	if d.acting != fence {
 		d.begin(fence)
 	}
+	if d.severed(now) {
+		d.yield(ctx)
+		return
+	}
 	catalog := d.gatekeeper.Catalog()
 	l := d.loads(now)
 	for _, id := range d.order() {
--- a/internal/instance/gatekeeper/dark.go
+++ b/internal/instance/gatekeeper/dark.go
@@ -1,10 +1,13 @@
 package gatekeeper
 
 import (
+	"context"
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
 // A darkness counts the signs that a runner does not live. Its row stays for
@@ -47,3 +50,67 @@
 		*d += unanswered
 	}
 }
+
+// A severance is a holder that does not reach the runners of its domain while others
+// do: it is cut off from them and not from the store, so its tenure is renewed and no
+// adapter is loaded for as long as the cut lasts. A holder that sees that gives its
+// tenure up. What other instances tell of answers from those runners is the proof that
+// the runners live: where all of them are gone, nobody could do better.
+type severance struct {
+	since     time.Time // when most runners began to be dark
+	elsewhere time.Time // when another instance last told of an answer of one
+}
+
+const (
+	// severedFor is how long most runners are dark before a tenure is given up. A lost
+	// packet or a slow second is over by then. The next holder orders after the quiet
+	// time, some four seconds later, so a shorter cut costs more than it saves; those
+	// that were met last five seconds and longer.
+	severedFor = 700 * time.Millisecond
+	// severedAway is how long an instance leaves a tenure to others that it gave up.
+	severedAway = 10 * time.Second
+	// answeredFor is how long the word of an answer elsewhere proves that runners live.
+	answeredFor = time.Second
+)
+
+// look takes in how many of the runners are dark, and reports whether the tenure is to
+// be given up.
+func (s *severance) look(dark, runners int, now time.Time) bool {
+	if 2*dark <= runners {
+		s.since = time.Time{}
+		return false
+	}
+	if s.since.IsZero() {
+		s.since = now
+	}
+	return now.Sub(s.since) >= severedFor && now.Sub(s.elsewhere) < answeredFor
+}
+
+// answered reports whether a member told of an answer of a runner.
+func answered(demand relayer.Demand) bool { return len(demand.There)+demand.Short+demand.Long > 0 }
+
+// severed reports whether this instance is to give the tenure up, as it does not reach
+// the runners.
+func (d *controller) severed(now time.Time) bool {
+	count, runners := 0, 0
+	for _, c := range d.runners {
+		if c.placer == nil || c.runner.Leaving {
+			continue
+		}
+		runners++
+		if c.dark >= dark {
+			count++
+		}
+	}
+	return d.cut.look(count, runners, now)
+}
+
+// yield gives the tenure up to an instance that reaches the runners.
+func (d *controller) yield(ctx context.Context) {
+	w, held := d.elector.Yield(uptime(), severedAway)
+	d.rest()
+	d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "runners not reached; tenure given up", "domain", d.domain)
+	if held {
+		go d.free(ctx, w)
+	}
+}
--- a/internal/instance/gatekeeper/dark_test.go
+++ b/internal/instance/gatekeeper/dark_test.go
@@ -3,9 +3,12 @@
 import (
 	"errors"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 )
 
 // A runner crashes. Its row stays for seconds and all its places look vacant, so
@@ -47,3 +50,66 @@
 		})
 	}
 }
+
+// A holder is cut off from its runners and not from the store. It renews its tenure,
+// and until the cut is over no adapter is loaded in its domain: callers of 30 runners
+// were refused for twelve seconds. It has to make room for an instance that reaches
+// them, and to stay where a single runner fails or all of them are gone.
+func TestHolderThatDoesNotReachItsRunnersGivesUp(t *testing.T) {
+	const runners = 30
+	for _, tc := range []struct {
+		name     string
+		dark     int
+		answered bool // others tell of answers
+		after    time.Duration
+		want     bool
+	}{
+		{"all are dark, and others are answered", runners, true, severedFor, true},
+		{"all are dark for a moment", runners, true, severedFor / 2, false},
+		{"all are gone", runners, false, severedFor, false},
+		{"a third is dark", runners / 3, true, 10 * severedFor, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var s severance
+			start := time.Now()
+			got := false
+			for at := time.Duration(0); at <= tc.after; at += leadEvery {
+				now := start.Add(at)
+				if tc.answered {
+					s.elsewhere = now
+				}
+				got = s.look(tc.dark, runners, now)
+			}
+			if got != tc.want {
+				t.Errorf("gives up: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// An instance that does not reach the runners either must not take the freed tenure
+// before those that do have had the time to.
+func TestTenureIsLeftToThoseThatReachTheRunners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGatekeeper()
+		g.links["a"].heard = time.Now()
+		for n := range 4 {
+			id := string(rune('a' + n))
+			g.Fleet.Set(tracker.Runner{ID: id, Domain: "a", Service: "llm", Revision: 1})
+			end := tracker.Dark
+			if n == 0 {
+				end = tracker.Done
+			}
+			g.Fleet.Begin(id, 0, time.Now()).End(end, time.Now())
+		}
+		d := g.controllers["a"]
+		time.Sleep(quietDomain)
+		if !d.deferred() {
+			t.Error("takes a tenure whose runners it does not reach")
+		}
+		time.Sleep(deferredFor)
+		if d.deferred() {
+			t.Error("leaves it to nobody for good")
+		}
+	})
+}
--- a/internal/instance/gatekeeper/demand.go
+++ b/internal/instance/gatekeeper/demand.go
@@ -40,6 +40,9 @@
 		return
 	}
 	d.gather.Tell(from, wordOf(demand), now)
+	if from != d.gatekeeper.Config.ID && answered(demand) {
+		d.cut.elsewhere = now
+	}
 	d.share.Learn(demand.Short, demand.Long)
 	for _, n := range demand.There {
 		d.with(n.Runner, func(p *placer.Placer) { d.learn(p.There(n.Copy, n.Requests, now.Add(-n.Ago))) })
--- a/internal/instance/gatekeeper/tenure.go
+++ b/internal/instance/gatekeeper/tenure.go
@@ -36,6 +36,9 @@
 	// domain before its row is looked at, and lookEvery how often from then on.
 	quietDomain = time.Second
 	lookEvery   = time.Second
+	// deferredFor is how long a tenure that nobody holds is left to instances that reach
+	// its runners: longer than one of them takes to see that it is free.
+	deferredFor = 5 * time.Second
 	// lookers is how many looks at a row all instances of a domain take together in
 	// lookEvery, if there are more than that. A holder that stopped as planned is
 	// replaced an eighth of a second later then; with a look of each of 35 a second,
@@ -87,7 +90,7 @@
 		d.call(func() { d.read(ctx) })
 		return
 	}
-	if w, ok := d.elector.Next(now); ok {
+	if w, ok := d.elector.Next(now); ok && (holds || !d.deferred()) {
 		d.call(func() { d.write(ctx, w) })
 		return
 	}
@@ -96,6 +99,13 @@
 	}
 }
 
+// deferred reports whether a tenure is left to others for now, as this instance does
+// not reach the runners that it would order.
+func (d *controller) deferred() bool {
+	g := d.gatekeeper
+	return g.Fleet.Severed(d.domain, time.Now()) && g.links[d.domain].silence() < deferredFor
+}
+
 // looks reports whether this instance looks at the row of a tenure now that nobody
 // seems to hold. Those of a domain look in turns.
 func (d *controller) looks(now time.Duration) bool {
--- a/internal/member/elector/elector.go
+++ b/internal/member/elector/elector.go
@@ -40,6 +40,8 @@
 	from    time.Duration // before which no order may be sent
 	known   bool
 	leaving bool
+	yielded time.Duration // when the tenure was given up to another instance
+	until   time.Duration // before which it is not taken again
 }
 
 // A Write is a conditional write of the row: Version is the one it must have.
@@ -99,9 +101,23 @@
 // that is returned frees the row, so that the next holder need not wait until
 // the renewal has run out, but for the quiet time only.
 func (e *Elector) Leave(now time.Duration) (w Write, held bool) {
+	e.leaving = true
+	return e.release(now)
+}
+
+// Yield gives the tenure up to another instance, and does not take it again for a
+// while: no order is sent any more. If it was held, the write that is returned frees
+// the row.
+func (e *Elector) Yield(now, away time.Duration) (w Write, held bool) {
+	e.yielded, e.until = now, now+away
+	w, held = e.release(now)
+	e.known = false
+	return w, held
+}
+
+func (e *Elector) release(now time.Duration) (w Write, held bool) {
 	held = e.Holds(now)
 	e.held = false
-	e.leaving = true
 	row := e.row
 	row.Holder, row.Address = "", ""
 	row.Serial++
@@ -128,7 +144,7 @@
 // Next returns the write that is due at now, if any: a renewal by the holder, a
 // takeover by another.
 func (e *Elector) Next(now time.Duration) (Write, bool) {
-	if e.leaving || !e.known {
+	if e.leaving || !e.known || now < e.until {
 		return Write{}, false
 	}
 	if e.held {
@@ -177,7 +193,7 @@
 	e.row = w.Row
 	e.seen = now
 	e.sent = w.at
-	e.held = true
+	e.held = w.at >= e.yielded // the answer to a renewal may come after the tenure was given up
 	e.known = true
 }
 
--- a/internal/member/elector/elector_test.go
+++ b/internal/member/elector/elector_test.go
@@ -68,12 +68,51 @@
 	}
 }
 
+// A holder gives its tenure up while the answer to a renewal is on its way. Taken for
+// a tenure that is held, it would order beside whoever takes the freed row.
+func TestWhoYieldsDoesNotHoldByALateAnswer(t *testing.T) {
+	e := newElector("a-1")
+	e.Read(elector.Tenure{}, 0, 0)
+	w, _ := e.Next(0)
+	e.Written(w, 1, 0)
+	renewal, ok := e.Next(time.Second)
+	if !ok {
+		t.Fatal("no renewal; the test shows nothing")
+	}
+	if _, held := e.Yield(1100*time.Millisecond, 5*time.Second); !held {
+		t.Error("did not hold what it gave up")
+	}
+	e.Written(renewal, 2, 1200*time.Millisecond)
+	if _, acts := e.Acts(1300 * time.Millisecond); acts {
+		t.Error("orders after it has given up")
+	}
+	e.Read(elector.Tenure{Fence: 1}, 3, 2*time.Second)
+	if _, ok := e.Next(3 * time.Second); ok {
+		t.Error("takes again at once what it gave up")
+	}
+	if _, ok := e.Next(7 * time.Second); !ok {
+		t.Error("never takes it again, though nobody else does")
+	}
+}
+
 // Instances freeze, die, restart, lose answers, and read and write a row that
 // answers late. Two of them that order within the quiet time of each other
 // would evict each other's adapters: it must not happen, and somebody must hold
 // the tenure most of the time.
 func TestOrdersOfTwoHoldersNeverMeet(t *testing.T) {
+	playHolders(t, 0)
+}
+
+// The same, with holders that give their tenure up now and then, as they do when
+// they reach the store and not the runners.
+func TestOrdersOfTwoHoldersNeverMeetWhereSomeYield(t *testing.T) {
+	playHolders(t, 400)
+}
+
+// playHolders plays holders that yield once in so many steps; never for 0.
+func playHolders(t *testing.T, yields int) {
 	for seed := range uint64(300) {
+		chance := rand.New(rand.NewPCG(seed, 3))
 		rng := rand.New(rand.NewPCG(seed, 2))
 		var row elector.Tenure
 		var version uint64
@@ -110,6 +149,12 @@
 					pending[i] = nil
 					continue
 				}
+				if yields > 0 && e.Holds(now) && chance.IntN(yields) == 0 {
+					if w, held := e.Yield(now, 10*time.Second); held && w.Version == version {
+						version++
+						row = w.Row
+					}
+				}
 				if answer := pending[i]; answer != nil { // arrives after the freeze
 					pending[i] = nil
 					answer()
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -32,6 +32,7 @@
 	held      map[placer.Copy]time.Time  // from when on a copy can be used; zero: now
 	kept      warmer.Recent[placer.Copy] // given up since; the runner fetches them again in a tenth of the time
 	others    Load                       // of other instances, as last told
+	reached   time.Time                  // when it last answered this instance
 	own       Load
 	suspended time.Time     // until when it gets nothing new
 	streak    int           // connections that failed in a row
@@ -127,6 +128,28 @@
 	delete(f.runners, id)
 }
 
+// Severed reports whether this instance reaches most of the runners of a failure domain
+// no more: those that took its last connection and answered lately are fewer than
+// those that did not.
+func (f *Fleet) Severed(domain string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reached, dark := 0, 0
+	for _, s := range f.runners {
+		switch {
+		case s.Domain != domain:
+		case s.streak > 0:
+			dark++
+		case now.Sub(s.reached) < reachedFor:
+			reached++
+		}
+	}
+	return dark > reached
+}
+
+// reachedFor is how long an answer shows that a runner is reached.
+const reachedFor = 3 * time.Second
+
 // Gone returns the revision up to which a runner is known to be gone.
 func (f *Fleet) Gone(id string) uint64 {
 	f.mu.Lock()
--- a/internal/upstream/tracker/run.go
+++ b/internal/upstream/tracker/run.go
@@ -75,6 +75,9 @@
 
 func (s *state) judge(end End, now time.Time) {
 	failing := s.failingAt(now)
+	if end == Done || end == Refused {
+		s.reached = now
+	}
 	switch end {
 	case Left:
 		return
