--- a/internal/instance/gatekeeper/age.go
+++ b/internal/instance/gatekeeper/age.go
@@ -37,6 +37,26 @@
 	}
 }
 
+// measureWays shows how long ago the holder of each failure domain spoke, and whether
+// its word is passed on by another instance.
+func (g *Gatekeeper) measureWays() {
+	if g.Metrics == nil {
+		return
+	}
+	for domain, l := range g.links {
+		label := fmt.Sprintf("{domain=%q}", domain)
+		g.Metrics.GetOrCreateGauge("sardinetiller_told_age_seconds"+label, func() float64 { return l.silence().Seconds() })
+		g.Metrics.GetOrCreateGauge("sardinetiller_told_passed"+label, func() float64 {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if l.via.id == l.holder.Holder {
+				return 0
+			}
+			return 1
+		})
+	}
+}
+
 // tellAges logs the same, for whoever asks later why an instance went by an older
 // configuration than another.
 func (g *Gatekeeper) tellAges(ctx context.Context) {
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -112,6 +112,7 @@
 	g.init()
 	g.setViews()
 	g.measureAges()
+	g.measureWays()
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var loops sync.WaitGroup
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -340,6 +340,7 @@
 	}
 	g.Fleet.Staffed(l.domain, n.Acting)
 	g.Fleet.Line(l.domain, n.Line)
+	g.Fleet.LoadTimes(l.domain, tracker.Times{Load: n.Load, Return: n.Return})
 	d.heardOf(n.Tenure, n.Renewal, n.Age)
 }
 
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -166,6 +166,7 @@
 		news.Operator = d.gatekeeper.tellOperator(now)
 	}
 	news.Line = d.wait(now)
+	news.Load, news.Return = d.gatekeeper.LoadTime(), d.gatekeeper.ReturnTime()
 	_, news.Acting = d.elector.Acts(uptime())
 	news.Renewal, news.Age = d.elector.Renewal(uptime())
 	news.Tenure = d.elector.Holder()
--- a/internal/instance/gatekeeper/pass.go
+++ b/internal/instance/gatekeeper/pass.go
@@ -20,7 +20,9 @@
 // A retold is what the holder of another failure domain told last.
 type retold struct {
 	acting  bool
+	back    time.Duration // that an adapter takes which the runner held before
 	line    time.Duration
+	load    time.Duration           // that one takes from the weight store
 	loads   map[string]tracker.Load // of those who do not tell through this instance
 	members int
 }
@@ -31,6 +33,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.heard.acting, d.heard.line = n.Acting, n.Line
+	d.heard.load, d.heard.back = n.Load, n.Return
 	if n.Loaded {
 		d.heard.loads, d.heard.members = n.Loads, n.Members
 	}
@@ -73,6 +76,7 @@
 		return
 	}
 	news.Acting, news.Line = d.heard.acting, d.heard.line
+	news.Load, news.Return = d.heard.load, d.heard.back
 	if !due {
 		return
 	}
--- a/internal/member/relayer/gateway.go
+++ b/internal/member/relayer/gateway.go
@@ -74,6 +74,8 @@
 	Silence  time.Duration           `cbor:"16,keyasint,omitempty"` // since the last word of who orders there; zero from that instance itself
 	Operator Known                   `cbor:"15,keyasint,omitzero"`  // what the sender knows of the operator's rows
 	Tables   []Table                 `cbor:"17,keyasint,omitempty"` // that were asked for
+	Load     time.Duration           `cbor:"18,keyasint,omitempty"` // that an adapter takes from the weight store
+	Return   time.Duration           `cbor:"19,keyasint,omitempty"` // that one takes which the runner held before
 	Members  int                     `cbor:"4,keyasint"`            // instances that subscribe, the sender included
 	Runners  []tracker.Runner        `cbor:"5,keyasint,omitempty"`  // described anew
 	Whole    bool                    `cbor:"6,keyasint,omitempty"`  // Runners and Held are all there are
--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -57,7 +57,7 @@
 		}
 		c.Crowded = d.Crowd > 0 && c.Backlog+read > d.Crowd
 		if d.Copy != (placer.Copy{}) {
-			s.stand(&c, d, f.lines[s.Domain], now)
+			s.stand(&c, d, f.lines[s.Domain], f.timesOf(s.Domain, d), now)
 		}
 		c.Loading = c.Loading || !c.Resident && id == d.Asked
 		if !c.Resident && !c.Loading && f.idle[s.Domain] {
@@ -70,7 +70,7 @@
 
 // stand fills in how a copy stands at the runner, and how long until it can be
 // used there.
-func (s *state) stand(c *router.Candidate, d Demand, line time.Duration, now time.Time) {
+func (s *state) stand(c *router.Candidate, d Demand, line time.Duration, times Times, now time.Time) {
 	if at, held := s.held[d.Copy]; held {
 		c.Resident = !now.Before(at)
 		c.Loading = !c.Resident
@@ -79,15 +79,15 @@
 	}
 	c.Resident = false
 	c.Kept = s.kept.Has(d.Copy)
-	c.Ready = max(s.room, line) + d.Load
+	c.Ready = max(s.room, line) + times.Load
 	if c.Kept {
-		c.Ready = s.room + d.Return // from the runner's own memory: the weight store's line is not for it
+		c.Ready = s.room + times.Return // from the runner's own memory: the weight store's line is not for it
 	}
 	switch {
 	case s.otherVersion(d.Copy):
 		c.Ready += replaceTime
 	case s.ID == d.Asked:
-		c.Ready = min(c.Ready, s.room+d.Load) // it stands in the weight store's line already
+		c.Ready = min(c.Ready, s.room+times.Load) // it stands in the weight store's line already
 	}
 }
 
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -22,6 +22,13 @@
 	paces   map[string]*pace         // by service
 	lines   map[string]time.Duration // by failure domain: until a load begins there
 	idle    map[string]bool          // failure domains whose runners get no orders now
+	times   map[string]Times         // by failure domain, as last told
+}
+
+// Times are how long adapters take to come.
+type Times struct {
+	Load   time.Duration // from the weight store
+	Return time.Duration // from the memory of a runner that held the adapter before
 }
 
 // A state is a runner with what was seen of it.
@@ -305,6 +312,27 @@
 	f.lines[domain] = d
 }
 
+// LoadTimes takes in how long adapters take to come to the runners of a failure domain, as
+// whoever orders them there has learned. An instance that orders nothing learns nothing:
+// when loads took twice as long as on a calm day, 78 of 81 instances went on to take
+// them for as quick as ever, and chose runners that had to load over those that held.
+func (f *Fleet) LoadTimes(domain string, t Times) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.times == nil {
+		f.times = make(map[string]Times)
+	}
+	f.times[domain] = t
+}
+
+// timesOf returns how long adapters take to come to the runners of a failure domain.
+func (f *Fleet) timesOf(domain string, d Demand) Times {
+	if t, told := f.times[domain]; told && t.Load > 0 {
+		return t
+	}
+	return Times{Load: d.Load, Return: d.Return}
+}
+
 func (f *Fleet) init() {
 	if f.runners == nil {
 		f.gone = make(map[string]uint64)
--- a/internal/upstream/tracker/fleet_test.go
+++ b/internal/upstream/tracker/fleet_test.go
@@ -155,3 +155,24 @@
 		}
 	})
 }
+
+// The weight store is busy, and a load takes twice as long as on a calm day. Only the
+// instance that orders loads learns that; told of it, the others send a request to a
+// runner that will have the adapter before one that would have to load it.
+func TestLoadTimesAreThoseOfWhoeverOrders(t *testing.T) {
+	now := time.Now()
+	demand := tracker.Demand{
+		Copy: placer.Copy{Model: "m", Adapter: "a1", Version: 1}, Load: 270 * time.Millisecond, Return: 35 * time.Millisecond, Service: "llm",
+	}
+	f := tracker.Fleet{Domain: "a"}
+	f.Set(tracker.Runner{ID: "near", Domain: "a", Service: "llm", Revision: 1})
+	f.Set(tracker.Runner{ID: "far", Domain: "b", Service: "llm", Revision: 1})
+	f.LoadTimes("b", tracker.Times{Load: 600 * time.Millisecond, Return: 60 * time.Millisecond})
+	got := make(map[string]time.Duration)
+	for _, c := range f.Candidates(demand, now) {
+		got[c.Runner] = c.Ready
+	}
+	if diff := cmp.Diff(map[string]time.Duration{"near": 270 * time.Millisecond, "far": 600 * time.Millisecond}, got); diff != "" {
+		t.Error(diff)
+	}
+}
