--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -36,6 +36,7 @@
 	window  placer.Window
 	share   admitter.Share
 	cut     severance
+	ended   uint64 // fencing number of the tenure that was given up last
 	heard   retold // of the holder, while another instance is that
 
 	followers int           // members that are told of the domain here
@@ -109,8 +110,12 @@
 	if d.acting != fence {
 		d.begin(fence)
 	}
-	if d.severed(now) {
-		d.yield(ctx)
+	switch {
+	case d.severed(now):
+		d.yield(ctx, "runners are not reached")
+		return
+	case d.stranded(now):
+		d.yield(ctx, "the store is not reached")
 		return
 	}
 	catalog := d.gatekeeper.Catalog()
--- a/internal/instance/gatekeeper/dark.go
+++ b/internal/instance/gatekeeper/dark.go
@@ -105,12 +105,31 @@
 	return d.cut.look(count, runners, now)
 }
 
-// yield gives the tenure up to an instance that reaches the runners.
-func (d *controller) yield(ctx context.Context) {
+// yield gives the tenure up to an instance that can do its work.
+func (d *controller) yield(ctx context.Context, why string) {
+	fence := d.elector.Holder().Fence
 	w, held := d.elector.Yield(uptime(), severedAway)
 	d.rest()
-	d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "runners not reached; tenure given up", "domain", d.domain)
+	d.ended = fence
+	d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "tenure is given up", "domain", d.domain, "fence", fence, "why", why)
 	if held {
 		go d.free(ctx, w)
 	}
 }
+
+// strandedFor is how long a holder whose renewals fail keeps its tenure while others
+// reach the store: one renewal that fails and the next one that is due in the meantime.
+// Without that its domain has nobody to order from the end of its lease until the next
+// holder may, four seconds, and everything that changes in the store is told late.
+const strandedFor = 3 * time.Second
+
+// stranded reports whether the holder does not reach the store while other instances
+// do. What other holders tell of calls of their own is the proof: in an outage for all,
+// everybody keeps what it holds.
+func (d *controller) stranded(now time.Time) bool {
+	if _, age := d.elector.Renewal(uptime()); age < strandedFor {
+		return false
+	}
+	reached, ok := d.gatekeeper.reached.get()
+	return ok && now.Sub(reached) < strandedFor/2
+}
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -90,6 +90,7 @@
 
 	nearest []string // failure domains in the order in which their holders are asked to tell
 	choice  choice   // who does
+	reached moment   // as of when another holder reached the store
 	mayAsk  moment   // from when on the store may be asked for what others could tell
 
 	mu          sync.Mutex
@@ -152,7 +153,7 @@
 	g.returns.set(firstReturn)
 	g.nearest = g.nearestDomains()
 	for _, domain := range g.domains() {
-		late, heard := rand.N(ownLate), time.Time{}
+		late, heard := rand.N(ownLate)+g.Config.Link.Late(), time.Time{}
 		if domain != g.Config.Domain {
 			// Nobody is there at a start. Without this each instance asked for the
 			// tenures of all domains at once, 500 calls of 64 instances.
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -305,6 +305,10 @@
 func (l *link) take(n relayer.News) {
 	now := time.Now()
 	g := l.gatekeeper
+	if n.Ended > 0 {
+		l.end(n.Ended)
+		return
+	}
 	l.mu.Lock()
 	if n.Fresh {
 		l.fresh = now
@@ -320,6 +324,9 @@
 		l.setHolder(n.Tenure)
 	}
 	g.takeTables(n.Tables, now)
+	if n.Operator.Newest > 0 {
+		g.reached.advance(now.Add(-n.Operator.Age))
+	}
 	if n.Operator.Newest > 0 && g.operator.hear(n.Operator.Newest, now) {
 		g.operator.told.advance(now.Add(-n.Operator.Age))
 	}
@@ -344,6 +351,16 @@
 	d.heardOf(n.Tenure, n.Renewal, n.Age)
 }
 
+// end takes in that the holder has given the tenure up. It is looked after at once.
+func (l *link) end(fence uint64) {
+	l.gatekeeper.controllers[l.domain].over(fence)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.holder.Fence == fence {
+		l.heard = time.Time{}
+	}
+}
+
 // takeRunners takes in which runners there are.
 func (l *link) takeRunners(n relayer.News) {
 	g := l.gatekeeper
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -100,11 +100,12 @@
 	defer d.followed()()
 	pace := d.pace(member, s)
 	number, told := -1, time.Time{}
+	fence := d.fence()
 	ticker := time.NewTicker(pace.changes)
 	defer ticker.Stop()
 	for {
 		if !d.tells() {
-			return judge.Refuse(judge.ReasonOwner, "nothing of %s is told here any more", d.domain)
+			return d.lastWord(reply, fence)
 		}
 		due := time.Since(told) >= pace.loads
 		news, next, changed := d.digest(member.ID, number, due)
@@ -126,6 +127,25 @@
 	}
 }
 
+// lastWord ends the news. It tells if the tenure was given up since it was told of.
+func (d *controller) lastWord(reply *relayer.Reply, fence uint64) error {
+	d.mu.Lock()
+	ended := d.ended
+	d.mu.Unlock()
+	if ended > 0 && ended == fence {
+		if err := reply.Send(relayer.News{Ended: ended}); err != nil {
+			return fmt.Errorf("tell of the end: %w", err)
+		}
+	}
+	return judge.Refuse(judge.ReasonOwner, "nothing of %s is told here any more", d.domain)
+}
+
+func (d *controller) fence() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.elector.Holder().Fence
+}
+
 // digest returns what a member has not been told, and the number to go on from.
 // due says whether loads are to be told.
 func (d *controller) digest(member string, number int, due bool) (news relayer.News, next int, changed bool) {
--- a/internal/instance/gatekeeper/tenure.go
+++ b/internal/instance/gatekeeper/tenure.go
@@ -144,6 +144,13 @@
 	d.elector.Heard(row, version, age, uptime())
 }
 
+// over takes in that the holder with a fencing number has given the tenure up.
+func (d *controller) over(fence uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.elector.Ended(fence, uptime())
+}
+
 func (d *controller) call(do func()) {
 	d.calling = true
 	go func() {
--- a/internal/member/elector/elector.go
+++ b/internal/member/elector/elector.go
@@ -42,6 +42,8 @@
 	leaving bool
 	yielded time.Duration // when the tenure was given up to another instance
 	until   time.Duration // before which it is not taken again
+	ended   uint64        // fencing number of a tenure whose holder said that it has given it up
+	endedAt time.Duration // when it said so
 }
 
 // A Write is a conditional write of the row: Version is the one it must have.
@@ -115,6 +117,18 @@
 	return w, held
 }
 
+// Ended takes in that the holder with a fencing number has given its tenure up: it
+// orders nothing more, whatever the row says. A holder that does not reach the table
+// service cannot free the row, but it may reach those who can take it.
+func (e *Elector) Ended(fence uint64, now time.Duration) {
+	if !e.held && fence > e.ended {
+		e.ended, e.endedAt = fence, now
+	}
+}
+
+// over reports whether the tenure in the row is one that its holder has given up.
+func (e *Elector) over() bool { return e.ended > 0 && e.row.Fence == e.ended }
+
 func (e *Elector) release(now time.Duration) (w Write, held bool) {
 	held = e.Holds(now)
 	e.held = false
@@ -166,6 +180,9 @@
 	if e.version == 0 || e.row.Holder == "" {
 		return now-e.seen >= e.Late
 	}
+	if e.over() && now-e.endedAt >= e.Late {
+		return true
+	}
 	return e.row.Holder == e.Self || now-e.seen >= e.Lease+e.Lease/guard+e.Late
 }
 
@@ -207,6 +224,8 @@
 		return w.at
 	case e.row.Holder == e.Self, e.row.Holder == "":
 		return e.seen + e.Quiet
+	case e.over():
+		return e.endedAt + e.Quiet
 	default:
 		return e.seen + e.Lease + e.Quiet
 	}
--- a/internal/member/relayer/gateway.go
+++ b/internal/member/relayer/gateway.go
@@ -64,6 +64,7 @@
 	Age      time.Duration           `cbor:"8,keyasint,omitempty"` // since the renewal in force was sent
 	Renewal  uint64                  `cbor:"9,keyasint,omitempty"` // version that it gave the row of the tenure
 	Tenure   elector.Tenure          `cbor:"10,keyasint"`
+	Ended    uint64                  `cbor:"20,keyasint,omitempty"` // fencing number of the tenure that the sender has given up; the last word of it
 	Fresh    bool                    `cbor:"11,keyasint,omitempty"` // the runners are as in the store a moment ago
 	Gone     []Gone                  `cbor:"1,keyasint,omitempty"`
 	Held     []Held                  `cbor:"2,keyasint,omitempty"`
--- a/internal/setting/configurer/gateway.go
+++ b/internal/setting/configurer/gateway.go
@@ -18,10 +18,32 @@
 	Metrics   string   `yaml:"metrics"`   // host:port for counters; empty for none
 	Platform  string   `yaml:"platform"`  // host:port of the platform's store
 	Domains   []string `yaml:"domains"`   // every failure domain
+	Link      Link     `yaml:"link"`      // of the instance to the network
 	First     bool     `yaml:"first"`     // the whole deployment starts for the first time: nobody holds anything yet
 	Bounds    Bounds   `yaml:"bounds"`
 }
 
+// A Link is how much a link carries, in Mbit/s; 0 if unknown.
+type Link float64
+
+const (
+	// linkLate is how much later than one without bounds an instance with a link of
+	// 1 Mbit/s takes a tenure over, and mostLate bounds it. Whoever holds a tenure tells
+	// all instances of its domain: of 20 and 200 Mbit/s the larger one comes first, as
+	// others take some 30 ms to hear of it.
+	linkLate = 10 * time.Second
+	mostLate = time.Second
+)
+
+// Late returns how much later than others an instance takes a tenure over that a
+// better placed one could hold.
+func (l Link) Late() time.Duration {
+	if l <= 0 {
+		return 0
+	}
+	return min(mostLate, time.Duration(float64(linkLate)/float64(l)))
+}
+
 // Bounds are the limits that a deployment sets.
 type Bounds struct {
 	Grace  time.Duration `yaml:"grace"`  // from the signal to stop to the end of the process
@@ -76,6 +98,9 @@
 	if err != nil {
 		return err
 	}
+	if g.Link < 0 {
+		return c.fault("link", "give the Mbit/s of the link, or leave it out")
+	}
 	if g.Bounds.Part < 0 || g.Bounds.Slack < 0 {
 		return c.fault("bounds", "part and slack cannot be negative")
 	}
