--- a/internal/instance/gatekeeper/dark_test.go
+++ b/internal/instance/gatekeeper/dark_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/member/elector"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 )
@@ -113,3 +115,65 @@
 		}
 	})
 }
+
+// The store turns a holder away and serves the others, which say so. Its lease lasts
+// for seconds yet, and what it tells its members of runners that leave is old: it must
+// make room. In an outage for all it keeps what it holds, as nobody could take it.
+func TestHolderThatTheStoreTurnsAwayGivesUp(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		renewed time.Duration // ago
+		reached time.Duration // ago, by another holder; negative for never
+		want    bool
+	}{
+		{"both reach it", time.Second, 0, false},
+		{"it alone is turned away", strandedFor + time.Second, 200 * time.Millisecond, true},
+		{"nobody reaches it", strandedFor + time.Second, strandedFor, false},
+		{"there is nobody else", strandedFor + time.Second, -1, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := newTestGatekeeper()
+			d := g.controllers["a"]
+			d.elector.Late = 0
+			sent := uptime() - tc.renewed
+			d.elector.Read(elector.Tenure{}, 0, sent)
+			w, _ := d.elector.Next(sent)
+			d.elector.Written(w, 1, sent)
+			now := time.Now()
+			if tc.reached >= 0 {
+				g.links["a"].take(relayer.News{Operator: relayer.Known{Newest: 1, Age: tc.reached}})
+			}
+			if got := d.stranded(now); got != tc.want {
+				t.Errorf("gives up: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// A holder that does not reach the store cannot free its row, and tells its members
+// instead. One of them has to take the tenure at once, though the row still names the
+// old holder for the rest of its lease.
+func TestMembersTakeOverWhatTheyAreToldIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, store := newFedGatekeeper()
+		d, l := g.controllers["a"], g.links["a"]
+		d.elector.Late = 0
+		held := elector.Tenure{Holder: "front-1", Fence: 3}
+		putTenure(t, store, "a", held)
+		l.take(relayer.News{Tenure: held, Renewal: store.version})
+		d.tenure(t.Context())
+		time.Sleep(100 * time.Millisecond)
+		if holder := tenureIn(t, store, "a").Holder; holder != "front-1" {
+			t.Fatalf("the row names %q before the tenure was given up", holder)
+		}
+		l.take(relayer.News{Ended: 3})
+		d.tenure(t.Context())
+		time.Sleep(100 * time.Millisecond)
+		if holder := tenureIn(t, store, "a").Holder; holder != g.Config.ID {
+			t.Errorf("the row names %q", holder)
+		}
+		if _, acts := d.acts(); acts {
+			t.Error("orders within the quiet time")
+		}
+	})
+}
--- a/internal/instance/gatekeeper/needs.go
+++ b/internal/instance/gatekeeper/needs.go
@@ -1,12 +1,9 @@
 package gatekeeper
 
 import (
-	"context"
-	"maps"
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
-	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/gatherer"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/request/admitter"
@@ -43,137 +40,6 @@
 // it looks every 10 ms.
 const stillWaits = 50 * time.Millisecond
 
-// speak tells the holder what is needed until ctx ends.
-func (l *link) speak(ctx context.Context) {
-	repeater.Every(ctx, beat, l.kick, func() { l.say(ctx) })
-}
-
-// say tells the holder what is needed, through the instance that tells this one of
-// the domain if there is one.
-func (l *link) say(ctx context.Context) {
-	g := l.gatekeeper
-	if l.silence() > unheard {
-		g.Fleet.Staffed(l.domain, false)
-	}
-	if g.controllers[l.domain].holds() {
-		g.tellSelf(l.domain, l.demand())
-		return
-	}
-	l.part(ctx)
-	via, ok := l.voice()
-	if !ok {
-		return
-	}
-	demand := l.demand()
-	if l.saidSo(demand) {
-		return
-	}
-	_ = g.Mesh.Tell(ctx, via.address, demand) // a failed link shows as silence
-}
-
-// saidSo reports whether a word may be left out, as neither it nor the last one told
-// of anything. An instance has no requests in most failure domains most of the time.
-func (l *link) saidSo(demand relayer.Demand) bool {
-	empty := demand.Others == 0 && demand.Empty()
-	now := time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if empty && l.idle && now.Sub(l.said) < idleBeat {
-		return true
-	}
-	l.idle, l.said = empty, now
-	return false
-}
-
-// idleBeat is how often an instance that needs nothing says so: a member that says
-// nothing for three seconds counts no more.
-const idleBeat = 900 * time.Millisecond
-
-// demand takes out what is to be told: what the requests do now, and what was seen
-// since the last word, by this instance and by those whose words it passes on.
-func (l *link) demand() relayer.Demand {
-	d := demandOf(l.domain, l.whole())
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	d.Short, d.Long = l.needs.short, l.needs.long
-	for k := range l.needs.missing {
-		d.Missing = append(d.Missing, relayer.Need{Runner: k.Runner, Copy: k.Copy})
-	}
-	for k, f := range l.needs.there {
-		d.There = append(d.There, relayer.Need{Runner: k.Runner, Copy: k.Copy, Requests: f.requests, Ago: now.Sub(f.sent)})
-	}
-	for k := range l.needs.spare {
-		d.Spare = append(d.Spare, relayer.Need{Runner: k.Runner, Copy: k.Copy})
-	}
-	l.needs.missing, l.needs.spare, l.needs.there = nil, nil, nil
-	l.needs.short, l.needs.long = 0, 0
-	for k, at := range l.asked {
-		if now.Sub(at) > hurryAgain {
-			delete(l.asked, k)
-		}
-	}
-	return d
-}
-
-// demandOf returns the demand that tells a word.
-func demandOf(domain string, w gatherer.Word) relayer.Demand {
-	d := relayer.Demand{Domain: domain, Others: w.Instances - 1, Loads: w.Loads}
-	for k, n := range w.Uses {
-		d.Uses = append(d.Uses, relayer.Need{Runner: k.Runner, Copy: k.Copy, Requests: n})
-	}
-	for k, waiting := range w.Waits {
-		d.Waits = append(d.Waits, relayer.Wait{Runner: k.Runner, Copy: k.Copy, Waiting: waiting})
-	}
-	return d
-}
-
-// whole returns what this instance's requests do in the domain, and those of the
-// instances whose words it passes on.
-func (l *link) whole() gatherer.Word {
-	w := l.own()
-	g := l.gatekeeper
-	if d := g.controllers[l.domain]; g.holdsAny() && !d.holds() {
-		w.Add(d.passed(time.Now()))
-	}
-	return w
-}
-
-// own returns what this instance's requests do in the domain.
-func (l *link) own() gatherer.Word {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	w := gatherer.Word{
-		Instances: 1, Loads: l.gatekeeper.Fleet.LoadsIn(l.domain), Uses: maps.Clone(l.needs.uses), Waits: make(map[gatherer.Key]placer.Waiting),
-	}
-	now := time.Now()
-	for k, waiters := range l.needs.waits {
-		if waiting := sum(waiters, now); waiting.Requests > 0 {
-			w.Waits[k] = waiting
-		} else {
-			delete(l.needs.waits, k)
-		}
-	}
-	return w
-}
-
-// sum drops the requests that wait no more and sums up the others.
-func sum(waiters map[string]waiter, now time.Time) placer.Waiting {
-	w := placer.Waiting{Priority: placer.Spare}
-	for request, one := range waiters {
-		if now.Sub(one.last) > stillWaits {
-			delete(waiters, request)
-			continue
-		}
-		w.Requests++
-		w.Priority = min(w.Priority, one.priority)
-		if one.inTime {
-			w.InTime++
-		}
-	}
-	return w
-}
-
 // tellSelf takes in this instance's own needs where it holds the tenure.
 func (g *Gatekeeper) tellSelf(domain string, demand relayer.Demand) {
 	d := g.controllers[domain]
