--- a/internal/instance/gatekeeper/dark_test.go
+++ b/internal/instance/gatekeeper/dark_test.go
@@ -159,17 +159,17 @@
 		d, l := g.controllers["a"], g.links["a"]
 		d.elector.Late = 0
 		held := elector.Tenure{Holder: "front-1", Fence: 3}
-		putTenure(t, store, "a", held)
+		putTenure(t, store, held)
 		l.take(relayer.News{Tenure: held, Renewal: store.version})
 		d.tenure(t.Context())
 		time.Sleep(100 * time.Millisecond)
-		if holder := tenureIn(t, store, "a").Holder; holder != "front-1" {
+		if holder := ownTenure(t, store).Holder; holder != "front-1" {
 			t.Fatalf("the row names %q before the tenure was given up", holder)
 		}
 		l.take(relayer.News{Ended: 3})
 		d.tenure(t.Context())
 		time.Sleep(100 * time.Millisecond)
-		if holder := tenureIn(t, store, "a").Holder; holder != g.Config.ID {
+		if holder := ownTenure(t, store).Holder; holder != g.Config.ID {
 			t.Errorf("the row names %q", holder)
 		}
 		if _, acts := d.acts(); acts {
--- a/internal/instance/gatekeeper/tenure_test.go
+++ b/internal/instance/gatekeeper/tenure_test.go
@@ -11,22 +11,24 @@
 	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
 )
 
-func tenureIn(t *testing.T, s *feedStore, domain string) elector.Tenure {
+// ownTenure reads the row of domain a.
+func ownTenure(t *testing.T, s *feedStore) elector.Tenure {
 	t.Helper()
 	var tenure elector.Tenure
-	if err := encoder.Unmarshal(s.rows[tableTenures+"/"+domain].Value, &tenure); err != nil {
+	if err := encoder.Unmarshal(s.rows[tableTenures+"/a"].Value, &tenure); err != nil {
 		t.Fatal(err)
 	}
 	return tenure
 }
 
-func putTenure(t *testing.T, s *feedStore, domain string, tenure elector.Tenure) {
+// putTenure writes it.
+func putTenure(t *testing.T, s *feedStore, tenure elector.Tenure) {
 	t.Helper()
 	value, err := encoder.Marshal(tenure)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.put(tabler.Row{Key: tableTenures + "/" + domain, Value: value})
+	s.put(tabler.Row{Key: tableTenures + "/a", Value: value})
 }
 
 // A holder is stopped as planned while a renewal of its tenure is under way. The
@@ -37,14 +39,14 @@
 		g, store := newFedGatekeeper()
 		d := g.controllers["a"]
 		held := elector.Tenure{Holder: g.Config.ID, Fence: 1, Serial: 7, Settled: true}
-		putTenure(t, store, "a", held)
+		putTenure(t, store, held)
 		d.elector.Read(held, store.version, uptime())
 		w, _ := d.elector.Next(uptime())
 		d.elector.Written(w, store.version, uptime())
-		putTenure(t, store, "a", w.Row) // the renewal; its answer is on its way
+		putTenure(t, store, w.Row) // the renewal; its answer is on its way
 		free, _ := d.elector.Leave(uptime())
 		d.free(t.Context(), free)
-		if holder := tenureIn(t, store, "a").Holder; holder != "" {
+		if holder := ownTenure(t, store).Holder; holder != "" {
 			t.Errorf("the row names %s", holder)
 		}
 	})
@@ -56,10 +58,10 @@
 		g, store := newFedGatekeeper()
 		d := g.controllers["a"]
 		hold(g, "a")
-		putTenure(t, store, "a", elector.Tenure{Holder: "front-9", Fence: 2})
+		putTenure(t, store, elector.Tenure{Holder: "front-9", Fence: 2})
 		free, _ := d.elector.Leave(uptime())
 		d.free(t.Context(), free)
-		if holder := tenureIn(t, store, "a").Holder; holder != "front-9" {
+		if holder := ownTenure(t, store).Holder; holder != "front-9" {
 			t.Errorf("the row names %q, want front-9", holder)
 		}
 	})
@@ -74,13 +76,13 @@
 		d := g.controllers["a"]
 		d.elector.Late = 0
 		d.elector.Heard(elector.Tenure{Holder: "front-1", Fence: 1}, store.version, 0, uptime())
-		putTenure(t, store, "a", elector.Tenure{Fence: 1, Serial: 9})
+		putTenure(t, store, elector.Tenure{Fence: 1, Serial: 9})
 		d.looking, d.look = true, uptime()
 		d.tenure(t.Context()) // looks
 		time.Sleep(100 * time.Millisecond)
 		d.tenure(t.Context())
 		time.Sleep(100 * time.Millisecond)
-		if holder := tenureIn(t, store, "a").Holder; holder != g.Config.ID {
+		if holder := ownTenure(t, store).Holder; holder != g.Config.ID {
 			t.Errorf("the row names %q", holder)
 		}
 	})
