--- a/internal/instance/gatekeeper/demand.go
+++ b/internal/instance/gatekeeper/demand.go
@@ -24,12 +24,21 @@
 		if demand.Urgent() {
 			g.kickLead()
 		}
-	case g.holdsAny():
+	case g.holdsAny() || d.knows(from.ID):
 		d.demanded(from.ID, demand)
 		g.links[demand.Domain].pass(demand)
 	}
 }
 
+// knows reports whether a member's words are passed on here. An instance that has
+// just given its tenure up goes on with that until the member is told by another one;
+// without that the uses of a whole domain would not count for as long.
+func (d *controller) knows(member string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gather.Knows(member)
+}
+
 // demanded takes in what a member's requests need and use.
 func (d *controller) demanded(from string, demand relayer.Demand) {
 	now := time.Now()
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -88,10 +88,11 @@
 	holders  view // of who holds the tenures
 	runners  view // of the runners
 
-	nearest []string // failure domains in the order in which their holders are asked to tell
-	choice  choice   // who does
-	reached moment   // as of when another holder reached the store
-	mayAsk  moment   // from when on the store may be asked for what others could tell
+	nearest   []string // failure domains in the order in which their holders are asked to tell
+	choice    choice   // who does
+	headcount headcount
+	reached   moment // as of when another holder reached the store
+	mayAsk    moment // from when on the store may be asked for what others could tell
 
 	mu          sync.Mutex
 	versions    map[copyName]int       // newest version of adapters that have another than the first
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -22,7 +22,6 @@
 	heard   time.Time                  // when the last word of the holder came
 	holder  elector.Tenure
 	idle    bool // the last word told of nothing
-	members int
 	needs   needs
 	passed  time.Time     // when the last word of the holder that came through another instance was said
 	parting time.Time     // until when former is told as well
@@ -61,13 +60,9 @@
 
 // setMembers takes in how many instances there are.
 func (l *link) setMembers(members int) {
-	before := l.members
-	l.members = members
-	if max(before, members) <= 2*min(before, members) {
-		return // an instance more or less changes little, and there are hundreds
-	}
-	l.gatekeeper.Recorder.Log(recorder.Belief, "msg", "members", "domain", l.domain, "count", members)
+	l.gatekeeper.headcount.tell(members, time.Now())
 }
+
 func (l *link) self() string { return l.gatekeeper.Config.ID }
 
 // silence returns how long nothing was heard from the holder.
@@ -99,12 +94,4 @@
 }
 
 // Members returns how many instances there are, as far as is known.
-func (g *Gatekeeper) Members() int {
-	most := 0
-	for _, l := range g.links {
-		l.mu.Lock()
-		most = max(most, l.members)
-		l.mu.Unlock()
-	}
-	return most
-}
+func (g *Gatekeeper) Members() int { return g.headcount.get() }
--- a/internal/instance/gatekeeper/pass_test.go
+++ b/internal/instance/gatekeeper/pass_test.go
@@ -146,12 +146,20 @@
 			time.Sleep(silent + time.Second)
 			c.holder.controllers["b"].others("", time.Now())
 		}, 0},
-		{"the passer loses its tenure, and the member tells the holder itself", func(c *chain, _ func()) {
+		{"the passer loses its tenure, and the member has not noticed", func(c *chain, _ func()) {
 			c.speak()
 			c.pass()
 			c.passer.controllers["a"].elector.Leave(uptime())
+			c.speak()
+			c.pass()
+		}, 1},
+		{"the passer loses its tenure, and the member tells the holder itself", func(c *chain, _ func()) {
+			c.speak()
 			c.pass()
+			c.passer.controllers["a"].elector.Leave(uptime())
 			c.holder.Demanded(heartbeater.Instance{ID: "a-2", Domain: "a"}, c.member.links["b"].demand())
+			c.passer.Demanded(heartbeater.Instance{ID: "a-2", Domain: "a"}, relayer.Demand{Domain: "b", Parted: true})
+			c.pass()
 		}, 1},
 		{"the member told the holder itself before, and has parted since", func(c *chain, done func()) {
 			c.holder.Demanded(heartbeater.Instance{ID: "a-2", Domain: "a"}, c.member.links["b"].demand())
@@ -202,7 +210,7 @@
 		if diff := cmp.Diff(map[string]int{"passer": 113, "member": 113, "holder": 113}, got); diff != "" {
 			t.Error(diff)
 		}
-		if got := c.member.links["b"].members; got != 4 {
+		if got := c.member.headcount.told(); got != 4 {
 			t.Errorf("%d instances share the retries, want 4", got)
 		}
 	})
--- a/internal/instance/gatekeeper/serve.go
+++ b/internal/instance/gatekeeper/serve.go
@@ -89,20 +89,11 @@
 }
 
 // Burst returns this instance's share of the retries that a service allows
-// beyond the part of its requests. An instance that hears of nobody takes the
-// share of a large deployment, which is safe in a small one.
+// beyond the part of its requests.
 func (g *Gatekeeper) Burst() float64 {
-	members := g.Members()
-	if members == 0 {
-		members = manyMembers
-	}
-	return g.Config.Bounds.Slack * burstPart / float64(members)
+	return g.Config.Bounds.Slack * burstPart / float64(g.Members())
 }
 
-const (
-	// burstPart is the part of the allowed burst that is given out: the count of
-	// members lags behind when one restarts.
-	burstPart = 0.7
-	// manyMembers is how many instances an instance assumes that hears of none.
-	manyMembers = 64
-)
+// burstPart is the part of the allowed burst that is given out: the count of
+// members lags behind when one restarts.
+const burstPart = 0.7
--- a/internal/instance/gatekeeper/speak.go
+++ b/internal/instance/gatekeeper/speak.go
@@ -101,7 +101,7 @@
 func (l *link) whole() gatherer.Word {
 	w := l.own()
 	g := l.gatekeeper
-	if d := g.controllers[l.domain]; g.holdsAny() && !d.holds() {
+	if d := g.controllers[l.domain]; !d.holds() {
 		w.Add(d.passed(time.Now()))
 	}
 	return w
--- a/internal/instance/gatekeeper/subscribe.go
+++ b/internal/instance/gatekeeper/subscribe.go
@@ -175,16 +175,11 @@
 // that it tells somebody else. Without that the holder would count each use twice,
 // for as long as it counts an instance that has died.
 func (l *link) part(ctx context.Context) {
-	l.mu.Lock()
-	former, until := l.former, l.parting
-	if former == l.via || time.Now().After(until) {
-		l.former = source{}
-	}
-	l.mu.Unlock()
-	mesh := l.gatekeeper.Mesh
-	if former == (source{}) || former == l.via {
+	former, until, ok := l.parts()
+	if !ok {
 		return
 	}
+	mesh := l.gatekeeper.Mesh
 	if _, linked := mesh.Linked(former.address); !linked {
 		return // it is not reached, and would hold up the word to others
 	}
@@ -194,3 +189,15 @@
 	}
 	_ = mesh.Tell(ctx, former.address, word) // it forgets this instance after its silence
 }
+
+// parts returns whom this instance told before, and until when it goes on with that;
+// ok is false if there is none, or none any more.
+func (l *link) parts() (former source, until time.Time, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	former, until = l.former, l.parting
+	if former == l.via || time.Now().After(until) {
+		l.former = source{}
+	}
+	return former, until, former != (source{}) && former != l.via
+}
--- a/internal/instance/gatekeeper/tenure.go
+++ b/internal/instance/gatekeeper/tenure.go
@@ -124,7 +124,7 @@
 // lookPeriod returns how long after one look at the row this instance looks again.
 func (d *controller) lookPeriod() time.Duration {
 	g := d.gatekeeper
-	neighbours := g.Members() / len(g.domains())
+	neighbours := g.headcount.told() / len(g.domains())
 	return max(lookEvery, time.Duration(neighbours)*lookEvery/lookers)
 }
 
--- a/internal/instance/gatekeeper/tenure_test.go
+++ b/internal/instance/gatekeeper/tenure_test.go
@@ -96,7 +96,7 @@
 			var all []*controller
 			for range instances {
 				g := newTestGatekeeper()
-				g.links["a"].members = instances
+				g.headcount.tell(instances, time.Now())
 				all = append(all, g.controllers["a"])
 			}
 			looks, first := 0, time.Duration(-1)
--- a/internal/member/gatherer/gatherer.go
+++ b/internal/member/gatherer/gatherer.go
@@ -93,6 +93,12 @@
 	}
 }
 
+// Knows reports whether a member counts.
+func (g *Gatherer) Knows(id string) bool {
+	_, ok := g.members[id]
+	return ok
+}
+
 // Instances returns how many instances the members speak for.
 func (g *Gatherer) Instances() int { return g.instances }
 
