--- a/internal/instance/gatekeeper/tenure_test.go
+++ b/internal/instance/gatekeeper/tenure_test.go
@@ -14,6 +14,8 @@
 // ownTenure reads the row of domain a.
 func ownTenure(t *testing.T, s *feedStore) elector.Tenure {
 	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var tenure elector.Tenure
 	if err := encoder.Unmarshal(s.rows[tableTenures+"/a"].Value, &tenure); err != nil {
 		t.Fatal(err)
