--- a/internal/instance/gatekeeper/teller.go
+++ b/internal/instance/gatekeeper/teller.go
@@ -23,16 +23,25 @@
 	last  source               // who was chosen last
 	since time.Time            // when it was
 	word  time.Time            // its last word
-	unfit map[source]time.Time // until when those that told nothing are passed over
+	unfit map[source]exclusion // those that told nothing
 
 	refuser  source    // who had nothing to tell last
 	refusing time.Time // since when
 }
 
+// An exclusion is how often in a row an instance told nothing, and until when it is passed
+// over for that.
+type exclusion struct {
+	times int
+	until time.Time
+}
+
 const (
-	// unfitFor is how long an instance that told nothing is passed over: one that is
-	// cut off is asked no more often than that.
-	unfitFor = time.Second
+	// unfitFor is how long an instance that told nothing is passed over, and mostUnfit
+	// how long if it did so again and again: whoever asks one that stands still is told
+	// nothing until its silence shows.
+	unfitFor  = time.Second
+	mostUnfit = 8 * time.Second
 	// lingerFor is how long one that answers, but has nothing to tell yet, is asked
 	// again before another one takes its place. It has just started and will hold its
 	// tenure again, or has just given it up to an instance that will; to be told
@@ -44,7 +53,7 @@
 func (c *choice) fit(s source, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !now.Before(c.unfit[s])
+	return !now.Before(c.unfit[s].until)
 }
 
 // refused takes in that an instance had nothing to tell.
@@ -68,14 +77,12 @@
 
 func (c *choice) passOver(s source, now time.Time) {
 	if c.unfit == nil {
-		c.unfit = make(map[source]time.Time)
-	}
-	for other, until := range c.unfit {
-		if now.After(until) {
-			delete(c.unfit, other)
-		}
+		c.unfit = make(map[source]exclusion)
 	}
-	c.unfit[s] = now.Add(unfitFor)
+	l := c.unfit[s]
+	l.until = now.Add(min(mostUnfit, unfitFor<<min(l.times, 8)))
+	l.times++
+	c.unfit[s] = l
 }
 
 // set takes in the choice; it reports whether it is another one than before.
@@ -109,6 +116,7 @@
 	defer c.mu.Unlock()
 	if c.last == s {
 		c.word = now
+		delete(c.unfit, s)
 	}
 }
 
@@ -136,12 +144,19 @@
 	if g.holdsAny() {
 		return source{}
 	}
+	last, _ := g.choice.now()
+	telling := g.choice.hears(last)
 	for _, domain := range g.nearest {
 		l := g.links[domain]
 		l.mu.Lock()
-		s := sourceOf(l.holder)
+		s, silence := sourceOf(l.holder), now.Sub(l.heard)
 		l.mu.Unlock()
-		if s.id != "" && s.id != g.Config.ID && g.choice.fit(s, now) {
+		switch {
+		case s.id == "" || s.id == g.Config.ID || !g.choice.fit(s, now):
+		case telling && s != last && silence > unheard:
+			// Whoever tells now does not hear that holder. Tried all the same every second,
+			// one that stood still for seven left its instances untold for half of them.
+		default:
 			return s
 		}
 	}
--- /dev/null
+++ b/internal/instance/gatekeeper/teller_test.go
@@ -0,0 +1,60 @@
+package gatekeeper
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/elector"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+)
+
+// The holder of a domain stands still for seconds. Its instances are told by that of
+// another domain, and must stay with it: asked again every second, the one that stands
+// still tells nothing until its silence shows, and for half of the time callers were
+// refused for adapters of which nothing was known. When it is heard again it tells
+// again.
+func TestInstancesStayWithWhoeverTells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newChained("a-2", "a")
+		own := elector.Tenure{Holder: "a-1", Address: "a-1", Fence: 1}
+		other := elector.Tenure{Holder: "b-1", Address: "b-1", Fence: 1}
+		g.links["a"].setHolder(own)
+		g.links["b"].setHolder(other)
+		hear := func(from source, a relayer.News) {
+			g.choice.heard(from, time.Now())
+			g.links["a"].take(a)
+			g.links["b"].take(relayer.News{Tenure: other})
+		}
+		teller := func() source {
+			s, _ := g.teller()
+			return s
+		}
+		if diff := cmp.Diff("a-1", teller().id); diff != "" {
+			t.Fatal("before:", diff)
+		}
+		hear(sourceOf(own), relayer.News{Tenure: own})
+		g.choice.silent(sourceOf(own), time.Now())
+		silent := time.Now()
+		var tellers []string
+		for time.Since(silent) < 7*time.Second {
+			s := teller()
+			tellers = append(tellers, s.id)
+			if s == sourceOf(other) {
+				hear(s, relayer.News{Tenure: own, Silence: time.Since(silent)})
+			}
+			time.Sleep(beat)
+		}
+		for _, id := range tellers {
+			if id != "b-1" {
+				t.Fatalf("left who tells: %v", tellers)
+			}
+		}
+		hear(sourceOf(other), relayer.News{Tenure: own})
+		if diff := cmp.Diff("a-1", teller().id); diff != "" {
+			t.Error("after it is heard again:", diff)
+		}
+	})
+}
