--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -36,8 +36,9 @@
 	window  placer.Window
 	share   admitter.Share
 	cut     severance
-	ended   uint64 // fencing number of the tenure that was given up last
-	heard   retold // of the holder, while another instance is that
+	stuck   time.Time // since when other holders reach the store and this one does not
+	ended   uint64    // fencing number of the tenure that was given up last
+	heard   retold    // of the holder, while another instance is that
 
 	followers int           // members that are told of the domain here
 	line      time.Duration // until a further load begins, as of lined
--- a/internal/instance/gatekeeper/dark.go
+++ b/internal/instance/gatekeeper/dark.go
@@ -117,19 +117,29 @@
 	}
 }
 
-// strandedFor is how long a holder whose renewals fail keeps its tenure while others
-// reach the store: one renewal that fails and the next one that is due in the meantime.
-// Without that its domain has nobody to order from the end of its lease until the next
-// holder may, four seconds, and everything that changes in the store is told late.
-const strandedFor = 3 * time.Second
+const (
+	// strandedFor is how old the renewal in force of a holder is that may be cut off
+	// from the store: one has failed by then, and the next one is due.
+	strandedFor = 3 * time.Second
+	// strandedWait is how long other holders reach the store meanwhile before it gives
+	// its tenure up. Without that its domain has nobody to order from the end of its
+	// lease until the next holder may, four seconds. After an outage for all, one of
+	// them is the first to reach the store again; given up at that, the tenures of all
+	// others cost four seconds each which a renewal a moment later would have kept.
+	strandedWait = 1500 * time.Millisecond
+)
 
 // stranded reports whether the holder does not reach the store while other instances
-// do. What other holders tell of calls of their own is the proof: in an outage for all,
-// everybody keeps what it holds.
+// do. What other holders tell of calls of their own is the proof.
 func (d *controller) stranded(now time.Time) bool {
-	if _, age := d.elector.Renewal(uptime()); age < strandedFor {
+	_, age := d.elector.Renewal(uptime())
+	reached, ok := d.gatekeeper.reached.get()
+	if age < strandedFor || !ok || now.Sub(reached) > strandedWait {
+		d.stuck = time.Time{}
 		return false
 	}
-	reached, ok := d.gatekeeper.reached.get()
-	return ok && now.Sub(reached) < strandedFor/2
+	if d.stuck.IsZero() {
+		d.stuck = now
+	}
+	return now.Sub(d.stuck) >= strandedWait
 }
