--- a/internal/instance/gatekeeper/tenure.go
+++ b/internal/instance/gatekeeper/tenure.go
@@ -91,7 +91,12 @@
 		return
 	}
 	if w, ok := d.elector.Next(now); ok && (holds || !d.deferred()) {
-		d.call(func() { d.write(ctx, w) })
+		if w.Takeover && w.Row.Fence > 1 && d.elector.Holder().Holder != d.gatekeeper.Config.ID {
+			runners := d.some(probed)
+			d.call(func() { d.takeOver(ctx, w, runners) })
+		} else {
+			d.call(func() { d.write(ctx, w) })
+		}
 		return
 	}
 	if !holds && d.looks(now) {
@@ -99,6 +104,52 @@
 	}
 }
 
+// takeOver takes a tenure over, if this instance reaches the runners that it is to
+// order. On a day on which a third of the instances were cut off from them, one in
+// three that took a tenure over had to give it up again, at four seconds each.
+func (d *controller) takeOver(ctx context.Context, w elector.Write, runners []tracker.Runner) {
+	if d.reaches(ctx, runners) {
+		d.write(ctx, w)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.next = uptime() + lookEvery
+	d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "tenure left to others", "domain", d.domain, "why", "runners are not reached")
+}
+
+// probed is how many runners are asked before a takeover.
+const probed = 3
+
+// some returns some runners of the domain that take orders.
+func (d *controller) some(most int) []tracker.Runner {
+	var runners []tracker.Runner
+	for _, c := range d.runners {
+		if len(runners) < most && !c.runner.Leaving && c.runner.Slots > 0 && len(c.runner.Models) > 0 {
+			runners = append(runners, c.runner)
+		}
+	}
+	return runners
+}
+
+// reaches reports whether most of some runners answer; true for none.
+func (d *controller) reaches(ctx context.Context, runners []tracker.Runner) bool {
+	answers := make(chan bool, len(runners))
+	for _, r := range runners {
+		go func() {
+			_, err := d.gatekeeper.Engine.Report(ctx, r)
+			answers <- err == nil
+		}()
+	}
+	reached := 0
+	for range runners {
+		if <-answers {
+			reached++
+		}
+	}
+	return 2*reached >= len(runners)
+}
+
 // deferred reports whether a tenure is left to others for now, as this instance does
 // not reach the runners that it would order.
 func (d *controller) deferred() bool {
--- a/internal/instance/gatekeeper/tenure_test.go
+++ b/internal/instance/gatekeeper/tenure_test.go
@@ -1,13 +1,16 @@
 package gatekeeper
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/member/elector"
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
 )
 
@@ -122,3 +125,41 @@
 		})
 	}
 }
+
+// A probedEngine answers reports or does not.
+type probedEngine struct {
+	Engine
+	answers bool
+}
+
+// Report implements Engine.
+func (e probedEngine) Report(context.Context, tracker.Runner) (placer.Report, error) {
+	if !e.answers {
+		return placer.Report{}, errNoAnswer
+	}
+	return placer.Report{}, nil
+}
+
+// A third of the instances are cut off from the runners and not from the store, and a
+// tenure is free. One of them that takes it loads nothing and keeps the others from it.
+func TestOnlyWhoReachesTheRunnersTakesATenureOver(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		t.Run(fmt.Sprint("answers: ", answers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, store := newFedGatekeeper()
+				g.Engine = probedEngine{answers: answers}
+				g.setRunner(tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Slots: 8, Models: []string{"m"}, Revision: 1})
+				d := g.controllers["a"]
+				d.elector.Late = 0
+				freed := elector.Tenure{Fence: 4}
+				putTenure(t, store, freed)
+				d.elector.Read(freed, store.version, uptime())
+				d.tenure(t.Context())
+				time.Sleep(100 * time.Millisecond)
+				if took := ownTenure(t, store).Holder == g.Config.ID; took != answers {
+					t.Errorf("took the tenure: %v", took)
+				}
+			})
+		})
+	}
+}
