--- /dev/null
+++ b/internal/instance/gatekeeper/takeover.go
@@ -0,0 +1,68 @@
+package gatekeeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/elector"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
+)
+
+// takeOver takes a tenure over, if this instance reaches the runners that it is to
+// order. On a day on which a third of the instances were cut off from them, one in
+// three that took a tenure over had to give it up again, at four seconds each.
+func (d *controller) takeOver(ctx context.Context, w elector.Write, runners []tracker.Runner) {
+	if d.reaches(ctx, runners) {
+		d.write(ctx, w)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.next = uptime() + lookEvery
+	d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "tenure left to others", "domain", d.domain, "why", "runners are not reached")
+}
+
+const (
+	// probed is how many runners are asked before a takeover: one may have crashed.
+	probed = 3
+	// deferredFor is how long a tenure that nobody holds is left to instances that reach
+	// its runners: longer than one of them takes to see that it is free.
+	deferredFor = 5 * time.Second
+)
+
+// some returns some runners of the domain that take orders.
+func (d *controller) some(most int) []tracker.Runner {
+	var runners []tracker.Runner
+	for _, c := range d.runners {
+		if len(runners) < most && !c.runner.Leaving && c.runner.Slots > 0 && len(c.runner.Models) > 0 {
+			runners = append(runners, c.runner)
+		}
+	}
+	return runners
+}
+
+// reaches reports whether most of some runners answer; true for none.
+func (d *controller) reaches(ctx context.Context, runners []tracker.Runner) bool {
+	answers := make(chan bool, len(runners))
+	for _, r := range runners {
+		go func() {
+			_, err := d.gatekeeper.Engine.Report(ctx, r)
+			answers <- err == nil
+		}()
+	}
+	reached := 0
+	for range runners {
+		if <-answers {
+			reached++
+		}
+	}
+	return 2*reached >= len(runners)
+}
+
+// deferred reports whether a tenure is left to others for now, as this instance does
+// not reach the runners that it would order.
+func (d *controller) deferred() bool {
+	g := d.gatekeeper
+	return g.Fleet.Severed(d.domain, time.Now()) && g.links[d.domain].silence() < deferredFor
+}
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -316,6 +316,8 @@
 // whoever orders them there has learned. An instance that orders nothing learns nothing:
 // when loads took twice as long as on a calm day, 78 of 81 instances went on to take
 // them for as quick as ever, and chose runners that had to load over those that held.
+// With holders that make room when they are cut off, told in the same trial, 0.71 of
+// what callers asked for on a heavy day was served in place of 0.62.
 func (f *Fleet) LoadTimes(domain string, t Times) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
