--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -23,22 +23,23 @@
 	gatekeeper *Gatekeeper
 	domain     string
 
-	mu      sync.Mutex
-	elector elector.Elector
-	acting  uint64        // fencing number under which the placers were begun; 0 for none
-	next    time.Duration // before which the store is not asked again, after a call that failed
-	look    time.Duration // before which the row of the tenure is not looked at again
-	calling bool          // a call to the store about the tenure is under way
-	looking bool          // nobody seems to hold the tenure
-	runners map[string]*runnerState
-	gather  gatherer.Gatherer // of what members tell, or of what is passed on to the holder
-	news    journal
-	window  placer.Window
-	share   admitter.Share
-	cut     severance
-	stuck   time.Time // since when other holders reach the store and this one does not
-	ended   uint64    // fencing number of the tenure that was given up last
-	heard   retold    // of the holder, while another instance is that
+	mu       sync.Mutex
+	elector  elector.Elector
+	acting   uint64        // fencing number under which the placers were begun; 0 for none
+	next     time.Duration // before which the store is not asked again, after a call that failed
+	look     time.Duration // before which the row of the tenure is not looked at again
+	calling  bool          // a call to the store about the tenure is under way
+	looking  bool          // nobody seems to hold the tenure
+	runners  map[string]*runnerState
+	gather   gatherer.Gatherer // of what members tell, or of what is passed on to the holder
+	counting time.Time         // since when members have told the holder here
+	news     journal
+	window   placer.Window
+	share    admitter.Share
+	cut      severance
+	stuck    time.Time // since when other holders reach the store and this one does not
+	ended    uint64    // fencing number of the tenure that was given up last
+	heard    retold    // of the holder, while another instance is that
 
 	followers int           // members that are told of the domain here
 	line      time.Duration // until a further load begins, as of lined
@@ -167,6 +168,7 @@
 	}
 	d.acting = 0
 	d.gather.Clear() // members tell the next holder
+	d.counting = time.Time{}
 	for _, c := range d.runners {
 		c.placer = nil
 	}
--- a/internal/instance/gatekeeper/demand.go
+++ b/internal/instance/gatekeeper/demand.go
@@ -48,6 +48,9 @@
 		d.gather.Drop(from)
 		return
 	}
+	if d.counting.IsZero() {
+		d.counting = now
+	}
 	d.gather.Tell(from, wordOf(demand), now)
 	if from != d.gatekeeper.Config.ID && answered(demand) {
 		d.cut.elsewhere = now
@@ -93,11 +96,11 @@
 	})
 }
 
-// others returns the work of all members but one, and how many instances there are.
-// This instance is one of them: it tells its own controller what it needs.
-func (d *controller) others(but string, now time.Time) (map[string]tracker.Load, int) {
+// others returns the work of all members but one. This instance is one of them: it
+// tells its own controller what it needs.
+func (d *controller) others(but string, now time.Time) map[string]tracker.Load {
 	d.gather.Expire(now)
-	return d.gather.Loads(but), max(1, d.gather.Instances())
+	return d.gather.Loads(but)
 }
 
 // used counts a use that a member has begun.
--- a/internal/instance/gatekeeper/headcount.go
+++ b/internal/instance/gatekeeper/headcount.go
@@ -5,28 +5,33 @@
 	"time"
 )
 
-// A headcount is how many instances there are, as this one believes. It rises at once
-// and falls late: whoever counts begins with nobody after a restart, and instances that
-// took a few for all of hundreds would each spend the retries of a hundred others. Its
-// zero value is ready; it is safe for concurrent use.
+// A headcount is how many instances there are, as this one was told. It rises at once
+// and falls late. Its zero value is ready; it is safe for concurrent use.
 type headcount struct {
 	mu     sync.Mutex
 	began  time.Time // when the present span began; zero before the first word
 	now    int       // most that was told in it
-	before int       // and in the one before; 0 if nothing was
+	before int       // and in the one before
 }
 
 const (
 	// countFor is the span over which the largest count holds, and the one after it.
-	// All instances have told of themselves within half a second.
 	countFor = 1500 * time.Millisecond
+	// countSure is how long whoever counts has to hear members before it tells how many
+	// they are: it begins with nobody after a restart, and instances that took the few
+	// that had spoken for all of hundreds would each spend the retries of a hundred
+	// others. All have spoken within three beats.
+	countSure = 3*beat + 50*time.Millisecond
 	// manyMembers is how many instances an instance assumes that was not told lately:
 	// a share that is safe among hundreds is safe in a small deployment too.
 	manyMembers = 400
 )
 
-// tell takes in a count.
+// tell takes in a count; none says nothing.
 func (h *headcount) tell(n int, now time.Time) {
+	if n <= 0 {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch since := now.Sub(h.began); {
@@ -38,14 +43,12 @@
 	h.now = max(h.now, n)
 }
 
-// get returns the count, or that of a large deployment if it is not sure yet.
+// get returns the count, or that of a large deployment if none was told.
 func (h *headcount) get() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.before == 0 {
-		return max(h.now, manyMembers)
+	if n := h.told(); n > 0 {
+		return n
 	}
-	return max(h.now, h.before)
+	return manyMembers
 }
 
 // told returns the largest count that was told lately, 0 for none.
@@ -54,3 +57,11 @@
 	defer h.mu.Unlock()
 	return max(h.now, h.before)
 }
+
+// count returns how many instances there are, 0 while that is not sure.
+func (d *controller) count(now time.Time) int {
+	if d.counting.IsZero() || now.Sub(d.counting) < countSure {
+		return 0
+	}
+	return max(1, d.gather.Instances())
+}
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -60,7 +60,13 @@
 
 // setMembers takes in how many instances there are.
 func (l *link) setMembers(members int) {
-	l.gatekeeper.headcount.tell(members, time.Now())
+	g := l.gatekeeper
+	before := g.headcount.told()
+	g.headcount.tell(members, time.Now())
+	after := g.headcount.told()
+	if max(before, after) > 2*min(before, after) { // an instance more or less of hundreds changes little
+		g.Recorder.Log(recorder.Belief, "msg", "members", "count", after)
+	}
 }
 
 func (l *link) self() string { return l.gatekeeper.Config.ID }
--- a/internal/instance/gatekeeper/needs.go
+++ b/internal/instance/gatekeeper/needs.go
@@ -46,7 +46,7 @@
 	d.demanded(g.Config.ID, demand)
 	now := time.Now()
 	d.mu.Lock()
-	others, members := d.others(g.Config.ID, now)
+	others, members := d.others(g.Config.ID, now), d.count(now)
 	line := d.wait(now)
 	rooms := d.rooms(now)
 	d.mu.Unlock()
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -181,7 +181,7 @@
 // tellHeld fills in what this instance knows as the holder of the domain.
 func (d *controller) tellHeld(news *relayer.News, member string, due bool, now time.Time) {
 	if due {
-		news.Loads, news.Members = d.others(member, now)
+		news.Loads, news.Members = d.others(member, now), d.count(now)
 		news.Loaded = true
 		news.Operator = d.gatekeeper.tellOperator(now)
 	}
--- a/internal/instance/gatekeeper/pass.go
+++ b/internal/instance/gatekeeper/pass.go
@@ -82,7 +82,7 @@
 		return
 	}
 	news.Loaded = true
-	news.Loads, _ = d.others(member, now)
+	news.Loads = d.others(member, now)
 	addLoads(news.Loads, d.heard.loads)
 	addLoads(news.Loads, d.gatekeeper.Fleet.LoadsIn(d.domain))
 	news.Members = d.heard.members
@@ -101,8 +101,7 @@
 func (d *controller) passedLoads(now time.Time) map[string]tracker.Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	loads, _ := d.others(d.gatekeeper.Config.ID, now)
-	return loads
+	return d.others(d.gatekeeper.Config.ID, now)
 }
 
 // mute reports whether news is of a domain whose holder the sender does not hear. It
--- a/internal/instance/gatekeeper/pass_test.go
+++ b/internal/instance/gatekeeper/pass_test.go
@@ -201,6 +201,7 @@
 		c.passer.Demanded(heartbeater.Instance{ID: "a-3", Domain: "a"}, loads(10))
 		c.speak()
 		c.pass()
+		time.Sleep(countSure)
 		c.hear()
 		c.retell()
 		running := func(g *Gatekeeper) int {
--- a/internal/instance/gatekeeper/tenure.go
+++ b/internal/instance/gatekeeper/tenure.go
@@ -196,6 +196,7 @@
 	}
 	d.elector.Written(w, version, uptime())
 	if w.Takeover {
+		d.counting = time.Time{} // those that were passed on are not all
 		d.gatekeeper.Recorder.Log(recorder.Belief, "msg", "tenure taken", "domain", d.domain, "fence", w.Row.Fence, "version", version)
 		d.gatekeeper.links[d.domain].setHolder(w.Row)
 	}
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
@@ -61,10 +62,7 @@
 		return
 	}
 	if ok {
-		if old := g.catalog.Load(); old == nil || c.Version > old.Version {
-			g.catalog.Store(c)
-			g.Recorder.Log(recorder.Config, "msg", "in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services))
-		}
+		g.adopt(c)
 		return
 	}
 	named, ok, err := g.Decoder.Version(r)
@@ -84,6 +82,19 @@
 	}
 }
 
+// adopt puts a configuration in force, unless a newer one is. Rows come by calls of
+// this instance and from others at the same time; if the older of two was compared
+// first and stored last, it stayed in force until the operator wrote the next one.
+func (g *Gatekeeper) adopt(c *matcher.Catalog) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if old := g.catalog.Load(); old != nil && c.Version <= old.Version {
+		return
+	}
+	g.catalog.Store(c)
+	g.Recorder.Log(recorder.Config, "msg", "in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services))
+}
+
 // watchRunners keeps the runners, as long as no peer tells of them.
 func (g *Gatekeeper) watchRunners(ctx context.Context) {
 	g.setViews()
--- a/internal/instance/gatekeeper/watch_test.go
+++ b/internal/instance/gatekeeper/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,3 +60,24 @@
 	w, _ := d.elector.Next(uptime())
 	d.elector.Written(w, 1, uptime())
 }
+
+// Two configurations follow each other closely, and come by different ways at the same
+// time. Whichever is looked at first, callers must be served by the newer one: the older
+// stayed in force once, with nothing more to come that would have shown it.
+func TestOlderConfigurationDoesNotReplaceANewerOneThatComesAtTheSameTime(t *testing.T) {
+	g, store := newFedGatekeeper()
+	row := func(version uint64) tabler.Row {
+		store.configure(version)
+		return store.rows["operator/config"]
+	}
+	for version := uint64(2); version < 20_000; version += 2 {
+		older, newer := row(version), row(version+1)
+		var both sync.WaitGroup
+		both.Go(func() { g.operatorRow(older) })
+		both.Go(func() { g.operatorRow(newer) })
+		both.Wait()
+		if got := g.version(); got != version+1 {
+			t.Fatalf("version %d in force, want %d", got, version+1)
+		}
+	}
+}
