--- a/internal/instance/gatekeeper/view.go
+++ b/internal/instance/gatekeeper/view.go
@@ -218,9 +218,10 @@
 // need not ask the store itself.
 func (v *view) isSpared(now time.Time) bool {
 	at, ok := v.asOf()
+	recent := now.Sub(at) <= v.patience() // before the lock: it takes those of the tenures, which are held by whoever tells
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return ok && now.Sub(v.spared) <= unheard && now.Sub(at) <= v.patience()
+	return ok && recent && now.Sub(v.spared) <= unheard
 }
 
 // forget notes that the changes since the last call are not to be had: all is to
--- a/internal/instance/gatekeeper/watch_test.go
+++ b/internal/instance/gatekeeper/watch_test.go
@@ -81,3 +81,35 @@
 		}
 	}
 }
+
+// A holder looks whether it needs the store while it tells its members what it knows.
+// Each takes the lock of the other last; taken the other way round once, the instance
+// stood still for good and its callers were served by what held then.
+func TestTellingAndDoubtingDoNotBlockEachOther(t *testing.T) {
+	g, _ := newFedGatekeeper()
+	g.setViews()
+	hold(g, "a")
+	g.operator.reached([]tabler.Row{{Key: "operator/config", Version: 1}}, 1, time.Now())
+	g.operator.spared = time.Now().Add(time.Hour)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var both sync.WaitGroup
+		both.Go(func() {
+			for range 20_000 {
+				g.operator.isSpared(time.Now())
+			}
+		})
+		both.Go(func() {
+			for range 20_000 {
+				g.controllers["a"].digest("front-1", -1, true)
+			}
+		})
+		both.Wait()
+	}()
+	select {
+	case <-done:
+	case <-time.After(time.Minute):
+		t.Fatal("they block each other")
+	}
+}
