Failed and repeated requests are logged with a digest

The lines of two attempts could not be told to be the same request: the ID is new each time, copy and size may be chance. The digest is of host, method, path with query and body; the body itself is not logged.

--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -114,7 +114,7 @@
 		}
 		p.renew()
 		p.Retried(failed)
-		p.Recorder.Log(recorder.Retry, "request", p.request.ID, "copy", p.request.Copy, "runner", runner.ID, "reason", failed.Reason,
+		p.Recorder.Log(recorder.Retry, "request", p.request.ID, "digest", p.request.digest(), "copy", p.request.Copy, "runner", runner.ID, "reason", failed.Reason,
 			"verdict", failed.Verdict, "after", p.after, "arrivals", p.arrivals)
 	}
 }
@@ -175,6 +175,6 @@
 		p.Recorder.Log(recorder.Answered, append(fields, "status", p.status)...)
 		return
 	}
-	fields = append(fields, "verdict", err.Verdict, "reason", err.Reason, "retry", err.Retry, "err", err.Message)
+	fields = append(fields, "digest", r.digest(), "verdict", err.Verdict, "reason", err.Reason, "retry", err.Retry, "err", err.Message)
 	p.Recorder.Log(recorder.Failed, fields...)
 }
--- /dev/null
+++ b/internal/request/quarantiner/digest_test.go
@@ -0,0 +1,34 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
+)
+
+func ExampleDigestOf() {
+	fmt.Println(quarantiner.DigestOf("desk.example", "POST", "/summary/1?short", []byte("text")))
+	// Output: 3ec448017a487a4222edb28ce265cdf1
+}
+
+// Two callers' requests that differ in one part, or only in where a part ends, must not
+// pass for each other: one that crashes runners would get the other one rejected.
+func TestRequestsThatDifferHaveDigestsThatDiffer(t *testing.T) {
+	seen := make(map[quarantiner.Digest]string)
+	for _, parts := range [][4]string{
+		{"a", "POST", "/x", "body"},
+		{"b", "POST", "/x", "body"},
+		{"a", "PUT", "/x", "body"},
+		{"a", "POST", "/x?q", "body"},
+		{"a", "POST", "/x", "other"},
+		{"a", "POST", "/xb", "ody"},
+		{"aP", "OST", "/x", "body"},
+	} {
+		d := quarantiner.DigestOf(parts[0], parts[1], parts[2], []byte(parts[3]))
+		if other, known := seen[d]; known {
+			t.Errorf("%q has the digest of %s", parts, other)
+		}
+		seen[d] = fmt.Sprint(parts)
+	}
+}
--- /dev/null
+++ b/internal/request/quarantiner/doc.go
@@ -0,0 +1,2 @@
+// Package quarantiner names requests that crash the runners which run them.
+package quarantiner
