A request that has crashed three runners is not run any more

Each attempt began with nothing known, at the instance that took it.

Now crashes are counted for each request, by a digest, over all instances. Who saw an answer break off asks the runner whether it lives; if it does not, what broke off there is suspected. Members tell whoever tells them, and that instance all others; the store keeps the crashes of a request from the second on. All come to the same verdict from the same set of crashes, whatever the order, so nobody's loss takes the count along. It is looked up at every look of a waiting request and before each sending. A whole run clears.

--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -49,6 +49,8 @@
 	// Order sends an order. The error explains an outcome other than Accepted
 	// and Holds.
 	Order(ctx context.Context, to tracker.Runner, o placer.Order, holder string, fence uint64) (placer.Outcome, error)
+	// Lives asks a runner whether it lives.
+	Lives(ctx context.Context, runner tracker.Runner) tracker.Life
 	// Report asks a runner what it holds.
 	Report(ctx context.Context, from tracker.Runner) (placer.Report, error)
 }
@@ -99,8 +101,10 @@
 	controllers map[string]*controller // by failure domain
 	links       map[string]*link       // by failure domain
 	stopState
-	removals removals
-	storeUp  dependency
+	removals   removals
+	storeUp    dependency
+	crashes    checks
+	quarantine quarantine
 }
 
 // A copyName is an adapter without its version.
@@ -125,7 +129,7 @@
 		g.unlessTold(g.watchHolders, g.holders.isSpared),
 		g.unlessTold(g.watchOperator, g.operator.isSpared),
 		g.unlessTold(g.watchRunners, func(time.Time) bool { return g.told() }),
-		g.sweep, g.tellPaces, g.tellAges,
+		g.sweep, g.tellPaces, g.tellAges, g.tellCrashes, g.keepRows, g.watchQuarantine,
 	} {
 		loops.Go(func() { loop(work) })
 	}
@@ -147,6 +151,7 @@
 
 func (g *Gatekeeper) init() {
 	g.kicks = make(chan struct{}, 1)
+	g.quarantine.init()
 	g.versions = make(map[copyName]int)
 	g.controllers = make(map[string]*controller)
 	g.links = make(map[string]*link)
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -100,6 +100,7 @@
 	defer d.followed()()
 	pace := d.pace(member, s)
 	number, told := -1, time.Time{}
+	crashes := 0 // up to which change of the ledger the member was told
 	fence := d.fence()
 	ticker := time.NewTicker(pace.changes)
 	defer ticker.Stop()
@@ -110,7 +111,10 @@
 		due := time.Since(told) >= pace.loads
 		news, next, changed := d.digest(member.ID, number, due)
 		news.Tables = d.gatekeeper.tellTables(s.Tables, due)
-		if changed || due || len(news.Tables) > 0 {
+		if s.Crashes {
+			news.Crashes, crashes = d.gatekeeper.quarantine.ledger.Since(crashes, time.Now())
+		}
+		if changed || due || len(news.Tables)+len(news.Crashes) > 0 {
 			if err := reply.Send(news); err != nil {
 				return fmt.Errorf("tell %s: %w", member.ID, err)
 			}
--- a/internal/instance/gatekeeper/subscribe.go
+++ b/internal/instance/gatekeeper/subscribe.go
@@ -128,7 +128,10 @@
 func (l *link) question(from source) relayer.Subscribe {
 	g := l.gatekeeper
 	s := relayer.Subscribe{Domain: l.domain, Passes: g.holdsAny()}
-	if t, ok := g.teller(); ok && t == from && l.domain == g.Config.Domain {
+	t, telling := g.teller()
+	// Once for each instance that tells: it tells the same beside every domain.
+	s.Crashes = !telling || t != from || l.domain == g.Config.Domain
+	if telling && t == from && l.domain == g.Config.Domain {
 		s.Tables = map[string]uint64{g.operator.name: g.operator.upTo(), g.holders.name: g.holders.upTo()}
 	}
 	return s
@@ -137,6 +140,7 @@
 // heardBy takes in who told of the domain.
 func (l *link) heardBy(from source, n relayer.News) {
 	g := l.gatekeeper
+	g.quarantine.toldBack(from, n.Crashes)
 	if t, ok := g.teller(); ok && t == from {
 		g.choice.heard(from, time.Now())
 	}
--- a/internal/instance/gatekeeper/tenure.go
+++ b/internal/instance/gatekeeper/tenure.go
@@ -265,6 +265,10 @@
 }
 
 func (g *Gatekeeper) holderRow(r tabler.Row) {
+	if c, ok := crashRowOf(r.Key); ok {
+		g.crashRow(c, r)
+		return
+	}
 	var tenure elector.Tenure
 	if err := encoder.Unmarshal(r.Value, &tenure); err != nil {
 		g.Recorder.Log(recorder.Belief, "msg", "tenure not understood", "row", r.Key, "err", err)
--- a/internal/instance/gatekeeper/views.go
+++ b/internal/instance/gatekeeper/views.go
@@ -21,7 +21,12 @@
 			}
 			return heard, all
 		}
-		v.patience = func() time.Duration { return patienceTenures }
+		v.patience = func() time.Duration {
+			if g.quarantine.lately(time.Now()) {
+				return patienceHolder
+			}
+			return patienceTenures
+		}
 		v = &g.runners
 		v.name, v.change, v.whole = runners, g.runnerRow, g.allRunners
 		v.others = func() (time.Time, bool) {
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -40,6 +40,7 @@
 		return
 	}
 	g.Recorder.Log(recorder.Lifecycle, "msg", "the store is back")
+	signal(g.quarantine.write)
 	// A store that was away may have forgotten the calls that it had taken. Those about
 	// the runners are short.
 	for _, v := range []*view{&g.operator, &g.holders} {
--- a/internal/member/relayer/gateway.go
+++ b/internal/member/relayer/gateway.go
@@ -5,6 +5,7 @@
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/member/elector"
+	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 )
 
@@ -28,6 +29,13 @@
 	Waits   []Wait                  `cbor:"4,keyasint,omitempty"`  // all copies that requests wait for now
 }
 
+// Crashes tells whoever tells the sender of others which requests the sender saw crash
+// runners, or run whole since. It stands alone, and is told again until the receiver
+// tells it back.
+type Crashes struct {
+	Words []quarantiner.Word `cbor:"1,keyasint"`
+}
+
 // A Reserve asks the instance that orders for a failure domain for room at
 // one of its runners.
 type Reserve struct {
@@ -52,9 +60,10 @@
 // A Subscribe asks for the News of a failure domain, of whoever orders for it or for
 // another one.
 type Subscribe struct {
-	Domain string            `cbor:"1,keyasint"`
-	Passes bool              `cbor:"2,keyasint,omitempty"` // the sender passes the news on
-	Tables map[string]uint64 `cbor:"3,keyasint,omitempty"` // tables of the store to be told of, and up to which version the sender knows them
+	Domain  string            `cbor:"1,keyasint"`
+	Passes  bool              `cbor:"2,keyasint,omitempty"` // the sender passes the news on
+	Crashes bool              `cbor:"4,keyasint,omitempty"` // requests that crash runners are to be told of
+	Tables  map[string]uint64 `cbor:"3,keyasint,omitempty"` // tables of the store to be told of, and up to which version the sender knows them
 }
 
 // News answers a Subscribe, again and again: what has changed since the
@@ -66,6 +75,7 @@
 	Tenure   elector.Tenure          `cbor:"10,keyasint"`
 	Ended    uint64                  `cbor:"20,keyasint,omitempty"` // fencing number of the tenure that the sender has given up; the last word of it
 	Fresh    bool                    `cbor:"11,keyasint,omitempty"` // the runners are as in the store a moment ago
+	Crashes  []quarantiner.Word      `cbor:"21,keyasint,omitempty"` // that are news
 	Gone     []Gone                  `cbor:"1,keyasint,omitempty"`
 	Held     []Held                  `cbor:"2,keyasint,omitempty"`
 	Loaded   bool                    `cbor:"13,keyasint,omitempty"` // Loads are told; else they are as before
@@ -181,6 +191,7 @@
 	Revision uint64
 }
 
+func (Crashes) message()   {}
 func (Demand) message()    {}
 func (News) message()      {}
 func (Reserve) message()   {}
--- a/internal/member/relayer/mesh.go
+++ b/internal/member/relayer/mesh.go
@@ -34,6 +34,12 @@
 	Demanded(from heartbeater.Instance, d Demand)
 }
 
+// A Suspecter takes in the crashes of runners that peers saw.
+type Suspecter interface {
+	// Suspected takes in Crashes.
+	Suspected(from heartbeater.Instance, c Crashes)
+}
+
 // A Mesh holds the links of one instance. Its fields are set before use.
 type Mesh struct {
 	Handler Handler
--- a/internal/member/relayer/served.go
+++ b/internal/member/relayer/served.go
@@ -28,6 +28,10 @@
 		if d, ok := s.mesh.Handler.(Demander); ok {
 			d.Demanded(s.from, message)
 		}
+	case Crashes:
+		if h, ok := s.mesh.Handler.(Suspecter); ok {
+			h.Suspected(s.from, message)
+		}
 	case Cancel:
 		if r := s.reply(f.Conversation); r != nil {
 			r.cancel()
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -92,6 +92,9 @@
 	}
 	run.End(end, time.Now())
 	p.tried[runner.ID] = true
+	if _, broken := seen.(judge.Broken); broken {
+		p.broke(ctx, runner, err)
+	}
 	return err
 }
 
@@ -118,8 +121,9 @@
 	reply.Close(err == nil)
 	if err != nil {
 		p.tried[runner.ID] = true
-		return p.cut(ctx, reply, err)
+		return p.cut(ctx, runner, reply, err)
 	}
+	p.ranWhole()
 	if p.answered {
 		return judge.Judge(judge.Failed{Status: reply.Status})
 	}
@@ -159,13 +163,15 @@
 }
 
 // cut judges an answer that broke off.
-func (p *exchange) cut(ctx context.Context, reply *Reply, err error) *judge.Error {
+func (p *exchange) cut(ctx context.Context, runner tracker.Runner, reply *Reply, err error) *judge.Error {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, context.DeadlineExceeded):
 		return &judge.Error{Verdict: judge.MayHaveRun, Reason: judge.ReasonDeadline, Message: "the deadline passed while the runner worked"}
 	case errors.Is(cause, context.Canceled):
 		return errGone
 	default:
-		return judge.Judge(reply.Broken(err))
+		broken := judge.Judge(reply.Broken(err))
+		p.broke(ctx, runner, broken)
+		return broken
 	}
 }
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -14,6 +14,9 @@
 func (p *exchange) choose(ctx context.Context) (tracker.Runner, *judge.Error) {
 	began := time.Now()
 	for {
+		if refused := p.quarantined(); refused != nil {
+			return tracker.Runner{}, refused
+		}
 		now := time.Now()
 		terms, refused := p.best(now)
 		if refused != nil {
@@ -42,6 +45,9 @@
 		if runner, ok = p.Fleet.Get(runner.ID); refused == nil && (!ok || runner.Leaving) {
 			continue // it began to leave while the request was held back
 		}
+		if refused == nil {
+			refused = p.quarantined() // it may have been held back until now
+		}
 		if refused == nil || refused.Reason != judge.ReasonQueue || len(p.full) >= otherRunners {
 			return runner, refused
 		}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
 	"github.com/sardinetiller/sardinetiller/internal/request/retrier"
 	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
@@ -25,6 +26,7 @@
 	Newest     func(model, adapter string) int // version of an adapter that a run is to begin on
 	Part       float64                         // retries that a request pays for
 	Placement  Placement
+	Quarantine Quarantine
 	Recorder   *recorder.Recorder
 	ReturnTime func() time.Duration   // that one takes which the runner held before
 	Retried    func(err *judge.Error) // counts what made a request go out again
@@ -56,11 +58,12 @@
 	arrivals int             // sendings that reached a runner
 	full     map[string]bool // runners that refused it for want of room
 	noRoom   *judge.Error    // what the last of them said
-	first    time.Duration   // from the arrival to the first part of the answer
-	last     time.Time       // when the last event was passed on
-	pause    time.Duration   // the longest between two events
-	paid     atomic.Bool     // the next retry is withdrawn already
-	runs     int             // of the arrivals, the ones that may have run
+	identity quarantiner.Digest
+	first    time.Duration // from the arrival to the first part of the answer
+	last     time.Time     // when the last event was passed on
+	pause    time.Duration // the longest between two events
+	paid     atomic.Bool   // the next retry is withdrawn already
+	runs     int           // of the arrivals, the ones that may have run
 	split    streamer.Splitter
 	status   int // of the answer that the caller was given; 0 for none
 	tried    map[string]bool
@@ -114,7 +117,7 @@
 		}
 		p.renew()
 		p.Retried(failed)
-		p.Recorder.Log(recorder.Retry, "request", p.request.ID, "digest", p.request.digest(), "copy", p.request.Copy, "runner", runner.ID, "reason", failed.Reason,
+		p.Recorder.Log(recorder.Retry, "request", p.request.ID, "digest", p.digest(), "copy", p.request.Copy, "runner", runner.ID, "reason", failed.Reason,
 			"verdict", failed.Verdict, "after", p.after, "arrivals", p.arrivals)
 	}
 }
@@ -175,6 +178,6 @@
 		p.Recorder.Log(recorder.Answered, append(fields, "status", p.status)...)
 		return
 	}
-	fields = append(fields, "digest", r.digest(), "verdict", err.Verdict, "reason", err.Reason, "retry", err.Retry, "err", err.Message)
+	fields = append(fields, "digest", p.digest(), "verdict", err.Verdict, "reason", err.Reason, "retry", err.Retry, "err", err.Message)
 	p.Recorder.Log(recorder.Failed, fields...)
 }
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -18,6 +18,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
+	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
@@ -60,6 +61,21 @@
 	return p.reserve(a)
 }
 
+// A quarantine holds what its script says, and keeps what it was told.
+type quarantine struct {
+	held  func() bool
+	broke []string // runners
+	whole int
+}
+
+func (*quarantine) Suspects() bool { return true }
+func (q *quarantine) Held(quarantiner.Digest) (time.Duration, bool) {
+	return time.Minute, q.held != nil && q.held()
+}
+
+func (q *quarantine) Broke(_ quarantiner.Digest, r tracker.Runner) { q.broke = append(q.broke, r.ID) }
+func (q *quarantine) Whole(quarantiner.Digest)                     { q.whole++ }
+
 // A sink keeps what the caller saw.
 type sink struct{ got string }
 
@@ -109,7 +125,7 @@
 	}
 	return &forwarder.Forwarder{
 		Burst: func() float64 { return 20 }, Ending: func() bool { return false }, Fleet: fleet, LoadTime: func() time.Duration { return time.Second },
-		Newest: func(string, string) int { return 2 }, Part: 0.2, Placement: p, Recorder: &recorder.Recorder{Metrics: metrics.NewSet(), Out: io.Discard}, Retried: func(*judge.Error) {},
+		Newest: func(string, string) int { return 2 }, Part: 0.2, Placement: p, Quarantine: &quarantine{}, Recorder: &recorder.Recorder{Metrics: metrics.NewSet(), Out: io.Discard}, Retried: func(*judge.Error) {},
 		ReturnTime: func() time.Duration { return time.Second }, Upstream: u, Window: 10 * time.Second,
 	}
 }
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -13,7 +13,6 @@
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
-	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 )
 
@@ -31,11 +30,6 @@
 	Tokens   int // of the prompt; 0 if unknown
 }
 
-// digest returns what identifies the work that the request asks for.
-func (r *Request) digest() quarantiner.Digest {
-	return quarantiner.DigestOf(r.Route.Host, r.Message.Method, r.Message.Target, r.Message.Body)
-}
-
 // A Message is an HTTP request as it came, less what concerns one connection.
 type Message struct {
 	Body   []byte
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -45,8 +45,9 @@
 	reply.Close(ended)
 	if !ended {
 		p.tried[runner.ID] = true
-		return p.cut(ctx, reply, err)
+		return p.cut(ctx, runner, reply, err)
 	}
+	p.ranWhole()
 	if !p.answered { // a stream without events
 		if p.sink.Head(reply) != nil {
 			return errGone
--- /dev/null
+++ b/internal/request/quarantiner/ledger.go
@@ -0,0 +1,243 @@
+package quarantiner
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// A Ledger is what one instance knows of crashes. Its zero value is ready; it is safe
+// for concurrent use.
+type Ledger struct {
+	Limit int // crashes that are kept; 0 is defaultLimit
+
+	mu       sync.Mutex
+	suspects map[Digest]*suspect
+	held     map[Digest]time.Time // requests in quarantine, and until when
+	crashes  int                  // in all suspects
+	number   int                  // of the last change
+
+	known atomic.Int64 // suspects, readable without the lock: none on most days
+}
+
+const (
+	// enough is how many runners crash under a request before it is not run any more. A
+	// request that lies on two runners which crash by chance is not rare on a bad day.
+	enough = 3
+	// memory is how long after its last crash a request is remembered.
+	memory = 24 * time.Hour
+	// firstHold is how long a request is held after its third crash. Then it is tried
+	// again, as it may have been suspected wrongly; each further crash doubles the time,
+	// and after trials of them it is not tried any more for as long as it is remembered.
+	firstHold = 10 * time.Minute
+	trials    = 3
+	// defaultLimit bounds the memory of a ledger to about a megabyte.
+	defaultLimit = 4096
+)
+
+// A suspect is a request under which runners crashed.
+type suspect struct {
+	crashes map[string]*entry // by runner
+}
+
+// An entry is one crash.
+type entry struct {
+	at      time.Time
+	cleared bool
+	number  int // of its last change
+}
+
+// open returns how many crashes are not cleared, apart from those of some runners, and
+// when the last of them was.
+func (s *suspect) open(apart map[string]bool) (crashes int, last time.Time) {
+	for runner, e := range s.crashes {
+		if e.cleared || apart[runner] {
+			continue
+		}
+		crashes++
+		if e.at.After(last) {
+			last = e.at
+		}
+	}
+	return crashes, last
+}
+
+// last returns when the request was suspected last.
+func (s *suspect) last() time.Time {
+	var last time.Time
+	for _, e := range s.crashes {
+		if e.at.After(last) {
+			last = e.at
+		}
+	}
+	return last
+}
+
+// Take takes in words and returns those that were news.
+func (l *Ledger) Take(words []Word, now time.Time) (news []Word) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range words {
+		if w.Age < memory && l.take(w, now) {
+			news = append(news, w)
+		}
+	}
+	if len(news) > 0 {
+		l.shrink()
+		l.judge()
+	}
+	return news
+}
+
+// take takes in a word and reports whether it was news.
+func (l *Ledger) take(w Word, now time.Time) bool {
+	if l.suspects == nil {
+		l.suspects = make(map[Digest]*suspect)
+	}
+	s, ok := l.suspects[w.Digest]
+	if !ok {
+		s = &suspect{crashes: make(map[string]*entry)}
+		l.suspects[w.Digest] = s
+	}
+	e, ok := s.crashes[w.Runner]
+	if ok && (e.cleared || !w.Cleared) {
+		return false
+	}
+	if !ok {
+		e = &entry{at: now.Add(-max(0, w.Age))}
+		s.crashes[w.Runner] = e
+		l.crashes++
+	}
+	l.number++
+	e.cleared, e.number = w.Cleared, l.number
+	return true
+}
+
+// Clear clears a request that has run whole of all its crashes so far, and returns the
+// words that tell of it.
+func (l *Ledger) Clear(d Digest, now time.Time) []Word {
+	words := l.Open(d, now)
+	for i := range words {
+		words[i].Cleared = true
+	}
+	return l.Take(words, now)
+}
+
+// Open returns the crashes of a request that are not cleared.
+func (l *Ledger) Open(d Digest, now time.Time) []Word {
+	if l.known.Load() == 0 {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.suspects[d]
+	if !ok {
+		return nil
+	}
+	var words []Word
+	for runner, e := range s.crashes {
+		if !e.cleared {
+			words = append(words, e.word(d, runner, now))
+		}
+	}
+	return words
+}
+
+// Word returns what is known of a crash; ok is false if nothing is.
+func (l *Ledger) Word(c Crash, now time.Time) (w Word, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.suspects[c.Digest]
+	if !ok {
+		return Word{}, false
+	}
+	e, ok := s.crashes[c.Runner]
+	if !ok {
+		return Word{}, false
+	}
+	return e.word(c.Digest, c.Runner, now), true
+}
+
+func (e *entry) word(d Digest, runner string, now time.Time) Word {
+	return Word{Digest: d, Runner: runner, Age: now.Sub(e.at).Round(time.Millisecond), Cleared: e.cleared}
+}
+
+// Held reports whether a request is in quarantine, and for how long yet.
+func (l *Ledger) Held(d Digest, now time.Time) (left time.Duration, held bool) {
+	if l.known.Load() == 0 {
+		return 0, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	until, held := l.held[d]
+	return until.Sub(now), held && now.Before(until)
+}
+
+// Empty reports whether nothing is suspected.
+func (l *Ledger) Empty() bool { return l.known.Load() == 0 }
+
+// Since returns what has changed since a number, and the number to go on from. Nothing
+// has a number below 1.
+func (l *Ledger) Since(number int, now time.Time) (words []Word, next int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if number == l.number {
+		return nil, number
+	}
+	for d, s := range l.suspects {
+		for runner, e := range s.crashes {
+			if e.number > number {
+				words = append(words, e.word(d, runner, now))
+			}
+		}
+	}
+	return words, l.number
+}
+
+// Expire forgets what is too old, and returns it.
+func (l *Ledger) Expire(now time.Time) []Crash {
+	if l.known.Load() == 0 {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var old []Crash
+	for d, s := range l.suspects {
+		if now.Sub(s.last()) < memory {
+			continue
+		}
+		for runner := range s.crashes {
+			old = append(old, Crash{d, runner})
+		}
+		l.drop(d)
+	}
+	if len(old) > 0 {
+		l.judge()
+	}
+	return old
+}
+
+func (l *Ledger) drop(d Digest) {
+	l.crashes -= len(l.suspects[d].crashes)
+	delete(l.suspects, d)
+}
+
+// A Case is a request that is suspected.
+type Case struct {
+	Digest  Digest
+	Crashes int       // that are not cleared
+	Until   time.Time // it is held; zero if it is not
+}
+
+// Cases returns all requests with a crash that is not cleared.
+func (l *Ledger) Cases() []Case {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var cases []Case
+	for d, s := range l.suspects {
+		if crashes, _ := s.open(nil); crashes > 0 {
+			cases = append(cases, Case{Digest: d, Crashes: crashes, Until: l.held[d]})
+		}
+	}
+	return cases
+}
--- /dev/null
+++ b/internal/request/quarantiner/ledger_test.go
@@ -0,0 +1,200 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
+)
+
+var start = time.Unix(1e9, 0)
+
+func ExampleLedger() {
+	var l quarantiner.Ledger
+	for _, runner := range []string{"engine-1", "engine-2", "engine-3"} {
+		l.Take([]quarantiner.Word{{Digest: "d", Runner: runner}}, start)
+		_, held := l.Held("d", start)
+		fmt.Println(runner, held)
+	}
+	l.Clear("d", start)
+	_, held := l.Held("d", start)
+	fmt.Println("whole", held)
+	// Output:
+	// engine-1 false
+	// engine-2 false
+	// engine-3 true
+	// whole false
+}
+
+// crashes returns words of a request that was on some runners as they crashed.
+func crashes(d quarantiner.Digest, runners ...string) []quarantiner.Word {
+	var words []quarantiner.Word
+	for _, r := range runners {
+		words = append(words, quarantiner.Word{Digest: d, Runner: r})
+	}
+	return words
+}
+
+// A caller's request ran on runners that crashed under somebody else's, or by chance. It
+// must be served; and the one that crashed them must not, however its crashes became
+// known.
+func TestWhoIsHeld(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		words [][]quarantiner.Word
+		clear map[int]quarantiner.Digest // before the words of that number
+		want  []quarantiner.Digest
+	}{
+		{"two crashes", [][]quarantiner.Word{crashes("p", "a", "b")}, nil, nil},
+		{"three", [][]quarantiner.Word{crashes("p", "a"), crashes("p", "b"), crashes("p", "c")}, nil, []quarantiner.Digest{"p"}},
+		{"one crash that is told three times", [][]quarantiner.Word{crashes("p", "a"), crashes("p", "a"), crashes("p", "a")}, nil, nil},
+		{"beside the culprit on two runners", [][]quarantiner.Word{crashes("p", "a", "b", "c"), crashes("i", "a", "b")}, nil, []quarantiner.Digest{"p"}},
+		{"beside the culprit on three of four", [][]quarantiner.Word{crashes("p", "a", "b", "c", "d"), crashes("i", "a", "b", "c")}, nil, []quarantiner.Digest{"p"}},
+		{"the same, told the other way round", [][]quarantiner.Word{crashes("i", "a", "b", "c"), crashes("p", "d", "c", "b", "a")}, nil, []quarantiner.Digest{"p"}},
+		{"on three runners alike: nothing tells them apart", [][]quarantiner.Word{crashes("i", "a", "b", "c"), crashes("p", "a", "b", "c")}, nil, []quarantiner.Digest{"i", "p"}},
+		{"two culprits that share a runner", [][]quarantiner.Word{crashes("p", "a", "b", "c", "d"), crashes("q", "d", "e", "f", "g")}, nil, []quarantiner.Digest{"p", "q"}},
+		{"whole after two crashes, then one", [][]quarantiner.Word{crashes("i", "a", "b"), crashes("i", "c")}, map[int]quarantiner.Digest{1: "i"}, nil},
+		{"whole after two crashes, then three", [][]quarantiner.Word{crashes("i", "a", "b"), crashes("i", "c", "d", "e")}, map[int]quarantiner.Digest{1: "i"}, []quarantiner.Digest{"i"}},
+		{"whole, and the crashes are told again", [][]quarantiner.Word{crashes("i", "a", "b", "c"), crashes("i", "a", "b", "c")}, map[int]quarantiner.Digest{1: "i"}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var l quarantiner.Ledger
+			for n, words := range tc.words {
+				if d, ok := tc.clear[n]; ok {
+					l.Clear(d, start)
+				}
+				l.Take(words, start)
+			}
+			if diff := cmp.Diff(tc.want, heldBy(&l, start), sorted); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+var sorted = cmpopts.SortSlices(func(a, b quarantiner.Digest) bool { return a < b })
+
+func heldBy(l *quarantiner.Ledger, now time.Time) []quarantiner.Digest {
+	var held []quarantiner.Digest
+	for _, c := range l.Cases() {
+		if _, is := l.Held(c.Digest, now); is {
+			held = append(held, c.Digest)
+		}
+	}
+	return held
+}
+
+// Instances hear of the same crashes in different orders, some of them twice. They must
+// come to the same verdicts, or callers would be refused at one and crash runners at
+// another.
+func TestVerdictsDoNotDependOnTheOrder(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		var words []quarantiner.Word
+		for range 5 + rng.IntN(60) {
+			words = append(words, quarantiner.Word{
+				Digest: quarantiner.Digest(fmt.Sprint("d", rng.IntN(6))), Runner: fmt.Sprint("r", rng.IntN(8)), Cleared: rng.IntN(6) == 0,
+			})
+		}
+		var verdicts [2][]quarantiner.Digest
+		for i := range verdicts {
+			var l quarantiner.Ledger
+			rng.Shuffle(len(words), func(a, b int) { words[a], words[b] = words[b], words[a] })
+			for _, w := range words {
+				l.Take([]quarantiner.Word{w}, start)
+				if rng.IntN(4) == 0 {
+					l.Take([]quarantiner.Word{words[rng.IntN(len(words))]}, start)
+				}
+			}
+			l.Take(words, start)
+			verdicts[i] = heldBy(&l, start)
+		}
+		if diff := cmp.Diff(verdicts[0], verdicts[1], sorted, cmpopts.EquateEmpty()); diff != "" {
+			t.Errorf("seed %d: %s", seed, diff)
+		}
+	}
+}
+
+// A request is rejected that may have been suspected wrongly. Its caller must be able to
+// come back, and one that does crash runners must not cost more than three runners more.
+func TestHeldRequestIsTriedAgainThreeTimes(t *testing.T) {
+	var l quarantiner.Ledger
+	now := start
+	l.Take(crashes("p", "a", "b", "c"), now)
+	var waits []time.Duration
+	for n := range 4 {
+		left, held := l.Held("p", now)
+		if !held {
+			t.Fatalf("not held after trial %d", n)
+		}
+		waits = append(waits, left)
+		now = now.Add(left)
+		if _, held := l.Held("p", now); held {
+			t.Fatalf("held for longer than was said")
+		}
+		l.Take(crashes("p", fmt.Sprint("t", n)), now)
+	}
+	want := []time.Duration{10 * time.Minute, 20 * time.Minute, 40 * time.Minute, 24 * time.Hour}
+	if diff := cmp.Diff(want, waits); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A caller sends many different requests that crash runners. It must not be able to
+// push out what is held, nor to take memory without a bound.
+func TestManyDifferentSuspectsPushOutNobodyWhoIsHeld(t *testing.T) {
+	l := quarantiner.Ledger{Limit: 100}
+	l.Take(crashes("p", "a", "b", "c"), start)
+	for n := range 1000 {
+		l.Take(crashes(quarantiner.Digest(fmt.Sprint("s", n)), fmt.Sprint("r", n), fmt.Sprint("t", n)), start.Add(time.Duration(n)*time.Second))
+	}
+	if _, held := l.Held("p", start.Add(time.Second)); !held {
+		t.Error("pushed out")
+	}
+	if words, _ := l.Since(0, start); len(words) > 100 {
+		t.Errorf("%d crashes are kept, the limit is 100", len(words))
+	}
+}
+
+// An instance tells another one what it knows. What has changed must be told once,
+// and what is told must be enough.
+func TestWhatHasChangedIsTold(t *testing.T) {
+	var from, to quarantiner.Ledger
+	number := 0
+	tell := func() int {
+		var words []quarantiner.Word
+		words, number = from.Since(number, start)
+		to.Take(words, start)
+		return len(words)
+	}
+	from.Take(crashes("p", "a", "b", "c"), start)
+	from.Take(crashes("i", "a"), start)
+	counts := []int{tell(), tell()}
+	from.Clear("i", start)
+	counts = append(counts, tell(), tell())
+	if diff := cmp.Diff([]int{4, 0, 1, 0}, counts); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(from.Cases(), to.Cases(), cmpopts.SortSlices(func(a, b quarantiner.Case) bool { return a.Digest < b.Digest })); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A crash of long ago is forgotten, and what is told late of it changes nothing.
+func TestOldCrashesAreForgotten(t *testing.T) {
+	var l quarantiner.Ledger
+	l.Take(crashes("p", "a", "b", "c"), start)
+	later := start.Add(25 * time.Hour)
+	if got := len(l.Expire(later)); got != 3 || !l.Empty() {
+		t.Errorf("%d of 3 crashes forgotten", got)
+	}
+	l.Take([]quarantiner.Word{{Digest: "p", Runner: "a", Age: 25 * time.Hour}}, later)
+	if !l.Empty() {
+		t.Error("a crash of long ago is known again")
+	}
+}
--- a/internal/wire/recorder/recorder.go
+++ b/internal/wire/recorder/recorder.go
@@ -24,12 +24,13 @@
 	Lifecycle Kind = "lifecycle" // start, stop, reload, a dependency lost or back
 	Order     Kind = "order"     // an order to a runner
 	Retry     Kind = "retry"     // a request that is sent again
+	Suspect   Kind = "suspect"   // a request that may crash runners
 )
 
 // rates bound the lines a second of each kind. Their sum at about 250 bytes a
 // line stays below 100 KB/s, and the failures of a bad second are all there.
 var rates = map[Kind]float64{
-	Answered: 20, Belief: 50, Config: 20, Failed: 100, Lifecycle: 50, Order: 100, Retry: 50,
+	Answered: 20, Belief: 50, Config: 20, Failed: 100, Lifecycle: 50, Order: 100, Retry: 50, Suspect: 50,
 }
 
 // queue is how many lines may wait for a slow reader of the log.
