No timer is made that has run out already

Seen: tests of many instances crashed in the runtime's race detector (a segmentation violation, or a check of its own that failed), 3 of 12 runs of TestConfigurationIsCurrentWhoeverTellsIt and its sister on, in a pause of less than nothing within a bubble of synctest. Cause: not ours as far as the stacks tell; the timer fires within the select that begins to wait for it.

--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -234,8 +234,12 @@
 	}
 }
 
-// pause waits, or until ctx ends.
+// pause waits, or until ctx ends. It does not make a timer that has run out already: on
+// such a one tests of many instances crashed in the runtime's race detector.
 func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
