Requests beside a crashing one are served; a crash that was told to nobody is kept

What ran there for the shortest time comes first now, and the culprit's next crash corrects a wrong choice. What is sent to a runner after the first answer broke off there is no suspect any more: it cannot have crashed it.

The random check found that the first crash was not kept where a holder is not heard: it asked for the words that are untold to nobody, which are none.

--- a/internal/instance/gatekeeper/crash.go
+++ b/internal/instance/gatekeeper/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -41,32 +42,41 @@
 
 // A check finds out whether a runner has crashed.
 type check struct {
-	crashed  bool // it has; further requests that broke off there are suspected at once
-	requests map[quarantiner.Digest]bool
+	began    time.Time                            // when the first answer broke off there
+	crashed  bool                                 // it has; further requests that broke off there are suspected at once
+	requests map[quarantiner.Digest]time.Duration // and how long they had run
 }
 
-// add takes in that a request broke off at a runner. begin reports that a check is to
-// be made, crashed that it was and that the runner has crashed.
-func (c *checks) add(runner string, d quarantiner.Digest) (begin, crashed bool) {
+// add takes in that a request broke off at a runner that was sent there at a time. begin
+// reports that a check is to be made, crashed that it was and that the runner has crashed.
+//
+// What was sent after the first answer had broken off is no suspect. A runner that is down
+// may seem to take it, behind a proxy; whoever was sent to three of them before their
+// rows were gone was rejected for good.
+func (c *checks) add(runner string, d quarantiner.Digest, sent time.Time) (begin, crashed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	if c.under == nil {
 		c.under = make(map[string]*check)
 	}
 	one, ok := c.under[runner]
 	if !ok {
-		one = &check{requests: make(map[quarantiner.Digest]bool)}
+		one = &check{began: now, requests: make(map[quarantiner.Digest]time.Duration)}
 		c.under[runner] = one
 	}
+	if sent.After(one.began) {
+		return false, false
+	}
 	if len(one.requests) < mostChecked {
-		one.requests[d] = true
+		one.requests[d] = now.Sub(sent)
 	}
 	return !ok, one.crashed
 }
 
 // end ends a check and returns the requests that waited for it. One that showed a crash
 // is kept for those that come late.
-func (c *checks) end(runner string, crashed bool) []quarantiner.Digest {
+func (c *checks) end(runner string, crashed bool) map[quarantiner.Digest]time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	one := c.under[runner]
@@ -76,11 +86,7 @@
 	} else {
 		delete(c.under, runner)
 	}
-	requests := make([]quarantiner.Digest, 0, len(one.requests))
-	for d := range one.requests {
-		requests = append(requests, d)
-	}
-	return requests
+	return maps.Clone(one.requests)
 }
 
 func (c *checks) forget(runner string) {
@@ -90,14 +96,14 @@
 }
 
 // Broke implements forwarder.Quarantine.
-func (g *Gatekeeper) Broke(d quarantiner.Digest, runner tracker.Runner) {
+func (g *Gatekeeper) Broke(d quarantiner.Digest, runner tracker.Runner, sent time.Time) {
 	if g.endsAsPlanned(runner) {
 		return
 	}
-	begin, crashed := g.crashes.add(runner.ID, d)
+	begin, crashed := g.crashes.add(runner.ID, d, sent)
 	switch {
 	case crashed:
-		g.suspect(runner.ID, []quarantiner.Digest{d})
+		g.suspect(runner.ID, map[quarantiner.Digest]time.Duration{d: time.Since(sent)})
 	case begin:
 		go g.check(runner)
 	}
--- a/internal/instance/gatekeeper/keep.go
+++ b/internal/instance/gatekeeper/keep.go
@@ -39,7 +39,16 @@
 
 // A crashRow is the value of a row.
 type crashRow struct {
-	At int64 `cbor:"1,keyasint"` // Unix seconds; a day is remembered, so that steps of the clock do not matter
+	At  int64         `cbor:"1,keyasint"` // Unix seconds; a day is remembered, so that steps of the clock do not matter
+	Ran time.Duration `cbor:"2,keyasint"` // that the request had run
+}
+
+func crashValue(at time.Time, ran time.Duration) []byte {
+	value, err := encoder.Marshal(crashRow{At: at.Unix(), Ran: ran})
+	if err != nil {
+		panic(err) // a number can always be encoded
+	}
+	return value
 }
 
 // keepCrashes has the store keep the crashes of requests with some more of them, and
@@ -68,6 +77,15 @@
 	signal(q.write)
 }
 
+// keepApart has the store keep what this instance saw itself while it does not hear all
+// holders: it may have told a teller that could not tell the others any more.
+func (g *Gatekeeper) keepApart() {
+	if g.hearsAll() {
+		return
+	}
+	g.keepCrashes(g.quarantine.ownWords(time.Now(), func(ownWord) bool { return true }))
+}
+
 // hearsAll reports whether the holders of all failure domains are heard.
 func (g *Gatekeeper) hearsAll() bool {
 	for domain, l := range g.links {
@@ -162,11 +180,7 @@
 			continue
 		}
 		word, _ := q.ledger.Word(c, now)
-		value, err := encoder.Marshal(crashRow{At: now.Add(-word.Age).Unix()})
-		if err != nil {
-			panic(err) // a number can always be encoded
-		}
-		txn.Puts = append(txn.Puts, tabler.Put{Key: key, Value: value})
+		txn.Puts = append(txn.Puts, tabler.Put{Key: key, Value: crashValue(now.Add(-word.Age), word.Ran)})
 	}
 	return txn, states
 }
@@ -209,7 +223,7 @@
 			g.Recorder.Log(recorder.Suspect, "msg", "crash not understood", "row", r.Key, "err", err)
 			return
 		}
-		word.Age = max(0, time.Since(time.Unix(row.At, 0)))
+		word.Age, word.Ran = max(0, time.Since(time.Unix(row.At, 0))), row.Ran
 	}
 	g.hearWords([]quarantiner.Word{word}, fromStore)
 	g.quarantine.stored(c, !r.Removed)
--- a/internal/instance/gatekeeper/quarantine.go
+++ b/internal/instance/gatekeeper/quarantine.go
@@ -71,19 +71,21 @@
 	if len(words) == 0 {
 		return
 	}
-	g.Recorder.Log(recorder.Suspect, "msg", "request cleared", "digest", d, "crashes", len(words), "by", "a whole run")
+	g.Metrics.GetOrCreateCounter("sardinetiller_cleared_total").Inc()
+	g.Recorder.Log(recorder.Suspect, "msg", "request cleared", "digest", d, "crashes", len(words))
 	g.seen(words)
 }
 
-// suspect takes in that a runner crashed while it ran some requests.
-func (g *Gatekeeper) suspect(runner string, requests []quarantiner.Digest) {
+// suspect takes in that a runner crashed while it ran some requests, for how long each.
+func (g *Gatekeeper) suspect(runner string, requests map[quarantiner.Digest]time.Duration) {
 	words := make([]quarantiner.Word, 0, len(requests))
-	for _, d := range requests {
-		words = append(words, quarantiner.Word{Digest: d, Runner: runner})
+	for d, ran := range requests {
+		words = append(words, quarantiner.Word{Digest: d, Runner: runner, Ran: ran})
 	}
 	news := g.quarantine.ledger.Take(words, time.Now())
 	for _, w := range news {
-		g.logWord(w, "self")
+		g.Metrics.GetOrCreateCounter("sardinetiller_suspected_total").Inc()
+		g.logCrash(w, "self")
 	}
 	g.seen(news)
 }
@@ -119,8 +121,8 @@
 		return
 	}
 	for _, w := range news {
-		if w.Cleared || len(g.quarantine.ledger.Open(w.Digest, time.Now())) >= keptFrom {
-			g.logWord(w, from) // first crashes are logged by who saw them: there are many beside each culprit
+		if !w.Cleared && len(g.quarantine.ledger.Open(w.Digest, time.Now())) >= keptFrom {
+			g.logCrash(w, from) // the rest is logged by who saw it: there is much beside each culprit
 		}
 	}
 	q := &g.quarantine
@@ -157,6 +159,7 @@
 		if g.quarantine.ledger.Empty() {
 			return
 		}
+		g.keepApart()
 		for _, to := range g.tellers() {
 			if words := g.quarantine.untold(to, time.Now()); len(words) > 0 {
 				_ = g.Mesh.Tell(ctx, to.address, relayer.Crashes{Words: words}) // told again until it is told back
@@ -182,24 +185,28 @@
 	return all
 }
 
-// Suspected implements relayer.Suspecter.
-func (g *Gatekeeper) Suspected(from heartbeater.Instance, c relayer.Crashes) {
+// Crashed implements relayer.Suspecter.
+func (g *Gatekeeper) Crashed(from heartbeater.Instance, c relayer.Crashes) {
 	g.hearWords(c.Words, from.ID)
 }
 
-// untold returns the words that whoever is told has not told back.
+// untold returns the words of this instance that another one has not told back.
 func (q *quarantine) untold(to source, now time.Time) []quarantiner.Word {
+	return q.ownWords(now, func(w ownWord) bool { return w.heard != to })
+}
+
+// ownWords returns the words of this instance that fit, and forgets those that are old.
+func (q *quarantine) ownWords(now time.Time, fits func(ownWord) bool) []quarantiner.Word {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var words []quarantiner.Word
 	for c, own := range q.own {
-		switch {
-		case now.Sub(own.since) > retellFor:
+		if now.Sub(own.since) > retellFor {
 			delete(q.own, c)
-		case own.heard != to:
-			if w, ok := q.ledger.Word(c, now); ok {
-				words = append(words, w)
-			}
+			continue
+		}
+		if w, ok := q.ledger.Word(c, now); ok && fits(own) {
+			words = append(words, w)
 		}
 	}
 	return words
@@ -225,12 +232,15 @@
 	return !q.changed.IsZero() && now.Sub(q.changed) < suspicious
 }
 
-func (g *Gatekeeper) logWord(w quarantiner.Word, from string) {
-	msg := "request suspected"
-	if w.Cleared {
-		msg = "request cleared"
-	}
-	g.Recorder.Log(recorder.Suspect, "msg", msg, "digest", w.Digest, "runner", w.Runner, "age", w.Age, "from", from,
+// count returns how many requests are in quarantine.
+func (q *quarantine) count() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.held)
+}
+
+func (g *Gatekeeper) logCrash(w quarantiner.Word, from string) {
+	g.Recorder.Log(recorder.Suspect, "msg", "request suspected", "digest", w.Digest, "runner", w.Runner, "ran", w.Ran, "age", w.Age, "from", from,
 		"crashes", len(g.quarantine.ledger.Open(w.Digest, time.Now())))
 }
 
@@ -267,6 +277,7 @@
 // watchQuarantine lists the requests in quarantine in the log, and forgets old crashes,
 // until ctx ends.
 func (g *Gatekeeper) watchQuarantine(ctx context.Context) {
+	g.Metrics.GetOrCreateGauge("sardinetiller_quarantine_requests", func() float64 { return float64(g.quarantine.count()) })
 	repeater.Every(ctx, paceEvery, nil, func() {
 		if g.quarantine.ledger.Empty() {
 			return
--- /dev/null
+++ b/internal/instance/gatekeeper/quarantine_test.go
@@ -0,0 +1,143 @@
+package gatekeeper
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
+)
+
+// An instance tells its teller of a crash, and nobody acknowledges that word. If it is
+// lost, or the teller dies with it, the next crash of the same request counts as its
+// first everywhere else. So it is told until the teller tells it back, and again to the
+// next teller, and so is a whole run.
+func TestCrashIsToldUntilItIsToldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newChained("a-2", "a")
+		first, second := source{"a-1", "a-1"}, source{"b-1", "b-1"}
+		untold := func(to source) int { return len(g.quarantine.untold(to, time.Now())) }
+		crash := quarantiner.Word{Digest: "d", Runner: "i-1"}
+		g.suspect(crash.Runner, map[quarantiner.Digest]time.Duration{crash.Digest: 0})
+		got := []int{untold(first), untold(first)}
+		g.quarantine.toldBack(first, []quarantiner.Word{crash})
+		got = append(got, untold(first), untold(second))
+		g.quarantine.toldBack(second, []quarantiner.Word{crash})
+		got = append(got, untold(second))
+		g.Whole("d")
+		got = append(got, untold(second))
+		g.quarantine.toldBack(second, []quarantiner.Word{crash}) // on its way since before
+		got = append(got, untold(second))
+		crash.Cleared = true
+		g.quarantine.toldBack(second, []quarantiner.Word{crash})
+		got = append(got, untold(second))
+		time.Sleep(retellFor + time.Second)
+		got = append(got, untold(first))
+		if diff := cmp.Diff([]int{1, 1, 0, 1, 0, 1, 1, 0, 0}, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+var anyOrder = cmp.Options{
+	cmpopts.SortSlices(func(a, b tabler.Put) bool { return a.Key < b.Key }),
+	cmpopts.SortSlices(func(a, b string) bool { return a < b }),
+}
+
+// Everything that ran beside a runner that crashed is suspected, and most of it never
+// again. Written to the store each time, a crash of sixty runners before hundreds of
+// instances would be thousands of rows. What is kept is what is suspected a second time,
+// and all of it where another holder may not have been told of the first.
+func TestWhichCrashesAreKept(t *testing.T) {
+	hears := func(g *Gatekeeper, at time.Time) {
+		for _, l := range g.links {
+			l.heard = at
+		}
+	}
+	for _, tc := range []struct {
+		name string
+		do   func(g *Gatekeeper)
+		want tabler.Txn
+	}{
+		{"the first crash", func(g *Gatekeeper) { g.suspect("i-1", map[quarantiner.Digest]time.Duration{"d": 0}) }, tabler.Txn{}},
+		{"the second here", func(g *Gatekeeper) {
+			g.suspect("i-1", map[quarantiner.Digest]time.Duration{"d": 0})
+			g.suspect("i-2", map[quarantiner.Digest]time.Duration{"d": 0})
+		}, tabler.Txn{Puts: []tabler.Put{{Key: "holder/crash/d/i-1"}, {Key: "holder/crash/d/i-2"}}}},
+		{"the second elsewhere", func(g *Gatekeeper) {
+			g.suspect("i-1", map[quarantiner.Digest]time.Duration{"d": 0})
+			g.hearWords([]quarantiner.Word{{Digest: "d", Runner: "i-2"}}, "a-1")
+		}, tabler.Txn{Puts: []tabler.Put{{Key: "holder/crash/d/i-1"}, {Key: "holder/crash/d/i-2"}}}},
+		{"both elsewhere: who saw them keeps them", func(g *Gatekeeper) {
+			g.hearWords([]quarantiner.Word{{Digest: "d", Runner: "i-1"}, {Digest: "d", Runner: "i-2"}}, "a-1")
+		}, tabler.Txn{}},
+		{"the first, as a holder is not heard", func(g *Gatekeeper) {
+			hears(g, time.Now().Add(-time.Second))
+			g.suspect("i-1", map[quarantiner.Digest]time.Duration{"d": 0})
+		}, tabler.Txn{Puts: []tabler.Put{{Key: "holder/crash/d/i-1"}}}},
+		{"the first, as that shows later", func(g *Gatekeeper) {
+			g.suspect("i-1", map[quarantiner.Digest]time.Duration{"d": 0})
+			hears(g, time.Now().Add(-time.Second))
+			g.keepApart()
+		}, tabler.Txn{Puts: []tabler.Put{{Key: "holder/crash/d/i-1"}}}},
+		{"cleared before it was written", func(g *Gatekeeper) {
+			g.suspect("i-1", map[quarantiner.Digest]time.Duration{"d": 0})
+			g.suspect("i-2", map[quarantiner.Digest]time.Duration{"d": 0})
+			g.Whole("d")
+		}, tabler.Txn{Deletes: []string{"holder/crash/d/i-1", "holder/crash/d/i-2"}}},
+		{"cleared elsewhere, and a row comes after that", func(g *Gatekeeper) {
+			hold(g, "a")
+			g.hearWords([]quarantiner.Word{{Digest: "d", Runner: "i-1", Cleared: true}}, "a-1")
+			g.crashRow(quarantiner.Crash{Digest: "d", Runner: "i-1"}, tabler.Row{Value: crashValue(time.Now(), 0)})
+		}, tabler.Txn{Deletes: []string{"holder/crash/d/i-1"}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newChained("a-2", "a")
+				hears(g, time.Now())
+				tc.do(g)
+				got, _ := g.quarantine.unwritten(time.Now())
+				for i := range got.Puts {
+					got.Puts[i].Value = nil
+				}
+				if diff := cmp.Diff(tc.want, got, anyOrder); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+// A request is held, all instances start again at once, and the store has what three of
+// them saw. It must be held before it has crashed a fourth runner; and when the rows are
+// gone, as it was cleared, it must run.
+func TestRowsOfCrashesAreTakenIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newChained("a-2", "a")
+		held := func() bool {
+			_, is := g.Held("d")
+			return is
+		}
+		row := func(runner string, removed bool) tabler.Row {
+			r := tabler.Row{Key: "holder/crash/d/" + runner, Removed: removed}
+			if !removed {
+				r.Value = crashValue(time.Now().Add(-time.Minute), 0)
+			}
+			return r
+		}
+		got := []bool{}
+		for _, r := range []tabler.Row{row("i-1", false), row("i-2", false), row("i-2", false), row("i-3", false), row("i-2", true)} {
+			g.holderRow(r)
+			got = append(got, held())
+		}
+		g.holderRow(tabler.Row{Key: "holder/crash/d/i-9", Value: []byte("no row")})
+		got = append(got, held())
+		if diff := cmp.Diff([]bool{false, false, false, true, false, false}, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/member/relayer/mesh.go
+++ b/internal/member/relayer/mesh.go
@@ -36,8 +36,8 @@
 
 // A Suspecter takes in the crashes of runners that peers saw.
 type Suspecter interface {
-	// Suspected takes in Crashes.
-	Suspected(from heartbeater.Instance, c Crashes)
+	// Crashed takes in Crashes.
+	Crashed(from heartbeater.Instance, c Crashes)
 }
 
 // A Mesh holds the links of one instance. Its fields are set before use.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -29,7 +29,7 @@
 	now := time.Now()
 	deadline, _ := ctx.Deadline()
 	run := p.Fleet.Begin(runner.ID, p.request.Tokens, now)
-	p.at = runner.ID
+	p.at, p.sent = runner.ID, now
 	p.use(runner.ID)
 	defer p.unuse()
 	watch := p.watch(runner.ID, cancel)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -64,6 +64,7 @@
 	pause    time.Duration // the longest between two events
 	paid     atomic.Bool   // the next retry is withdrawn already
 	runs     int           // of the arrivals, the ones that may have run
+	sent     time.Time     // to that runner
 	split    streamer.Splitter
 	status   int // of the answer that the caller was given; 0 for none
 	tried    map[string]bool
--- a/internal/request/forwarder/suspect.go
+++ b/internal/request/forwarder/suspect.go
@@ -15,9 +15,9 @@
 	Suspects() bool
 	// Held reports whether a request is not to be run, and for how long yet.
 	Held(d quarantiner.Digest) (left time.Duration, held bool)
-	// Broke tells that a connection ended while its runner ran a request. Whether the
-	// runner has crashed is for the Quarantine to find out.
-	Broke(d quarantiner.Digest, runner tracker.Runner)
+	// Broke tells that the connection ended on which a request was sent to a runner at a
+	// time. Whether the runner has crashed is for the Quarantine to find out.
+	Broke(d quarantiner.Digest, runner tracker.Runner, sent time.Time)
 	// Whole tells that a runner ran a request to its end.
 	Whole(d quarantiner.Digest)
 }
@@ -49,7 +49,7 @@
 // unless this instance ended it.
 func (p *exchange) broke(ctx context.Context, runner tracker.Runner, err *judge.Error) {
 	if ctx.Err() == nil && err.Verdict != judge.NotRun {
-		p.Quarantine.Broke(p.digest(), runner)
+		p.Quarantine.Broke(p.digest(), runner, p.sent)
 	}
 }
 
--- /dev/null
+++ b/internal/request/forwarder/suspect_test.go
@@ -0,0 +1,135 @@
+package forwarder_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
+)
+
+// quarantined returns a forwarder with a quarantine, and both.
+func quarantined(u *upstream, p placement, q *quarantine) *forwarder.Forwarder {
+	f := newForwarder(u, p, 2)
+	f.Quarantine = q
+	return f
+}
+
+// A request that crashes runners is asked for again. Its caller must be told at once
+// that it has not run and when to come back, and no runner may be reached: neither by a
+// copy that arrives after the verdict, nor by one that waited for room as the verdict
+// came, nor by the second try of one whose first runner crashed.
+func TestRequestInQuarantineReachesNoRunner(t *testing.T) {
+	whole := func() *forwarder.Reply {
+		return &forwarder.Reply{Status: 200, Body: strings.NewReader("body"), Close: func(bool) {}}
+	}
+	for _, tc := range []struct {
+		name     string
+		verdict  time.Duration // when it comes
+		hold     time.Duration // of the prompt
+		crash    time.Duration // of the first runner; 0 for none
+		attempts int
+		want     judge.Verdict
+	}{
+		{"arrives after the verdict", 0, 0, 0, 0, judge.NotRun},
+		{"is held back as the verdict comes", time.Second, 2 * time.Second, 0, 0, judge.NotRun},
+		{"crashed a runner before the verdict", time.Second, 0, 2 * time.Second, 1, judge.MayHaveRun},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				q := &quarantine{held: func() bool { return time.Since(began) >= tc.verdict }}
+				u := &upstream{answer: func(context.Context, int, forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+					if tc.crash > 0 {
+						time.Sleep(tc.crash)
+						return nil, judge.Broken{Written: 9, Err: io.EOF}
+					}
+					return whole(), nil
+				}}
+				p := placement{reserve: func(forwarder.Ask) (forwarder.Room, *judge.Error, bool) {
+					return forwarder.Room{Wait: tc.hold}, nil, true
+				}}
+				err := quarantined(u, p, q).Forward(t.Context(), newRequest(&matcher.Route{Kind: matcher.Idempotent, Attempts: 3, Goal: time.Second, Timeout: 12 * time.Second}), &sink{})
+				if len(u.attempts) != tc.attempts {
+					t.Errorf("%d sendings, want %d", len(u.attempts), tc.attempts)
+				}
+				if err == nil || err.Reason != judge.ReasonQuarantine || err.Verdict != tc.want || err.Retry != time.Minute {
+					t.Errorf("error %v, retry %s", err, err.Retry)
+				}
+			})
+		})
+	}
+}
+
+// What ends a runner's answer early is mostly no crash, and is not even asked about
+// where this instance or the caller ended it.
+func TestBrokenAnswersAreReported(t *testing.T) {
+	cut := func(ctx context.Context) *forwarder.Reply {
+		return streamed(&body{ctx: ctx, from: 1, to: 2, end: io.ErrUnexpectedEOF})
+	}
+	for _, tc := range []struct {
+		name   string
+		answer func(ctx context.Context) (*forwarder.Reply, judge.Observation)
+		leave  time.Duration // when the caller leaves; 0 if it does not
+		broke  []string
+		whole  int
+	}{
+		{"no answer", func(context.Context) (*forwarder.Reply, judge.Observation) {
+			return nil, judge.Broken{Written: 9, Err: io.EOF}
+		}, 0, []string{"i-0"}, 0},
+		{"cut within the stream", func(ctx context.Context) (*forwarder.Reply, judge.Observation) { return cut(ctx), nil }, 0, []string{"i-0"}, 0},
+		{"nothing was sent", func(context.Context) (*forwarder.Reply, judge.Observation) {
+			return nil, judge.Broken{Err: io.EOF}
+		}, 0, nil, 0},
+		{"no connection", func(context.Context) (*forwarder.Reply, judge.Observation) {
+			return nil, judge.Dialed{Err: io.EOF}
+		}, 0, nil, 0},
+		{"refused", func(context.Context) (*forwarder.Reply, judge.Observation) {
+			return &forwarder.Reply{Status: 503, NotRun: true, Body: strings.NewReader(""), Close: func(bool) {}}, nil
+		}, 0, nil, 0},
+		{"the caller leaves", func(ctx context.Context) (*forwarder.Reply, judge.Observation) {
+			<-ctx.Done()
+			return nil, judge.Broken{Written: 9, Err: context.Cause(ctx)}
+		}, time.Second, nil, 0},
+		{"the time is up", func(ctx context.Context) (*forwarder.Reply, judge.Observation) {
+			<-ctx.Done()
+			return nil, judge.Broken{Written: 9, Err: context.Cause(ctx)}
+		}, 0, nil, 0},
+		{"whole", func(ctx context.Context) (*forwarder.Reply, judge.Observation) {
+			return streamed(&body{ctx: ctx, from: 1, to: 2, end: io.EOF}), nil
+		}, 0, nil, 1},
+		{"an answer that says that it failed", func(context.Context) (*forwarder.Reply, judge.Observation) {
+			return &forwarder.Reply{Status: 500, Body: strings.NewReader(""), Close: func(bool) {}}, nil
+		}, 0, nil, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := &quarantine{}
+				u := &upstream{answer: func(ctx context.Context, _ int, _ forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+					return tc.answer(ctx)
+				}}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if tc.leave > 0 {
+					time.AfterFunc(tc.leave, cancel)
+				}
+				f := quarantined(u, placement{}, q)
+				f.Fleet.Remove("i-1", 0)
+				_ = f.Forward(ctx, newRequest(&matcher.Route{Kind: matcher.Streaming, Attempts: 1, Goal: time.Second, Timeout: 12 * time.Second}), &sink{})
+				if diff := cmp.Diff(tc.broke, q.broke); diff != "" {
+					t.Error(diff)
+				}
+				if q.whole != tc.whole {
+					t.Errorf("%d whole runs, want %d", q.whole, tc.whole)
+				}
+			})
+		})
+	}
+}
--- a/internal/request/quarantiner/ledger.go
+++ b/internal/request/quarantiner/ledger.go
@@ -43,6 +43,7 @@
 // An entry is one crash.
 type entry struct {
 	at      time.Time
+	ran     time.Duration
 	cleared bool
 	number  int // of its last change
 }
@@ -62,6 +63,17 @@
 	return crashes, last
 }
 
+// ran returns how long the request had run at the crashes that are not cleared, in all.
+func (s *suspect) ran() time.Duration {
+	var ran time.Duration
+	for _, e := range s.crashes {
+		if !e.cleared {
+			ran += e.ran
+		}
+	}
+	return ran
+}
+
 // last returns when the request was suspected last.
 func (s *suspect) last() time.Time {
 	var last time.Time
@@ -100,16 +112,16 @@
 		l.suspects[w.Digest] = s
 	}
 	e, ok := s.crashes[w.Runner]
-	if ok && (e.cleared || !w.Cleared) {
+	if ok && (e.cleared || !w.Cleared && w.Ran >= e.ran) {
 		return false
 	}
 	if !ok {
-		e = &entry{at: now.Add(-max(0, w.Age))}
+		e = &entry{at: now.Add(-max(0, w.Age)), ran: w.Ran}
 		s.crashes[w.Runner] = e
 		l.crashes++
 	}
 	l.number++
-	e.cleared, e.number = w.Cleared, l.number
+	e.cleared, e.ran, e.number = w.Cleared, min(e.ran, w.Ran), l.number
 	return true
 }
 
@@ -159,7 +171,7 @@
 }
 
 func (e *entry) word(d Digest, runner string, now time.Time) Word {
-	return Word{Digest: d, Runner: runner, Age: now.Sub(e.at).Round(time.Millisecond), Cleared: e.cleared}
+	return Word{Digest: d, Runner: runner, Age: now.Sub(e.at).Round(time.Millisecond), Ran: e.ran, Cleared: e.cleared}
 }
 
 // Held reports whether a request is in quarantine, and for how long yet.
--- a/internal/request/quarantiner/word.go
+++ b/internal/request/quarantiner/word.go
@@ -14,6 +14,7 @@
 	Digest  Digest
 	Runner  string
 	Age     time.Duration // since the crash
+	Ran     time.Duration // that the request had run there; the shortest of several
 	Cleared bool          // the request has run whole since
 }
 
