--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -269,6 +269,16 @@
 	return fasthttp.StatusAccepted, ""
 }
 
+// CrashMarker is what a caller says last whose request crashes the engine.
+const CrashMarker = "crash"
+
+// crash ends all requests and starts the engine anew.
+func (e *Engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.restart()
+}
+
 // restart empties the engine: a cold start.
 func (e *Engine) restart() {
 	for _, s := range append(e.running, e.waiting...) {
--- a/internal/standin/generator/sequence.go
+++ b/internal/standin/generator/sequence.go
@@ -130,6 +130,9 @@
 		Began:   time.Now(),
 	})
 	e.waiting = append(e.waiting, s)
+	if p.marker() == CrashMarker {
+		time.AfterFunc(e.Step, e.crash)
+	}
 	cutAt := 0
 	if e.faults.Cut > 0 {
 		e.faults.Cut--
