serve rejects a request that crashes engines as well

The owner of a runner notes what broke off there; if the next report is of another incarnation, that is suspected, and told to all peers and one instance of each other domain, at once and with each beat for ten seconds. The verdict is looked up before each attempt, and by the owner before a request that waited is sent.

Not kept in the table service, so a restart of all instances forgets; plain upstreams give no report and are not judged.

--- a/internal/instance/composer/composer.go
+++ b/internal/instance/composer/composer.go
@@ -132,7 +132,7 @@
 func newDispatcher(p Parts, i incarnation, s *server.Server, d *driver.Driver, f *monitor.Fleet, m *metrics.Set) *dispatcher.Dispatcher {
 	return &dispatcher.Dispatcher{
 		Domain: p.Config.Domain, Drained: s.Drained, Fleet: f, Force: s.Force, Local: d,
-		Metrics: m, Peers: s, Self: string(i),
+		Metrics: m, Peers: s, Quarantine: s, Self: string(i),
 	}
 }
 
@@ -143,7 +143,7 @@
 	}
 	return &driver.Driver{
 		Domain: p.Config.Domain, Engine: &caller.Client{Timeout: orderTimeout}, Evictor: evictor,
-		Logger: p.Logger, Metrics: m, Permits: s, Self: string(i), Tenancy: s,
+		Logger: p.Logger, Metrics: m, Permits: s, Quarantine: s, Self: string(i), Tenancy: s,
 	}
 }
 
--- a/internal/instance/gatekeeper/quarantine.go
+++ b/internal/instance/gatekeeper/quarantine.go
@@ -185,8 +185,8 @@
 	return all
 }
 
-// Crashed implements relayer.Suspecter.
-func (g *Gatekeeper) Crashed(from heartbeater.Instance, c relayer.Crashes) {
+// HeardCrashes implements relayer.Suspecter.
+func (g *Gatekeeper) HeardCrashes(from heartbeater.Instance, c relayer.Crashes) {
 	g.hearWords(c.Words, from.ID)
 }
 
--- a/internal/instance/gatekeeper/quarantine_random_test.go
+++ b/internal/instance/gatekeeper/quarantine_random_test.go
@@ -219,7 +219,7 @@
 	if now.Before(w.lossy) || w.rng.IntN(4) == 0 {
 		return // the word is lost
 	}
-	t.g.Crashed(heartbeater.Instance{ID: m.id}, relayer.Crashes{Words: words})
+	t.g.HeardCrashes(heartbeater.Instance{ID: m.id}, relayer.Crashes{Words: words})
 }
 
 func (m *labMember) hearsOf(domain string, at time.Time) {
--- a/internal/instance/server/beat.go
+++ b/internal/instance/server/beat.go
@@ -69,6 +69,7 @@
 	for _, peer := range s.neighbours(now) {
 		go func() { _ = s.Mesh.Tell(ctx, peer.Address, away) }() // the next beat tries again
 	}
+	s.tellCrashes(ctx, now)
 	if s.Watcher.Force() == nil {
 		s.seed(ctx, bare)
 	}
--- /dev/null
+++ b/internal/instance/server/quarantine.go
@@ -0,0 +1,115 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
+	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
+)
+
+// retellFor is how long what is known of a crash is told with each beat: a peer that was
+// not reached may be reached again.
+const retellFor = 10 * time.Second
+
+// A quarantine is what this instance knows of requests that crash engines. All instances
+// of a domain tell each other, and one of each other domain, which tells its own.
+type quarantine struct {
+	ledger quarantiner.Ledger
+
+	mu     sync.Mutex
+	recent map[quarantiner.Crash]time.Time // told with each beat, and since when
+}
+
+// Crashed implements driver.Quarantine.
+func (s *Server) Crashed(engine string, requests map[quarantiner.Digest]time.Duration) {
+	var words []quarantiner.Word
+	for d, ran := range requests {
+		words = append(words, quarantiner.Word{Digest: d, Runner: engine, Ran: ran})
+	}
+	s.takeWords(words, "self")
+}
+
+// Held implements driver.Quarantine and dispatcher.Quarantine.
+func (s *Server) Held(call *streamer.Call) *judge.Error {
+	if s.quarantine.ledger.Empty() {
+		return nil
+	}
+	left, held := s.quarantine.ledger.Held(call.Digest(), time.Now())
+	if !held {
+		return nil
+	}
+	return judge.Refuse(judge.ReasonQuarantine, "the engines that ran this request crashed").After(left)
+}
+
+// Whole implements dispatcher.Quarantine.
+func (s *Server) Whole(call *streamer.Call) {
+	if s.quarantine.ledger.Empty() {
+		return
+	}
+	s.quarantine.tell(s.quarantine.ledger.Clear(call.Digest(), time.Now()))
+}
+
+// HeardCrashes implements relayer.Suspecter.
+func (s *Server) HeardCrashes(from heartbeater.Instance, c relayer.Crashes) {
+	s.takeWords(c.Words, from.ID)
+}
+
+func (s *Server) takeWords(words []quarantiner.Word, from string) {
+	news := s.quarantine.ledger.Take(words, time.Now())
+	for _, w := range news {
+		left, held := s.quarantine.ledger.Held(w.Digest, time.Now())
+		_ = level.Info(s.Logger).Log("msg", "request suspected", "digest", w.Digest, "engine", w.Runner, "cleared", w.Cleared,
+			"from", from, "held", held, "for", left)
+	}
+	if len(news) > 0 {
+		s.quarantine.tell(news)
+		s.Metrics.GetOrCreateCounter("sardinetiller_suspected_total").Add(len(news))
+		go s.tellCrashes(context.Background(), time.Now())
+	}
+}
+
+// tell has words told with the beats to come.
+func (q *quarantine) tell(words []quarantiner.Word) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.recent == nil {
+		q.recent = make(map[quarantiner.Crash]time.Time)
+	}
+	for _, w := range words {
+		q.recent[w.Crash()] = time.Now()
+	}
+}
+
+// words returns what is to be told now.
+func (q *quarantine) words(now time.Time) []quarantiner.Word {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var words []quarantiner.Word
+	for c, since := range q.recent {
+		w, ok := q.ledger.Word(c, now)
+		if !ok || now.Sub(since) > retellFor {
+			delete(q.recent, c)
+			continue
+		}
+		words = append(words, w)
+	}
+	return words
+}
+
+// tellCrashes tells peers and neighbours what is known of crashes.
+func (s *Server) tellCrashes(ctx context.Context, now time.Time) {
+	words := s.quarantine.words(now)
+	if len(words) == 0 {
+		return
+	}
+	for _, peer := range append(s.peers(now), s.neighbours(now)...) {
+		go func() { _ = s.Mesh.Tell(ctx, peer.Address, relayer.Crashes{Words: words}) }() // the next beat tries again
+	}
+}
--- a/internal/instance/server/server.go
+++ b/internal/instance/server/server.go
@@ -54,18 +54,19 @@
 	Token       func() string // operators' key; empty for none
 	Watcher     *watcher.Watcher
 
-	declared  atomic.Uint64 // revision whose upstreams the driver has
-	drains    map[string]bool
-	leases    map[string]tabler.Row // by incarnation, as last scanned; guarded by mu
-	links     map[string]linkState  // by address
-	looked    time.Time             // for silent peers; of the loop of beats
-	mu        sync.Mutex
-	outage    atomic.Int64 // unix nanoseconds of the last failed look at the table; 0 after a good one
-	permits   permits      // guarded by mu
-	peerBeats map[string]relayer.Beat
-	pollNow   chan struct{}
-	rosterRow tabler.Row // as last scanned; guarded by mu
-	stop      stopState
+	declared   atomic.Uint64 // revision whose upstreams the driver has
+	drains     map[string]bool
+	leases     map[string]tabler.Row // by incarnation, as last scanned; guarded by mu
+	links      map[string]linkState  // by address
+	looked     time.Time             // for silent peers; of the loop of beats
+	mu         sync.Mutex
+	outage     atomic.Int64 // unix nanoseconds of the last failed look at the table; 0 after a good one
+	permits    permits      // guarded by mu
+	peerBeats  map[string]relayer.Beat
+	pollNow    chan struct{}
+	quarantine quarantine
+	rosterRow  tabler.Row // as last scanned; guarded by mu
+	stop       stopState
 }
 
 // Listeners are the sockets of an instance.
--- a/internal/member/relayer/mesh.go
+++ b/internal/member/relayer/mesh.go
@@ -36,8 +36,8 @@
 
 // A Suspecter takes in the crashes of runners that peers saw.
 type Suspecter interface {
-	// Crashed takes in Crashes.
-	Crashed(from heartbeater.Instance, c Crashes)
+	// HeardCrashes takes in Crashes.
+	HeardCrashes(from heartbeater.Instance, c Crashes)
 }
 
 // A Mesh holds the links of one instance. Its fields are set before use.
--- a/internal/member/relayer/served.go
+++ b/internal/member/relayer/served.go
@@ -30,7 +30,7 @@
 		}
 	case Crashes:
 		if h, ok := s.mesh.Handler.(Suspecter); ok {
-			h.Crashed(s.from, message)
+			h.HeardCrashes(s.from, message)
 		}
 	case Cancel:
 		if r := s.reply(f.Conversation); r != nil {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -35,17 +35,26 @@
 	Elsewhere() []string
 }
 
+// A Quarantine knows which requests crash the engines that run them.
+type Quarantine interface {
+	// Held refuses a request that is not to be run; nil if it may run.
+	Held(call *streamer.Call) *judge.Error
+	// Whole tells that a request ran to its end.
+	Whole(call *streamer.Call)
+}
+
 // A Dispatcher dispatches requests. Its fields are set before use; it is safe
 // for concurrent use.
 type Dispatcher struct {
-	Domain  string
-	Drained func(upstream string) bool
-	Fleet   *monitor.Fleet
-	Force   func() *resolver.Resolver // settings in force; nil if there are none
-	Local   Server
-	Metrics *metrics.Set
-	Peers   Peers
-	Self    string // incarnation
+	Domain     string
+	Drained    func(upstream string) bool
+	Fleet      *monitor.Fleet
+	Force      func() *resolver.Resolver // settings in force; nil if there are none
+	Local      Server
+	Metrics    *metrics.Set
+	Peers      Peers
+	Quarantine Quarantine
+	Self       string // incarnation
 
 	budget  retrier.Budget
 	journal journal
@@ -109,6 +118,7 @@
 		step, err := a.attempt(ctx)
 		a.steps = append(a.steps, step)
 		if err == nil {
+			a.dispatcher.Quarantine.Whole(a.call)
 			return nil
 		}
 		judged := judge.As(err)
@@ -158,6 +168,9 @@
 }
 
 func (a *attempts) attempt(ctx context.Context) (Step, error) {
+	if held := a.dispatcher.Quarantine.Held(a.call); held != nil {
+		return Step{}, held
+	}
 	service, ok := a.force.Service(a.call.Service)
 	if !ok {
 		return Step{}, judge.Refuse(judge.ReasonUpstream, "service %q is not declared", a.call.Service)
--- a/internal/request/retrier/budget.go
+++ b/internal/request/retrier/budget.go
@@ -126,7 +126,7 @@
 func final(r judge.Reason) bool {
 	switch r {
 	case judge.ReasonAdapter, judge.ReasonAuth, judge.ReasonBody, judge.ReasonCancelled,
-		judge.ReasonDeadline, judge.ReasonHeader, judge.ReasonShare, judge.ReasonMismatch:
+		judge.ReasonDeadline, judge.ReasonHeader, judge.ReasonQuarantine, judge.ReasonShare, judge.ReasonMismatch:
 		return true
 	default:
 		return false
--- a/internal/request/streamer/call.go
+++ b/internal/request/streamer/call.go
@@ -2,7 +2,11 @@
 // and keeps the parts of an answer in order.
 package streamer
 
-import "time"
+import (
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
+)
 
 // A Call is one caller's request as the instances pass it on.
 type Call struct {
@@ -26,6 +30,11 @@
 	Deadline time.Time `cbor:"-"` // on this instance's clock
 }
 
+// Digest returns what identifies the work that the call asks for.
+func (c *Call) Digest() quarantiner.Digest {
+	return quarantiner.DigestOf(c.Account, c.Method, c.Path, c.Body)
+}
+
 // A Head is how an answer begins.
 type Head struct {
 	Status  int           `cbor:"1,keyasint"`
--- a/internal/upstream/driver/driver.go
+++ b/internal/upstream/driver/driver.go
@@ -48,15 +48,16 @@
 // A Driver drives the runners of one failure domain. Its fields are set before
 // use; it is safe for concurrent use.
 type Driver struct {
-	Copies  func(adapter string) int // in the domain
-	Domain  string
-	Engine  caller.Engine
-	Evictor func() keeper.Evictor // for engines declared later
-	Logger  log.Logger
-	Metrics *metrics.Set
-	Permits Permits // nil to keep to the part of the rate always
-	Self    string  // incarnation
-	Tenancy Tenancy
+	Copies     func(adapter string) int // in the domain
+	Domain     string
+	Engine     caller.Engine
+	Quarantine Quarantine
+	Evictor    func() keeper.Evictor // for engines declared later
+	Logger     log.Logger
+	Metrics    *metrics.Set
+	Permits    Permits // nil to keep to the part of the rate always
+	Self       string  // incarnation
+	Tenancy    Tenancy
 
 	bids    int // for permits, under way
 	budget  *loader.Budget
--- a/internal/upstream/driver/driver_test.go
+++ b/internal/upstream/driver/driver_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/keeper"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
 	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
 	"github.com/sardinetiller/sardinetiller/internal/setting/parser"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/caller"
@@ -28,6 +29,12 @@
 
 var _ caller.Engine = (*fakeEngine)(nil)
 
+// A noQuarantine holds nothing.
+type noQuarantine struct{}
+
+func (noQuarantine) Crashed(string, map[quarantiner.Digest]time.Duration) {}
+func (noQuarantine) Held(*streamer.Call) *judge.Error                     { return nil }
+
 func (f *fakeEngine) Cancel(context.Context, string, string) bool { return true }
 
 func (f *fakeEngine) Order(context.Context, string, keeper.Action) caller.Answer {
@@ -66,7 +73,8 @@
 	tenancy.may.Store(true)
 	tenancy.owns.Store(true)
 	d := &driver.Driver{
-		Domain: "a", Engine: e, Evictor: func() keeper.Evictor { return keeper.LRU{} }, Logger: log.NewNopLogger(),
+		Quarantine: noQuarantine{},
+		Domain:     "a", Engine: e, Evictor: func() keeper.Evictor { return keeper.LRU{} }, Logger: log.NewNopLogger(),
 		Metrics: metrics.NewSet(), Self: "i-1", Tenancy: tenancy,
 	}
 	d.Declare(declared(), 8, 1)
--- a/internal/upstream/driver/engine.go
+++ b/internal/upstream/driver/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/orderer"
 )
 
@@ -13,10 +14,11 @@
 type engine struct {
 	*orderer.Runner
 
-	at        atomic.Pointer[string] // address, read without the lock while a request or an order goes out
-	asked     time.Time              // when the last report was asked for
-	dropped   bool                   // the settings name it no more
-	asking    bool                   // a report, a fencing number or a clearing is under way
+	at        atomic.Pointer[string]        // address, read without the lock while a request or an order goes out
+	asked     time.Time                     // when the last report was asked for
+	dropped   bool                          // the settings name it no more
+	broke     map[quarantiner.Digest]broken // requests whose answers broke off here since the last report
+	asking    bool                          // a report, a fencing number or a clearing is under way
 	fencing   bool
 	releasing int    // requests that ended here and perhaps not in the engine
 	silent    int    // reports in a row that it did not give
--- a/internal/upstream/driver/look.go
+++ b/internal/upstream/driver/look.go
@@ -128,7 +128,9 @@
 	if err != nil {
 		d.warn("report does not fit the slots", e.Name, err)
 	}
+	suspects := e.suspects(asked)
 	if restarted {
+		d.Quarantine.Crashed(report.Engine, suspects)
 		_ = level.Warn(d.Logger).Log("msg", "engine restarted empty", "runner", e.Name)
 		d.count("sardinetiller_cold_starts_total", "restart")
 	}
--- a/internal/upstream/driver/serve.go
+++ b/internal/upstream/driver/serve.go
@@ -32,6 +32,10 @@
 	d.Pump(ctx, arrived)
 	select {
 	case handle := <-w.start:
+		if held := d.Quarantine.Held(call); held != nil {
+			d.unstart(ctx, e, handle)
+			return held
+		}
 		return d.run(ctx, e, handle, call, sink, arrived)
 	case refusal := <-w.failed:
 		return refusal
@@ -234,6 +238,14 @@
 
 func everything(admitter.Item) bool { return true }
 
+// unstart gives back the place of a request that is not sent.
+func (d *Driver) unstart(ctx context.Context, e *engine, handle keeper.Handle) {
+	d.mu.Lock()
+	e.Finish(handle)
+	d.mu.Unlock()
+	d.Pump(context.WithoutCancel(ctx), time.Now())
+}
+
 func (d *Driver) run(ctx context.Context, e *engine, handle keeper.Handle, call *streamer.Call, sink streamer.Sink, arrived time.Time) error {
 	began := time.Now()
 	head := streamer.Head{Runner: e.Name, Queued: began.Sub(arrived)}
@@ -243,6 +255,7 @@
 		d.mu.Lock()
 		e.releasing++
 		d.mu.Unlock()
+		d.broke(ctx, e, call, began)
 		go d.release(context.WithoutCancel(ctx), e, handle, call)
 		return err
 	}
