--- a/internal/request/quarantiner/ledger_test.go
+++ b/internal/request/quarantiner/ledger_test.go
@@ -208,3 +208,37 @@
 		t.Error("a crash of long ago is known again")
 	}
 }
+
+// A crash with 64 suspects is taken in by a ledger that is full, and a request is looked
+// up beside it.
+func BenchmarkLedger(b *testing.B) {
+	full := func() *quarantiner.Ledger {
+		var l quarantiner.Ledger
+		for n := range 4096 {
+			l.Take(crashes(quarantiner.Digest(fmt.Sprint("d", n)), "r"), start)
+		}
+		return &l
+	}
+	b.Run("take", func(b *testing.B) {
+		l := full()
+		for n := 0; b.Loop(); n++ {
+			var words []quarantiner.Word
+			for i := range 64 {
+				words = append(words, quarantiner.Word{Digest: quarantiner.Digest(fmt.Sprint("s", n, i)), Runner: "r"})
+			}
+			l.Take(words, start)
+		}
+	})
+	b.Run("held", func(b *testing.B) {
+		l := full()
+		for b.Loop() {
+			l.Held("d1", start)
+		}
+	})
+	b.Run("digest", func(b *testing.B) {
+		body := make([]byte, 2<<10)
+		for b.Loop() {
+			quarantiner.DigestOf("desk.example", "POST", "/summary/1", body)
+		}
+	})
+}
