--- a/internal/instance/gatekeeper/follow.go
+++ b/internal/instance/gatekeeper/follow.go
@@ -17,9 +17,8 @@
 	// tenures' rows waits: they change seldom, and each call costs.
 	longWatch = 29 * time.Second
 	// again is the pause between two calls that fail. It doubles up to lastAgain:
-	// calls that the store turns away are paid for like others, and with 22 of 64
-	// instances turned away for nine seconds they were half of a day's calls. An
-	// instance that the store serves again has this long to catch up before
+	// calls that the store turns away are paid for like others, and a third of the
+	// instances turned away for seconds made half of a day's calls. An instance that the store serves again has this long to catch up before
 	// anything is asked of it in time, which is three seconds later.
 	again     = 250 * time.Millisecond
 	lastAgain = 2 * time.Second
@@ -32,7 +31,7 @@
 	// much longer that of the holder of each further failure domain is. Others hear of
 	// an answer within 250 ms, so one call a second serves a whole deployment, and the
 	// next holder makes it when the first is gone. Without the stagger all of them
-	// asked at the same moment: 930 calls of a calm minute of nine instances, not 750.
+	// ask at the same moment.
 	patienceHolder = time.Second
 	stagger        = 300 * time.Millisecond
 	// patienceTenures is the same for the holders of tenures, which are known to be
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -16,8 +16,8 @@
 	newsEvery = 50 * time.Millisecond
 	// farNewsEvery is the same for members of other failure domains, and farBeat
 	// how often they are told of loads, or that nothing has changed. They send few
-	// requests here, and bytes between domains are paid for: with 64 instances
-	// half of them were news, 2 MB a second.
+	// requests here, and bytes between domains are paid for: told as often as
+	// members, news were half of them.
 	farNewsEvery = 150 * time.Millisecond
 	// passedEvery is how often a member is told of another failure domain by the
 	// holder of its own one. That holder is told as soon as a member of the domain
--- a/internal/instance/gatekeeper/pass.go
+++ b/internal/instance/gatekeeper/pass.go
@@ -12,8 +12,7 @@
 // An instance that holds a tenure passes on, to the instances of its own failure
 // domain, what the holders of the others tell it, and tells each of those the sum of
 // what its instances need. So between two failure domains there is one stream each
-// way, however many instances they have. On a calm minute of 195 instances in six
-// domains, a third as many bytes went between domains (0.05 GB, not 0.14).
+// way, however many instances they have.
 //
 // What passes is whole and each instance passes on only what a holder told it
 // itself: a word goes over one instance at the most.
--- a/internal/instance/gatekeeper/table.go
+++ b/internal/instance/gatekeeper/table.go
@@ -16,9 +16,8 @@
 )
 
 // Who passes news on also tells the rows of the operator and of the tenures, so that
-// one instance of a failure domain asks the store for all of them: on a calm minute of
-// 195 instances 1,800 calls were made in place of 6,400. Each word says how
-// long ago a call to the store showed that there is no newer row; that time only
+// one instance of a failure domain asks the store for all of them. Each word says how long
+// ago a call to the store showed that there is no newer row; that time only
 // grows on the way, and whoever was told in this way tells nobody.
 
 // tellTables returns the rows that a member has not been told of. after is up to
--- a/internal/instance/gatekeeper/tenure.go
+++ b/internal/instance/gatekeeper/tenure.go
@@ -28,9 +28,9 @@
 	// leadEvery is how often a holder looks whether orders are due. News of what
 	// requests need makes it look at once.
 	leadEvery = 25 * time.Millisecond
-	// leadLeast is the pause after a look. The holder of 30 runners is told of needs
-	// some hundred times a second; with a look for each, the busiest of 81 instances
-	// took 0.32 of a core, and 0.19 with this pause and sums that are kept for a while.
+	// leadLeast is the pause after a look. The holder of dozens of runners is told of
+	// needs some hundred times a second; with a look for each it is the busiest instance
+	// by far.
 	leadLeast = 4 * time.Millisecond
 	// quietDomain is how long nothing may be heard from the holder of the own
 	// domain before its row is looked at, and lookEvery how often from then on.
@@ -38,8 +38,8 @@
 	lookEvery   = time.Second
 	// lookers is how many looks at a row all instances of a domain take together in
 	// lookEvery, if there are more than that. A holder that stopped as planned is
-	// replaced an eighth of a second later then; with a look of each of 35 a second,
-	// the nine seconds after a death cost 300 calls.
+	// replaced an eighth of a second later then; with a look of each a second, a death
+	// costs hundreds of calls.
 	lookers = 8
 )
 
--- /dev/null
+++ b/internal/instance/gatekeeper/verdict.go
@@ -0,0 +1,73 @@
+package gatekeeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
+	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
+	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
+)
+
+// count returns how many requests are in quarantine.
+func (q *quarantine) count() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.held)
+}
+
+func (g *Gatekeeper) logCrash(w quarantiner.Word, from string) {
+	g.Recorder.Log(recorder.Suspect, "msg", "request suspected", "digest", w.Digest, "runner", w.Runner, "ran", w.Ran, "age", w.Age, "from", from,
+		"crashes", len(g.quarantine.ledger.Open(w.Digest, time.Now())))
+}
+
+// verdicts logs and counts the requests that have come into quarantine or out of it.
+func (g *Gatekeeper) verdicts() {
+	now := time.Now()
+	cases := g.quarantine.ledger.Cases()
+	q := &g.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	held := make(map[quarantiner.Digest]bool)
+	for _, c := range cases {
+		if !now.Before(c.Until) {
+			continue
+		}
+		held[c.Digest] = true
+		if !q.held[c.Digest] {
+			g.Metrics.GetOrCreateCounter("sardinetiller_quarantined_total").Inc()
+			g.Recorder.Log(recorder.Suspect, "msg", "request quarantined", "digest", c.Digest, "crashes", c.Crashes, "for", c.Until.Sub(now))
+		}
+	}
+	for d := range q.held {
+		if !held[d] {
+			g.Metrics.GetOrCreateCounter("sardinetiller_quarantine_ended_total").Inc()
+			g.Recorder.Log(recorder.Suspect, "msg", "quarantine ended", "digest", d)
+		}
+	}
+	q.held = held
+}
+
+// mostListed bounds the requests in quarantine that are listed in the log.
+const mostListed = 8
+
+// watchQuarantine lists the requests in quarantine in the log, and forgets old crashes,
+// until ctx ends.
+func (g *Gatekeeper) watchQuarantine(ctx context.Context) {
+	g.Metrics.GetOrCreateGauge("sardinetiller_quarantine_requests", func() float64 { return float64(g.quarantine.count()) })
+	repeater.Every(ctx, paceEvery, nil, func() {
+		if g.quarantine.ledger.Empty() {
+			return
+		}
+		now := time.Now()
+		g.dropCrashes(g.quarantine.ledger.Expire(now))
+		g.verdicts()
+		listed := 0
+		for _, c := range g.quarantine.ledger.Cases() {
+			if now.Before(c.Until) && listed < mostListed {
+				listed++
+				g.Recorder.Log(recorder.Suspect, "msg", "in quarantine", "digest", c.Digest, "crashes", c.Crashes, "for", c.Until.Sub(now))
+			}
+		}
+	})
+}
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -134,9 +134,8 @@
 const freshFor = paceHolder + shortWatch + freshMargin
 
 // freshMargin is for the way to the store and back. Without it a holder counted
-// as fresh for two thirds of the time only, and each of its members asked the
-// store itself every few seconds: 1,400 of 3,600 calls of a calm day of 64
-// instances.
+// as fresh for a part of the time only, and each of its members asked the store itself
+// every few seconds.
 const freshMargin = 150 * time.Millisecond
 
 func (g *Gatekeeper) runnerRow(r tabler.Row) {
--- a/internal/request/retrier/budget.go
+++ b/internal/request/retrier/budget.go
@@ -23,9 +23,9 @@
 // Split over many instances, half of Burst is less than one retry. Then a budget
 // begins with nothing and saves up one retry from its requests, each of which
 // pays a little less: what all instances have saved is covered by that, also
-// when all spend it in one window. Without this no request of a deployment of 64
-// instances was ever sent again: on a day with faults 3,400 of 52,000 were
-// refused only because the first runner did not hold their adapter any more.
+// when all spend it in one window. Without this no request of a deployment of dozens of
+// instances was ever sent again, and many were refused only because the first runner did
+// not hold their adapter any more.
 type Budget struct {
 	Burst  float64       // retries in a window beyond the part; 0 is defaultBurst
 	Part   float64       // retries that one request pays for; 0 is defaultPart
@@ -41,8 +41,7 @@
 	defaultPart  = 0.2
 	defaultBurst = 40
 	// savedPart is the part of Part that a request pays where half of Burst is
-	// less than one retry. The rest, 3 % of the requests, covers one saved retry
-	// of each instance that has seen 34 requests in a window.
+	// less than one retry. The rest covers one saved retry of each instance.
 	savedPart = 0.85
 )
 
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -94,9 +94,8 @@
 	// homeCost spreads the runners of an adapter that is resident nowhere over
 	// this many seconds by rank. All instances then load it on the same runner,
 	// which fetches an adapter that it held before in a tenth of the time; only
-	// a backlog of this order sends it elsewhere. With 0.4, runners with five
-	// places fetched a tenth more from the weight store and answered one request in
-	// a hundred less in time; 1.6 gave the same as 0.8 on runners with thirty.
+	// a backlog of this order sends it elsewhere. At less, runners with few places
+	// fetch more from the weight store and answer less in time.
 	homeCost = 0.8
 )
 
@@ -104,11 +103,9 @@
 	// busyCost is what it costs, in seconds, that a runner has as many requests
 	// more than the mean as the mean is. Reading their prompts makes all its runs
 	// pause; at this price a much wanted adapter gets a second copy before the
-	// first one's runner is at its bounds. With it at 0, one runner of nine had
-	// 126 of the 207 pauses of a calm day. On runners with five places each copy
-	// more is paid for dearly: 0.25 fetched a twentieth more from the weight store and
-	// answered 1 request in 100 less in time there; on those with thirty, both
-	// were the same.
+	// first one's runner is at its bounds. Without it one runner
+	// had most of the pauses. On runners with few places each copy more is paid for
+	// dearly, so it is not higher.
 	busyCost = 0.08
 	// evenEnough is how far above the mean a runner may be at no cost.
 	evenEnough = 1.3
