--- a/internal/command/commander/statuscmd.go
+++ b/internal/command/commander/statuscmd.go
@@ -18,7 +18,8 @@
 		Use:   "status",
 		Short: "Show an instance, its peers, and the runners of its domain",
 		Long: "Asks one instance for its state: the revision in force and since when, its lease, what it knows of the\n" +
-			"other instances, and who owns each runner of its failure domain with what is resident there.",
+			"other instances, who owns each runner of its failure domain with what is resident there, and which requests\n" +
+			"are not run, as engines crashed that ran them.",
 		Example: "  sardinetiller status --operator 127.0.0.1:8082",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -67,5 +68,11 @@
 			r.Runner, r.Service, r.Owner, strconv.Itoa(r.Running), strconv.Itoa(r.Waiting), fmt.Sprint(len(r.Resident)), state,
 		})
 	}
+	if len(s.Quarantine) > 0 {
+		rows = append(rows, []string{}, []string{"QUARANTINE", "CRASHES", "UNTIL"})
+	}
+	for _, q := range s.Quarantine {
+		rows = append(rows, []string{q.Digest, strconv.Itoa(q.Crashes), q.Until.Format(time.RFC3339)})
+	}
 	return rows
 }
--- a/internal/experiment/stager/quarantine_test.go
+++ b/internal/experiment/stager/quarantine_test.go
@@ -50,6 +50,11 @@
 	if late > 3 {
 		t.Errorf("%d runs began more than 3 s after the third crash, %d in all", late, len(at))
 	}
+	for i, instance := range s.Instances {
+		if held := instance.Server.Status().Quarantine; len(held) != 1 || held[0].Crashes < 3 {
+			t.Errorf("instance %d shows %+v in quarantine", i, held)
+		}
+	}
 	if status != fasthttp.StatusServiceUnavailable {
 		t.Errorf("status %d, want a refusal that says that it has not run", status)
 	}
--- a/internal/instance/server/operate.go
+++ b/internal/instance/server/operate.go
@@ -42,6 +42,14 @@
 	Memory      uint64         `json:"memory" yaml:"memory"`   // bytes of heap in use
 	Peers       []PeerStatus   `json:"peers" yaml:"peers"`
 	Runners     []monitor.View `json:"runners" yaml:"runners"`
+	Quarantine  []HeldStatus   `json:"quarantine" yaml:"quarantine"` // requests that are not run now
+}
+
+// A HeldStatus is a request that is not run, as engines crashed that ran it.
+type HeldStatus struct {
+	Digest  string    `json:"digest" yaml:"digest"`
+	Crashes int       `json:"crashes" yaml:"crashes"`
+	Until   time.Time `json:"until" yaml:"until"` // it is tried again then
 }
 
 // A PeerStatus is what an instance knows of another one.
@@ -98,7 +106,7 @@
 		Instance: s.Config.ID, Incarnation: s.Incarnation, Domain: s.Config.Domain, Ready: ready,
 		Leaving: s.stop.leaving(), Lease: s.Holder.Valid(now), Epoch: s.Holder.Epoch(),
 		Outage: s.outage.Load() != 0, Blocked: blocked, Sent: s.Mesh.Bytes(), Memory: memory.HeapInuse,
-		Runners: s.Fleet.Views(), Peers: []PeerStatus{},
+		Runners: s.Fleet.Views(), Peers: []PeerStatus{}, Quarantine: s.quarantine.held(now),
 	}
 	if f := s.Watcher.Force(); f != nil {
 		status.Revision = f.Head.Revision
--- a/internal/instance/server/quarantine.go
+++ b/internal/instance/server/quarantine.go
@@ -61,6 +61,17 @@
 	s.takeWords(c.Words, from.ID)
 }
 
+// held returns the requests in quarantine.
+func (q *quarantine) held(now time.Time) []HeldStatus {
+	held := []HeldStatus{}
+	for _, c := range q.ledger.Cases() {
+		if now.Before(c.Until) {
+			held = append(held, HeldStatus{Digest: string(c.Digest), Crashes: c.Crashes, Until: c.Until})
+		}
+	}
+	return held
+}
+
 func (s *Server) takeWords(words []quarantiner.Word, from string) {
 	news := s.quarantine.ledger.Take(words, time.Now())
 	for _, w := range news {
@@ -105,6 +116,7 @@
 
 // tellCrashes tells peers and neighbours what is known of crashes.
 func (s *Server) tellCrashes(ctx context.Context, now time.Time) {
+	s.quarantine.ledger.Expire(now)
 	words := s.quarantine.words(now)
 	if len(words) == 0 {
 		return
