serve keeps the crashes of requests beside the leases

Callers saw, by a test: after all instances were replaced one request crashed three more engines before it was held again. What the instances knew was gone with them. The crashes of a request with two and more of them are rows of the failure domain now, which each look at the leases reads at no further call; each domain keeps its own.

--- a/internal/experiment/stager/quarantine_test.go
+++ b/internal/experiment/stager/quarantine_test.go
@@ -63,3 +63,39 @@
 		t.Errorf("another request: status %d: %s", status, answer)
 	}
 }
+
+// The request is held, and then all instances are replaced. Those that come know nothing
+// but what the table has kept: without that it would crash three more engines.
+func TestQuarantineOutlastsAllInstances(t *testing.T) {
+	s := small(t)
+	body := `{"model":"desk-7@2","max_tokens":3,"messages":[{"role":"user","content":"` + generator.CrashMarker + `"}]}`
+	held := func(i *stager.Instance) bool { return len(i.Server.Status().Quarantine) > 0 }
+	for end := time.Now().Add(20 * time.Second); !held(s.Instances[0]) || !held(s.Instances[1]); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not held within 20 s")
+		}
+		post(t, s.Address(0), "/v1/chat/completions", body)
+	}
+	time.Sleep(2 * s.Plan.Poll) // until it is kept
+	for _, i := range s.Instances {
+		i.Leave()
+	}
+	before := len(crashed(s))
+	for _, domain := range []string{s.Instances[0].Server.Config.Domain, s.Instances[1].Server.Config.Domain} {
+		i, err := s.Launch(domain+"-new", domain)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(20 * time.Second); !held(i); time.Sleep(50 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("a new instance of %s does not hold it", domain)
+			}
+		}
+		if status, _ := post(t, i.Server.Listeners.Caller.Addr().String(), "/v1/chat/completions", body); status != fasthttp.StatusServiceUnavailable {
+			t.Errorf("status %d at a new instance of %s", status, domain)
+		}
+	}
+	if after := len(crashed(s)); after != before {
+		t.Errorf("%d engines crashed after the restart", after-before)
+	}
+}
--- a/internal/instance/gatekeeper/keep.go
+++ b/internal/instance/gatekeeper/keep.go
@@ -227,9 +227,10 @@
 	}
 	g.hearWords([]quarantiner.Word{word}, fromStore)
 	g.quarantine.stored(c, !r.Removed)
-	if current, ok := g.quarantine.ledger.Word(c, time.Now()); ok && current.Cleared && !r.Removed && g.holdsAny() {
-		// It was cleared before it was written. Left there, it would be suspected again
-		// after a restart of all instances.
+	current, known := g.quarantine.ledger.Word(c, time.Now())
+	if !r.Removed && (known && current.Cleared || word.Age >= quarantiner.Memory) && g.holdsAny() {
+		// It was cleared before it was written, or is too old. Left there, it would be
+		// suspected again after a restart of all instances, or stay for good.
 		g.quarantine.want(c, rowDropped)
 		signal(g.quarantine.write)
 	}
--- a/internal/instance/gatekeeper/quarantine_test.go
+++ b/internal/instance/gatekeeper/quarantine_test.go
@@ -94,6 +94,10 @@
 			g.hearWords([]quarantiner.Word{{Digest: "d", Runner: "i-1", Cleared: true}}, "a-1")
 			g.crashRow(quarantiner.Crash{Digest: "d", Runner: "i-1"}, tabler.Row{Value: crashValue(time.Now(), 0)})
 		}, tabler.Txn{Deletes: []string{"holder/crash/d/i-1"}}},
+		{"a row that is too old", func(g *Gatekeeper) {
+			hold(g, "a")
+			g.crashRow(quarantiner.Crash{Digest: "d", Runner: "i-1"}, tabler.Row{Value: crashValue(time.Now().Add(-25*time.Hour), 0)})
+		}, tabler.Txn{Deletes: []string{"holder/crash/d/i-1"}}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/internal/instance/server/keep.go
@@ -0,0 +1,169 @@
+package server
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
+	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
+)
+
+// crashInfix is in the keys of crashes, which go on with the digest, a slash and the
+// engine. They lie under the prefix of the failure domain, so that the scan for leases
+// reads them too.
+const crashInfix = "/crash/"
+
+// keptFrom is how many crashes of a request are kept in the table. What ran beside an
+// engine that crashed once is suspected by the dozen, and hardly ever again.
+const keptFrom = 2
+
+// fromTable is where the words of rows come from.
+const fromTable = "table"
+
+// A crashRow is the value of a row.
+type crashRow struct {
+	At      int64         `cbor:"1,keyasint"` // Unix seconds
+	Ran     time.Duration `cbor:"2,keyasint"` // that the request had run
+	Cleared bool          `cbor:"3,keyasint,omitempty"`
+}
+
+func (s *Server) crashKey(c quarantiner.Crash) string {
+	return DomainPrefix(s.Config.Domain) + crashInfix + string(c.Digest) + "/" + c.Runner
+}
+
+// takeKept takes in the rows of crashes. Those that are too old are to be dropped.
+func (s *Server) takeKept(rows []tabler.Row, now time.Time) {
+	var words []quarantiner.Word
+	for _, row := range rows {
+		_, rest, ok := strings.Cut(row.Key, crashInfix)
+		if !ok {
+			continue
+		}
+		digest, engine, _ := strings.Cut(rest, "/")
+		var kept crashRow
+		if err := encoder.Unmarshal(row.Value, &kept); err != nil {
+			s.warnIf("crash row", err)
+			continue
+		}
+		w := quarantiner.Word{
+			Digest: quarantiner.Digest(digest), Runner: engine, Ran: kept.Ran, Cleared: kept.Cleared, Age: max(0, now.Sub(time.Unix(kept.At, 0))),
+		}
+		s.quarantine.noteKept(w.Crash(), true)
+		if w.Age >= quarantiner.Memory {
+			s.quarantine.want(w.Crash(), true)
+		}
+		words = append(words, w)
+	}
+	s.takeWords(words, fromTable)
+}
+
+// keepWords has the table keep news of requests with some more crashes.
+func (s *Server) keepWords(news []quarantiner.Word) {
+	now := time.Now()
+	for _, w := range news {
+		if w.Cleared {
+			if s.quarantine.keeps(w.Crash()) {
+				s.quarantine.want(w.Crash(), false)
+			}
+			continue
+		}
+		open := s.quarantine.ledger.Open(w.Digest, now)
+		if len(open) < keptFrom {
+			continue
+		}
+		for _, o := range open {
+			s.quarantine.want(o.Crash(), false)
+		}
+		s.pollSoon()
+	}
+}
+
+// want notes that a row is to be written, or dropped.
+func (q *quarantine) want(c quarantiner.Crash, drop bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.rows == nil {
+		q.rows = make(map[quarantiner.Crash]bool)
+	}
+	q.rows[c] = drop
+}
+
+// writeCrashes writes the rows that are to be written. What fails is tried again with the
+// next look at the table: a row that is written twice is the same.
+func (s *Server) writeCrashes(ctx context.Context) {
+	txn, rows := s.unwritten(time.Now())
+	if len(rows) == 0 {
+		return
+	}
+	if err := s.Table.Commit(ctx, txn); err != nil {
+		s.count("sardinetiller_platform_failures_total", "crash")
+		_ = level.Warn(s.Logger).Log("msg", "crashes not written", "rows", len(rows), "err", err)
+		return
+	}
+	s.quarantine.written(rows)
+}
+
+// unwritten returns the transaction for the rows that are to be written, and which.
+func (s *Server) unwritten(now time.Time) (tabler.Txn, map[quarantiner.Crash]bool) {
+	q := &s.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var txn tabler.Txn
+	rows := make(map[quarantiner.Crash]bool)
+	for c, drop := range q.rows {
+		rows[c] = drop
+		w, ok := q.ledger.Word(c, now)
+		if drop || !ok {
+			txn.Deletes = append(txn.Deletes, s.crashKey(c))
+			continue
+		}
+		value, err := encoder.Marshal(crashRow{At: now.Add(-w.Age).Unix(), Ran: w.Ran, Cleared: w.Cleared})
+		if err != nil {
+			panic(err) // such a row can always be encoded
+		}
+		txn.Puts = append(txn.Puts, tabler.Put{Key: s.crashKey(c), Value: value})
+	}
+	return txn, rows
+}
+
+// written forgets rows that are as they were wanted when they were sent.
+func (q *quarantine) written(rows map[quarantiner.Crash]bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for c, drop := range rows {
+		if now, ok := q.rows[c]; ok && now == drop {
+			delete(q.rows, c)
+		}
+		q.setKept(c, !drop)
+	}
+}
+
+// keeps reports whether the table has a crash, or is to have it.
+func (q *quarantine) keeps(c quarantiner.Crash) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	_, wanted := q.rows[c]
+	return wanted || q.kept[c]
+}
+
+// noteKept notes whether the table has a crash.
+func (q *quarantine) noteKept(c quarantiner.Crash, kept bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.setKept(c, kept)
+}
+
+func (q *quarantine) setKept(c quarantiner.Crash, kept bool) {
+	if q.kept == nil {
+		q.kept = make(map[quarantiner.Crash]bool)
+	}
+	if kept {
+		q.kept[c] = true
+	} else {
+		delete(q.kept, c)
+	}
+}
--- a/internal/instance/server/poll.go
+++ b/internal/instance/server/poll.go
@@ -49,6 +49,8 @@
 	s.reached(err)
 	if err == nil {
 		s.takeRows(rows, time.Now())
+		s.takeKept(rows, time.Now())
+		s.writeCrashes(ctx)
 	}
 	s.mu.Lock()
 	now := time.Now()
--- a/internal/instance/server/quarantine.go
+++ b/internal/instance/server/quarantine.go
@@ -25,6 +25,8 @@
 
 	mu     sync.Mutex
 	recent map[quarantiner.Crash]time.Time // told with each beat, and since when
+	rows   map[quarantiner.Crash]bool      // of the table, to be written or (true) dropped
+	kept   map[quarantiner.Crash]bool      // in the table
 }
 
 // Crashed implements driver.Quarantine.
@@ -33,7 +35,7 @@
 	for d, ran := range requests {
 		words = append(words, quarantiner.Word{Digest: d, Runner: engine, Ran: ran})
 	}
-	s.takeWords(words, "self")
+	s.keepWords(s.takeWords(words, "self"))
 }
 
 // Held implements driver.Quarantine and dispatcher.Quarantine.
@@ -53,12 +55,17 @@
 	if s.quarantine.ledger.Empty() {
 		return
 	}
-	s.quarantine.tell(s.quarantine.ledger.Clear(call.Digest(), time.Now()))
+	news := s.quarantine.ledger.Clear(call.Digest(), time.Now())
+	s.quarantine.tell(news)
+	s.keepWords(news)
 }
 
 // HeardCrashes implements relayer.Suspecter.
 func (s *Server) HeardCrashes(from heartbeater.Instance, c relayer.Crashes) {
-	s.takeWords(c.Words, from.ID)
+	news := s.takeWords(c.Words, from.ID)
+	if from.Domain != s.Config.Domain {
+		s.keepWords(news) // each domain keeps what it knows: its instances read no other rows
+	}
 }
 
 // held returns the requests in quarantine.
@@ -72,7 +79,8 @@
 	return held
 }
 
-func (s *Server) takeWords(words []quarantiner.Word, from string) {
+// takeWords takes in words and returns those that were news.
+func (s *Server) takeWords(words []quarantiner.Word, from string) []quarantiner.Word {
 	news := s.quarantine.ledger.Take(words, time.Now())
 	for _, w := range news {
 		left, held := s.quarantine.ledger.Held(w.Digest, time.Now())
@@ -84,6 +92,7 @@
 		s.Metrics.GetOrCreateCounter("sardinetiller_suspected_total").Add(len(news))
 		go s.tellCrashes(context.Background(), time.Now())
 	}
+	return news
 }
 
 // tell has words told with the beats to come.
@@ -116,7 +125,9 @@
 
 // tellCrashes tells peers and neighbours what is known of crashes.
 func (s *Server) tellCrashes(ctx context.Context, now time.Time) {
-	s.quarantine.ledger.Expire(now)
+	for _, old := range s.quarantine.ledger.Expire(now) {
+		s.quarantine.want(old, true)
+	}
 	words := s.quarantine.words(now)
 	if len(words) == 0 {
 		return
--- a/internal/request/quarantiner/judge.go
+++ b/internal/request/quarantiner/judge.go
@@ -61,7 +61,7 @@
 func hold(crashes int) time.Duration {
 	tried := crashes - enough
 	if tried >= trials {
-		return memory
+		return Memory
 	}
 	return firstHold << tried
 }
--- a/internal/request/quarantiner/ledger.go
+++ b/internal/request/quarantiner/ledger.go
@@ -24,8 +24,8 @@
 	// enough is how many runners crash under a request before it is not run any more. A
 	// request that lies on two runners which crash by chance is not rare on a bad day.
 	enough = 3
-	// memory is how long after its last crash a request is remembered.
-	memory = 24 * time.Hour
+	// Memory is how long after its last crash a request is remembered.
+	Memory = 24 * time.Hour
 	// firstHold is how long a request is held after its third crash. Then it is tried
 	// again, as it may have been suspected wrongly; each further crash doubles the time,
 	// and after trials of them it is not tried any more for as long as it is remembered.
@@ -90,7 +90,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, w := range words {
-		if w.Age < memory && l.take(w, now) {
+		if w.Age < Memory && l.take(w, now) {
 			news = append(news, w)
 		}
 	}
@@ -215,7 +215,7 @@
 	defer l.mu.Unlock()
 	var old []Crash
 	for d, s := range l.suspects {
-		if now.Sub(s.last()) < memory {
+		if now.Sub(s.last()) < Memory {
 			continue
 		}
 		for runner := range s.crashes {
