--- a/internal/instance/gatekeeper/subscribe.go
+++ b/internal/instance/gatekeeper/subscribe.go
@@ -141,6 +141,7 @@
 func (l *link) heardBy(from source, n relayer.News) {
 	g := l.gatekeeper
 	g.quarantine.toldBack(from, n.Crashes)
+	g.hearWords(n.Crashes, from.id)
 	if t, ok := g.teller(); ok && t == from {
 		g.choice.heard(from, time.Now())
 	}
--- a/internal/instance/gatekeeper/take.go
+++ b/internal/instance/gatekeeper/take.go
@@ -32,7 +32,6 @@
 		l.setHolder(n.Tenure)
 	}
 	g.takeTables(n.Tables, now)
-	g.hearWords(n.Crashes, "instances")
 	if n.Operator.Newest > 0 {
 		g.reached.advance(now.Add(-n.Operator.Age))
 	}
--- a/internal/request/quarantiner/ledger.go
+++ b/internal/request/quarantiner/ledger.go
@@ -129,6 +129,9 @@
 // words that tell of it.
 func (l *Ledger) Clear(d Digest, now time.Time) []Word {
 	words := l.Open(d, now)
+	if len(words) == 0 {
+		return nil
+	}
 	for i := range words {
 		words[i].Cleared = true
 	}
