Words of crashes are told again to an instance that has started again

By reading, and by the test of one that is told until it is told back: a teller that starts again under its name and address knows nothing and counted as told, so the crashes that its members had seen were known to them only, and the next one was a first one elsewhere. Each new subscription for crashes begins anew now.

--- a/internal/instance/gatekeeper/quarantine_random_test.go
+++ b/internal/instance/gatekeeper/quarantine_random_test.go
@@ -102,8 +102,12 @@
 	return w
 }
 
-// begin starts an instance with nothing known.
+// begin starts an instance with nothing known. Whoever it tells subscribes anew.
 func (w *lab) begin(m *labMember) {
+	for _, other := range w.members {
+		other.told[m.id] = 0
+		other.g.quarantine.begun(source{id: m.id})
+	}
 	g := newTestGatekeeper()
 	g.Config.ID, g.Config.Domain, g.Config.Domains = m.id, m.domain, w.domains
 	g.init()
--- a/internal/instance/gatekeeper/quarantine_test.go
+++ b/internal/instance/gatekeeper/quarantine_test.go
@@ -15,7 +15,7 @@
 // An instance tells its teller of a crash, and nobody acknowledges that word. If it is
 // lost, or the teller dies with it, the next crash of the same request counts as its
 // first everywhere else. So it is told until the teller tells it back, and again to the
-// next teller, and so is a whole run.
+// next teller or to one that has started again, and so is a whole run.
 func TestCrashIsToldUntilItIsToldBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newChained("a-2", "a")
@@ -28,6 +28,9 @@
 		got = append(got, untold(first), untold(second))
 		g.quarantine.toldBack(second, []quarantiner.Word{crash})
 		got = append(got, untold(second))
+		g.quarantine.begun(second) // it has started again, and knows nothing
+		got = append(got, untold(second))
+		g.quarantine.toldBack(second, []quarantiner.Word{crash})
 		g.Whole("d")
 		got = append(got, untold(second))
 		g.quarantine.toldBack(second, []quarantiner.Word{crash}) // on its way since before
@@ -37,7 +40,7 @@
 		got = append(got, untold(second))
 		time.Sleep(retellFor + time.Second)
 		got = append(got, untold(first))
-		if diff := cmp.Diff([]int{1, 1, 0, 1, 0, 1, 1, 0, 0}, got); diff != "" {
+		if diff := cmp.Diff([]int{1, 1, 0, 1, 0, 1, 1, 1, 0, 0}, got); diff != "" {
 			t.Error(diff)
 		}
 	})
--- a/internal/instance/gatekeeper/retell.go
+++ b/internal/instance/gatekeeper/retell.go
@@ -98,6 +98,19 @@
 	return words
 }
 
+// begun takes in that an instance begins to tell this one. It may have started again under
+// its name, with nothing known, and has to be told until it tells back once more.
+func (q *quarantine) begun(from source) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for c, own := range q.own {
+		if own.heard == from {
+			own.heard = source{}
+			q.own[c] = own
+		}
+	}
+}
+
 // toldBack takes in the words of an instance: what it tells it need not be told.
 func (q *quarantine) toldBack(from source, words []quarantiner.Word) {
 	q.mu.Lock()
--- a/internal/instance/gatekeeper/subscribe.go
+++ b/internal/instance/gatekeeper/subscribe.go
@@ -87,12 +87,16 @@
 // is not to be followed any more.
 func (l *link) subscribe(ctx context.Context, from source, follow func() bool) {
 	g := l.gatekeeper
-	conversation, err := g.Mesh.Open(ctx, from.address, l.question(from))
+	question := l.question(from)
+	conversation, err := g.Mesh.Open(ctx, from.address, question)
 	if err != nil {
 		g.choice.silent(from, time.Now())
 		return // it is tried again, and silence shows in what follows from it
 	}
 	defer conversation.Close()
+	if question.Crashes {
+		g.quarantine.begun(from)
+	}
 	for follow() {
 		bounded, cancel := context.WithTimeout(ctx, unheard)
 		message, err := conversation.Next(bounded)
