serve: words of crashes are told on by who saw them only

Found on reading the change: each instance that was told of a crash told all its peers, at once and with each beat for ten seconds; in a domain of 41 that is some 16,000 messages for one crash, by counting (not measured). Now whoever saw it tells its domain, and whoever was told from another domain its own; what a peer of the domain tells or the table has is not told on.

--- a/internal/instance/server/quarantine.go
+++ b/internal/instance/server/quarantine.go
@@ -35,7 +35,7 @@
 	for d, ran := range requests {
 		words = append(words, quarantiner.Word{Digest: d, Runner: engine, Ran: ran})
 	}
-	s.keepWords(s.takeWords(words, "self"))
+	s.spread(s.takeWords(words, "self"))
 }
 
 // Held implements driver.Quarantine and dispatcher.Quarantine.
@@ -55,16 +55,14 @@
 	if s.quarantine.ledger.Empty() {
 		return
 	}
-	news := s.quarantine.ledger.Clear(call.Digest(), time.Now())
-	s.quarantine.tell(news)
-	s.keepWords(news)
+	s.spread(s.quarantine.ledger.Clear(call.Digest(), time.Now()))
 }
 
 // HeardCrashes implements relayer.Suspecter.
 func (s *Server) HeardCrashes(from heartbeater.Instance, c relayer.Crashes) {
 	news := s.takeWords(c.Words, from.ID)
 	if from.Domain != s.Config.Domain {
-		s.keepWords(news) // each domain keeps what it knows: its instances read no other rows
+		s.spread(news)
 	}
 }
 
@@ -87,14 +85,23 @@
 		_ = level.Info(s.Logger).Log("msg", "request suspected", "digest", w.Digest, "engine", w.Runner, "cleared", w.Cleared,
 			"from", from, "held", held, "for", left)
 	}
-	if len(news) > 0 {
-		s.quarantine.tell(news)
-		s.Metrics.GetOrCreateCounter("sardinetiller_suspected_total").Add(len(news))
-		go s.tellCrashes(context.Background(), time.Now())
-	}
+	s.Metrics.GetOrCreateCounter("sardinetiller_suspected_total").Add(len(news))
 	return news
 }
 
+// spread tells and keeps what was seen here, or comes from another failure domain, whose
+// rows nobody reads here. What a peer of the domain tells or the table has is known to
+// the others by the same way; told on by each, one crash would cost messages with the
+// square of the instances.
+func (s *Server) spread(news []quarantiner.Word) {
+	if len(news) == 0 {
+		return
+	}
+	s.quarantine.tell(news)
+	s.keepWords(news)
+	go s.tellCrashes(context.Background(), time.Now())
+}
+
 // tell has words told with the beats to come.
 func (q *quarantine) tell(words []quarantiner.Word) {
 	q.mu.Lock()
