One row of a crash for both compositions

The gateway and serve each had the row, its decoding and the number of crashes from which on it is kept. Nothing of what is written or read changes: a row of the gateway has no mark of clearance.

--- a/internal/instance/gatekeeper/keep.go
+++ b/internal/instance/gatekeeper/keep.go
@@ -18,10 +18,6 @@
 // runner; no failure domain is named like that.
 const prefixCrash = "crash/"
 
-// keptFrom is how many crashes of a request are kept in the store. What ran beside a
-// runner that crashed once is suspected by the dozen, and hardly ever again.
-const keptFrom = 2
-
 // fromStore is where words of the store's rows come from.
 const fromStore = "store"
 
@@ -37,14 +33,8 @@
 	rowDropped
 )
 
-// A crashRow is the value of a row.
-type crashRow struct {
-	At  int64         `cbor:"1,keyasint"` // Unix seconds; a day is remembered, so that steps of the clock do not matter
-	Ran time.Duration `cbor:"2,keyasint"` // that the request had run
-}
-
-func crashValue(at time.Time, ran time.Duration) []byte {
-	value, err := encoder.Marshal(crashRow{At: at.Unix(), Ran: ran})
+func crashValue(r quarantiner.Row) []byte {
+	value, err := encoder.Marshal(r)
 	if err != nil {
 		panic(err) // a number can always be encoded
 	}
@@ -67,7 +57,7 @@
 			continue
 		}
 		open := q.ledger.Open(w.Digest, now)
-		if len(open) < keptFrom && !apart {
+		if len(open) < quarantiner.KeptFrom && !apart {
 			continue
 		}
 		for _, o := range open {
@@ -180,7 +170,7 @@
 			continue
 		}
 		word, _ := q.ledger.Word(c, now)
-		txn.Puts = append(txn.Puts, tabler.Put{Key: key, Value: crashValue(now.Add(-word.Age), word.Ran)})
+		txn.Puts = append(txn.Puts, tabler.Put{Key: key, Value: crashValue(word.Row(now))})
 	}
 	return txn, states
 }
@@ -218,12 +208,12 @@
 func (g *Gatekeeper) crashRow(c quarantiner.Crash, r tabler.Row) {
 	word := quarantiner.Word{Digest: c.Digest, Runner: c.Runner, Cleared: r.Removed}
 	if !r.Removed {
-		var row crashRow
+		var row quarantiner.Row
 		if err := encoder.Unmarshal(r.Value, &row); err != nil {
 			g.Recorder.Log(recorder.Suspect, "msg", "crash not understood", "row", r.Key, "err", err)
 			return
 		}
-		word.Age, word.Ran = max(0, time.Since(time.Unix(row.At, 0))), row.Ran
+		word = row.Word(c, time.Now())
 	}
 	g.hearWords([]quarantiner.Word{word}, fromStore)
 	g.quarantine.stored(c, !r.Removed)
--- a/internal/instance/gatekeeper/quarantine.go
+++ b/internal/instance/gatekeeper/quarantine.go
@@ -106,7 +106,7 @@
 		return
 	}
 	for _, w := range news {
-		if !w.Cleared && len(g.quarantine.ledger.Open(w.Digest, time.Now())) >= keptFrom {
+		if !w.Cleared && len(g.quarantine.ledger.Open(w.Digest, time.Now())) >= quarantiner.KeptFrom {
 			g.logCrash(w, from) // the rest is logged by who saw it: there is much beside each culprit
 		}
 	}
--- a/internal/instance/gatekeeper/quarantine_test.go
+++ b/internal/instance/gatekeeper/quarantine_test.go
@@ -95,11 +95,11 @@
 		{"cleared elsewhere, and a row comes after that", func(g *Gatekeeper) {
 			hold(g, "a")
 			g.hearWords([]quarantiner.Word{{Digest: "d", Runner: "i-1", Cleared: true}}, "a-1")
-			g.crashRow(quarantiner.Crash{Digest: "d", Runner: "i-1"}, tabler.Row{Value: crashValue(time.Now(), 0)})
+			g.crashRow(quarantiner.Crash{Digest: "d", Runner: "i-1"}, tabler.Row{Value: crashValue(quarantiner.Row{At: time.Now().Unix()})})
 		}, tabler.Txn{Deletes: []string{"holder/crash/d/i-1"}}},
 		{"a row that is too old", func(g *Gatekeeper) {
 			hold(g, "a")
-			g.crashRow(quarantiner.Crash{Digest: "d", Runner: "i-1"}, tabler.Row{Value: crashValue(time.Now().Add(-25*time.Hour), 0)})
+			g.crashRow(quarantiner.Crash{Digest: "d", Runner: "i-1"}, tabler.Row{Value: crashValue(quarantiner.Row{At: time.Now().Add(-25 * time.Hour).Unix()})})
 		}, tabler.Txn{Deletes: []string{"holder/crash/d/i-1"}}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -132,7 +132,7 @@
 		row := func(runner string, removed bool) tabler.Row {
 			r := tabler.Row{Key: "holder/crash/d/" + runner, Removed: removed}
 			if !removed {
-				r.Value = crashValue(time.Now().Add(-time.Minute), 0)
+				r.Value = crashValue(quarantiner.Row{At: time.Now().Add(-time.Minute).Unix()})
 			}
 			return r
 		}
--- a/internal/instance/server/keep.go
+++ b/internal/instance/server/keep.go
@@ -17,20 +17,9 @@
 // reads them too.
 const crashInfix = "/crash/"
 
-// keptFrom is how many crashes of a request are kept in the table. What ran beside an
-// engine that crashed once is suspected by the dozen, and hardly ever again.
-const keptFrom = 2
-
 // fromTable is where the words of rows come from.
 const fromTable = "table"
 
-// A crashRow is the value of a row.
-type crashRow struct {
-	At      int64         `cbor:"1,keyasint"` // Unix seconds
-	Ran     time.Duration `cbor:"2,keyasint"` // that the request had run
-	Cleared bool          `cbor:"3,keyasint,omitempty"`
-}
-
 func (s *Server) crashKey(c quarantiner.Crash) string {
 	return DomainPrefix(s.Config.Domain) + crashInfix + string(c.Digest) + "/" + c.Runner
 }
@@ -44,14 +33,12 @@
 			continue
 		}
 		digest, engine, _ := strings.Cut(rest, "/")
-		var kept crashRow
+		var kept quarantiner.Row
 		if err := encoder.Unmarshal(row.Value, &kept); err != nil {
 			s.warnIf("crash row", err)
 			continue
 		}
-		w := quarantiner.Word{
-			Digest: quarantiner.Digest(digest), Runner: engine, Ran: kept.Ran, Cleared: kept.Cleared, Age: max(0, now.Sub(time.Unix(kept.At, 0))),
-		}
+		w := kept.Word(quarantiner.Crash{Digest: quarantiner.Digest(digest), Runner: engine}, now)
 		s.quarantine.noteKept(w.Crash(), true)
 		if w.Age >= quarantiner.Memory {
 			s.quarantine.want(w.Crash(), true)
@@ -72,7 +59,7 @@
 			continue
 		}
 		open := s.quarantine.ledger.Open(w.Digest, now)
-		if len(open) < keptFrom {
+		if len(open) < quarantiner.KeptFrom {
 			continue
 		}
 		for _, o := range open {
@@ -121,7 +108,7 @@
 			txn.Deletes = append(txn.Deletes, s.crashKey(c))
 			continue
 		}
-		value, err := encoder.Marshal(crashRow{At: now.Add(-w.Age).Unix(), Ran: w.Ran, Cleared: w.Cleared})
+		value, err := encoder.Marshal(w.Row(now))
 		if err != nil {
 			panic(err) // such a row can always be encoded
 		}
