--- a/internal/instance/gatekeeper/begin.go
+++ b/internal/instance/gatekeeper/begin.go
@@ -8,8 +8,8 @@
 
 // When a deployment starts for the first time, nobody holds anything and no caller is
 // there yet. Each instance then reads first who holds the tenures, and waits a moment
-// to be told the rest: without that each made seven calls to the store at once. An instance that starts again has callers waiting, and asks for all that
-// it needs at once.
+// to be told the rest: without that each made seven calls to the store at once. An instance
+// that starts again has callers waiting, and asks for all that it needs at once.
 const (
 	// firstSpread is over how long the instances spread their first call: whoever
 	// comes first takes the tenure, within some 30 ms, and tells the others.
--- a/internal/instance/gatekeeper/crash.go
+++ b/internal/instance/gatekeeper/crash.go
@@ -111,8 +111,8 @@
 
 // endsAsPlanned reports whether a runner has said that it leaves, or has left.
 func (g *Gatekeeper) endsAsPlanned(runner tracker.Runner) bool {
-	known, ok := g.Fleet.Get(runner.ID)
-	return !ok || known.Leaving
+	_, known := g.Fleet.Get(runner.ID)
+	return !known || g.leaves(runner)
 }
 
 // check finds out whether a runner has crashed, and if so suspects what broke off there.
--- a/internal/upstream/driver/driver.go
+++ b/internal/upstream/driver/driver.go
@@ -51,12 +51,12 @@
 	Copies     func(adapter string) int // in the domain
 	Domain     string
 	Engine     caller.Engine
-	Quarantine Quarantine
 	Evictor    func() keeper.Evictor // for engines declared later
 	Logger     log.Logger
 	Metrics    *metrics.Set
 	Permits    Permits // nil to keep to the part of the rate always
-	Self       string  // incarnation
+	Quarantine Quarantine
+	Self       string // incarnation
 	Tenancy    Tenancy
 
 	bids    int // for permits, under way
