Sight of who told that a runner is there, gone or not listed

The record of the incident could not tell the hypotheses apart: no line said by whose word a runner was known or dropped, nor that a list had been taken in and runners that it lacks were kept. No change of logic.

--- a/internal/instance/gatekeeper/crash_test.go
+++ b/internal/instance/gatekeeper/crash_test.go
@@ -47,20 +47,20 @@
 		{"it refuses now and then behind a bad link", []tracker.Life{refuses, unknown, refuses, unknown, lives}, nil, nil, false},
 		{"it had said that it leaves", []tracker.Life{refuses}, func(g *Gatekeeper, r tracker.Runner) {
 			r.Leaving, r.Revision = true, 2
-			g.setRunner(r)
+			g.setRunner(r, fromStore)
 		}, nil, false},
 		{"it says so just then", []tracker.Life{refuses}, nil, func(g *Gatekeeper, r tracker.Runner) {
 			r.Leaving, r.Revision = true, 2
-			g.setRunner(r)
+			g.setRunner(r, fromStore)
 		}, false},
-		{"it had left", []tracker.Life{refuses}, func(g *Gatekeeper, r tracker.Runner) { g.removeNow(r.ID, r.Revision) }, nil, false},
+		{"it had left", []tracker.Life{refuses}, func(g *Gatekeeper, r tracker.Runner) { g.removeNow(r.ID, r.Revision, fromStore, whyRow) }, nil, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := newChained("a-1", "a")
 				g.Engine = &livesEngine{lives: tc.lives}
 				r := tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 1}
-				g.setRunner(r)
+				g.setRunner(r, fromStore)
 				if tc.set != nil {
 					tc.set(g, r)
 				}
@@ -87,7 +87,7 @@
 		engine := &livesEngine{lives: []tracker.Life{tracker.Refuses}}
 		g.Engine = engine
 		r := tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 1}
-		g.setRunner(r)
+		g.setRunner(r, fromStore)
 		sent := time.Now()
 		time.Sleep(time.Second)
 		for n := range 20 {
--- a/internal/instance/gatekeeper/link_test.go
+++ b/internal/instance/gatekeeper/link_test.go
@@ -65,8 +65,8 @@
 		g.Pool = &pooler.Pool{}
 		l := g.links["a"]
 		old := tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 1}
-		g.setRunner(old)
-		g.setRunner(tracker.Runner{ID: "i-2", Domain: "a", Service: "llm", Revision: 2})
+		g.setRunner(old, fromStore)
+		g.setRunner(tracker.Runner{ID: "i-2", Domain: "a", Service: "llm", Revision: 2}, fromStore)
 		l.take(relayer.News{Whole: true, Runners: []tracker.Runner{old}})
 		if _, there := g.Fleet.Get("i-2"); !there {
 			t.Error("a runner was dropped that the holder could not know")
@@ -122,14 +122,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newTestGatekeeper()
 		old := tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 7}
-		g.setRunner(old)
+		g.setRunner(old, fromStore)
 		g.Fleet.Remove("i-1", 9)
 		g.links["a"].take(relayer.News{Whole: true, Runners: []tracker.Runner{old}})
 		if _, there := g.Fleet.Get("i-1"); there {
 			t.Error("a runner that is gone is back")
 		}
 		old.Revision = 12 // it has registered again
-		g.setRunner(old)
+		g.setRunner(old, fromStore)
 		if _, there := g.Fleet.Get("i-1"); !there {
 			t.Error("a runner that registered again is not there")
 		}
--- a/internal/instance/gatekeeper/pass_test.go
+++ b/internal/instance/gatekeeper/pass_test.go
@@ -85,7 +85,7 @@
 
 func (c *chain) addRunner() {
 	for _, g := range []*Gatekeeper{c.holder, c.passer, c.member} {
-		g.setRunner(tracker.Runner{ID: "i-1", Domain: "b", Service: "llm", Revision: 1})
+		g.setRunner(tracker.Runner{ID: "i-1", Domain: "b", Service: "llm", Revision: 1}, fromStore)
 	}
 }
 
@@ -267,7 +267,7 @@
 		if c.member.links["b"].silence() > 0 {
 			t.Fatal("the holder is silent; the test shows nothing")
 		}
-		c.passer.setRunner(tracker.Runner{ID: "i-9", Domain: "b", Service: "llm", Revision: 9})
+		c.passer.setRunner(tracker.Runner{ID: "i-9", Domain: "b", Service: "llm", Revision: 9}, fromStore)
 		for range int((passTrust+passSpread)/beat) + 2 {
 			time.Sleep(beat)
 			c.passer.runners.reached(nil, 1, time.Now())
--- a/internal/instance/gatekeeper/runners.go
+++ b/internal/instance/gatekeeper/runners.go
@@ -21,20 +21,33 @@
 // again within about two seconds.
 const lapse = 2500 * time.Millisecond
 
-func (g *Gatekeeper) setRunner(r tracker.Runner) {
+// Why a runner is taken out, for the log.
+const (
+	whyReplaced = "it has started again"
+	whyRow      = "its row is gone"
+	whyTold     = "told"
+	whyUnlisted = "it is not listed"
+)
+
+// setRunner takes in the description of a runner that an instance told of, or the store.
+func (g *Gatekeeper) setRunner(r tracker.Runner, by string) {
 	g.mu.Lock()
 	delete(g.removals, r.ID)
 	g.mu.Unlock()
 	before, known := g.Fleet.Get(r.ID)
+	gone := g.Fleet.Gone(r.ID)
 	if earlier, ok := g.Fleet.Set(r); ok {
-		g.forget(earlier)
+		g.forget(earlier, by, whyReplaced)
 	}
 	if _, taken := g.Fleet.Get(r.ID); !taken {
 		return // it is gone since
 	}
 	if !known || before.Leaving != r.Leaving {
 		g.Recorder.Log(recorder.Belief, "msg", "runner", "runner", r.ID, "service", r.Service, "domain", r.Domain,
-			"leaving", r.Leaving, "revision", r.Revision)
+			"leaving", r.Leaving, "revision", r.Revision, "by", by, "gone", gone)
+	}
+	if !known && gone > 0 && !r.Leaving {
+		g.Metrics.GetOrCreateCounter("sardinetiller_runners_back_total").Inc()
 	}
 	g.controller(r.Domain).set(r, !known || before.Leaving != r.Leaving)
 }
@@ -56,22 +69,25 @@
 		g.mu.Unlock()
 		return
 	}
-	g.removeNow(id, revision)
+	g.removeNow(id, revision, fromStore, whyRow)
 }
 
-func (g *Gatekeeper) removeNow(id string, revision uint64) {
+// removeNow takes a runner out by the word of an instance, or of the store.
+func (g *Gatekeeper) removeNow(id string, revision uint64, by, why string) {
 	runner, known := g.Fleet.Get(id)
 	g.Fleet.Remove(id, revision)
 	if known {
-		g.forget(runner)
+		g.forget(runner, by, why)
 	}
 }
 
 // forget drops what is kept of a runner that is gone beside its description.
-func (g *Gatekeeper) forget(r tracker.Runner) {
+func (g *Gatekeeper) forget(r tracker.Runner, by, why string) {
 	g.Pool.Drop(r.ID)
-	g.controller(r.Domain).gone(r.ID, g.Fleet.Gone(r.ID))
-	g.Recorder.Log(recorder.Belief, "msg", "runner gone", "runner", r.ID, "service", r.Service)
+	gone := g.Fleet.Gone(r.ID)
+	g.controller(r.Domain).gone(r.ID, gone)
+	g.Recorder.Log(recorder.Belief, "msg", "runner gone", "runner", r.ID, "service", r.Service,
+		"known", r.Revision, "gone", gone, "by", by, "why", why)
 }
 
 // due takes out the runners whose rows have not come back.
@@ -87,7 +103,7 @@
 	}
 	g.mu.Unlock()
 	for id, r := range gone {
-		g.removeNow(id, r.revision)
+		g.removeNow(id, r.revision, fromStore, whyRow)
 	}
 }
 
--- a/internal/instance/gatekeeper/runners_test.go
+++ b/internal/instance/gatekeeper/runners_test.go
@@ -25,7 +25,7 @@
 func (r removed) play() (first, last bool) {
 	g := newChained("a-2", "a")
 	runner := tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 5}
-	g.setRunner(runner)
+	g.setRunner(runner, fromStore)
 	g.sawStore(time.Now(), errors.New("away"))
 	time.Sleep(5*time.Second - r.others)
 	for end := time.Now().Add(r.others); time.Now().Before(end); time.Sleep(beat) {
@@ -43,7 +43,7 @@
 		time.Sleep(beat)
 		if r.back && n == int(time.Second/beat) {
 			runner.Revision++
-			g.setRunner(runner)
+			g.setRunner(runner, fromStore)
 		}
 		g.due()
 	}
--- a/internal/instance/gatekeeper/subscribe.go
+++ b/internal/instance/gatekeeper/subscribe.go
@@ -106,6 +106,7 @@
 			l.ended(from, err)
 			return
 		}
+		news.From = from.id
 		l.heardBy(from, news)
 		l.take(news)
 	}
--- a/internal/instance/gatekeeper/take.go
+++ b/internal/instance/gatekeeper/take.go
@@ -7,6 +7,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
 // take takes in news of the domain.
@@ -75,13 +76,16 @@
 	if n.Whole && n.Fresh {
 		// A holder that has not reached the store lately does not know all that there
 		// are. This instance asks the store itself then, and sees who is gone.
-		g.dropOthers(l.domain, n.Runners)
+		g.dropOthers(l.domain, n.Runners, n.From)
+	}
+	if n.Whole {
+		g.logList(l.domain, n)
 	}
 	for _, r := range n.Runners {
-		g.setRunner(r)
+		g.setRunner(r, n.From)
 	}
 	for _, gone := range n.Gone {
-		g.removeNow(gone.Runner, gone.Revision)
+		g.removeNow(gone.Runner, gone.Revision, n.From, whyTold)
 	}
 }
 
@@ -117,15 +121,31 @@
 	}
 }
 
-// dropOthers takes out the runners of a domain that the holder does not know.
-func (g *Gatekeeper) dropOthers(domain string, there []tracker.Runner) {
-	known := make(map[string]bool, len(there))
-	for _, r := range there {
-		known[r.ID] = true
+// dropOthers takes out the runners of a domain that an instance does not list.
+func (g *Gatekeeper) dropOthers(domain string, listed []tracker.Runner, by string) {
+	for _, r := range g.unlisted(domain, listed) {
+		g.removeNow(r.ID, r.Revision, by, whyUnlisted)
 	}
+}
+
+// unlisted returns the runners of a domain that are known here and not listed.
+func (g *Gatekeeper) unlisted(domain string, listed []tracker.Runner) []tracker.Runner {
+	there := make(map[string]bool, len(listed))
+	for _, r := range listed {
+		there[r.ID] = true
+	}
+	var others []tracker.Runner
 	for _, r := range g.Fleet.All() {
-		if r.Domain == domain && !known[r.ID] {
-			g.removeNow(r.ID, r.Revision)
+		if r.Domain == domain && !there[r.ID] {
+			others = append(others, r)
 		}
 	}
+	return others
+}
+
+// logList logs that another instance told all runners of a domain, and how many of those
+// that it does not list are still known here.
+func (g *Gatekeeper) logList(domain string, n relayer.News) {
+	g.Recorder.Log(recorder.Belief, "msg", "list", "domain", domain, "by", n.From, "fresh", n.Fresh,
+		"runners", len(n.Runners), "unlisted", len(g.unlisted(domain, n.Runners)))
 }
--- a/internal/instance/gatekeeper/tenure_test.go
+++ b/internal/instance/gatekeeper/tenure_test.go
@@ -148,7 +148,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g, store := newFedGatekeeper()
 				g.Engine = probedEngine{answers: answers}
-				g.setRunner(tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Slots: 8, Models: []string{"m"}, Revision: 1})
+				g.setRunner(tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Slots: 8, Models: []string{"m"}, Revision: 1}, fromStore)
 				d := g.controllers["a"]
 				d.elector.Late = 0
 				freed := elector.Tenure{Fence: 4}
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -144,7 +144,7 @@
 		g.foreign(r.Key, err)
 	}
 	if err == nil && !r.Removed {
-		g.setRunner(runner)
+		g.setRunner(runner, fromStore)
 		return
 	}
 	id := g.Fleet.Named(runner.ID)
@@ -170,7 +170,7 @@
 			continue
 		}
 		there[runner.ID] = true
-		g.setRunner(runner)
+		g.setRunner(runner, fromStore)
 	}
 	for _, known := range g.Fleet.All() {
 		if !there[known.ID] {
--- a/internal/member/relayer/gateway.go
+++ b/internal/member/relayer/gateway.go
@@ -75,6 +75,7 @@
 	Tenure   elector.Tenure          `cbor:"10,keyasint"`
 	Ended    uint64                  `cbor:"20,keyasint,omitempty"` // fencing number of the tenure that the sender has given up; the last word of it
 	Fresh    bool                    `cbor:"11,keyasint,omitempty"` // the runners are as in the store a moment ago
+	From     string                  `cbor:"-"`                     // instance that told it; set by the receiver
 	Crashes  []quarantiner.Word      `cbor:"21,keyasint,omitempty"` // that are news
 	Gone     []Gone                  `cbor:"1,keyasint,omitempty"`
 	Held     []Held                  `cbor:"2,keyasint,omitempty"`
