Failing tests: runners that have left are used, and living ones given up

Callers saw requests sent to runners that had said seconds before that they leave, and requests refused for want of runners that were there.

The links to peers are behind an interface, so that a test can put its own in their place; no change of logic.

--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -20,7 +20,6 @@
 	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/elector"
 	"github.com/sardinetiller/sardinetiller/internal/member/gatherer"
-	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
 	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
@@ -72,8 +71,8 @@
 	Forwarder  *forwarder.Forwarder
 	Front      fasthttp.RequestHandler
 	Listeners  Listeners
-	Mesh       *relayer.Mesh
 	Metrics    *metrics.Set
+	Peers      Peers
 	Pool       *pooler.Pool
 	Ready      func(ready func() bool) fasthttp.RequestHandler
 	Recorder   *recorder.Recorder
--- /dev/null
+++ b/internal/instance/gatekeeper/leaving_test.go
@@ -0,0 +1,225 @@
+package gatekeeper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// siteStep is how often a site is looked at.
+const siteStep = 25 * time.Millisecond
+
+// Runners drain, leave without a word, lapse and register while instances that tell
+// others are stopped, killed, frozen, cut off and turned away by the store, which is away
+// for all and forgets its history, in overlapping series. Whatever comes in which order:
+// who is calm uses no runner later than its bound after the store, in its good times,
+// accepted that it leaves, and gives up none whose row is there.
+func TestRunnersAreThoseOfTheStoreWhoeverTellsOfThem(t *testing.T) {
+	for seed := range uint64(300) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(seed, seed))
+				playSite(newSite(t, rng, 2+rng.IntN(2), 5+rng.IntN(6)))
+			})
+		})
+	}
+}
+
+func playSite(s *site) {
+	defer synctest.Wait()
+	defer s.end()
+	for n := range 12 {
+		s.addRunner(s.domains[n%len(s.domains)])
+	}
+	w := newWitness(s)
+	s.pass(3*time.Second, w)
+	for range 20 + s.rng.IntN(20) {
+		s.trouble()
+		s.pass(time.Duration(s.rng.Int64N(int64(1500*time.Millisecond))), w)
+		if s.t.Failed() {
+			return
+		}
+	}
+	s.pass(6*time.Second, w)
+	for _, r := range s.runners[:2] {
+		if !r.leaving && !r.ended {
+			s.leave(r, s.rng.IntN(2) == 0)
+		}
+	}
+	s.pass(5*time.Second, w)
+}
+
+// pass lets time pass, and looks whether what is promised holds.
+func (s *site) pass(span time.Duration, w *witness) {
+	for end := time.Now().Add(span); time.Now().Before(end) && !s.t.Failed(); time.Sleep(siteStep) {
+		s.beats()
+		s.replaceHolders()
+		s.noteTrouble()
+		w.look()
+	}
+}
+
+// noteTrouble notes that the store is in trouble for somebody.
+func (s *site) noteTrouble() {
+	troubled := s.store.down()
+	for _, m := range s.instances {
+		m.way.mu.Lock()
+		troubled = troubled || m.way.mode != serves
+		m.way.mu.Unlock()
+	}
+	if troubled {
+		s.troubled = time.Now()
+	}
+}
+
+// trouble has one thing happen.
+func (s *site) trouble() {
+	now := time.Now()
+	m := s.instances[s.rng.IntN(len(s.instances))]
+	if s.rng.IntN(2) == 0 {
+		if h := s.holder(s.domains[s.rng.IntN(len(s.domains))]); h != nil {
+			m = h
+		}
+	}
+	span := time.Duration(s.rng.Int64N(int64(6 * time.Second)))
+	r := s.runners[s.rng.IntN(len(s.runners))]
+	switch n := s.rng.IntN(16); {
+	case n < 4 && !r.leaving && !r.ended && !s.store.down():
+		s.leave(r, n < 2)
+		if h := s.holder(r.domain); h != nil && s.rng.IntN(2) == 0 {
+			time.Sleep(time.Duration(s.rng.Int64N(int64(400 * time.Millisecond)))) // some know by then
+			s.strike(h, span)
+		}
+	case n < 6 && !s.store.down():
+		s.addRunner(s.domains[s.rng.IntN(len(s.domains))])
+	case n < 10:
+		s.strike(m, span)
+	case n < 11:
+		m.way.set(storeMode(s.rng.IntN(3)))
+	case n == 11:
+		s.store.set(turnsAway)
+	case n == 12:
+		s.store.set(swallows)
+		s.store.deafen()
+	case n == 13:
+		s.store.forget()
+	case n == 14 && s.store.down():
+		if !r.ended && !r.there.IsZero() {
+			r.lapsed = now
+			s.drop(r)
+		}
+	default:
+		s.store.set(serves)
+		for _, m := range s.instances {
+			m.way.set(serves)
+		}
+	}
+}
+
+// strike has an instance start again, stand still, or reach no other for a time.
+func (s *site) strike(m *member, span time.Duration) {
+	now := time.Now()
+	switch s.rng.IntN(4) {
+	case 0, 1:
+		m.kill()
+		m.disturb(nil, now)
+		m.start()
+	case 2:
+		m.disturb(&m.paused, now.Add(span))
+	default:
+		m.disturb(&m.cut, now.Add(span))
+	}
+}
+
+// holder returns an instance that believes to hold the tenure of a domain.
+func (s *site) holder(domain string) *member {
+	for _, m := range s.instances {
+		if m.holds(domain) {
+			return m
+		}
+	}
+	return nil
+}
+
+// replaceHolders gives the tenures that nobody holds, or whose holder does nothing, to
+// others. Who stood still goes on for a moment before it sees that.
+func (s *site) replaceHolders() {
+	now := time.Now()
+	for _, domain := range s.domains {
+		var live []*member
+		for _, m := range s.instances {
+			if !m.holds(domain) {
+				continue
+			}
+			m.mu.Lock()
+			still := now.Before(m.paused)
+			m.mu.Unlock()
+			if !still {
+				live = append(live, m)
+			}
+		}
+		switch {
+		case len(live) == 0 && s.rng.IntN(40) == 0 && !s.store.down():
+			if m := s.instances[s.rng.IntN(len(s.instances))]; !now.Before(m.paused) {
+				s.give(domain, m)
+			}
+		case len(live) > 1 && s.rng.IntN(8) == 0:
+			live[s.rng.IntN(len(live))].yield(domain)
+		}
+	}
+}
+
+// A witness checks what is promised of runners.
+type witness struct {
+	site *site
+	knew map[string]map[string]time.Time // by instance and runner: since when it is used
+}
+
+func newWitness(s *site) *witness {
+	return &witness{site: s, knew: make(map[string]map[string]time.Time)}
+}
+
+// returnTime is how long after the store's return a row that lapsed may be missing, and
+// is not held against whoever gave its runner up meanwhile.
+const returnTime = 5 * time.Second
+
+func (w *witness) look() {
+	s := w.site
+	now := time.Now()
+	for _, m := range s.instances {
+		calm := now.Sub(m.calmSince()) >= stableTime && s.calm(stableTime)
+		knew := w.knew[m.id]
+		if knew == nil || !calm {
+			knew = make(map[string]time.Time)
+			w.knew[m.id] = knew
+		}
+		for _, r := range s.runners {
+			uses := m.uses(r.id)
+			if !calm {
+				continue
+			}
+			switch {
+			case uses && r.leftCalm && !r.left.IsZero() && now.Sub(r.left) > drainTime:
+				s.t.Errorf("%s: %s uses %s %s after the store accepted that it leaves", now.Sub(s.began), m.id, r.id, now.Sub(r.left))
+			case !uses && w.lives(r, now) && !knew[r.id].IsZero() && r.there.Before(knew[r.id]):
+				s.t.Errorf("%s: %s has given up %s, whose row has been there for %s", now.Sub(s.began), m.id, r.id, now.Sub(r.there))
+			case !uses && w.lives(r, now) && now.Sub(r.there) > stableTime:
+				s.t.Errorf("%s: %s does not know %s, whose row has been there for %s", now.Sub(s.began), m.id, r.id, now.Sub(r.there))
+			}
+			switch {
+			case !uses:
+				delete(knew, r.id)
+			case knew[r.id].IsZero():
+				knew[r.id] = now
+			}
+		}
+	}
+}
+
+// lives reports whether a runner takes requests, and its row has not lapsed lately.
+func (w *witness) lives(r *siteRunner, now time.Time) bool {
+	return !r.leaving && !r.ended && !r.there.IsZero() && now.Sub(r.lapsed) > returnTime
+}
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -29,6 +29,10 @@
 // Answer implements relayer.Handler: a member subscribes to the news of a
 // domain.
 func (g *Gatekeeper) Answer(ctx context.Context, from heartbeater.Instance, m relayer.Message, reply *relayer.Reply) error {
+	return g.answer(ctx, from, m, reply)
+}
+
+func (g *Gatekeeper) answer(ctx context.Context, from heartbeater.Instance, m relayer.Message, reply replier) error {
 	switch m := m.(type) {
 	case relayer.Reserve:
 		d, err := g.held(m.Domain)
@@ -96,7 +100,7 @@
 
 // publish tells a member what changes until one of the two leaves or the tenure
 // ends.
-func (d *controller) publish(ctx context.Context, member heartbeater.Instance, s relayer.Subscribe, reply *relayer.Reply) error {
+func (d *controller) publish(ctx context.Context, member heartbeater.Instance, s relayer.Subscribe, reply replier) error {
 	defer d.followed()()
 	pace := d.pace(member, s)
 	number, told := -1, time.Time{}
@@ -132,7 +136,7 @@
 }
 
 // lastWord ends the news. It tells if the tenure was given up since it was told of.
-func (d *controller) lastWord(reply *relayer.Reply, fence uint64) error {
+func (d *controller) lastWord(reply replier, fence uint64) error {
 	d.mu.Lock()
 	ended := d.ended
 	d.mu.Unlock()
--- a/internal/instance/gatekeeper/reserve.go
+++ b/internal/instance/gatekeeper/reserve.go
@@ -40,7 +40,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	conversation, err := g.Mesh.Open(ctx, holder.Address, r)
+	conversation, err := g.Peers.Open(ctx, holder.Address, r)
 	if err != nil {
 		return forwarder.Room{}, nil, false
 	}
--- a/internal/instance/gatekeeper/retell.go
+++ b/internal/instance/gatekeeper/retell.go
@@ -48,7 +48,7 @@
 		g.keepApart()
 		for _, to := range g.tellers() {
 			if words := g.quarantine.untold(to, time.Now()); len(words) > 0 {
-				_ = g.Mesh.Tell(ctx, to.address, relayer.Crashes{Words: words}) // told again until it is told back
+				_ = g.Peers.Tell(ctx, to.address, relayer.Crashes{Words: words}) // told again until it is told back
 			}
 		}
 	})
--- a/internal/instance/gatekeeper/serve.go
+++ b/internal/instance/gatekeeper/serve.go
@@ -27,7 +27,7 @@
 // listen serves the sockets until ctx ends.
 func (g *Gatekeeper) listen(ctx context.Context, loops *sync.WaitGroup) <-chan error {
 	peers := router.New()
-	peers.GET(relayer.Path, g.Mesh.Serve)
+	peers.GET(relayer.Path, g.Peers.Serve)
 	servers := []listener.Server{
 		{Handler: g.Front, Idle: idle, Listener: g.Listeners.Caller, Plain: true, Refuse: g.Unreadable, Drain: time.Millisecond},
 		{Handler: peers.Handler, Listener: g.Listeners.Peer, Drain: time.Millisecond},
--- /dev/null
+++ b/internal/instance/gatekeeper/site_peers_test.go
@@ -0,0 +1,125 @@
+package gatekeeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+)
+
+// wayTime is how long a word is on its way between two instances.
+const wayTime = 2 * time.Millisecond
+
+// linkTimeout is how long a link to an instance that does not answer takes to fail.
+const linkTimeout = time.Second
+
+var errLink = errors.New("the link failed")
+
+// sitePeers are the links of one instance of a site.
+type sitePeers struct{ from *member }
+
+// Cut implements Peers.
+func (sitePeers) Cut(string) {}
+
+// Linked implements Peers.
+func (sitePeers) Linked(string) (any, bool) { return nil, false }
+
+// Serve implements Peers.
+func (sitePeers) Serve(*fasthttp.RequestCtx) { panic("a site has no sockets") }
+
+// Tell implements Peers.
+func (sitePeers) Tell(context.Context, string, relayer.Message) error { return nil }
+
+// Open implements Peers.
+func (p sitePeers) Open(ctx context.Context, address string, m relayer.Message) (Conversation, error) {
+	to := p.from.site.at(address)
+	p.from.await(ctx)
+	if !p.from.reaches(to) {
+		pause(ctx, linkTimeout)
+		return nil, errLink
+	}
+	g, lives := to.running()
+	if lives.Err() != nil {
+		return nil, errLink
+	}
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	c := &siteConversation{from: p.from, to: to, lives: lives, ctx: ctx, cancel: cancel, words: make(chan siteWord, 64)}
+	go func() {
+		pause(ctx, wayTime)
+		to.await(ctx)
+		err := g.answer(ctx, p.from.self(), m, c)
+		c.put(siteWord{err: err, at: time.Now().Add(wayTime), over: true})
+	}()
+	return c, nil
+}
+
+// A siteConversation is a conversation between two instances of a site.
+type siteConversation struct {
+	from, to *member
+	lives    context.Context // of the process that answers
+	ctx      context.Context
+	cancel   context.CancelFunc
+	words    chan siteWord
+}
+
+// A siteWord is a message on its way.
+type siteWord struct {
+	at      time.Time // when it arrives
+	message relayer.Message
+	err     error
+	over    bool
+}
+
+func (c *siteConversation) put(w siteWord) {
+	select {
+	case c.words <- w:
+	case <-c.ctx.Done():
+	}
+}
+
+// Close implements Conversation.
+func (c *siteConversation) Close() { c.cancel() }
+
+// Finish implements replier.
+func (c *siteConversation) Finish(relayer.Reserved) error { return errLink }
+
+// Send implements replier.
+func (c *siteConversation) Send(m relayer.Message) error {
+	c.to.await(c.ctx)
+	if c.lives.Err() != nil || c.ctx.Err() != nil {
+		return errLink
+	}
+	c.put(siteWord{at: time.Now().Add(wayTime), message: m})
+	return nil
+}
+
+// Next implements Conversation. What is on its way over a link that is cut comes when the
+// cut is over.
+func (c *siteConversation) Next(ctx context.Context) (relayer.Message, error) {
+	for {
+		c.from.await(ctx)
+		if ctx.Err() != nil {
+			return nil, judge.Refuse(judge.ReasonDeadline, "nothing came")
+		}
+		if !c.from.reaches(c.to) {
+			pause(ctx, 10*time.Millisecond)
+			continue
+		}
+		select {
+		case w := <-c.words:
+			pause(ctx, time.Until(w.at))
+			c.from.await(c.from.ctx)
+			if w.over && w.err == nil {
+				w.err = errLink
+			}
+			return w.message, w.err
+		case <-c.lives.Done():
+			return nil, errLink
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/internal/instance/gatekeeper/site_test.go
@@ -0,0 +1,415 @@
+package gatekeeper
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/elector"
+	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
+	"github.com/sardinetiller/sardinetiller/internal/wire/pooler"
+)
+
+// A site is a deployment in virtual time: whole instances with their links, the store,
+// and the rows that runners write. Who holds the tenures is decided by the test.
+type site struct {
+	t       *testing.T
+	rng     *rand.Rand
+	domains []string
+	store   *feedStore
+	log     *siteLog
+
+	mu        sync.Mutex
+	instances []*member
+	fences    map[string]uint64
+	runners   []*siteRunner
+	troubled  time.Time // until when the store was in trouble, for anybody
+	began     time.Time
+}
+
+// A member is one instance of a site.
+type member struct {
+	site   *site
+	id     string
+	domain string
+	way    *portal // to the store
+
+	mu        sync.Mutex
+	g         *Gatekeeper
+	ctx       context.Context
+	stop      context.CancelFunc
+	paused    time.Time // until when it stands still
+	cut       time.Time // until when it reaches no other instance
+	disturbed time.Time // until when anything of this was so
+}
+
+// A siteLog keeps what instances log, with the time of the site.
+type siteLog struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *siteLog) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(line)
+}
+
+// newSite returns a deployment that has just started, with the first instance of each
+// domain as the holder of its tenure.
+func newSite(t *testing.T, rng *rand.Rand, domains, instances int) *site {
+	s := &site{t: t, rng: rng, store: newFeedStore(), log: &siteLog{}, fences: make(map[string]uint64), began: time.Now()}
+	s.store.configure(1)
+	for n := range domains {
+		s.domains = append(s.domains, string(rune('a'+n)))
+	}
+	for n := range instances {
+		m := &member{site: s, id: fmt.Sprint("front-", n), domain: s.domains[n%domains]}
+		m.way = &portal{feedStore: s.store, owner: m}
+		s.instances = append(s.instances, m)
+		m.start()
+		if n < domains {
+			s.give(m.domain, m)
+		}
+	}
+	t.Cleanup(func() {
+		if path := os.Getenv("SITE_LOG"); path != "" && t.Failed() {
+			_ = os.WriteFile(path, s.log.buf.Bytes(), 0o600)
+		}
+	})
+	return s
+}
+
+// end stops all instances.
+func (s *site) end() {
+	for _, m := range s.instances {
+		m.kill()
+	}
+}
+
+// at returns the instance with an address.
+func (s *site) at(address string) *member {
+	for _, m := range s.instances {
+		if m.id == address {
+			return m
+		}
+	}
+	return nil
+}
+
+// give has an instance take the tenure of a domain.
+func (s *site) give(domain string, m *member) {
+	s.mu.Lock()
+	s.fences[domain]++
+	fence := s.fences[domain]
+	s.mu.Unlock()
+	m.hold(domain, fence)
+	value, err := encoder.Marshal(elector.Tenure{Holder: m.id, Address: m.id, Fence: fence})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.put(tabler.Row{Key: tableHolders + "/" + domain, Value: value})
+}
+
+// holds reports whether an instance believes that it holds the tenure of a domain.
+func (m *member) holds(domain string) bool { return m.now().controllers[domain].holds() }
+
+func (m *member) hold(domain string, fence uint64) {
+	d := m.now().controllers[domain]
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.elector = elector.Elector{Self: m.id, Address: m.id, Lease: time.Hour}
+	d.elector.Read(elector.Tenure{Fence: fence - 1}, fence, uptime())
+	w, ok := d.elector.Next(uptime())
+	if !ok {
+		m.site.t.Fatal("the tenure cannot be taken")
+	}
+	d.elector.Written(w, fence+1, uptime())
+	m.now().Recorder.Log("belief", "msg", "takes the tenure", "domain", domain, "fence", fence)
+}
+
+// yield has an instance give up the tenure of a domain.
+func (m *member) yield(domain string) {
+	d := m.now().controllers[domain]
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.elector = elector.Elector{Self: m.id, Address: m.id, Lease: time.Hour}
+}
+
+// start starts the instance with nothing known.
+func (m *member) start() {
+	g := newTestGatekeeper()
+	g.Config.ID, g.Config.Domain, g.Config.Domains = m.id, m.domain, m.site.domains
+	g.Fleet = &tracker.Fleet{Domain: m.domain}
+	g.Pool = &pooler.Pool{}
+	g.Store, g.Decoder, g.Peers = m.way, siteDecoder{}, sitePeers{m}
+	g.Recorder.Instance, g.Recorder.Out = m.id, m.site.log
+	g.init()
+	g.setViews()
+	ctx, stop := context.WithCancel(context.Background())
+	m.mu.Lock()
+	m.g, m.ctx, m.stop = g, ctx, stop
+	m.mu.Unlock()
+	loops := []func(context.Context){g.watchHolders, g.watchOperator, g.watchRunners}
+	if os.Getenv("SITE_LOG") != "" {
+		loops = append(loops, func(ctx context.Context) { g.Recorder.Run(ctx.Done()) })
+	}
+	for _, l := range g.links {
+		loops = append(loops, l.listen, l.listenDirect)
+	}
+	for _, loop := range loops {
+		go loop(ctx)
+	}
+}
+
+// kill ends the instance; its links fail.
+func (m *member) kill() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stop()
+}
+
+func (m *member) now() *Gatekeeper {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.g
+}
+
+// running returns the instance, and the context that ends with its process.
+func (m *member) running() (*Gatekeeper, context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.g, m.ctx
+}
+
+func (m *member) self() heartbeater.Instance {
+	return heartbeater.Instance{ID: m.id, Domain: m.domain, Address: m.id}
+}
+
+// disturb notes that something befalls the instance until a time.
+func (m *member) disturb(field *time.Time, until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if field != nil && until.After(*field) {
+		*field = until
+	}
+	if until.After(m.disturbed) {
+		m.disturbed = until
+	}
+}
+
+// calmSince returns since when nothing has befallen the instance.
+func (m *member) calmSince() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.disturbed
+}
+
+// await returns when the instance does not stand still, or when ctx ends.
+func (m *member) await(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		left := time.Until(m.paused)
+		m.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		pause(ctx, left)
+	}
+}
+
+// uses reports whether the instance would send requests to a runner.
+func (m *member) uses(runner string) bool {
+	r, known := m.now().Fleet.Get(runner)
+	return known && !r.Leaving
+}
+
+// reaches reports whether words pass between two instances.
+func (m *member) reaches(other *member) bool {
+	now := time.Now()
+	m.mu.Lock()
+	cut := m.cut
+	m.mu.Unlock()
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	return !now.Before(cut) && !now.Before(other.cut)
+}
+
+// A siteRunner is a runner of a site.
+type siteRunner struct {
+	id     string
+	domain string
+
+	there     time.Time // since when its row has been there without a break; zero if it is not
+	leaving   bool
+	ended     bool
+	left      time.Time // when the store accepted that it leaves; zero if it does not
+	leftCalm  bool      // the store was well then
+	beat      time.Time // of its next heartbeat
+	ends      time.Time // when it ends; zero for not soon
+	lapsed    time.Time // when its row was removed last although it lives
+	revisions int
+}
+
+// register writes the row of a runner.
+func (s *site) register(r *siteRunner) {
+	value, err := encoder.Marshal(tracker.Runner{ID: r.id, Domain: r.domain, Service: "llm", Leaving: r.leaving})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.put(tabler.Row{Key: "runners/" + r.id, Value: value})
+	if r.there.IsZero() {
+		r.there = time.Now()
+	}
+	r.revisions++
+}
+
+// drop removes the row of a runner.
+func (s *site) drop(r *siteRunner) {
+	s.store.put(tabler.Row{Key: "runners/" + r.id, Removed: true})
+	r.there = time.Time{}
+}
+
+func (s *site) addRunner(domain string) {
+	r := &siteRunner{id: fmt.Sprint("i-", len(s.runners)), domain: domain}
+	s.runners = append(s.runners, r)
+	s.register(r)
+	r.beat = time.Now().Add(time.Duration(s.rng.Int64N(int64(siteBeat))))
+}
+
+// leave has a runner leave: it says so, or its row is removed without a word.
+func (s *site) leave(r *siteRunner, silent bool) {
+	r.left, r.leftCalm = time.Now(), s.calm(stableTime)
+	if silent {
+		r.ended = true
+		s.drop(r)
+		return
+	}
+	r.leaving = true
+	r.ends = time.Now().Add(drainTime + time.Duration(s.rng.Int64N(int64(5*time.Second))))
+	s.register(r)
+}
+
+const (
+	// siteBeat is how often a runner writes its row.
+	siteBeat = 1200 * time.Millisecond
+	// stableTime is how long after any trouble promises with a bound in time hold again.
+	stableTime = 3 * time.Second
+)
+
+// calm reports whether the store has been well for everybody for a time.
+func (s *site) calm(span time.Duration) bool {
+	return time.Since(s.troubled) >= span
+}
+
+// beats writes the rows that are due.
+func (s *site) beats() {
+	if s.store.down() {
+		return
+	}
+	now := time.Now()
+	for _, r := range s.runners {
+		switch {
+		case r.ended:
+		case !r.ends.IsZero() && now.After(r.ends):
+			r.ended = true
+			s.drop(r)
+		case !now.Before(r.beat):
+			r.beat = now.Add(siteBeat)
+			s.register(r)
+		}
+	}
+}
+
+// down reports whether the store serves nobody.
+func (s *feedStore) down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mode != serves
+}
+
+// A portal is the way of one instance to the store.
+type portal struct {
+	*feedStore
+	owner *member
+
+	mu   sync.Mutex
+	mode storeMode
+}
+
+func (p *portal) set(mode storeMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+}
+
+func (p *portal) admit(ctx context.Context, wait time.Duration) error {
+	p.owner.await(ctx)
+	p.mu.Lock()
+	mode := p.mode
+	p.mu.Unlock()
+	switch mode {
+	case turnsAway:
+		pause(ctx, time.Millisecond)
+		return fmt.Errorf("turned away")
+	case swallows:
+		pause(ctx, wait+callTimeout)
+		return errNoAnswer
+	default:
+		return ctx.Err()
+	}
+}
+
+// Scan implements tabler.Feed.
+func (p *portal) Scan(ctx context.Context, table string) ([]tabler.Row, uint64, error) {
+	if err := p.admit(ctx, 0); err != nil {
+		return nil, 0, err
+	}
+	rows, version, err := p.feedStore.Scan(ctx, table)
+	p.owner.await(ctx)
+	rows = slices.DeleteFunc(rows, func(r tabler.Row) bool { return r.Removed })
+	return rows, version, err
+}
+
+// Get implements tabler.Feed.
+func (p *portal) Get(ctx context.Context, key string) (tabler.Row, error) {
+	if err := p.admit(ctx, 0); err != nil {
+		return tabler.Row{}, err
+	}
+	return p.feedStore.Get(ctx, key)
+}
+
+// Watch implements tabler.Feed.
+func (p *portal) Watch(ctx context.Context, table string, after uint64, wait time.Duration) ([]tabler.Row, uint64, error) {
+	if err := p.admit(ctx, wait); err != nil {
+		return nil, 0, err
+	}
+	rows, version, err := p.feedStore.Watch(ctx, table, after, wait)
+	p.owner.await(ctx)
+	slices.SortFunc(rows, func(a, b tabler.Row) int { return int(a.Version) - int(b.Version) })
+	return rows, version, err
+}
+
+// A siteDecoder decodes the rows of a site.
+type siteDecoder struct{ feedDecoder }
+
+// Runner implements Decoder.
+func (siteDecoder) Runner(r tabler.Row) (tracker.Runner, error) {
+	runner := tracker.Runner{ID: r.Key[len("runners/"):], Revision: r.Version}
+	if r.Removed {
+		return runner, nil
+	}
+	err := encoder.Unmarshal(r.Value, &runner)
+	runner.Revision = r.Version
+	return runner, err
+}
--- a/internal/instance/gatekeeper/speak.go
+++ b/internal/instance/gatekeeper/speak.go
@@ -36,7 +36,7 @@
 	if l.saidSo(demand) {
 		return
 	}
-	_ = g.Mesh.Tell(ctx, via.address, demand) // a failed link shows as silence
+	_ = g.Peers.Tell(ctx, via.address, demand) // a failed link shows as silence
 }
 
 // saidSo reports whether a word may be left out, as neither it nor the last one told
--- a/internal/instance/gatekeeper/subscribe.go
+++ b/internal/instance/gatekeeper/subscribe.go
@@ -88,7 +88,7 @@
 func (l *link) subscribe(ctx context.Context, from source, follow func() bool) {
 	g := l.gatekeeper
 	question := l.question(from)
-	conversation, err := g.Mesh.Open(ctx, from.address, question)
+	conversation, err := g.Peers.Open(ctx, from.address, question)
 	if err != nil {
 		g.choice.silent(from, time.Now())
 		return // it is tried again, and silence shows in what follows from it
@@ -120,7 +120,7 @@
 		return
 	}
 	g.choice.silent(from, time.Now())
-	g.Mesh.Cut(from.address)
+	g.Peers.Cut(from.address)
 }
 
 // is reports whether an error is a refusal for a reason.
@@ -189,15 +189,15 @@
 	if !ok {
 		return
 	}
-	mesh := l.gatekeeper.Mesh
-	if _, linked := mesh.Linked(former.address); !linked {
+	peers := l.gatekeeper.Peers
+	if _, linked := peers.Linked(former.address); !linked {
 		return // it is not reached, and would hold up the word to others
 	}
 	word := relayer.Demand{Domain: l.domain, Parted: true}
 	if time.Now().Before(until) {
 		word = demandOf(l.domain, l.whole())
 	}
-	_ = mesh.Tell(ctx, former.address, word) // it forgets this instance after its silence
+	_ = peers.Tell(ctx, former.address, word) // it forgets this instance after its silence
 }
 
 // parts returns whom this instance told before, and until when it goes on with that;
