A runner that leaves is not hidden by an older description

Callers' requests reached a runner seconds after it had said that it leaves, from a few of many instances, beside holders that change.

Cause: an instance that knew that the runner leaves and was then told a list from a moment earlier passed the older description on to whoever asked it for a list, and noted it as the current one. Told of the leaving once more, it found nothing new in it and told nobody.

Why it holds: only a description that was taken in is passed on, with the leaving that is known; an older one changes nothing and is not told.

--- a/internal/instance/gatekeeper/runners.go
+++ b/internal/instance/gatekeeper/runners.go
@@ -39,9 +39,13 @@
 	if earlier, ok := g.Fleet.Set(r); ok {
 		g.forget(earlier, by, whyReplaced)
 	}
-	if _, taken := g.Fleet.Get(r.ID); !taken {
-		return // it is gone since
+	current, taken := g.Fleet.Get(r.ID)
+	if !taken || current.Revision != r.Revision {
+		// It is gone, or an older description. Told on, that one would hide from others that
+		// the runner leaves: once known it is news no more.
+		return
 	}
+	r = current
 	if !known || before.Leaving != r.Leaving {
 		g.Recorder.Log(recorder.Belief, "msg", "runner", "runner", r.ID, "service", r.Service, "domain", r.Domain,
 			"leaving", r.Leaving, "revision", r.Revision, "by", by, "gone", gone)
