A list of runners says up to which version of the store it is known

Callers saw requests sent to runners that had left, for as long as the process lived, and requests refused for want of runners that were there.

Cause: what a list of all runners says was judged by whether its sender counted as fresh. That says how current the sender is, not how current the list is beside what the receiver knows. A list that was not fresh dropped nothing and was never made good, as only changes are told after it; a fresh one dropped runners that had registered since; and a runner that was found missing was noted as gone only up to the revision that was known, so a description from in between brought it back.

Change: news carries the version up to which its sender has read the store. A list drops what it lacks up to that version and says nothing of what came later, fresh or not; an unknown runner from before it is refused. The same holds for the receiver's own reading of the table. What is there is compared with what is told under one lock.

--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -77,10 +77,24 @@
 	}
 }
 
-// gone takes a runner out.
+// known returns the descriptions of all runners.
+func (d *controller) known() []tracker.Runner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	runners := make([]tracker.Runner, 0, len(d.runners))
+	for _, c := range d.runners {
+		runners = append(runners, c.runner)
+	}
+	return runners
+}
+
+// gone takes a runner out, if it is known.
 func (d *controller) gone(id string, revision uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if _, known := d.runners[id]; !known {
+		return
+	}
 	delete(d.runners, id)
 	d.news.add(event{gone: &relayer.Gone{Runner: id, Revision: revision}})
 }
--- a/internal/instance/gatekeeper/follow.go
+++ b/internal/instance/gatekeeper/follow.go
@@ -146,7 +146,7 @@
 		if err != nil {
 			return err
 		}
-		v.take(rows)
+		v.take(rows, version)
 		v.reached(rows, version, asked)
 		return nil
 	}
@@ -167,9 +167,7 @@
 
 // changed takes in the answer to a call for changes.
 func (g *Gatekeeper) changed(v *view, rows []tabler.Row, version uint64, at time.Time) {
-	for _, row := range rows {
-		v.change(row)
-	}
+	v.takeChanges(rows, version)
 	v.reached(rows, version, at)
 }
 
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -95,6 +95,8 @@
 	reached   moment // as of when another holder reached the store
 	mayAsk    moment // from when on the store may be asked for what others could tell
 
+	learning sync.Mutex // held while what is there is compared with what is told
+
 	mu          sync.Mutex
 	versions    map[copyName]int       // newest version of adapters that have another than the first
 	controllers map[string]*controller // by failure domain
--- a/internal/instance/gatekeeper/list_test.go
+++ b/internal/instance/gatekeeper/list_test.go
@@ -152,6 +152,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newChained("a-2", "a")
 		g.setRunner(tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 1}, fromStore)
+		g.links["b"].take(relayer.News{Fresh: true})
 		g.links["a"].take(relayer.News{Fresh: true, Whole: true})
 		if _, known := g.Fleet.Get("i-1"); !known {
 			t.Error("a runner was given up")
--- a/internal/instance/gatekeeper/runners.go
+++ b/internal/instance/gatekeeper/runners.go
@@ -82,6 +82,10 @@
 	g.Fleet.Remove(id, revision)
 	if known {
 		g.forget(runner, by, why)
+		return
+	}
+	for _, d := range g.controllers {
+		d.gone(id, revision) // it may have been found replaced by another one at its address
 	}
 }
 
@@ -96,6 +100,8 @@
 
 // due takes out the runners whose rows have not come back.
 func (g *Gatekeeper) due() {
+	g.learning.Lock()
+	defer g.learning.Unlock()
 	now := time.Now()
 	gone := make(removals)
 	g.mu.Lock()
--- a/internal/instance/gatekeeper/take.go
+++ b/internal/instance/gatekeeper/take.go
@@ -73,13 +73,10 @@
 // takeRunners takes in which runners there are.
 func (l *link) takeRunners(n relayer.News) {
 	g := l.gatekeeper
-	if n.Whole && n.Fresh {
-		// A holder that has not reached the store lately does not know all that there
-		// are. This instance asks the store itself then, and sees who is gone.
-		g.dropOthers(l.domain, n.Runners, n.From)
-	}
+	g.learning.Lock()
+	defer g.learning.Unlock()
 	if n.Whole {
-		g.logList(l.domain, n)
+		g.dropOthers(l.domain, n)
 	}
 	for _, r := range n.Runners {
 		g.setRunner(r, n.From)
@@ -87,6 +84,9 @@
 	for _, gone := range n.Gone {
 		g.removeNow(gone.Runner, gone.Revision, n.From, whyTold)
 	}
+	if n.Whole {
+		g.Fleet.Current(l.domain, n.UpTo)
+	}
 }
 
 // takeHeld takes in what the runners hold.
@@ -121,31 +121,25 @@
 	}
 }
 
-// dropOthers takes out the runners of a domain that an instance does not list.
-func (g *Gatekeeper) dropOthers(domain string, listed []tracker.Runner, by string) {
-	for _, r := range g.unlisted(domain, listed) {
-		g.removeNow(r.ID, r.Revision, by, whyUnlisted)
-	}
-}
-
-// unlisted returns the runners of a domain that are known here and not listed.
-func (g *Gatekeeper) unlisted(domain string, listed []tracker.Runner) []tracker.Runner {
-	there := make(map[string]bool, len(listed))
-	for _, r := range listed {
-		there[r.ID] = true
-	}
-	var others []tracker.Runner
-	for _, r := range g.Fleet.All() {
-		if r.Domain == domain && !there[r.ID] {
-			others = append(others, r)
+// dropOthers takes out the runners of a domain that a list lacks. The list is as of the
+// version up to which its sender has read the store, however current that is: it says
+// nothing of a runner that was described later.
+func (g *Gatekeeper) dropOthers(domain string, n relayer.News) {
+	listed := make(map[string]bool, len(n.Runners))
+	for _, r := range n.Runners {
+		listed[r.ID] = true
+	}
+	dropped, later := 0, 0
+	for _, r := range g.controllers[domain].known() {
+		switch {
+		case r.Domain != domain, listed[r.ID]:
+		case r.Revision > n.UpTo:
+			later++
+		default:
+			dropped++
+			g.removeNow(r.ID, n.UpTo, n.From, whyUnlisted)
 		}
 	}
-	return others
-}
-
-// logList logs that another instance told all runners of a domain, and how many of those
-// that it does not list are still known here.
-func (g *Gatekeeper) logList(domain string, n relayer.News) {
-	g.Recorder.Log(recorder.Belief, "msg", "list", "domain", domain, "by", n.From, "fresh", n.Fresh,
-		"runners", len(n.Runners), "unlisted", len(g.unlisted(domain, n.Runners)))
+	g.Recorder.Log(recorder.Belief, "msg", "list", "domain", domain, "by", n.From, "fresh", n.Fresh, "upto", n.UpTo,
+		"runners", len(n.Runners), "dropped", dropped, "later", later)
 }
--- a/internal/instance/gatekeeper/view.go
+++ b/internal/instance/gatekeeper/view.go
@@ -15,8 +15,9 @@
 // The fields before mu are set before its loops begin.
 type view struct {
 	name     string
-	whole    func(rows []tabler.Row) // nil: each row is a change
+	whole    func(rows []tabler.Row, version uint64) // nil: each row is a change
 	change   func(row tabler.Row)
+	changes  func(rows []tabler.Row, version uint64) // nil: one after the other
 	others   func() (asOf time.Time, ok bool) // what other instances tell of it
 	patience func() time.Duration             // the age at which the store is asked
 	told     moment                           // as of when others showed it to be as known here
@@ -232,10 +233,19 @@
 	v.known = false
 }
 
-// take takes in all rows of the table.
-func (v *view) take(rows []tabler.Row) {
+// take takes in all rows of the table as of a version.
+func (v *view) take(rows []tabler.Row, version uint64) {
 	if v.whole != nil {
-		v.whole(rows)
+		v.whole(rows, version)
+		return
+	}
+	v.takeChanges(rows, version)
+}
+
+// takeChanges takes in the rows that have changed up to a version.
+func (v *view) takeChanges(rows []tabler.Row, version uint64) {
+	if v.changes != nil {
+		v.changes(rows, version)
 		return
 	}
 	for _, row := range rows {
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -148,11 +148,28 @@
 		return
 	}
 	id := g.Fleet.Named(runner.ID)
-	if known, ok := g.Fleet.Get(id); ok && known.Revision < r.Version { // else it was described anew since
+	if known, ok := g.Fleet.Get(id); !ok || known.Revision < r.Version { // else it was described anew since
 		g.remove(id, r.Version)
 	}
 }
 
+// someRunners takes in the runners' rows that have changed up to a version.
+func (g *Gatekeeper) someRunners(rows []tabler.Row, version uint64) {
+	g.learning.Lock()
+	defer g.learning.Unlock()
+	for _, r := range rows {
+		g.runnerRow(r)
+	}
+	g.allKnown(version)
+}
+
+// allKnown notes that all runners are known as of a version.
+func (g *Gatekeeper) allKnown(version uint64) {
+	for _, domain := range g.domains() {
+		g.Fleet.Current(domain, version)
+	}
+}
+
 // foreign logs and counts a row among the runners' that cannot be one of theirs.
 // It names no runner, and every other row holds.
 func (g *Gatekeeper) foreign(key string, err error) {
@@ -160,8 +177,11 @@
 	g.Recorder.Log(recorder.Belief, "msg", "row names no runner", "row", key, "err", err)
 }
 
-// allRunners takes in the whole table: what is not in it is gone.
-func (g *Gatekeeper) allRunners(rows []tabler.Row) {
+// allRunners takes in the whole table as of a version: what is not in it, and was not
+// described later by another instance, is gone.
+func (g *Gatekeeper) allRunners(rows []tabler.Row, version uint64) {
+	g.learning.Lock()
+	defer g.learning.Unlock()
 	there := make(map[string]bool, len(rows))
 	for _, r := range rows {
 		runner, err := g.Decoder.Runner(r)
@@ -172,9 +192,12 @@
 		there[runner.ID] = true
 		g.setRunner(runner, fromStore)
 	}
-	for _, known := range g.Fleet.All() {
-		if !there[known.ID] {
-			g.remove(known.ID, known.Revision)
+	for _, d := range g.controllers {
+		for _, known := range d.known() {
+			if !there[known.ID] && known.Revision <= version {
+				g.remove(known.ID, version)
+			}
 		}
 	}
+	g.allKnown(version)
 }
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -16,6 +16,7 @@
 	Domain string // of this instance
 
 	mu      sync.Mutex
+	current map[string]uint64 // by failure domain: the version of the store as of which all its runners are known
 	gone    map[string]uint64 // runners that are gone, and their last revision
 	named   map[string]string // the incarnation that goes by a name
 	runners map[string]*state
@@ -60,15 +61,15 @@
 	lastRest  = 4 * time.Second
 )
 
-// Set takes in the description of a runner. An older one changes nothing. An
-// incarnation replaces the one before it under its name, which is returned; ok is
-// false if there was none.
+// Set takes in the description of a runner. An older one changes nothing, nor does that of
+// an unknown runner from before all runners were known: it is gone. An incarnation replaces
+// the one before it under its name, which is returned; ok is false if there was none.
 func (f *Fleet) Set(r Runner) (replaced Runner, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.init()
 	s, known := f.runners[r.ID]
-	if known && r.Revision < s.Revision || !known && r.Revision <= f.gone[r.ID] {
+	if known && r.Revision < s.Revision || !known && r.Revision <= max(f.gone[r.ID], f.current[r.Domain]) {
 		return Runner{}, false
 	}
 	if other, is := f.runners[f.named[r.Name()]]; is && other.ID != r.ID {
@@ -92,6 +93,15 @@
 	return replaced, ok
 }
 
+// Current takes in that all runners of a failure domain are known as of a version of the
+// store.
+func (f *Fleet) Current(domain string, version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	f.current[domain] = max(f.current[domain], version)
+}
+
 // Named returns the incarnation that goes by a name now. Without one it returns
 // the name itself: that of a runner which does not say when it started.
 func (f *Fleet) Named(name string) (id string) {
@@ -337,6 +347,7 @@
 
 func (f *Fleet) init() {
 	if f.runners == nil {
+		f.current = make(map[string]uint64)
 		f.gone = make(map[string]uint64)
 		f.named = make(map[string]string)
 		f.runners = make(map[string]*state)
