Instances compare the runners that they know with those that they are told

Change: each word carries a checksum of the runners that its sender knows.

Why it holds: a claim about more than the receiver has taken in is none.

--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -31,6 +31,7 @@
 	calling  bool          // a call to the store about the tenure is under way
 	looking  bool          // nobody seems to hold the tenure
 	runners  map[string]*runnerState
+	sum      uint64            // checksum of the runners
 	gather   gatherer.Gatherer // of what members tell, or of what is passed on to the holder
 	counting time.Time         // since when members have told the holder here
 	news     journal
@@ -67,10 +68,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c, ok := d.runners[r.ID]
-	if !ok {
+	if ok {
+		d.countRunner(c.runner)
+	} else {
 		c = &runnerState{}
 		d.runners[r.ID] = c
 	}
+	d.countRunner(r)
 	c.runner = r
 	if changed {
 		d.news.add(event{runner: &r})
@@ -92,9 +96,11 @@
 func (d *controller) gone(id string, revision uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, known := d.runners[id]; !known {
+	c, known := d.runners[id]
+	if !known {
 		return
 	}
+	d.countRunner(c.runner)
 	delete(d.runners, id)
 	d.news.add(event{gone: &relayer.Gone{Runner: id, Revision: revision}})
 }
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -15,19 +15,20 @@
 	domain     string
 	kick       chan struct{}
 
-	mu      sync.Mutex
-	asked   map[gatherer.Key]time.Time // wants that the holder was told of in a hurry
-	former  source                     // that was told before via
-	fresh   time.Time                  // when whoever tells last knew the runners as they were
-	heard   time.Time                  // when the last word of the holder came
-	holder  elector.Tenure
-	idle    bool // the last word told of nothing
-	needs   needs
-	passed  time.Time     // when the last word of the holder that came through another instance was said
-	parting time.Time     // until when former is told as well
-	said    time.Time     // when the last word was told
-	trust   time.Duration // for which whoever tells may not hear the holder before it is followed itself
-	via     source        // that told of the domain last, and is told
+	mu       sync.Mutex
+	asked    map[gatherer.Key]time.Time // wants that the holder was told of in a hurry
+	compared comparison
+	former   source    // that was told before via
+	fresh    time.Time // when whoever tells last knew the runners as they were, and this instance knew the same
+	heard    time.Time // when the last word of the holder came
+	holder   elector.Tenure
+	idle     bool // the last word told of nothing
+	needs    needs
+	passed   time.Time     // when the last word of the holder that came through another instance was said
+	parting  time.Time     // until when former is told as well
+	said     time.Time     // when the last word was told
+	trust    time.Duration // for which whoever tells may not hear the holder before it is followed itself
+	via      source        // that told of the domain last, and is told
 }
 
 const (
--- a/internal/instance/gatekeeper/subscribe.go
+++ b/internal/instance/gatekeeper/subscribe.go
@@ -109,6 +109,9 @@
 		news.From = from.id
 		l.heardBy(from, news)
 		l.take(news)
+		if l.relists() {
+			return // a subscription begins with one
+		}
 	}
 }
 
--- a/internal/instance/gatekeeper/take.go
+++ b/internal/instance/gatekeeper/take.go
@@ -18,8 +18,10 @@
 		l.end(n.Ended)
 		return
 	}
+	alike := l.takeRunners(n)
 	l.mu.Lock()
-	if n.Fresh {
+	l.compared.note(alike, now)
+	if n.Fresh && alike {
 		l.fresh = now
 	}
 	if heard := now.Add(-n.Silence); heard.After(l.heard) {
@@ -39,7 +41,6 @@
 	if n.Operator.Newest > 0 && g.operator.hear(n.Operator.Newest, now) {
 		g.operator.told.advance(now.Add(-n.Operator.Age))
 	}
-	l.takeRunners(n)
 	if mute(n) {
 		return
 	}
@@ -70,8 +71,9 @@
 	}
 }
 
-// takeRunners takes in which runners there are.
-func (l *link) takeRunners(n relayer.News) {
+// takeRunners takes in which runners there are, and reports whether those that are known
+// then are those that the sender knows.
+func (l *link) takeRunners(n relayer.News) (alike bool) {
 	g := l.gatekeeper
 	g.learning.Lock()
 	defer g.learning.Unlock()
@@ -87,6 +89,7 @@
 	if n.Whole {
 		g.Fleet.Current(l.domain, n.UpTo)
 	}
+	return g.alike(l.domain, n)
 }
 
 // takeHeld takes in what the runners hold.
--- a/internal/instance/gatekeeper/view.go
+++ b/internal/instance/gatekeeper/view.go
@@ -18,9 +18,9 @@
 	whole    func(rows []tabler.Row, version uint64) // nil: each row is a change
 	change   func(row tabler.Row)
 	changes  func(rows []tabler.Row, version uint64) // nil: one after the other
-	others   func() (asOf time.Time, ok bool) // what other instances tell of it
-	patience func() time.Duration             // the age at which the store is asked
-	told     moment                           // as of when others showed it to be as known here
+	others   func() (asOf time.Time, ok bool)        // what other instances tell of it
+	patience func() time.Duration                    // the age at which the store is asked
+	told     moment                                  // as of when others showed it to be as known here
 
 	mu      sync.Mutex
 	rows    map[string]relayer.Row // by key, as passed on to others; not those of a table that is taken whole
