A removal that waits is not called off by an older description

Callers' requests reached a runner that had left, after an outage of the store: its removal waits then, as rows of living runners lapse in an outage. Cause: any description of the runner called the removal off, also one that another instance told and that was older than the removal. Now only a later one does.

--- a/internal/instance/gatekeeper/runners.go
+++ b/internal/instance/gatekeeper/runners.go
@@ -31,9 +31,7 @@
 
 // setRunner takes in the description of a runner that an instance told of, or the store.
 func (g *Gatekeeper) setRunner(r tracker.Runner, by string) {
-	g.mu.Lock()
-	delete(g.removals, r.ID)
-	g.mu.Unlock()
+	g.keep(r)
 	before, known := g.Fleet.Get(r.ID)
 	gone := g.Fleet.Gone(r.ID)
 	if earlier, ok := g.Fleet.Set(r); ok {
@@ -56,6 +54,15 @@
 	g.controller(r.Domain).set(r, !known || before.Leaving != r.Leaving)
 }
 
+// keep calls the removal of a runner off that was described anew since.
+func (g *Gatekeeper) keep(r tracker.Runner) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if waits, ok := g.removals[r.ID]; ok && r.Revision > waits.revision {
+		delete(g.removals, r.ID)
+	}
+}
+
 // remove takes a runner out, at once or, if the store has just come back, when
 // its row has had the time to come back as well.
 func (g *Gatekeeper) remove(id string, revision uint64) {
