Rows that lapsed are waited for from the first answer on, and where a list lacks them

Callers were refused for want of runners for some seconds after an outage of the store, at all instances: living runners were given up, and came back with their next rows.

Cause: rows of living runners lapse in an outage, and the wait for them began when the store counted as back, which is noted after its first answer has been taken in. That answer tells of the rows that lapsed. And a list of an instance that started after the outage, which lacks them, was gone by at once.

Why it holds: while the store counts as away, a removal is one of that first answer, and waits; whoever saw the outage waits for what a list lacks as well.

Tests: TestFirstAnswerAfterAnOutageGivesUpNoRunner and TestListOfOneThatMissedTheOutageGivesUpNoRunner, which failed before.

--- a/internal/instance/gatekeeper/leaving_test.go
+++ b/internal/instance/gatekeeper/leaving_test.go
@@ -56,6 +56,9 @@
 func (s *site) pass(span time.Duration, w *witness) {
 	for end := time.Now().Add(span); time.Now().Before(end) && !s.t.Failed(); time.Sleep(siteStep) {
 		s.beats()
+		if s.store.down() && s.rng.IntN(8) == 0 {
+			s.lapse(s.runners[s.rng.IntN(len(s.runners))])
+		}
 		s.replaceHolders()
 		s.noteTrouble()
 		w.look()
@@ -65,6 +68,9 @@
 // noteTrouble notes that the store is in trouble for somebody.
 func (s *site) noteTrouble() {
 	troubled := s.store.down()
+	if !troubled {
+		s.away = time.Now()
+	}
 	for _, m := range s.instances {
 		m.way.mu.Lock()
 		troubled = troubled || m.way.mode != serves
@@ -77,7 +83,6 @@
 
 // trouble has one thing happen.
 func (s *site) trouble() {
-	now := time.Now()
 	m := s.instances[s.rng.IntN(len(s.instances))]
 	if s.rng.IntN(2) == 0 {
 		if h := s.holder(s.domains[s.rng.IntN(len(s.domains))]); h != nil {
@@ -106,17 +111,33 @@
 		s.store.deafen()
 	case n == 13:
 		s.store.forget()
-	case n == 14 && s.store.down():
-		if !r.ended && !r.there.IsZero() {
-			r.lapsed = now
-			s.drop(r)
-		}
 	default:
-		s.store.set(serves)
-		for _, m := range s.instances {
-			m.way.set(serves)
+		s.comeBack()
+	}
+}
+
+// lapse removes the row of a living runner if the store has been away for long enough.
+func (s *site) lapse(r *siteRunner) {
+	if now := time.Now(); !r.ended && !r.there.IsZero() && now.Sub(s.away) > 2*siteBeat {
+		r.lapsed = now
+		s.drop(r)
+	}
+}
+
+// comeBack has the store serve everybody. Rows that lapsed are back within two seconds.
+func (s *site) comeBack() {
+	if s.store.down() {
+		s.lost, s.returned = s.away, time.Now()
+		for _, r := range s.runners {
+			if r.there.IsZero() {
+				r.beat = time.Now().Add(time.Duration(s.rng.Int64N(int64(lapsedTime))))
+			}
 		}
 	}
+	s.store.set(serves)
+	for _, m := range s.instances {
+		m.way.set(serves)
+	}
 }
 
 // strike has an instance start again, stand still, or reach no other for a time.
@@ -176,14 +197,18 @@
 type witness struct {
 	site *site
 	knew map[string]map[string]time.Time // by instance and runner: since when it is used
+	kept map[string]map[string]bool      // by instance and runner: it was used before the store was away, and nothing else has happened
 }
 
 func newWitness(s *site) *witness {
-	return &witness{site: s, knew: make(map[string]map[string]time.Time)}
+	return &witness{site: s, knew: make(map[string]map[string]time.Time), kept: make(map[string]map[string]bool)}
 }
 
-// returnTime is how long after the store's return a row that lapsed may be missing, and
-// is not held against whoever gave its runner up meanwhile.
+// lapsedTime is how long after the store's return a row that lapsed may be missing.
+const lapsedTime = 2 * time.Second
+
+// returnTime is how long after its row lapsed a runner may be given up by one that was in
+// trouble itself meanwhile.
 const returnTime = 5 * time.Second
 
 func (w *witness) look() {
@@ -198,6 +223,7 @@
 		}
 		for _, r := range s.runners {
 			uses := m.uses(r.id)
+			w.afterOutage(m, r, uses)
 			if !calm {
 				continue
 			}
@@ -219,6 +245,26 @@
 	}
 }
 
+// afterOutage checks that an instance to which nothing else has happened keeps the living
+// runners whose rows lapsed while the store was away.
+func (w *witness) afterOutage(m *member, r *siteRunner, uses bool) {
+	s := w.site
+	kept := w.kept[m.id]
+	if kept == nil {
+		kept = make(map[string]bool)
+		w.kept[m.id] = kept
+	}
+	switch {
+	case s.store.down() && time.Since(s.away) <= 2*siteStep:
+		kept[r.id] = uses
+	case m.calmSince().After(s.lost.Add(-returnTime)), s.troubled.After(s.returned.Add(siteStep)), r.leaving, r.ended:
+		kept[r.id] = false
+	case !s.store.down() && time.Since(s.returned) < lapsedTime && kept[r.id] && !uses:
+		s.t.Errorf("%s: %s has given up %s, whose row lapsed; the store is back for %s", time.Since(s.began), m.id, r.id, time.Since(s.returned))
+		kept[r.id] = false
+	}
+}
+
 // lives reports whether a runner takes requests, and its row has not lapsed lately.
 func (w *witness) lives(r *siteRunner, now time.Time) bool {
 	return !r.leaving && !r.ended && !r.there.IsZero() && now.Sub(r.lapsed) > returnTime
--- a/internal/instance/gatekeeper/runners.go
+++ b/internal/instance/gatekeeper/runners.go
@@ -14,6 +14,8 @@
 type removal struct {
 	at       time.Time
 	revision uint64
+	by       string // who told of it
+	why      string
 }
 
 // lapse is how long after the store's return a row that is gone may come back:
@@ -65,22 +67,33 @@
 
 // remove takes a runner out, at once or, if the store has just come back, when
 // its row has had the time to come back as well.
-func (g *Gatekeeper) remove(id string, revision uint64) {
-	back, down := g.storeUp.back()
-	if now := time.Now(); !back.IsZero() && !down && now.Sub(back) < lapse {
-		g.mu.Lock()
-		if g.removals == nil {
-			g.removals = make(removals)
-		}
-		if _, waits := g.removals[id]; !waits {
-			g.removals[id] = removal{at: back.Add(lapse), revision: revision}
-			g.Recorder.Log(recorder.Belief, "msg", "runner may be gone", "runner", id, "revision", revision,
-				"until", back.Add(lapse).Sub(now), "why", "the store is back", "since", now.Sub(back))
-		}
-		g.mu.Unlock()
+func (g *Gatekeeper) remove(id string, revision uint64, by, why string) {
+	now := time.Now()
+	back, away := g.storeBack(now)
+	if !away || now.Sub(back) >= lapse {
+		g.removeNow(id, revision, by, why)
 		return
 	}
-	g.removeNow(id, revision, fromStore, whyRow)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.removals == nil {
+		g.removals = make(removals)
+	}
+	if _, waits := g.removals[id]; waits {
+		return
+	}
+	g.removals[id] = removal{at: back.Add(lapse), revision: revision, by: by, why: why}
+	g.Recorder.Log(recorder.Belief, "msg", "runner may be gone", "runner", id, "revision", revision, "by", by, "why", why,
+		"until", back.Add(lapse).Sub(now), "since", now.Sub(back))
+}
+
+// storeBack returns when the store came back; away is false if it never was away.
+func (g *Gatekeeper) storeBack(now time.Time) (back time.Time, away bool) {
+	back, down := g.storeUp.back()
+	if down {
+		return now, true // what is taken in now comes with its first answer, or from others
+	}
+	return back, !back.IsZero()
 }
 
 // removeNow takes a runner out by the word of an instance, or of the store.
@@ -120,7 +133,7 @@
 	}
 	g.mu.Unlock()
 	for id, r := range gone {
-		g.removeNow(id, r.revision, fromStore, whyRow)
+		g.removeNow(id, r.revision, r.by, r.why)
 	}
 }
 
--- a/internal/instance/gatekeeper/runners_test.go
+++ b/internal/instance/gatekeeper/runners_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,7 +38,7 @@
 		_, ok := g.Fleet.Get(runner.ID)
 		return ok
 	}
-	g.remove(runner.ID, runner.Revision)
+	g.remove(runner.ID, runner.Revision, fromStore, whyRow)
 	first = known()
 	for n := range int(drainTime / beat) {
 		time.Sleep(beat)
@@ -63,6 +64,55 @@
 	})
 }
 
+// The first answer after an outage of the store tells that rows of living runners have
+// lapsed. The store counts as away until that answer is taken in, and every runner was
+// dropped by it, here and wherever this instance tells.
+func TestFirstAnswerAfterAnOutageGivesUpNoRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, rand.New(rand.NewPCG(1, 1)), 1, 3)
+		defer synctest.Wait()
+		defer s.end()
+		s.addRunner("a")
+		w := newWitness(s)
+		s.pass(5*time.Second, w)
+		s.store.set(turnsAway)
+		s.pass(4*time.Second, w)
+		lapsed := s.runners[0]
+		s.lapse(lapsed)
+		s.comeBack()
+		lapsed.beat = time.Now().Add(1900 * time.Millisecond)
+		for range 40 {
+			s.pass(50*time.Millisecond, w)
+			for _, m := range s.instances {
+				if !m.uses(lapsed.id) {
+					t.Fatalf("%s gave the runner up", m.id)
+				}
+			}
+		}
+	})
+}
+
+// An instance that started after an outage knows nothing of it: what it lists lacks the
+// living runners whose rows lapsed. Who has seen the outage must wait for them.
+func TestListOfOneThatMissedTheOutageGivesUpNoRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, started := newChained("a-1", "a"), newTeller("b-1", "b", 60)
+		g.setRunner(tracker.Runner{ID: "i-1", Domain: "b", Service: "llm", Revision: 5}, fromStore)
+		g.sawStore(time.Now(), errNoAnswer)
+		time.Sleep(5 * time.Second)
+		g.sawStore(time.Now(), nil)
+		tellList(started, g, "b")
+		if _, known := g.Fleet.Get("i-1"); !known {
+			t.Error("the runner was given up")
+		}
+		time.Sleep(lapse + time.Millisecond)
+		g.due()
+		if _, known := g.Fleet.Get("i-1"); known {
+			t.Error("the runner is known on")
+		}
+	})
+}
+
 // Rows of living runners lapse while the store is away, and are back within two seconds
 // of its return. Without the wait every runner would be dropped after an outage, and every
 // request refused meanwhile.
--- a/internal/instance/gatekeeper/site_test.go
+++ b/internal/instance/gatekeeper/site_test.go
@@ -32,6 +32,9 @@
 	instances []*member
 	fences    map[string]uint64
 	runners   []*siteRunner
+	away      time.Time // when the store served last
+	lost      time.Time // when it had served last before it came back
+	returned  time.Time // when it came back last
 	troubled  time.Time // until when the store was in trouble, for anybody
 	began     time.Time
 }
--- a/internal/instance/gatekeeper/take.go
+++ b/internal/instance/gatekeeper/take.go
@@ -140,7 +140,7 @@
 			later++
 		default:
 			dropped++
-			g.removeNow(r.ID, n.UpTo, n.From, whyUnlisted)
+			g.remove(r.ID, n.UpTo, n.From, whyUnlisted) // its sender may have started after an outage
 		}
 	}
 	g.Recorder.Log(recorder.Belief, "msg", "list", "domain", domain, "by", n.From, "fresh", n.Fresh, "upto", n.UpTo,
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -149,7 +149,7 @@
 	}
 	id := g.Fleet.Named(runner.ID)
 	if known, ok := g.Fleet.Get(id); !ok || known.Revision < r.Version { // else it was described anew since
-		g.remove(id, r.Version)
+		g.remove(id, r.Version, fromStore, whyRow)
 	}
 }
 
@@ -195,7 +195,7 @@
 	for _, d := range g.controllers {
 		for _, known := range d.known() {
 			if !there[known.ID] && known.Revision <= version {
-				g.remove(known.ID, version)
+				g.remove(known.ID, version, fromStore, whyUnlisted)
 			}
 		}
 	}
