Rows that lapsed are waited for from the store's return, not from an instance's own

Callers' requests reached runners 2.0 to 2.2 s after the store had accepted that they leave, just after an outage.

Cause: an instance that came back to the store later than others counted the wait from its own first answer, though others had told it for seconds that they reach the store; and whoever it told inherited the wait. What was due was looked at only after the next call.

Change: holders tell for how long they have reached the store without a break, and the wait counts from the earliest return that an instance knows of. It ends 2.8 s after its own last call that failed, as the store may have been back since then. A holder asks the store that is lost twice a second, and while it waits for rows ten times; what is due is looked at every 50 ms. An instance that is told leaves the rows that it waits for to its teller.

--- a/internal/instance/gatekeeper/compare.go
+++ b/internal/instance/gatekeeper/compare.go
@@ -78,7 +78,27 @@
 	d.mu.Lock()
 	known := d.sum
 	d.mu.Unlock()
-	return n.Sum == known || n.Sum == known^g.waitingSum(domain)
+	if n.Sum == known {
+		g.leaveToTeller(domain, n.UpTo)
+		return true
+	}
+	return n.Sum == known^g.waitingSum(domain)
+}
+
+// leaveToTeller leaves the runners whose removal waits here to an instance that knows of
+// the removal and keeps them: their rows are back, which it need not tell, or it waits for
+// them itself. A holder, which tells others, goes by its own reading.
+func (g *Gatekeeper) leaveToTeller(domain string, upTo uint64) {
+	if g.holdsAny() {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, waits := range g.removals {
+		if r, known := g.Fleet.Get(id); known && r.Domain == domain && waits.revision <= upTo {
+			delete(g.removals, id)
+		}
+	}
 }
 
 // waitingSum returns the checksum of the domain's runners that wait for their removal.
--- a/internal/instance/gatekeeper/dependency.go
+++ b/internal/instance/gatekeeper/dependency.go
@@ -11,6 +11,8 @@
 	down  bool
 	since time.Time // of the last change
 	up    time.Time // when a call succeeded last
+	away  time.Time // when a call was sent last that failed
+	reach reach     // by calls that succeeded
 }
 
 // set takes in whether a call succeeded that was sent at a time, and reports whether
@@ -22,6 +24,9 @@
 	defer d.mu.Unlock()
 	if up {
 		d.up = now
+		d.reach.seen(now, now)
+	} else if sent.After(d.away) {
+		d.away = sent
 	}
 	changed := d.down == up && (up || !sent.Before(d.up))
 	if changed {
@@ -31,6 +36,13 @@
 	return changed
 }
 
+// lastAway returns when the dependency was known to be away last.
+func (d *dependency) lastAway() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.away
+}
+
 // back returns when the dependency came back; the zero time if it never was
 // away.
 func (d *dependency) back() (at time.Time, down bool) {
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -93,6 +93,7 @@
 	choice    choice   // who does
 	headcount headcount
 	reached   moment // as of when another holder reached the store
+	others    reach  // of the store, by other holders
 	mayAsk    moment // from when on the store may be asked for what others could tell
 
 	learning sync.Mutex // held while what is there is compared with what is told
@@ -130,7 +131,7 @@
 		g.unlessTold(g.watchHolders, g.holders.isSpared),
 		g.unlessTold(g.watchOperator, g.operator.isSpared),
 		g.unlessTold(g.watchRunners, func(time.Time) bool { return g.told() }),
-		g.sweep, g.tellPaces, g.tellAges, g.tellCrashes, g.keepRows, g.watchQuarantine,
+		g.awaitRows, g.sweep, g.tellPaces, g.tellAges, g.tellCrashes, g.keepRows, g.watchQuarantine,
 	} {
 		loops.Go(func() { loop(work) })
 	}
--- a/internal/instance/gatekeeper/leaving_test.go
+++ b/internal/instance/gatekeeper/leaving_test.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -8,6 +9,12 @@
 	"time"
 )
 
+var (
+	siteFirst     = flag.Uint64("site.first", 0, "first seed of the random check of runners")
+	siteSeeds     = flag.Uint64("site.seeds", 300, "how many seeds are played")
+	siteInstances = flag.Int("site.instances", 0, "instances in each; 0 for five to ten")
+)
+
 // siteStep is how often a site is looked at.
 const siteStep = 25 * time.Millisecond
 
@@ -17,12 +24,16 @@
 // who is calm uses no runner later than its bound after the store, in its good times,
 // accepted that it leaves, and gives up none whose row is there.
 func TestRunnersAreThoseOfTheStoreWhoeverTellsOfThem(t *testing.T) {
-	for seed := range uint64(300) {
+	for seed := *siteFirst; seed < *siteFirst+*siteSeeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				rng := rand.New(rand.NewPCG(seed, seed))
-				playSite(newSite(t, rng, 2+rng.IntN(2), 5+rng.IntN(6)))
+				domains, instances := 2+rng.IntN(2), 5+rng.IntN(6)
+				if *siteInstances > 0 {
+					domains, instances = 3+rng.IntN(4), *siteInstances
+				}
+				playSite(newSite(t, rng, domains, instances))
 			})
 		})
 	}
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -192,6 +192,9 @@
 		news.Loads, news.Members = d.others(member, now), d.count(now)
 		news.Loaded = true
 		news.Operator = d.gatekeeper.tellOperator(now)
+		if up, ok := d.gatekeeper.storeUp.reach.since(now); ok {
+			news.Up = now.Sub(up)
+		}
 	}
 	news.Line = d.wait(now)
 	news.Load, news.Return = d.gatekeeper.LoadTime(), d.gatekeeper.ReturnTime()
--- /dev/null
+++ b/internal/instance/gatekeeper/reach.go
@@ -0,0 +1,37 @@
+package gatekeeper
+
+import (
+	"sync"
+	"time"
+)
+
+// A reach is the span over which something was reached without a break. Its zero value is
+// ready; it is safe for concurrent use.
+type reach struct {
+	mu    sync.Mutex
+	first time.Time
+	last  time.Time
+}
+
+// briefBreak is how long the store may not be reached without that any row lapses: rows of
+// runners stay for longer without a heartbeat.
+const briefBreak = 2 * time.Second
+
+// seen takes in that it was reached from one time to another.
+func (r *reach) seen(from, to time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.first.IsZero() || from.Before(r.first) || from.Sub(r.last) > briefBreak {
+		r.first = from
+	}
+	if to.After(r.last) {
+		r.last = to
+	}
+}
+
+// since returns since when it is reached; ok is false if it is not.
+func (r *reach) since(now time.Time) (first time.Time, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.first, !r.first.IsZero() && now.Sub(r.last) <= briefBreak
+}
--- /dev/null
+++ b/internal/instance/gatekeeper/reach_test.go
@@ -0,0 +1,41 @@
+package gatekeeper
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Rows that lapsed in an outage are waited for from its end. A pause between two calls
+// must not pass for an outage, nor an outage for a pause.
+func TestReachBeginsAfterTheLastBreak(t *testing.T) {
+	start := time.Now()
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	type span struct{ from, to float64 }
+	for _, tc := range []struct {
+		name  string
+		seen  []span
+		now   float64
+		since float64 // -1: not reached
+	}{
+		{"never", nil, 1, -1},
+		{"without a break", []span{{1, 1}, {2, 2}, {3.5, 3.5}}, 4, 1},
+		{"after a break", []span{{1, 1}, {2, 2}, {4.5, 4.5}, {5, 5}}, 6, 4.5},
+		{"not lately", []span{{1, 1}, {2, 2}}, 5, -1},
+		{"another one has reached it for longer", []span{{3, 3}, {1, 3.1}}, 4, 1},
+		{"told late", []span{{3, 3}, {2, 2}}, 4, 2},
+	} {
+		var r reach
+		for _, s := range tc.seen {
+			r.seen(at(s.from), at(s.to))
+		}
+		got := -1.0
+		if first, ok := r.since(at(tc.now)); ok {
+			got = first.Sub(start).Seconds()
+		}
+		if diff := cmp.Diff(tc.since, got); diff != "" {
+			t.Error(tc.name, diff)
+		}
+	}
+}
--- a/internal/instance/gatekeeper/runners.go
+++ b/internal/instance/gatekeeper/runners.go
@@ -1,8 +1,10 @@
 package gatekeeper
 
 import (
+	"context"
 	"time"
 
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
@@ -23,6 +25,11 @@
 // again within about two seconds.
 const lapse = 2500 * time.Millisecond
 
+// lapseMost is how long after the last call that failed such a row is waited for at most:
+// the store may have been back soon after it, and three seconds after its return no
+// instance is to use a runner that has left.
+const lapseMost = 2800 * time.Millisecond
+
 // Why a runner is taken out, for the log.
 const (
 	whyReplaced = "it has started again"
@@ -69,8 +76,8 @@
 // its row has had the time to come back as well.
 func (g *Gatekeeper) remove(id string, revision uint64, by, why string) {
 	now := time.Now()
-	back, away := g.storeBack(now)
-	if !away || now.Sub(back) >= lapse {
+	until := g.rowsAwaited(now)
+	if !until.After(now) {
 		g.removeNow(id, revision, by, why)
 		return
 	}
@@ -82,18 +89,54 @@
 	if _, waits := g.removals[id]; waits {
 		return
 	}
-	g.removals[id] = removal{at: back.Add(lapse), revision: revision, by: by, why: why}
+	g.removals[id] = removal{at: until, revision: revision, by: by, why: why}
 	g.Recorder.Log(recorder.Belief, "msg", "runner may be gone", "runner", id, "revision", revision, "by", by, "why", why,
-		"until", back.Add(lapse).Sub(now), "since", now.Sub(back))
+		"until", until.Sub(now))
+}
+
+// rowsAwaited returns until when rows that lapsed in an outage of the store are waited for;
+// a time that has passed if none are.
+func (g *Gatekeeper) rowsAwaited(now time.Time) time.Time {
+	back, away := g.storeBack(now)
+	if !away {
+		return time.Time{}
+	}
+	until := back.Add(lapse)
+	failed := g.storeUp.lastAway()
+	if latest := failed.Add(lapseMost); back.Sub(failed) <= briefBreak && latest.Before(until) {
+		return latest
+	}
+	return until
 }
 
-// storeBack returns when the store came back; away is false if it never was away.
+// storeBack returns when the store came back for whoever reached it first; away is false if
+// it never was away for this instance. Counted from its own return, runners that left
+// meanwhile were used for as much longer as it came back later than others, here and
+// wherever it tells.
 func (g *Gatekeeper) storeBack(now time.Time) (back time.Time, away bool) {
 	back, down := g.storeUp.back()
 	if down {
-		return now, true // what is taken in now comes with its first answer, or from others
+		back = now // what is taken in now comes with its first answer, or from others
+	}
+	if others, ok := g.others.since(now); ok && others.Before(back) {
+		back = others
 	}
-	return back, !back.IsZero()
+	return back, down || !back.IsZero()
+}
+
+// awaitRows takes out the runners whose rows have not come back in time, until ctx ends.
+func (g *Gatekeeper) awaitRows(ctx context.Context) {
+	repeater.Every(ctx, dueEvery, nil, g.due)
+}
+
+// dueEvery is how often it is looked whether a removal that waits is due.
+const dueEvery = 50 * time.Millisecond
+
+// awaits reports whether rows that lapsed are waited for.
+func (g *Gatekeeper) awaits() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.removals) > 0
 }
 
 // removeNow takes a runner out by the word of an instance, or of the store.
--- a/internal/instance/gatekeeper/site_test.go
+++ b/internal/instance/gatekeeper/site_test.go
@@ -163,7 +163,7 @@
 	m.mu.Lock()
 	m.g, m.ctx, m.stop = g, ctx, stop
 	m.mu.Unlock()
-	loops := []func(context.Context){g.watchHolders, g.watchOperator, g.watchRunners}
+	loops := []func(context.Context){g.watchHolders, g.watchOperator, g.watchRunners, g.awaitRows}
 	if os.Getenv("SITE_LOG") != "" {
 		loops = append(loops, func(ctx context.Context) { g.Recorder.Run(ctx.Done()) })
 	}
--- a/internal/instance/gatekeeper/take.go
+++ b/internal/instance/gatekeeper/take.go
@@ -36,7 +36,12 @@
 	}
 	g.takeTables(n.Tables, now)
 	if n.Operator.Newest > 0 {
-		g.reached.advance(now.Add(-n.Operator.Age))
+		at := now.Add(-n.Operator.Age)
+		g.reached.advance(at)
+		g.others.seen(at, at)
+	}
+	if n.Up > 0 {
+		g.others.seen(now.Add(-n.Up), now)
 	}
 	if n.Operator.Newest > 0 && g.operator.hear(n.Operator.Newest, now) {
 		g.operator.told.advance(now.Add(-n.Operator.Age))
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -17,6 +17,11 @@
 	// others: the runners of a busy service change many times a second, and each
 	// answer would cost a call.
 	paceHolder = 400 * time.Millisecond
+	// paceAwaiting is the pause of a holder while it waits for rows that lapsed.
+	paceAwaiting = 100 * time.Millisecond
+	// againHolder bounds the pause of a holder between two calls that fail. When the store is
+	// back it tells others so: which runners have left must be known soon after.
+	againHolder = 500 * time.Millisecond
 	// paceAlone is the pause of an instance that nobody tells.
 	paceAlone = 600 * time.Millisecond
 	// unheard is how long an instance trusts that it is told of changes without
@@ -112,12 +117,20 @@
 			return
 		}
 		g.sawStore(began, err)
-		g.due()
-		pace := paceAlone
-		if g.holdsAny() {
-			pace = paceHolder
-		}
-		pause(ctx, max(pace, pauseAfter(err, failed)-time.Since(began)))
+		pause(ctx, g.pace(pauseAfter(err, failed)-time.Since(began)))
+	}
+}
+
+// pace returns the pause before the next call about the runners, where one that failed asks
+// for a time.
+func (g *Gatekeeper) pace(failed time.Duration) time.Duration {
+	switch {
+	case !g.holdsAny():
+		return max(paceAlone, failed)
+	case g.awaits():
+		return paceAwaiting
+	default:
+		return max(paceHolder, min(failed, againHolder))
 	}
 }
 
--- a/internal/member/relayer/gateway.go
+++ b/internal/member/relayer/gateway.go
@@ -91,6 +91,7 @@
 	Members  int                     `cbor:"4,keyasint"`            // instances that subscribe, the sender included
 	Runners  []tracker.Runner        `cbor:"5,keyasint,omitempty"`  // described anew
 	Sum      uint64                  `cbor:"23,keyasint,omitempty"` // checksum of the runners that the sender knows
+	Up       time.Duration           `cbor:"24,keyasint,omitempty"` // for which the sender has reached the store without a break
 	UpTo     uint64                  `cbor:"22,keyasint,omitempty"` // version up to which the sender has read the runners' table itself
 	Whole    bool                    `cbor:"6,keyasint,omitempty"`  // Runners and Held are all there are
 }
