An instance that stood still waits for rows no longer than after its return

Cause: its failed call had been sent before it stood still, so nothing said when the store was away last. Now standing still counts as trouble of its own: three seconds after any, no instance is to use a runner that has left.

--- a/internal/instance/gatekeeper/dependency.go
+++ b/internal/instance/gatekeeper/dependency.go
@@ -11,7 +11,7 @@
 	down  bool
 	since time.Time // of the last change
 	up    time.Time // when a call succeeded last
-	away  time.Time // when a call was sent last that failed
+	away  time.Time // when a call was sent last that failed, or the instance had stood still
 	reach reach     // by calls that succeeded
 }
 
@@ -36,7 +36,17 @@
 	return changed
 }
 
-// lastAway returns when the dependency was known to be away last.
+// stoodStill takes in that the instance did nothing until now: its calls under way say
+// nothing of how long the dependency was away.
+func (d *dependency) stoodStill(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.After(d.away) {
+		d.away = now
+	}
+}
+
+// lastAway returns when the dependency may have been away last.
 func (d *dependency) lastAway() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -97,6 +97,7 @@
 	mayAsk    moment // from when on the store may be asked for what others could tell
 
 	learning sync.Mutex // held while what is there is compared with what is told
+	looked   time.Time  // for removals that are due; under learning
 
 	mu          sync.Mutex
 	versions    map[copyName]int       // newest version of adapters that have another than the first
--- a/internal/instance/gatekeeper/runners.go
+++ b/internal/instance/gatekeeper/runners.go
@@ -25,9 +25,9 @@
 // again within about two seconds.
 const lapse = 2500 * time.Millisecond
 
-// lapseMost is how long after the last call that failed such a row is waited for at most:
-// the store may have been back soon after it, and three seconds after its return no
-// instance is to use a runner that has left.
+// lapseMost is how long such a row is waited for at most after the last call that failed, or
+// after the instance stood still: the store may have been back soon after it, and three
+// seconds after any trouble no instance is to use a runner that has left.
 const lapseMost = 2800 * time.Millisecond
 
 // Why a runner is taken out, for the log.
@@ -134,8 +134,12 @@
 	repeater.Every(ctx, dueEvery, nil, g.due)
 }
 
-// dueEvery is how often it is looked whether a removal that waits is due.
-const dueEvery = 50 * time.Millisecond
+const (
+	// dueEvery is how often it is looked whether a removal that waits is due.
+	dueEvery = 50 * time.Millisecond
+	// stoodStillFor is the time without a look after which the instance has stood still.
+	stoodStillFor = time.Second
+)
 
 // awaits reports whether rows that lapsed are waited for.
 func (g *Gatekeeper) awaits() bool {
@@ -170,7 +174,12 @@
 func (g *Gatekeeper) due() {
 	g.learning.Lock()
 	defer g.learning.Unlock()
-	if now := time.Now(); g.rowsAwaited(now).After(now) {
+	now := time.Now()
+	if !g.looked.IsZero() && now.Sub(g.looked) > stoodStillFor {
+		g.storeUp.stoodStill(now)
+	}
+	g.looked = now
+	if g.rowsAwaited(now).After(now) {
 		return
 	}
 	g.mu.Lock()
