--- a/internal/instance/gatekeeper/site_peers_test.go
+++ b/internal/instance/gatekeeper/site_peers_test.go
@@ -112,7 +112,8 @@
 		select {
 		case w := <-c.words:
 			pause(ctx, time.Until(w.at))
-			c.from.await(c.from.ctx)
+			_, lives := c.from.running()
+			c.from.await(lives)
 			if w.over && w.err == nil {
 				w.err = errLink
 			}
