--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -69,12 +69,12 @@
 	defer d.mu.Unlock()
 	c, ok := d.runners[r.ID]
 	if ok {
-		d.countRunner(c.runner)
+		d.toggleChecksum(c.runner)
 	} else {
 		c = &runnerState{}
 		d.runners[r.ID] = c
 	}
-	d.countRunner(r)
+	d.toggleChecksum(r)
 	c.runner = r
 	if changed {
 		d.news.add(event{runner: &r})
@@ -100,7 +100,7 @@
 	if !known {
 		return
 	}
-	d.countRunner(c.runner)
+	d.toggleChecksum(c.runner)
 	delete(d.runners, id)
 	d.news.add(event{gone: &relayer.Gone{Runner: id, Revision: revision}})
 }
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -104,7 +104,7 @@
 	controllers map[string]*controller // by failure domain
 	links       map[string]*link       // by failure domain
 	stopState
-	removals   removals
+	pending    pendingRemovals
 	storeUp    dependency
 	crashes    checks
 	quarantine quarantine
@@ -132,7 +132,7 @@
 		g.unlessTold(g.watchHolders, g.holders.isSpared),
 		g.unlessTold(g.watchOperator, g.operator.isSpared),
 		g.unlessTold(g.watchRunners, func(time.Time) bool { return g.told() }),
-		g.awaitRows, g.sweep, g.tellPaces, g.tellAges, g.tellCrashes, g.keepRows, g.watchQuarantine,
+		g.expireRemovals, g.sweep, g.tellPaces, g.tellAges, g.tellCrashes, g.keepRows, g.watchQuarantine,
 	} {
 		loops.Go(func() { loop(work) })
 	}
--- a/internal/instance/gatekeeper/leaving_test.go
+++ b/internal/instance/gatekeeper/leaving_test.go
@@ -18,11 +18,8 @@
 // siteStep is how often a site is looked at.
 const siteStep = 25 * time.Millisecond
 
-// Runners drain, leave without a word, lapse and register while instances that tell
-// others are stopped, killed, frozen, cut off and turned away by the store, which is away
-// for all and forgets its history, in overlapping series. Whatever comes in which order:
-// who is calm uses no runner later than its bound after the store, in its good times,
-// accepted that it leaves, and gives up none whose row is there.
+// Guards against runners that are used after they have left, or removed while they live,
+// whichever instances fail, in whatever order.
 func TestRunnersAreThoseOfTheStoreWhoeverTellsOfThem(t *testing.T) {
 	for seed := *siteFirst; seed < *siteFirst+*siteSeeds; seed++ {
 		playSeed(t, seed)
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -17,7 +17,7 @@
 
 	mu       sync.Mutex
 	asked    map[gatherer.Key]time.Time // wants that the holder was told of in a hurry
-	compared comparison
+	diverged divergence
 	former   source    // that was told before via
 	fresh    time.Time // when whoever tells last knew the runners as they were, and this instance knew the same
 	heard    time.Time // when the last word of the holder came
--- a/internal/instance/gatekeeper/link_test.go
+++ b/internal/instance/gatekeeper/link_test.go
@@ -67,11 +67,11 @@
 		old := tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 1}
 		g.setRunner(old, fromStore)
 		g.setRunner(tracker.Runner{ID: "i-2", Domain: "a", Service: "llm", Revision: 2}, fromStore)
-		l.take(relayer.News{UpTo: 1, Whole: true, Runners: []tracker.Runner{old}})
+		l.take(relayer.News{Revision: 1, Whole: true, Runners: []tracker.Runner{old}})
 		if _, there := g.Fleet.Get("i-2"); !there {
 			t.Error("a runner was dropped that the holder could not know")
 		}
-		l.take(relayer.News{Fresh: true, UpTo: 2, Whole: true, Runners: []tracker.Runner{old}})
+		l.take(relayer.News{Fresh: true, Revision: 2, Whole: true, Runners: []tracker.Runner{old}})
 		if _, there := g.Fleet.Get("i-2"); there {
 			t.Error("a runner is kept that is gone")
 		}
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -160,7 +160,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	news.Fresh, news.UpTo, news.Sum = d.gatekeeper.fresh(), d.gatekeeper.runners.upTo(), d.sum
+	news.Fresh, news.Revision, news.Checksum = d.gatekeeper.fresh(), d.gatekeeper.runners.upTo(), d.sum
 	if d.elector.Holds(uptime()) {
 		d.tellHeld(&news, member, due, now)
 	} else {
--- a/internal/instance/gatekeeper/reach_test.go
+++ b/internal/instance/gatekeeper/reach_test.go
@@ -7,8 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// Rows that lapsed in an outage are waited for from its end. A pause between two calls
-// must not pass for an outage, nor an outage for a pause.
+// Guards against a pause between two calls that passes for an outage, and the reverse.
 func TestReachBeginsAfterTheLastBreak(t *testing.T) {
 	start := time.Now()
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
--- /dev/null
+++ b/internal/instance/gatekeeper/resync.go
@@ -0,0 +1,134 @@
+package gatekeeper
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
+)
+
+// Each message about runners carries a checksum of those that its sender knows. After a
+// snapshot only deltas are sent: a receiver that differs, for whatever reason, would differ
+// for good. It requests a snapshot, and meanwhile does not rely on the sender.
+
+const (
+	// divergedFor is how long runners may differ before a snapshot is requested, as messages
+	// of several instances overtake each other.
+	divergedFor = 2 * beat
+	// resyncFirst and resyncMost bound the exponential delay between two requests.
+	resyncFirst = 500 * time.Millisecond
+	resyncMost  = 8 * time.Second
+)
+
+// A divergence is for how long the runners that are known differ from those of the source.
+// Its zero value is ready.
+type divergence struct {
+	since     time.Time // zero if they match
+	requested time.Time // when a snapshot was requested last
+	requests  int       // since they began to differ
+}
+
+// observe takes in whether they match.
+func (d *divergence) observe(matches bool, now time.Time) {
+	switch {
+	case matches:
+		*d = divergence{}
+	case d.since.IsZero():
+		d.since = now
+	}
+}
+
+// resync reports whether a snapshot is to be requested now.
+func (d *divergence) resync(now time.Time) bool {
+	if d.since.IsZero() || now.Sub(d.since) < divergedFor {
+		return false
+	}
+	delay := min(resyncMost, resyncFirst<<min(d.requests, 8))
+	if d.requests > 0 && now.Sub(d.requested) < delay {
+		return false
+	}
+	d.requests++
+	d.requested = now
+	return true
+}
+
+// checksum returns that of one runner; those of several are combined with XOR, so that
+// their order does not matter.
+func checksum(r tracker.Runner) uint64 {
+	id := r.ID
+	if r.Leaving {
+		id += " leaves"
+	}
+	return xxhash.Sum64String(id)
+}
+
+// toggleChecksum changes the checksum of the domain by a runner that comes or goes.
+func (d *controller) toggleChecksum(r tracker.Runner) {
+	if r.Domain == d.domain {
+		d.sum ^= checksum(r)
+	}
+}
+
+// matches reports whether the runners of the sender are those that are known. One whose
+// removal is pending may be among them or not.
+func (g *Gatekeeper) matches(domain string, n relayer.News) bool {
+	d := g.controllers[domain]
+	d.mu.Lock()
+	known := d.sum
+	d.mu.Unlock()
+	if n.Checksum == known {
+		g.deferToSource(domain, n.Revision)
+		return true
+	}
+	return n.Checksum == known^g.pendingChecksum(domain)
+}
+
+// deferToSource cancels the pending removals that the sender has read too without removing
+// the runner: its row is back, which is no delta, or the removal is pending there. A holder
+// goes by its own reading.
+func (g *Gatekeeper) deferToSource(domain string, revision uint64) {
+	if g.holdsAny() {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, pending := range g.pending {
+		if r, known := g.Fleet.Get(id); known && r.Domain == domain && pending.revision <= revision {
+			delete(g.pending, id)
+		}
+	}
+}
+
+// pendingChecksum returns the checksum of the domain's runners whose removal is pending.
+func (g *Gatekeeper) pendingChecksum(domain string) uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var sum uint64
+	for id := range g.pending {
+		if r, known := g.Fleet.Get(id); known && r.Domain == domain {
+			sum ^= checksum(r)
+		}
+	}
+	return sum
+}
+
+// needsResync reports whether a snapshot of the domain's runners is to be requested. A
+// holder reads the store itself.
+func (l *link) needsResync() bool {
+	g := l.gatekeeper
+	if g.holdsAny() {
+		return false
+	}
+	l.mu.Lock()
+	since := l.diverged.since
+	due := l.diverged.resync(time.Now())
+	l.mu.Unlock()
+	if due {
+		g.Metrics.GetOrCreateCounter("sardinetiller_resyncs_total").Inc()
+		g.Recorder.Log(recorder.Belief, "msg", "runners differ from those of the source; requesting a snapshot", "domain", l.domain, "since", time.Since(since))
+	}
+	return due
+}
--- a/internal/instance/gatekeeper/runners_test.go
+++ b/internal/instance/gatekeeper/runners_test.go
@@ -46,7 +46,7 @@
 			runner.Revision++
 			g.setRunner(runner, fromStore)
 		}
-		g.due()
+		g.removeExpired()
 	}
 	return first, known()
 }
@@ -64,10 +64,8 @@
 	})
 }
 
-// The first answer after an outage of the store tells that rows of living runners have
-// lapsed. The store counts as away until that answer is taken in, and every runner was
-// dropped by it, here and wherever this instance tells.
-func TestFirstAnswerAfterAnOutageGivesUpNoRunner(t *testing.T) {
+// Guards against an outage of the store that costs all living runners.
+func TestFirstAnswerAfterAnOutageRemovesNoRunner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, rand.New(rand.NewPCG(1, 1)), 1, 3)
 		defer synctest.Wait()
@@ -92,21 +90,20 @@
 	})
 }
 
-// An instance that started after an outage knows nothing of it: what it lists lacks the
-// living runners whose rows lapsed. Who has seen the outage must wait for them.
-func TestListOfOneThatMissedTheOutageGivesUpNoRunner(t *testing.T) {
+// Guards against living runners that are lost as a source has started after the outage.
+func TestSnapshotOfOneThatMissedTheOutageRemovesNoRunner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g, started := newChained("a-1", "a"), newTeller("b-1", "b", 60)
 		g.setRunner(tracker.Runner{ID: "i-1", Domain: "b", Service: "llm", Revision: 5}, fromStore)
 		g.sawStore(time.Now(), errNoAnswer)
 		time.Sleep(5 * time.Second)
 		g.sawStore(time.Now(), nil)
-		tellList(started, g, "b")
+		tellSnapshot(started, g, "b")
 		if _, known := g.Fleet.Get("i-1"); !known {
 			t.Error("the runner was given up")
 		}
-		time.Sleep(lapse + time.Millisecond)
-		g.due()
+		time.Sleep(removalGrace + time.Millisecond)
+		g.removeExpired()
 		if _, known := g.Fleet.Get("i-1"); known {
 			t.Error("the runner is known on")
 		}
--- a/internal/instance/gatekeeper/site_test.go
+++ b/internal/instance/gatekeeper/site_test.go
@@ -163,7 +163,7 @@
 	m.mu.Lock()
 	m.g, m.ctx, m.stop = g, ctx, stop
 	m.mu.Unlock()
-	loops := []func(context.Context){g.watchHolders, g.watchOperator, g.watchRunners, m.awaitRows}
+	loops := []func(context.Context){g.watchHolders, g.watchOperator, g.watchRunners, m.expireRemovals}
 	if os.Getenv("SITE_LOG") != "" {
 		loops = append(loops, func(ctx context.Context) { g.Recorder.Run(ctx.Done()) })
 	}
@@ -175,11 +175,11 @@
 	}
 }
 
-// awaitRows does what the instance does about rows that lapsed, unless it stands still.
-func (m *member) awaitRows(ctx context.Context) {
-	for g := m.now(); ctx.Err() == nil; pause(ctx, dueEvery) {
+// expireRemovals does what the instance does about rows that lapsed, unless it stands still.
+func (m *member) expireRemovals(ctx context.Context) {
+	for g := m.now(); ctx.Err() == nil; pause(ctx, expireEvery) {
 		m.await(ctx)
-		g.due()
+		g.removeExpired()
 	}
 }
 
--- a/internal/instance/gatekeeper/list_test.go
+++ b/internal/instance/gatekeeper/snapshot_test.go
@@ -13,8 +13,8 @@
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 )
 
-// tellList has an instance tell another all that it knows of a domain.
-func tellList(from, to *Gatekeeper, domain string) {
+// tellSnapshot has an instance send another a snapshot of a domain.
+func tellSnapshot(from, to *Gatekeeper, domain string) {
 	news, _, _ := from.controllers[domain].digest(to.Config.ID, -1, true)
 	news.From = from.Config.ID
 	to.links[domain].take(news)
@@ -30,13 +30,12 @@
 }
 
 // Requests reached a runner seconds after it had said that it leaves, from a few of many
-// instances, soon after the tenures of two failure domains had changed hands. An instance
-// that had just read that the runner leaves was told a list that was a moment older, and
-// from then on told the older description to whoever asked it for a list; when the leaving
-// came by the other way too it was nothing new, and nobody was told. Proved by this order
-// of events, and by the logs of the random check below, where the same instance logs
-// "leaving=true revision=58 by=store" and then "leaving=false revision=7" by another one.
-func TestRunnerThatLeavesIsToldAsLeavingAfterAnOlderList(t *testing.T) {
+// instances, soon after leaders had changed. An instance that had read that the runner
+// leaves received a slightly older snapshot, and from then on sent the older description in
+// its own snapshots; received once more, the leaving was no delta any more. The logs of the
+// random check (leaving_test.go) proved it: "leaving=true revision=58", then
+// "leaving=false revision=7" at the same instance.
+func TestOlderSnapshotDoesNotHideThatARunnerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ready := tracker.Runner{ID: "i-1", Domain: "b", Service: "llm", Revision: 7}
 		leaves := ready
@@ -45,10 +44,10 @@
 		behind.setRunner(ready, fromStore)
 		teller.setRunner(ready, fromStore)
 		teller.setRunner(leaves, fromStore)
-		tellList(behind, teller, "b")
-		tellList(teller, member, "b")
+		tellSnapshot(behind, teller, "b")
+		tellSnapshot(teller, member, "b")
 		behind.setRunner(leaves, fromStore)
-		tellList(behind, teller, "b")
+		tellSnapshot(behind, teller, "b")
 		told, _ := member.Fleet.Get("i-1")
 		if diff := cmp.Diff(leaves, told); diff != "" {
 			t.Error(diff)
@@ -56,10 +55,8 @@
 	})
 }
 
-// An instance changes its teller. A runner that left meanwhile is not in the list of the
-// new one, which has not had an answer of the store for a second; its next words tell only
-// what changes. The runner must not be used on for as long as this instance is told.
-func TestRunnerMissingFromAListThatIsNotFreshIsNotUsed(t *testing.T) {
+// Guards against a runner that is used for good after a change of the source.
+func TestRunnerMissingFromAStaleSnapshotIsNotUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		first, second, member := newTeller("a-1", "a", 50), newTeller("a-3", "a", 60), newChained("a-2", "a")
 		one := tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 40}
@@ -67,32 +64,28 @@
 		first.setRunner(one, fromStore)
 		first.setRunner(two, fromStore)
 		second.setRunner(two, fromStore)
-		tellList(first, member, "a")
+		tellSnapshot(first, member, "a")
 		time.Sleep(freshFor + time.Millisecond)
-		tellList(second, member, "a")
+		tellSnapshot(second, member, "a")
 		if _, known := member.Fleet.Get(one.ID); known {
-			t.Error("a runner is known that the teller does not list")
+			t.Error("a runner is known that the source does not know")
 		}
 	})
 }
 
-// An instance reads the store, and is then told a list by one that has read it a moment
-// earlier. It must not give up the runners that have registered in between: requests were
-// refused for want of them until each wrote its row again.
-func TestOlderListGivesUpNoRunner(t *testing.T) {
+// Guards against requests refused for want of runners that have just registered.
+func TestOlderSnapshotRemovesNoRunner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g, behind := newTeller("a-1", "a", 7), newTeller("b-1", "b", 5)
 		g.setRunner(tracker.Runner{ID: "i-1", Domain: "b", Service: "llm", Revision: 6}, fromStore)
-		tellList(behind, g, "b")
+		tellSnapshot(behind, g, "b")
 		if _, known := g.Fleet.Get("i-1"); !known {
 			t.Error("a runner was given up that the other instance could not know")
 		}
 	})
 }
 
-// An instance has read that a runner is gone, or never knew it, and is told a description
-// from before. The store will not tell it of the removal again, so the runner would be
-// used for as long as the process lives.
+// Guards against a removed runner that is used again: the store tells of a removal once.
 func TestRunnerIsNotBroughtBackByAnOlderDescription(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
@@ -114,7 +107,7 @@
 				}
 				behind := newTeller("b-1", "b", 5)
 				behind.setRunner(tracker.Runner{ID: "i-1", Domain: "b", Service: "llm", Revision: 5}, fromStore)
-				tellList(behind, g, "b")
+				tellSnapshot(behind, g, "b")
 				if _, known := g.Fleet.Get("i-1"); known {
 					t.Error("a runner is known that the store has not had for long")
 				}
@@ -123,9 +116,8 @@
 	}
 }
 
-// The row of a runner is gone, and its removal waits as the store has just come back. A
-// description from before the removal must not call it off, or the runner is used for good.
-func TestOlderDescriptionDoesNotCallARemovalOff(t *testing.T) {
+// Guards against a runner that is used for good as its pending removal was cancelled.
+func TestOlderDescriptionCancelsNoRemoval(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newChained("a-1", "a")
 		g.Decoder = siteDecoder{}
@@ -137,18 +129,16 @@
 		g.runnerRow(tabler.Row{Key: "runners/i-1", Version: 9, Removed: true})
 		runner.Revision = 7
 		g.setRunner(runner, "b-1")
-		time.Sleep(2 * lapse)
-		g.due()
+		time.Sleep(2 * removalGrace)
+		g.removeExpired()
 		if _, known := g.Fleet.Get(runner.ID); known {
-			t.Errorf("the runner is known %s after its row was removed", 2*lapse)
+			t.Errorf("the runner is known %s after its row was removed", 2*removalGrace)
 		}
 	})
 }
 
-// A list is taken for what it says only as far as its teller has read the store. An
-// instance of an earlier version says nothing of that, and must not be trusted with what
-// there is: whoever is told by it asks the store itself.
-func TestListOfUnknownAgeIsNotTrusted(t *testing.T) {
+// Guards against snapshots of instances of an earlier version, which carry no revision.
+func TestSnapshotWithoutRevisionIsNotTrusted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newChained("a-2", "a")
 		g.setRunner(tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 1}, fromStore)
@@ -163,9 +153,8 @@
 	})
 }
 
-// Two instances differ in what they know of the runners, for whatever reason. Told only of
-// changes they would differ for good.
-func TestListIsAskedForAgainWhereKnowledgeDiffers(t *testing.T) {
+// Guards against instances that differ for good, as only deltas are sent.
+func TestSnapshotIsRequestedAfterADivergence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, rand.New(rand.NewPCG(1, 1)), 1, 2)
 		defer synctest.Wait()
--- a/internal/instance/gatekeeper/subscribe.go
+++ b/internal/instance/gatekeeper/subscribe.go
@@ -109,7 +109,7 @@
 		news.From = from.id
 		l.heardBy(from, news)
 		l.take(news)
-		if l.relists() {
+		if l.needsResync() {
 			return // a subscription begins with one
 		}
 	}
--- a/internal/instance/gatekeeper/take.go
+++ b/internal/instance/gatekeeper/take.go
@@ -19,10 +19,10 @@
 		return
 	}
 	g.takeReach(n, now)
-	alike := l.takeRunners(n)
+	matches := l.takeRunners(n)
 	l.mu.Lock()
-	l.compared.note(alike, now)
-	if n.Fresh && alike {
+	l.diverged.observe(matches, now)
+	if n.Fresh && matches {
 		l.fresh = now
 	}
 	if heard := now.Add(-n.Silence); heard.After(l.heard) {
@@ -83,12 +83,12 @@
 
 // takeRunners takes in which runners there are, and reports whether those that are known
 // then are those that the sender knows.
-func (l *link) takeRunners(n relayer.News) (alike bool) {
+func (l *link) takeRunners(n relayer.News) (matches bool) {
 	g := l.gatekeeper
 	g.learning.Lock()
 	defer g.learning.Unlock()
 	if n.Whole {
-		g.dropOthers(l.domain, n)
+		g.applySnapshot(l.domain, n)
 	}
 	for _, r := range n.Runners {
 		g.setRunner(r, n.From)
@@ -99,9 +99,9 @@
 		}
 	}
 	if n.Whole {
-		g.Fleet.Current(l.domain, n.UpTo)
+		g.Fleet.CompleteTo(l.domain, n.Revision)
 	}
-	return g.alike(l.domain, n)
+	return g.matches(l.domain, n)
 }
 
 // takeHeld takes in what the runners hold.
@@ -136,10 +136,10 @@
 	}
 }
 
-// dropOthers takes out the runners of a domain that a list lacks. The list is as of the
-// version up to which its sender has read the store, however current that is: it says
-// nothing of a runner that was described later.
-func (g *Gatekeeper) dropOthers(domain string, n relayer.News) {
+// applySnapshot takes out the runners of a domain that a snapshot lacks. It is complete up to
+// the revision up to which its sender has read the store, and says nothing of runners that
+// were described later.
+func (g *Gatekeeper) applySnapshot(domain string, n relayer.News) {
 	listed := make(map[string]bool, len(n.Runners))
 	for _, r := range n.Runners {
 		listed[r.ID] = true
@@ -148,13 +148,13 @@
 	for _, r := range g.controllers[domain].known() {
 		switch {
 		case r.Domain != domain, listed[r.ID]:
-		case r.Revision > n.UpTo:
+		case r.Revision > n.Revision:
 			later++
 		default:
 			dropped++
-			g.remove(r.ID, n.UpTo, n.From, whyUnlisted) // its sender may have started after an outage
+			g.remove(r.ID, n.Revision, n.From, whyUnlisted) // its sender may have started after an outage
 		}
 	}
-	g.Recorder.Log(recorder.Belief, "msg", "list", "domain", domain, "by", n.From, "fresh", n.Fresh, "upto", n.UpTo,
+	g.Recorder.Log(recorder.Belief, "msg", "snapshot", "domain", domain, "by", n.From, "fresh", n.Fresh, "revision", n.Revision,
 		"runners", len(n.Runners), "dropped", dropped, "later", later)
 }
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -127,7 +127,7 @@
 	switch {
 	case !g.holdsAny():
 		return max(paceAlone, failed)
-	case g.awaits():
+	case g.hasPending():
 		return paceAwaiting
 	default:
 		return max(paceHolder, min(failed, againHolder))
@@ -179,7 +179,7 @@
 // allKnown notes that all runners are known as of a version.
 func (g *Gatekeeper) allKnown(version uint64) {
 	for _, domain := range g.domains() {
-		g.Fleet.Current(domain, version)
+		g.Fleet.CompleteTo(domain, version)
 	}
 }
 
--- a/internal/member/relayer/gateway.go
+++ b/internal/member/relayer/gateway.go
@@ -90,9 +90,9 @@
 	Return   time.Duration           `cbor:"19,keyasint,omitempty"` // that one takes which the runner held before
 	Members  int                     `cbor:"4,keyasint"`            // instances that subscribe, the sender included
 	Runners  []tracker.Runner        `cbor:"5,keyasint,omitempty"`  // described anew
-	Sum      uint64                  `cbor:"23,keyasint,omitempty"` // checksum of the runners that the sender knows
+	Checksum uint64                  `cbor:"23,keyasint,omitempty"` // checksum of the runners that the sender knows
 	Reached  Span                    `cbor:"24,keyasint,omitzero"`  // over which the store was reached without a break, up to the sender's last call
-	UpTo     uint64                  `cbor:"22,keyasint,omitempty"` // version up to which the sender has read the runners' table itself
+	Revision uint64                  `cbor:"22,keyasint,omitempty"` // revision of the store up to which the sender has read the runners' table itself
 	Whole    bool                    `cbor:"6,keyasint,omitempty"`  // Runners and Held are all there are
 }
 
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -15,15 +15,15 @@
 type Fleet struct {
 	Domain string // of this instance
 
-	mu      sync.Mutex
-	current map[string]uint64 // by failure domain: the version of the store as of which all its runners are known
-	gone    map[string]uint64 // runners that are gone, and their last revision
-	named   map[string]string // the incarnation that goes by a name
-	runners map[string]*state
-	paces   map[string]*pace         // by service
-	lines   map[string]time.Duration // by failure domain: until a load begins there
-	idle    map[string]bool          // failure domains whose runners get no orders now
-	times   map[string]Times         // by failure domain, as last told
+	mu       sync.Mutex
+	complete map[string]uint64 // by failure domain: the version of the store as of which all its runners are known
+	gone     map[string]uint64 // runners that are gone, and their last revision
+	named    map[string]string // the incarnation that goes by a name
+	runners  map[string]*state
+	paces    map[string]*pace         // by service
+	lines    map[string]time.Duration // by failure domain: until a load begins there
+	idle     map[string]bool          // failure domains whose runners get no orders now
+	times    map[string]Times         // by failure domain, as last told
 }
 
 // Times are how long adapters take to come.
@@ -69,7 +69,7 @@
 	defer f.mu.Unlock()
 	f.init()
 	s, known := f.runners[r.ID]
-	if known && r.Revision < s.Revision || !known && r.Revision <= max(f.gone[r.ID], f.current[r.Domain]) {
+	if known && r.Revision < s.Revision || !known && r.Revision <= max(f.gone[r.ID], f.complete[r.Domain]) {
 		return Runner{}, false
 	}
 	if other, is := f.runners[f.named[r.Name()]]; is && other.ID != r.ID {
@@ -93,13 +93,13 @@
 	return replaced, ok
 }
 
-// Current takes in that all runners of a failure domain are known as of a version of the
+// CompleteTo takes in that all runners of a failure domain are known as of a version of the
 // store.
-func (f *Fleet) Current(domain string, version uint64) {
+func (f *Fleet) CompleteTo(domain string, version uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.init()
-	f.current[domain] = max(f.current[domain], version)
+	f.complete[domain] = max(f.complete[domain], version)
 }
 
 // Named returns the incarnation that goes by a name now. Without one it returns
@@ -347,7 +347,7 @@
 
 func (f *Fleet) init() {
 	if f.runners == nil {
-		f.current = make(map[string]uint64)
+		f.complete = make(map[string]uint64)
 		f.gone = make(map[string]uint64)
 		f.named = make(map[string]string)
 		f.runners = make(map[string]*state)
