A span from before an outage of the store does not hide the outage

By reading, with a test that failed: what another instance told late, of a time before the store was away, was joined with what came after it. Rows that lapsed were not waited for then, and callers refused for want of living runners.

--- a/internal/instance/gatekeeper/reach.go
+++ b/internal/instance/gatekeeper/reach.go
@@ -21,12 +21,17 @@
 func (r *reach) seen(from, to time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.first.IsZero() || from.Before(r.first) || from.Sub(r.last) > briefBreak {
-		r.first = from
+	switch {
+	case r.first.IsZero(), from.Sub(r.last) > briefBreak:
+		r.first, r.last = from, to
+		return
+	case r.first.Sub(to) > briefBreak:
+		return // told late: a span from before the break
 	}
-	if to.After(r.last) {
-		r.last = to
+	if from.Before(r.first) {
+		r.first = from
 	}
+	r.last = later(r.last, to)
 }
 
 // span returns since when it is reached, and when it was last; ok is false if that is too
--- a/internal/instance/gatekeeper/reach_test.go
+++ b/internal/instance/gatekeeper/reach_test.go
@@ -24,6 +24,7 @@
 		{"not lately", []span{{1, 1}, {2, 2}}, 5, -1},
 		{"another one has reached it for longer", []span{{3, 3}, {1, 3.1}}, 4, 1},
 		{"told late", []span{{3, 3}, {2, 2}}, 4, 2},
+		{"told late of a span before the break", []span{{1, 2}, {5, 5}, {1, 2.5}}, 6, 5},
 	} {
 		var r reach
 		for _, s := range tc.seen {
