One type knows when the store was reached, and by whom

Read again: when the store came back for whoever reached it first stood in three places, the dependency, a span of others beside it and a function that joined the two and wrote to one of them whenever it was asked; the time of the last success was kept twice. The dependency holds both spans now and answers when the store returned without changing anything.

Looks for pending removals cost nothing while there are none; a row of a runner that tells nothing new looks up no removal. The three seconds after which what is bounded in time holds are a constant, from which the grace time follows.

--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -93,7 +93,6 @@
 	choice    choice   // who does
 	headcount headcount
 	reached   moment // as of when another holder reached the store
-	others    reach  // of the store, by other holders
 	mayAsk    moment // from when on the store may be asked for what others could tell
 
 	learning sync.Mutex // held while what is there is compared with what is told
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -201,16 +201,12 @@
 	news.Tenure = d.elector.Holder()
 }
 
-// tellReach returns over which span the store was reached: by calls of this instance, and
-// before them by those of others.
+// tellReach returns over which span the store was reached.
 func (g *Gatekeeper) tellReach(now time.Time) relayer.Span {
-	first, last, ok := g.storeUp.reach.span(now)
+	first, last, ok := g.storeUp.reached(now)
 	if !ok {
 		return relayer.Span{}
 	}
-	if others, until, reached := g.others.span(now); reached && first.Sub(until) <= briefBreak && others.Before(first) {
-		first = others
-	}
 	return relayer.Span{First: now.Sub(first), Last: now.Sub(last)}
 }
 
--- a/internal/instance/gatekeeper/pending.go
+++ b/internal/instance/gatekeeper/pending.go
@@ -26,10 +26,12 @@
 const (
 	// removalGrace is how long after the store's return a row may come back.
 	removalGrace = 2500 * time.Millisecond
-	// graceAfterTrouble bounds the grace time by this instance's last trouble: the store may
-	// have been back soon after it, and three seconds after any trouble no instance is to use
-	// a runner that has left.
-	graceAfterTrouble = 2800 * time.Millisecond
+	// settled is how long after any trouble no instance uses a runner that has left. It is
+	// the shortest that any deployment asks for.
+	settled = 3 * time.Second
+	// graceAfterTrouble bounds the grace time by this instance's last trouble, as the store may
+	// have been back soon after it. What is left is for the removal to reach everybody.
+	graceAfterTrouble = settled - 200*time.Millisecond
 	// expireEvery is how often it is looked whether the grace time is over.
 	expireEvery = 50 * time.Millisecond
 	// stoodStillFor is the time without such a look after which the instance has stood still.
@@ -68,7 +70,7 @@
 
 // removalDue returns when the grace time ends; a time that has passed if there is none.
 func (g *Gatekeeper) removalDue(now time.Time) time.Time {
-	returned, away := g.storeReturned(now)
+	returned, away := g.storeUp.returned(now)
 	if !away {
 		return time.Time{}
 	}
@@ -80,25 +82,6 @@
 	return due
 }
 
-// storeReturned returns when the store came back for whoever reached it first; away is
-// false if it never was away for this instance. Counted from its own return, runners that
-// had left were used for as much longer as it came back later than others.
-func (g *Gatekeeper) storeReturned(now time.Time) (returned time.Time, away bool) {
-	others, _, reached := g.others.span(now)
-	if reached {
-		g.storeUp.backBefore(others)
-	}
-	returned, down := g.storeUp.back()
-	switch {
-	case down && reached:
-		return others, true
-	case down:
-		return now, true // what is taken in now comes with the store's first answer
-	default:
-		return returned, !returned.IsZero()
-	}
-}
-
 // expireRemovals executes pending removals after the grace time, until ctx ends.
 func (g *Gatekeeper) expireRemovals(ctx context.Context) {
 	repeater.Every(ctx, expireEvery, nil, g.removeExpired)
@@ -113,7 +96,7 @@
 		g.storeUp.stoodStill(now)
 	}
 	g.looked = now
-	if g.removalDue(now).After(now) {
+	if !g.hasPending() || g.removalDue(now).After(now) {
 		return
 	}
 	g.mu.Lock()
--- a/internal/instance/gatekeeper/reach.go
+++ b/internal/instance/gatekeeper/reach.go
@@ -1,14 +1,10 @@
 package gatekeeper
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 // A reach is the span over which something was reached without a break. Its zero value is
-// ready; it is safe for concurrent use.
+// ready.
 type reach struct {
-	mu    sync.Mutex
 	first time.Time
 	last  time.Time
 }
@@ -19,8 +15,6 @@
 
 // seen takes in that it was reached from one time to another.
 func (r *reach) seen(from, to time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	switch {
 	case r.first.IsZero(), from.Sub(r.last) > briefBreak:
 		r.first, r.last = from, to
@@ -34,10 +28,5 @@
 	r.last = later(r.last, to)
 }
 
-// span returns since when it is reached, and when it was last; ok is false if that is too
-// long ago.
-func (r *reach) span(now time.Time) (first, last time.Time, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.first, r.last, !r.first.IsZero() && now.Sub(r.last) <= briefBreak
-}
+// lasts reports whether it is reached now.
+func (r *reach) lasts(now time.Time) bool { return !r.first.IsZero() && now.Sub(r.last) <= briefBreak }
--- a/internal/instance/gatekeeper/reach_test.go
+++ b/internal/instance/gatekeeper/reach_test.go
@@ -31,8 +31,8 @@
 			r.seen(at(s.from), at(s.to))
 		}
 		got := -1.0
-		if first, _, ok := r.span(at(tc.now)); ok {
-			got = first.Sub(start).Seconds()
+		if r.lasts(at(tc.now)) {
+			got = r.first.Sub(start).Seconds()
 		}
 		if diff := cmp.Diff(tc.since, got); diff != "" {
 			t.Error(tc.name, diff)
--- a/internal/instance/gatekeeper/resync.go
+++ b/internal/instance/gatekeeper/resync.go
@@ -90,7 +90,7 @@
 // the runner: its row is back, which is no delta, or the removal is pending there. A holder
 // goes by its own reading.
 func (g *Gatekeeper) deferToSource(domain string, revision uint64) {
-	if g.holdsAny() {
+	if !g.hasPending() || g.holdsAny() {
 		return
 	}
 	g.mu.Lock()
--- a/internal/instance/gatekeeper/runners.go
+++ b/internal/instance/gatekeeper/runners.go
@@ -17,7 +17,6 @@
 func (g *Gatekeeper) setRunner(r tracker.Runner, by string) {
 	g.cancelRemoval(r)
 	before, known := g.Fleet.Get(r.ID)
-	gone := g.Fleet.Gone(r.ID)
 	if earlier, ok := g.Fleet.Set(r); ok {
 		g.forget(earlier, by, whyReplaced)
 	}
@@ -28,14 +27,16 @@
 		return
 	}
 	r = current
-	if !known || before.Leaving != r.Leaving {
+	changed := !known || before.Leaving != r.Leaving
+	if changed {
+		gone := g.Fleet.Gone(r.ID)
+		if !known && gone > 0 && !r.Leaving {
+			g.Metrics.GetOrCreateCounter("sardinetiller_runners_back_total").Inc()
+		}
 		g.Recorder.Log(recorder.Belief, "msg", "runner", "runner", r.ID, "service", r.Service, "domain", r.Domain,
 			"leaving", r.Leaving, "revision", r.Revision, "by", by, "gone", gone)
 	}
-	if !known && gone > 0 && !r.Leaving {
-		g.Metrics.GetOrCreateCounter("sardinetiller_runners_back_total").Inc()
-	}
-	g.controller(r.Domain).set(r, !known || before.Leaving != r.Leaving)
+	g.controller(r.Domain).set(r, changed)
 }
 
 // removeNow takes a runner out by the word of an instance, or of the store.
--- a/internal/instance/gatekeeper/take.go
+++ b/internal/instance/gatekeeper/take.go
@@ -64,10 +64,10 @@
 	if n.Operator.Newest > 0 {
 		at := now.Add(-n.Operator.Age)
 		g.reached.advance(at)
-		g.others.seen(at, at)
+		g.storeUp.reachedByOthers(at, at, now)
 	}
 	if n.Reached != (relayer.Span{}) {
-		g.others.seen(now.Add(-n.Reached.First), now.Add(-n.Reached.Last))
+		g.storeUp.reachedByOthers(now.Add(-n.Reached.First), now.Add(-n.Reached.Last), now)
 	}
 }
 
--- a/internal/instance/gatekeeper/view.go
+++ b/internal/instance/gatekeeper/view.go
@@ -16,7 +16,7 @@
 type view struct {
 	name     string
 	whole    func(rows []tabler.Row, version uint64) // nil: each row is a change
-	change   func(row tabler.Row)
+	change   func(row tabler.Row)                    // of a table whose rows others tell
 	changes  func(rows []tabler.Row, version uint64) // nil: one after the other
 	others   func() (asOf time.Time, ok bool)        // what other instances tell of it
 	patience func() time.Duration                    // the age at which the store is asked
--- a/internal/instance/gatekeeper/views.go
+++ b/internal/instance/gatekeeper/views.go
@@ -28,7 +28,7 @@
 			return patienceTenures
 		}
 		v = &g.runners
-		v.name, v.change, v.changes, v.whole = runners, g.runnerRow, g.someRunners, g.allRunners
+		v.name, v.changes, v.whole = runners, g.someRunners, g.allRunners
 		v.others = func() (time.Time, bool) {
 			at, ok := g.sinceAll(func(l *link) time.Time { return l.fresh })
 			return at.Add(-freshFor), ok && !g.holdsAny()
