--- a/internal/instance/gatekeeper/leaving_test.go
+++ b/internal/instance/gatekeeper/leaving_test.go
@@ -22,7 +22,7 @@
 // whichever instances fail, in whatever order.
 func TestRunnersAreThoseOfTheStoreWhoeverTellsOfThem(t *testing.T) {
 	for seed := *siteFirst; seed < *siteFirst+*siteSeeds; seed++ {
-		playSeed(t, seed)
+		playSite(t, seed, newWitness)
 	}
 }
 
@@ -30,21 +30,18 @@
 // while it lived, after the first mends.
 func TestRunnersOfSeedsThatFailed(t *testing.T) {
 	for _, seed := range []uint64{375, 926, 1100, 1600, 1824, 2055, 2110, 2121, 2209, 2344, 2591, 2646} {
-		playSeed(t, seed)
+		playSite(t, seed, newWitness)
 	}
 }
 
 // Guards against living runners that are removed as their rows lapsed in an outage.
 func TestRunnersWhoseRowsLapsedAreKeptWhoeverTellsOfThem(t *testing.T) {
 	for seed := *siteFirst; seed < *siteFirst+*siteSeeds; seed++ {
-		playSite(t, seed, true)
+		playSite(t, seed, newLapseWitness)
 	}
 }
 
-func playSeed(t *testing.T, seed uint64) { playSite(t, seed, false) }
-
-// playSite plays a seed, and checks runners whose rows lapse or all others.
-func playSite(t *testing.T, seed uint64, lapses bool) {
+func playSite(t *testing.T, seed uint64, by func(s *site) *witness) {
 	t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 		t.Parallel()
 		synctest.Test(t, func(t *testing.T) {
@@ -53,19 +50,16 @@
 			if *siteInstances > 0 {
 				domains, instances = 3+rng.IntN(4), *siteInstances
 			}
-			newSite(t, rng, domains, instances).play(lapses)
+			s := newSite(t, rng, domains, instances)
+			s.play(by(s))
 		})
 	})
 }
 
-func (s *site) play(lapses bool) {
-	defer synctest.Wait()
-	defer s.end()
+func (s *site) play(w *witness) {
 	for n := range 12 {
 		s.addRunner(s.domains[n%len(s.domains)])
 	}
-	w := newWitness(s)
-	w.lapses = lapses
 	s.pass(3*time.Second, w)
 	for range 20 + s.rng.IntN(20) {
 		s.trouble()
--- a/internal/instance/gatekeeper/runners_test.go
+++ b/internal/instance/gatekeeper/runners_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,12 +66,7 @@
 // Guards against an outage of the store that costs all living runners.
 func TestFirstAnswerAfterAnOutageRemovesNoRunner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t, rand.New(rand.NewPCG(1, 1)), 1, 3)
-		defer synctest.Wait()
-		defer s.end()
-		s.addRunner("a")
-		w := newWitness(s)
-		s.pass(5*time.Second, w)
+		s, w := newCalmSite(t, 3)
 		s.store.set(turnsAway)
 		s.pass(4*time.Second, w)
 		lapsed := s.runners[0]
--- /dev/null
+++ b/internal/instance/gatekeeper/site_store_test.go
@@ -0,0 +1,96 @@
+package gatekeeper
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
+)
+
+// down reports whether the store serves nobody.
+func (s *feedStore) down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mode != serves
+}
+
+// A portal is the way of one instance to the store.
+type portal struct {
+	*feedStore
+	owner *member
+
+	mu   sync.Mutex
+	mode storeMode
+}
+
+func (p *portal) set(mode storeMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+}
+
+func (p *portal) admit(ctx context.Context, wait time.Duration) error {
+	p.owner.await(ctx)
+	p.mu.Lock()
+	mode := p.mode
+	p.mu.Unlock()
+	switch mode {
+	case turnsAway:
+		pause(ctx, time.Millisecond)
+		return fmt.Errorf("turned away")
+	case swallows:
+		pause(ctx, wait+callTimeout)
+		return errNoAnswer
+	default:
+		return ctx.Err()
+	}
+}
+
+// Scan implements tabler.Feed.
+func (p *portal) Scan(ctx context.Context, table string) ([]tabler.Row, uint64, error) {
+	if err := p.admit(ctx, 0); err != nil {
+		return nil, 0, err
+	}
+	rows, version, err := p.feedStore.Scan(ctx, table)
+	p.owner.await(ctx)
+	rows = slices.DeleteFunc(rows, func(r tabler.Row) bool { return r.Removed })
+	return rows, version, err
+}
+
+// Get implements tabler.Feed.
+func (p *portal) Get(ctx context.Context, key string) (tabler.Row, error) {
+	if err := p.admit(ctx, 0); err != nil {
+		return tabler.Row{}, err
+	}
+	return p.feedStore.Get(ctx, key)
+}
+
+// Watch implements tabler.Feed.
+func (p *portal) Watch(ctx context.Context, table string, after uint64, wait time.Duration) ([]tabler.Row, uint64, error) {
+	if err := p.admit(ctx, wait); err != nil {
+		return nil, 0, err
+	}
+	rows, version, err := p.feedStore.Watch(ctx, table, after, wait)
+	p.owner.await(ctx)
+	slices.SortFunc(rows, func(a, b tabler.Row) int { return int(a.Version) - int(b.Version) })
+	return rows, version, err
+}
+
+// A siteDecoder decodes the rows of a site.
+type siteDecoder struct{ feedDecoder }
+
+// Runner implements Decoder.
+func (siteDecoder) Runner(r tabler.Row) (tracker.Runner, error) {
+	runner := tracker.Runner{ID: r.Key[len("runners/"):], Revision: r.Version}
+	if r.Removed {
+		return runner, nil
+	}
+	err := encoder.Unmarshal(r.Value, &runner)
+	runner.Revision = r.Version
+	return runner, err
+}
--- a/internal/instance/gatekeeper/site_test.go
+++ b/internal/instance/gatekeeper/site_test.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/member/elector"
@@ -86,6 +86,8 @@
 		}
 	}
 	t.Cleanup(func() {
+		s.end()
+		synctest.Wait()
 		if path := os.Getenv("SITE_LOG"); path != "" && t.Failed() {
 			_ = os.WriteFile(path, s.log.buf.Bytes(), 0o600)
 		}
@@ -110,6 +112,16 @@
 	return nil
 }
 
+// newCalmSite returns a deployment of one failure domain with one runner, of which all
+// instances have known for a while.
+func newCalmSite(t *testing.T, instances int) (*site, *witness) {
+	s := newSite(t, rand.New(rand.NewPCG(1, 1)), 1, instances)
+	s.addRunner("a")
+	w := newWitness(s)
+	s.pass(5*time.Second, w)
+	return s, w
+}
+
 // give has an instance take the tenure of a domain.
 func (s *site) give(domain string, m *member) {
 	s.mu.Lock()
@@ -255,172 +267,3 @@
 	defer other.mu.Unlock()
 	return !now.Before(cut) && !now.Before(other.cut)
 }
-
-// A siteRunner is a runner of a site.
-type siteRunner struct {
-	id     string
-	domain string
-
-	there     time.Time // since when its row has been there without a break; zero if it is not
-	leaving   bool
-	ended     bool
-	left      time.Time // when the store accepted that it leaves; zero if it does not
-	leftCalm  bool      // the store was well then
-	beat      time.Time // of its next heartbeat
-	ends      time.Time // when it ends; zero for not soon
-	lapsed    time.Time // when its row was removed last although it lives
-	revisions int
-}
-
-// register writes the row of a runner.
-func (s *site) register(r *siteRunner) {
-	value, err := encoder.Marshal(tracker.Runner{ID: r.id, Domain: r.domain, Service: "llm", Leaving: r.leaving})
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.store.put(tabler.Row{Key: "runners/" + r.id, Value: value})
-	if r.there.IsZero() {
-		r.there = time.Now()
-	}
-	r.revisions++
-}
-
-// drop removes the row of a runner.
-func (s *site) drop(r *siteRunner) {
-	s.store.put(tabler.Row{Key: "runners/" + r.id, Removed: true})
-	r.there = time.Time{}
-}
-
-func (s *site) addRunner(domain string) {
-	r := &siteRunner{id: fmt.Sprint("i-", len(s.runners)), domain: domain}
-	s.runners = append(s.runners, r)
-	s.register(r)
-	r.beat = time.Now().Add(time.Duration(s.rng.Int64N(int64(siteBeat))))
-}
-
-// leave has a runner leave: it says so, or its row is removed without a word.
-func (s *site) leave(r *siteRunner, silent bool) {
-	r.left, r.leftCalm = time.Now(), s.calm(stableTime)
-	if silent {
-		r.ended = true
-		s.drop(r)
-		return
-	}
-	r.leaving = true
-	r.ends = time.Now().Add(drainTime + time.Duration(s.rng.Int64N(int64(5*time.Second))))
-	s.register(r)
-}
-
-const (
-	// siteBeat is how often a runner writes its row.
-	siteBeat = 1200 * time.Millisecond
-	// stableTime is how long after any trouble promises with a bound in time hold again.
-	stableTime = 3 * time.Second
-)
-
-// calm reports whether the store has been well for everybody for a time.
-func (s *site) calm(span time.Duration) bool {
-	return time.Since(s.troubled) >= span
-}
-
-// beats writes the rows that are due.
-func (s *site) beats() {
-	if s.store.down() {
-		return
-	}
-	now := time.Now()
-	for _, r := range s.runners {
-		switch {
-		case r.ended:
-		case !r.ends.IsZero() && now.After(r.ends):
-			r.ended = true
-			s.drop(r)
-		case !now.Before(r.beat):
-			r.beat = now.Add(siteBeat)
-			s.register(r)
-		}
-	}
-}
-
-// down reports whether the store serves nobody.
-func (s *feedStore) down() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.mode != serves
-}
-
-// A portal is the way of one instance to the store.
-type portal struct {
-	*feedStore
-	owner *member
-
-	mu   sync.Mutex
-	mode storeMode
-}
-
-func (p *portal) set(mode storeMode) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.mode = mode
-}
-
-func (p *portal) admit(ctx context.Context, wait time.Duration) error {
-	p.owner.await(ctx)
-	p.mu.Lock()
-	mode := p.mode
-	p.mu.Unlock()
-	switch mode {
-	case turnsAway:
-		pause(ctx, time.Millisecond)
-		return fmt.Errorf("turned away")
-	case swallows:
-		pause(ctx, wait+callTimeout)
-		return errNoAnswer
-	default:
-		return ctx.Err()
-	}
-}
-
-// Scan implements tabler.Feed.
-func (p *portal) Scan(ctx context.Context, table string) ([]tabler.Row, uint64, error) {
-	if err := p.admit(ctx, 0); err != nil {
-		return nil, 0, err
-	}
-	rows, version, err := p.feedStore.Scan(ctx, table)
-	p.owner.await(ctx)
-	rows = slices.DeleteFunc(rows, func(r tabler.Row) bool { return r.Removed })
-	return rows, version, err
-}
-
-// Get implements tabler.Feed.
-func (p *portal) Get(ctx context.Context, key string) (tabler.Row, error) {
-	if err := p.admit(ctx, 0); err != nil {
-		return tabler.Row{}, err
-	}
-	return p.feedStore.Get(ctx, key)
-}
-
-// Watch implements tabler.Feed.
-func (p *portal) Watch(ctx context.Context, table string, after uint64, wait time.Duration) ([]tabler.Row, uint64, error) {
-	if err := p.admit(ctx, wait); err != nil {
-		return nil, 0, err
-	}
-	rows, version, err := p.feedStore.Watch(ctx, table, after, wait)
-	p.owner.await(ctx)
-	slices.SortFunc(rows, func(a, b tabler.Row) int { return int(a.Version) - int(b.Version) })
-	return rows, version, err
-}
-
-// A siteDecoder decodes the rows of a site.
-type siteDecoder struct{ feedDecoder }
-
-// Runner implements Decoder.
-func (siteDecoder) Runner(r tabler.Row) (tracker.Runner, error) {
-	runner := tracker.Runner{ID: r.Key[len("runners/"):], Revision: r.Version}
-	if r.Removed {
-		return runner, nil
-	}
-	err := encoder.Unmarshal(r.Value, &runner)
-	runner.Revision = r.Version
-	return runner, err
-}
--- a/internal/instance/gatekeeper/snapshot_test.go
+++ b/internal/instance/gatekeeper/snapshot_test.go
@@ -1,7 +1,6 @@
 package gatekeeper
 
 import (
-	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,12 +155,7 @@
 // Guards against instances that differ for good, as only deltas are sent.
 func TestSnapshotIsRequestedAfterADivergence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t, rand.New(rand.NewPCG(1, 1)), 1, 2)
-		defer synctest.Wait()
-		defer s.end()
-		s.addRunner("a")
-		w := newWitness(s)
-		s.pass(5*time.Second, w)
+		s, w := newCalmSite(t, 2)
 		member := s.instances[1].now()
 		ghost := tracker.Runner{ID: "i-9", Domain: "a", Service: "llm", Revision: s.store.version + 1}
 		member.setRunner(ghost, "test")
--- a/internal/instance/gatekeeper/witness_test.go
+++ b/internal/instance/gatekeeper/witness_test.go
@@ -4,14 +4,26 @@
 
 // A witness checks what is promised of runners.
 type witness struct {
-	site   *site
-	lapses bool                            // it checks living runners whose rows lapse, and nothing else
-	knew   map[string]map[string]time.Time // by instance and runner: since when it is used
-	kept   map[string]map[string]bool      // by instance and runner: it was used before the store was away, and nothing else has happened
+	site  *site
+	check func(w *witness, p pair, now time.Time)
+	knew  map[pair]time.Time // since when it is used
+	kept  map[pair]bool      // it was used before the store was away, and nothing else has happened
 }
 
+// A pair is a runner as an instance sees it.
+type pair struct {
+	member *member
+	runner *siteRunner
+}
+
+// newWitness returns one that checks runners that leave, and runners that do not.
 func newWitness(s *site) *witness {
-	return &witness{site: s, knew: make(map[string]map[string]time.Time), kept: make(map[string]map[string]bool)}
+	return &witness{site: s, check: (*witness).inGoodTimes, knew: make(map[pair]time.Time)}
+}
+
+// newLapseWitness returns one that checks living runners whose rows lapse.
+func newLapseWitness(s *site) *witness {
+	return &witness{site: s, check: (*witness).afterOutage, kept: make(map[pair]bool)}
 }
 
 // lapsedTime is how long after the store's return a row that lapsed may be missing.
@@ -22,61 +34,54 @@
 const returnTime = 5 * time.Second
 
 func (w *witness) look() {
-	s := w.site
 	now := time.Now()
-	for _, m := range s.instances {
-		calm := now.Sub(m.calmSince()) >= stableTime && s.calm(stableTime)
-		knew := w.knew[m.id]
-		if knew == nil || !calm {
-			knew = make(map[string]time.Time)
-			w.knew[m.id] = knew
-		}
-		for _, r := range s.runners {
-			uses := m.uses(r.id)
-			if w.lapses {
-				w.afterOutage(m, r, uses)
-				continue
-			}
-			if !calm {
-				continue
-			}
-			switch {
-			case uses && r.leftCalm && !r.left.IsZero() && now.Sub(r.left) > drainTime:
-				s.t.Errorf("%s: %s uses %s %s after the store accepted that it leaves", now.Sub(s.began), m.id, r.id, now.Sub(r.left))
-			case !uses && w.lives(r, now) && !knew[r.id].IsZero() && r.there.Before(knew[r.id]):
-				s.t.Errorf("%s: %s has given up %s, whose row has been there for %s", now.Sub(s.began), m.id, r.id, now.Sub(r.there))
-			case !uses && w.lives(r, now) && now.Sub(r.there) > stableTime:
-				s.t.Errorf("%s: %s does not know %s, whose row has been there for %s", now.Sub(s.began), m.id, r.id, now.Sub(r.there))
-			}
-			switch {
-			case !uses:
-				delete(knew, r.id)
-			case knew[r.id].IsZero():
-				knew[r.id] = now
-			}
+	for _, m := range w.site.instances {
+		for _, r := range w.site.runners {
+			w.check(w, pair{m, r}, now)
 		}
 	}
 }
 
+// inGoodTimes checks that an instance to which nothing has happened for a while uses no
+// runner that has left, and gives up none that lives.
+func (w *witness) inGoodTimes(p pair, now time.Time) {
+	s, m, r := w.site, p.member, p.runner
+	if now.Sub(m.calmSince()) < stableTime || !s.calm(stableTime) {
+		delete(w.knew, p)
+		return
+	}
+	uses, since := m.uses(r.id), w.knew[p]
+	switch {
+	case uses && r.leftCalm && !r.left.IsZero() && now.Sub(r.left) > drainTime:
+		s.t.Errorf("%s: %s uses %s %s after the store accepted that it leaves", now.Sub(s.began), m.id, r.id, now.Sub(r.left))
+	case !uses && w.lives(r, now) && !since.IsZero() && r.there.Before(since):
+		s.t.Errorf("%s: %s has given up %s, whose row has been there for %s", now.Sub(s.began), m.id, r.id, now.Sub(r.there))
+	case !uses && w.lives(r, now) && now.Sub(r.there) > stableTime:
+		s.t.Errorf("%s: %s does not know %s, whose row has been there for %s", now.Sub(s.began), m.id, r.id, now.Sub(r.there))
+	}
+	switch {
+	case !uses:
+		delete(w.knew, p)
+	case since.IsZero():
+		w.knew[p] = now
+	}
+}
+
 // afterOutage checks that an instance to which nothing else has happened keeps the living
 // runners whose rows lapsed while the store was away.
-func (w *witness) afterOutage(m *member, r *siteRunner, uses bool) {
-	s := w.site
-	kept := w.kept[m.id]
-	if kept == nil {
-		kept = make(map[string]bool)
-		w.kept[m.id] = kept
-	}
+func (w *witness) afterOutage(p pair, now time.Time) {
+	s, m, r := w.site, p.member, p.runner
+	uses := m.uses(r.id)
 	switch {
 	case s.store.down():
-		if time.Since(s.away) <= 2*siteStep {
-			kept[r.id] = uses
+		if now.Sub(s.away) <= 2*siteStep {
+			w.kept[p] = uses
 		}
 	case m.calmSince().After(s.lost.Add(-returnTime)), s.troubled.After(s.returned.Add(siteStep)), r.leaving, r.ended:
-		kept[r.id] = false
-	case time.Since(s.returned) < lapsedTime && kept[r.id] && !uses:
-		s.t.Errorf("%s: %s has given up %s, whose row lapsed; the store is back for %s", time.Since(s.began), m.id, r.id, time.Since(s.returned))
-		kept[r.id] = false
+		w.kept[p] = false
+	case now.Sub(s.returned) < lapsedTime && w.kept[p] && !uses:
+		s.t.Errorf("%s: %s has given up %s, whose row lapsed; the store is back for %s", now.Sub(s.began), m.id, r.id, now.Sub(s.returned))
+		w.kept[p] = false
 	}
 }
 
