Quotas of accounts over all instances: a decision core

The operator gives accounts a quota of tokens over all instances. A new package keeps it without clock, socket or goroutine: a Spender at each instance, a Ledger at those that lead.

--- /dev/null
+++ b/internal/account/limiter/ledger.go
@@ -0,0 +1,320 @@
+package limiter
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// silentAfter is the time after its last word from which on a party that still had a share
+// is taken to go on without a Ledger. It is longer than a Spender trusts a balance.
+const silentAfter = trust + 300*time.Millisecond
+
+// A Ledger sums up what all instances spend. Its fields are set before use; it is safe for
+// concurrent use.
+type Ledger struct {
+	Limits func(account string) (Limit, bool)
+	Window time.Duration // over which quotas are judged: what was spent too much is forgotten after it
+
+	mu       sync.Mutex
+	since    time.Time // when it began; zero: it settles nothing
+	empty    time.Time // when nothing was left of what was not settled since
+	adopted  bool      // it knows what was spent before it began
+	accounts map[string]*tally
+	parties  map[string]*party // by instance
+	leaders  []string          // instances that keep other Ledgers
+	silent   []*party
+	swept    time.Time
+}
+
+// A party is who settles here.
+type party struct {
+	Party
+	heard time.Time
+}
+
+// A tally is what was spent of one account's quota.
+type tally struct {
+	bucket            // what is left
+	own     float64   // tokens that parties spent which settle with no other Ledger
+	settled time.Time // last
+	use     meter
+	entries map[string]*entry // by instance
+}
+
+// An entry is what one party has spent of it.
+type entry struct {
+	counted int64
+	use     meter
+	share   float64   // of the limit and of what is left, which it goes on to spend if it is silent
+	left    float64   // tokens that were left at its last word
+	kept    float64   // tokens that are kept back for it since then
+	until   time.Time // up to when
+}
+
+// sweepEvery is how often it is looked who is silent.
+const sweepEvery = 100 * time.Millisecond
+
+// Begin begins with nothing known. Nothing is left of any quota then: those who settled
+// with another Ledger before may have spent it.
+func (l *Ledger) Begin(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.since, l.empty, l.adopted = now, now, false
+	l.accounts = make(map[string]*tally)
+	l.parties = make(map[string]*party)
+	l.leaders, l.silent = nil, nil
+}
+
+// End forgets everything.
+func (l *Ledger) End() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.since = time.Time{}
+	l.accounts, l.parties, l.leaders, l.silent = nil, nil, nil, nil
+}
+
+// Began returns since when it settles; ok is false if it does not.
+func (l *Ledger) Began() (since time.Time, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.since, !l.since.IsZero()
+}
+
+// Adopt takes in how accounts stand by a Ledger that is older by an age. What that one does
+// not know of was not spent. Without it accounts would have next to nothing right after a
+// change of leaders.
+func (l *Ledger) Adopt(balances []Balance, age time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.since.IsZero() || l.adopted || age < l.Window {
+		return
+	}
+	l.adopted = true
+	l.empty = l.since.Add(-l.Window)
+	for _, b := range balances {
+		if limit, ok := l.Limits(b.Account); ok && limit.Bounds() {
+			l.tally(b.Account, limit, now).level = float64(b.Left)
+		}
+	}
+}
+
+// Settle takes in what a party has spent, and returns how its accounts stand; ok is false
+// if nothing is settled here. A Ledger that has just begun is told of all accounts.
+func (l *Ledger) Settle(from Party, spent []Spent, now time.Time) (balances []Balance, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.since.IsZero() {
+		return nil, false
+	}
+	l.hear(from, now)
+	l.sweep(now)
+	balances = make([]Balance, 0, len(spent))
+	for _, s := range spent {
+		if limit, ok := l.Limits(s.Account); ok && limit.Bounds() {
+			balances = append(balances, l.settle(from, s, limit, now))
+		}
+	}
+	if from.leads() && from.Age < l.Window {
+		balances = l.addOthers(balances, now)
+	}
+	return balances, true
+}
+
+// addOthers adds how the accounts stand that are not among the balances.
+func (l *Ledger) addOthers(balances []Balance, now time.Time) []Balance {
+	told := make(map[string]bool, len(balances))
+	for _, b := range balances {
+		told[b.Account] = true
+	}
+	for name := range l.accounts {
+		limit, ok := l.Limits(name)
+		if !ok || !limit.Bounds() || told[name] {
+			continue
+		}
+		t := l.tally(name, limit, now)
+		l.advance(t, limit, now)
+		balances = append(balances, Balance{Account: name, Left: int64(l.left(t, now)), Use: int64(t.use.value(now))})
+	}
+	return balances
+}
+
+func (l *Ledger) settle(from Party, s Spent, limit Limit, now time.Time) Balance {
+	t := l.tally(s.Account, limit, now)
+	t.settled = now
+	limit.Burst = l.advance(t, limit, now)
+	e := l.entry(t, from, s, now)
+	t.release(e, from)
+	t.take(e, from, s.Counter-e.counted, now)
+	t.level = max(t.level, -limit.Rate*l.Window.Seconds())
+	left := l.left(t, now)
+	granted := s.Want > 0 && fits(s.Want, left, limit)
+	if granted {
+		t.take(e, from, s.Want, now)
+		left -= float64(s.Want)
+	}
+	e.share = shareOf(e.use.value(now), t.use.value(now), limit)
+	e.left = max(0, left)
+	return Balance{Account: s.Account, Counted: e.counted, Granted: granted, Left: int64(left), Use: int64(t.use.value(now))}
+}
+
+// left returns what is left of a quota. Other Ledgers have gone on to admit as they did since
+// their last word: without that each of them admits what is left for all.
+func (l *Ledger) left(t *tally, now time.Time) float64 {
+	left := t.level
+	for _, instance := range l.leaders {
+		if e, ok := t.entries[instance]; ok {
+			left -= e.use.value(now) * now.Sub(e.until).Seconds()
+		}
+	}
+	return left
+}
+
+// Part forgets an instance that settles with another Ledger from now on.
+func (l *Ledger) Part(instance string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drop(instance)
+}
+
+// Report returns what those have spent who settle with no other Ledger, to be settled with
+// the others.
+func (l *Ledger) Report(now time.Time) []Spent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var report []Spent
+	for name, t := range l.accounts {
+		if now.Sub(t.settled) <= reportedFor {
+			report = append(report, Spent{Account: name, Counter: int64(t.own)})
+		}
+	}
+	return report
+}
+
+// tally returns the sum of an account. What is left begins with what has come since the
+// Ledger began.
+func (l *Ledger) tally(account string, limit Limit, now time.Time) *tally {
+	t, ok := l.accounts[account]
+	if !ok {
+		t = &tally{settled: now, bucket: bucket{at: l.empty}, entries: make(map[string]*entry)}
+		l.accounts[account] = t
+	}
+	t.fill(limit.Rate, limit.Burst, now)
+	return t
+}
+
+// entry returns the entry of a party. What another Ledger has counted since this one began
+// is new here. A Spender's first word tells of nothing that others have not settled.
+func (l *Ledger) entry(t *tally, from Party, s Spent, now time.Time) *entry {
+	e, ok := t.entries[from.Instance]
+	if !ok {
+		e = &entry{counted: s.Counter, until: now}
+		if from.leads() && from.Age <= now.Sub(l.since) {
+			e.counted = 0
+		}
+		t.entries[from.Instance] = e
+	}
+	e.until = now
+	return e
+}
+
+func (t *tally) take(e *entry, from Party, tokens int64, now time.Time) {
+	e.counted += tokens
+	e.use.add(float64(tokens), now)
+	t.spend(from, float64(tokens), now)
+}
+
+func (t *tally) spend(by Party, tokens float64, now time.Time) {
+	t.level -= tokens
+	t.use.add(tokens, now)
+	if !by.leads() {
+		t.own += tokens
+	}
+}
+
+// release gives back what was kept for a party while it was silent; it tells now what it
+// has spent.
+func (t *tally) release(e *entry, from Party) {
+	t.level += e.kept
+	if !from.leads() {
+		t.own -= e.kept
+	}
+	e.kept = 0
+}
+
+// advance keeps back what silent parties may spend, and returns the burst that the others
+// have. Without it both sides of a cut would spend the whole quota.
+func (l *Ledger) advance(t *tally, limit Limit, now time.Time) (burst float64) {
+	rest := 1.0
+	for _, p := range l.silent {
+		e, ok := t.entries[p.Instance]
+		if !ok {
+			continue
+		}
+		tokens := e.share * (e.left + limit.Rate*now.Sub(e.until).Seconds())
+		e.left, e.until = 0, now
+		e.kept += tokens
+		t.spend(p.Party, tokens, now)
+		rest -= e.share
+	}
+	burst = max(0, rest) * limit.Burst
+	t.level = min(t.level, burst)
+	return burst
+}
+
+// hear takes in that a party lives.
+func (l *Ledger) hear(from Party, now time.Time) {
+	before, ok := l.parties[from.Instance]
+	if ok && (before.Born != from.Born || before.leads() != from.leads()) {
+		l.drop(from.Instance)
+		ok = false
+	}
+	if !ok {
+		l.replace(from)
+		before = &party{}
+		l.parties[from.Instance] = before
+		if from.leads() {
+			l.leaders = append(l.leaders, from.Instance)
+		}
+	}
+	before.Party, before.heard = from, now
+}
+
+// replace forgets the Ledger of a domain that another one follows. Its parties settle with
+// that one.
+func (l *Ledger) replace(by Party) {
+	if !by.leads() {
+		return
+	}
+	for instance, p := range l.parties {
+		if p.Domain == by.Domain {
+			l.drop(instance)
+		}
+	}
+}
+
+func (l *Ledger) drop(instance string) {
+	delete(l.parties, instance)
+	for _, t := range l.accounts {
+		delete(t.entries, instance)
+	}
+	l.leaders = slices.DeleteFunc(l.leaders, func(other string) bool { return other == instance })
+	l.silent = slices.DeleteFunc(l.silent, func(p *party) bool { return p.Instance == instance })
+}
+
+// sweep looks who is silent, and forgets those that have been for too long.
+func (l *Ledger) sweep(now time.Time) {
+	if now.Sub(l.swept) < sweepEvery {
+		return
+	}
+	l.swept = now
+	l.silent = l.silent[:0]
+	for instance, p := range l.parties {
+		switch silence := now.Sub(p.heard); {
+		case silence > aloneFor:
+			l.drop(instance)
+		case silence > silentAfter:
+			l.silent = append(l.silent, p)
+		}
+	}
+}
--- /dev/null
+++ b/internal/account/limiter/ledger_test.go
@@ -0,0 +1,154 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/account/limiter"
+)
+
+// newLedger returns one that has settled for a minute.
+func newLedger(limit limiter.Limit) *limiter.Ledger {
+	l := &limiter.Ledger{Limits: func(account string) (limiter.Limit, bool) { return limit, account == "a" }, Window: window}
+	l.Begin(at(-time.Minute))
+	return l
+}
+
+var thousand = limiter.Limit{Rate: 1000, Burst: 1000}
+
+func settle(t *testing.T, l *limiter.Ledger, from limiter.Party, s limiter.Spent, now time.Time) limiter.Balance {
+	t.Helper()
+	balances, ok := l.Settle(from, []limiter.Spent{s}, now)
+	if !ok || len(balances) != 1 {
+		t.Fatalf("%v, %t", balances, ok)
+	}
+	return balances[0]
+}
+
+func spent(counter, want int64) limiter.Spent {
+	return limiter.Spent{Account: "a", Counter: counter, Want: want}
+}
+
+var one = limiter.Party{Instance: "one", Born: 1}
+
+func TestSettle(t *testing.T) {
+	l := newLedger(thousand)
+	var got []limiter.Balance
+	for _, s := range []limiter.Spent{spent(0, 0), spent(0, 300), spent(400, 0), spent(350, 0), spent(350, 900)} {
+		b := settle(t, l, one, s, start)
+		b.Use = 0
+		got = append(got, b)
+	}
+	want := []limiter.Balance{
+		{Account: "a", Left: 1000}, {Account: "a", Counted: 300, Granted: true, Left: 700}, {Account: "a", Counted: 400, Left: 600},
+		{Account: "a", Counted: 350, Left: 650}, {Account: "a", Counted: 350, Left: 650},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestNothingIsSettled(t *testing.T) {
+	l := newLedger(thousand)
+	if balances, ok := l.Settle(one, []limiter.Spent{{Account: "unknown"}}, start); !ok || len(balances) > 0 {
+		t.Errorf("an account without a quota: %v, %t", balances, ok)
+	}
+	l.End()
+	if _, ok := l.Settle(one, nil, start); ok {
+		t.Error("a ledger that has ended settles")
+	}
+}
+
+// Guards against a quota that is whole again after a change of leaders.
+func TestLedgerBeginsWithNothingLeft(t *testing.T) {
+	l := newLedger(thousand)
+	l.Begin(start)
+	if got := settle(t, l, one, spent(0, 0), start).Left; got != 0 {
+		t.Errorf("%d tokens are left", got)
+	}
+	if got := settle(t, l, one, spent(0, 0), at(500*time.Millisecond)).Left; got != 500 {
+		t.Errorf("%d tokens are left after half a second", got)
+	}
+}
+
+func TestLedgerAdoptsWhatAnOlderOneKnows(t *testing.T) {
+	older, l := newLedger(thousand), newLedger(thousand)
+	settle(t, older, one, spent(0, 300), start)
+	l.Begin(start)
+	self := limiter.Party{Instance: "two", Domain: "d"}
+	balances, _ := older.Settle(self, nil, start)
+	l.Adopt(balances, time.Minute, start)
+	if got := settle(t, l, one, spent(300, 0), start).Left; got < 690 || got > 700 {
+		t.Errorf("%d tokens are left", got)
+	}
+}
+
+// Guards against both sides of a cut spending the whole quota.
+func TestShareOfASilentPartyIsKeptBack(t *testing.T) {
+	l := newLedger(thousand)
+	two := limiter.Party{Instance: "two", Born: 1}
+	for n := range 100 {
+		now := at(time.Duration(n) * 100 * time.Millisecond)
+		settle(t, l, one, spent(int64(n)*30, 0), now)
+		settle(t, l, two, spent(int64(n)*30, 0), now)
+	}
+	granted := int64(0)
+	for now := at(10 * time.Second); now.Before(at(25 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		if settle(t, l, one, spent(99*30+granted, 200), now).Granted {
+			granted += 200
+		}
+	}
+	if granted < 7000 || granted > 10000 {
+		t.Errorf("%d of 15000 tokens are left to one of two", granted)
+	}
+}
+
+func TestWhoPartsKeepsNothingBack(t *testing.T) {
+	l := newLedger(thousand)
+	two := limiter.Party{Instance: "two", Born: 1}
+	settle(t, l, two, spent(0, 500), start)
+	l.Part("two")
+	settle(t, l, one, spent(0, 0), at(2*time.Second))
+	if got := settle(t, l, one, spent(0, 0), at(10*time.Second)).Left; got != 1000 {
+		t.Errorf("%d tokens are left", got)
+	}
+}
+
+// Guards against a debt that outlasts the window over which quotas are judged.
+func TestDebtsAreForgotten(t *testing.T) {
+	l := newLedger(thousand)
+	settle(t, l, one, spent(0, 0), start)
+	settle(t, l, one, spent(1_000_000, 0), start)
+	if got := settle(t, l, one, spent(1_000_000, 0), at(window+time.Second)).Left; got < 0 {
+		t.Errorf("%d tokens are left", got)
+	}
+}
+
+func TestLowerAndHigherLimits(t *testing.T) {
+	limit := thousand
+	l := &limiter.Ledger{Limits: func(string) (limiter.Limit, bool) { return limit, true }, Window: window}
+	l.Begin(at(-time.Minute))
+	settle(t, l, one, spent(0, 0), start)
+	limit = limiter.Limit{Rate: 10, Burst: 20}
+	if got := settle(t, l, one, spent(0, 0), at(time.Second)).Left; got != 20 {
+		t.Errorf("%d tokens are left of a burst of 20", got)
+	}
+	limit = thousand
+	if got := settle(t, l, one, spent(0, 0), at(2*time.Second)).Left; got != 1000 {
+		t.Errorf("%d tokens are left of a burst of 1000", got)
+	}
+}
+
+func BenchmarkSettle(b *testing.B) {
+	l := newLedger(limiter.Limit{Rate: 1e12, Burst: 1e12})
+	spent := make([]limiter.Spent, 16)
+	for n := range spent {
+		spent[n].Account = "a"
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Settle(one, spent, start)
+	}
+}
--- /dev/null
+++ b/internal/account/limiter/spender.go
@@ -0,0 +1,237 @@
+package limiter
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// trust is how long a balance holds. Spenders settle several times in it.
+	trust = 700 * time.Millisecond
+	// even is the part of a limit that is split evenly, so that an instance that has
+	// spent nothing lately has a share too. In a cut both sides have this part, so it is
+	// half of what a quota may be exceeded by.
+	even = 0.05
+	// aloneFor is how long an instance that hears no Ledger goes on with its share, and
+	// a Ledger keeps that back. It outlasts a cut; what is gone for good costs no longer.
+	aloneFor = 30 * time.Second
+	// reportedFor is how long an account is settled after its last use: its share is
+	// nothing by then.
+	reportedFor = 6 * meterTime
+	// unheardWait is when a caller may come back who was refused as nothing is known: a
+	// Ledger that is gone has a successor soon.
+	unheardWait = 500 * time.Millisecond
+)
+
+// A Spender admits the requests of one instance. Its fields are set before use; it is safe
+// for concurrent use.
+type Spender struct {
+	Instances func() int // how many there are
+
+	mu       sync.Mutex
+	accounts map[string]*spending
+}
+
+// A spending is what one instance has spent of an account's quota.
+type spending struct {
+	spent  int64 // tokens, less those that were given back
+	used   time.Time
+	use    meter
+	queued [urgencies]bucket // tokens for which refused callers were told to come back
+
+	told   Balance
+	at     time.Time // when it was told; zero for never
+	asked  time.Time // when it was asked for
+	others float64   // tokens a second that others spent then
+	share  float64   // of the limit, as of then
+
+	alone   bucket // what is left while no Ledger is heard
+	isAlone bool
+}
+
+// A Decision says whether a request is admitted.
+//
+//sumtype:decl
+type Decision interface{ decision() }
+
+type (
+	// Admitted says that it is, and that its tokens are counted.
+	Admitted struct{}
+
+	// Ask says that a Ledger is to be asked.
+	Ask struct{}
+
+	// Unheard says that it is not, as nothing is known of the quota, or not any more.
+	Unheard struct {
+		Wait time.Duration // until it may be tried again
+	}
+
+	// Over says that it is not, as the quota is spent.
+	Over struct {
+		Left int64         // tokens of the quota
+		Age  time.Duration // of that figure
+		Wait time.Duration // until it may be tried again
+	}
+)
+
+func (Admitted) decision() {}
+func (Ask) decision()      {}
+func (Over) decision()     {}
+func (Unheard) decision()  {}
+
+// A Request is for tokens of an account's quota.
+type Request struct {
+	Account string
+	Limit   Limit
+	Tokens  int64
+	Urgency int // 0 is the most urgent
+}
+
+// Spend admits a request by what this instance knows, or says that a Ledger is to be asked.
+func (s *Spender) Spend(r Request, now time.Time) Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.account(r.Account)
+	a.used = now
+	if a.at.IsZero() || now.Sub(a.at) > trust {
+		return Ask{}
+	}
+	left := a.left(r.Limit, now)
+	if !fits(r.Tokens, left, r.Limit) {
+		return a.over(r, left, s.least(), now)
+	}
+	if float64(r.Tokens) > a.part(r.Limit, now) {
+		return Ask{}
+	}
+	a.take(r.Tokens, now)
+	return Admitted{}
+}
+
+// Settled takes in a balance that was asked for at a time.
+func (s *Spender) Settled(b Balance, limit Limit, asked, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.account(b.Account).settle(b, limit, asked, now, s.least())
+}
+
+// Answered takes in the balance by which a Ledger answers a request that asked for it, and
+// decides on that.
+func (s *Spender) Answered(r Request, b Balance, asked, now time.Time) Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.account(r.Account)
+	if b.Granted {
+		a.take(r.Tokens, now)
+	}
+	a.settle(b, r.Limit, asked, now, s.least())
+	if b.Granted {
+		return Admitted{}
+	}
+	return a.over(r, float64(b.Left), s.least(), now)
+}
+
+// SpendAlone decides on a request while no Ledger answers.
+func (s *Spender) SpendAlone(r Request, now time.Time) Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.account(r.Account)
+	if a.at.IsZero() || now.Sub(a.at) > aloneFor {
+		return Unheard{Wait: unheardWait}
+	}
+	if !a.isAlone {
+		a.beginAlone()
+	}
+	// It may save up for a request that is larger than its share of the burst.
+	a.alone.fill(a.share*r.Limit.Rate, max(a.share*r.Limit.Burst, float64(r.Tokens)), now)
+	if a.alone.level < float64(r.Tokens) {
+		return a.over(r, a.alone.level, s.least(), now)
+	}
+	a.alone.level -= float64(r.Tokens)
+	a.take(r.Tokens, now)
+	return Admitted{}
+}
+
+// Return gives the tokens of a request back that has not run.
+func (s *Spender) Return(account string, tokens int64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.account(account)
+	a.take(-tokens, now)
+	if a.isAlone {
+		a.alone.level += float64(tokens)
+	}
+}
+
+// Report returns what is to be settled.
+func (s *Spender) Report(now time.Time) []Spent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var report []Spent
+	for name, a := range s.accounts {
+		if now.Sub(a.used) <= reportedFor {
+			report = append(report, Spent{Account: name, Counter: a.spent})
+		}
+	}
+	return report
+}
+
+// Want returns what a Ledger is to be asked for a request.
+func (s *Spender) Want(r Request) Spent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Spent{Account: r.Account, Counter: s.account(r.Account).spent, Want: r.Tokens}
+}
+
+func (s *Spender) account(name string) *spending {
+	a, ok := s.accounts[name]
+	if !ok {
+		if s.accounts == nil {
+			s.accounts = make(map[string]*spending)
+		}
+		a = &spending{}
+		s.accounts[name] = a
+	}
+	return a
+}
+
+// least returns the share that any instance has.
+func (s *Spender) least() float64 { return even / float64(max(1, s.Instances())) }
+
+func (a *spending) take(tokens int64, now time.Time) {
+	a.spent += tokens
+	a.use.add(float64(tokens), now)
+	a.used = now
+}
+
+// settle takes in a balance. One that was asked for earlier than the last one is older.
+func (a *spending) settle(b Balance, l Limit, asked, now time.Time, least float64) {
+	if asked.Before(a.asked) {
+		return
+	}
+	use := a.use.value(now)
+	a.told, a.at, a.asked, a.isAlone = b, now, asked, false
+	a.others = max(0, float64(b.Use)-use)
+	a.share = least + shareOf(use, float64(b.Use), l)
+}
+
+// unsettled returns what was spent that the last balance does not count.
+func (a *spending) unsettled() float64 { return float64(a.spent - a.told.Counted) }
+
+// left returns what is left of the quota. Others go on to spend as they did.
+func (a *spending) left(l Limit, now time.Time) float64 {
+	age := now.Sub(a.at).Seconds()
+	return min(l.Burst, float64(a.told.Left)+(l.Rate-a.others)*age) - a.unsettled()
+}
+
+// part returns what this instance may spend of it without asking. The parts of all
+// instances add up to what is left, so callers may turn to any of them at once.
+func (a *spending) part(l Limit, now time.Time) float64 {
+	age := now.Sub(a.at).Seconds()
+	return a.share*min(l.Burst, max(0, float64(a.told.Left))+l.Rate*age) - a.unsettled()
+}
+
+// beginAlone leaves the instance its share of what was left when it heard of a Ledger last.
+func (a *spending) beginAlone() {
+	a.isAlone = true
+	a.alone = bucket{level: a.share*max(0, float64(a.told.Left)) - a.unsettled(), at: a.at}
+}
--- /dev/null
+++ b/internal/account/limiter/spender_test.go
@@ -0,0 +1,160 @@
+package limiter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/account/limiter"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func request(tokens int64) limiter.Request {
+	return limiter.Request{Account: "a", Limit: limiter.Limit{Rate: 1000, Burst: 1000}, Tokens: tokens}
+}
+
+// newSpender returns one that was told now that nothing of the quota is used.
+func newSpender(left int64) *limiter.Spender {
+	s := &limiter.Spender{Instances: func() int { return 1 }}
+	s.Settled(limiter.Balance{Account: "a", Left: left}, request(0).Limit, start, start)
+	return s
+}
+
+func ExampleSpender() {
+	limit := limiter.Limit{Rate: 1000, Burst: 1000}
+	ledger := limiter.Ledger{Limits: func(string) (limiter.Limit, bool) { return limit, true }, Window: 8 * time.Second}
+	ledger.Begin(at(-time.Minute))
+	spender := limiter.Spender{Instances: func() int { return 1 }}
+
+	r := limiter.Request{Account: "mill", Limit: limit, Tokens: 700}
+	for range 2 {
+		if _, asks := spender.Spend(r, start).(limiter.Ask); !asks {
+			continue
+		}
+		balances, _ := ledger.Settle(limiter.Party{Instance: "front-1"}, []limiter.Spent{spender.Want(r)}, start)
+		fmt.Printf("%T, %d left\n", spender.Answered(r, balances[0], start, start), balances[0].Left)
+	}
+	fmt.Printf("%T\n", spender.Spend(r, start))
+	// Output:
+	// limiter.Admitted, 300 left
+	// limiter.Over
+}
+
+func TestSpend(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		left   int64
+		tokens int64
+		after  time.Duration
+		want   limiter.Decision
+	}{
+		{"beyond its own part", 1000, 600, 0, limiter.Ask{}},
+		{"its own part", 1000, 10, 0, limiter.Admitted{}},
+		{"more than is left", 100, 200, 0, limiter.Over{Left: 100, Wait: 200 * time.Millisecond}},
+		{"what has come since", 100, 200, 200 * time.Millisecond, limiter.Ask{}},
+		{"larger than the burst, which is not used", 1000, 3000, 0, limiter.Ask{}},
+		{"larger than the burst, which is used", 500, 3000, 0, limiter.Over{Left: 500, Wait: 500 * time.Millisecond}},
+		{"a balance that is old", 1000, 10, time.Second, limiter.Ask{}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := newSpender(tc.left).Spend(request(tc.tokens), at(tc.after))
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// Guards against an instance that begins with a quota of its own after a restart.
+func TestSpenderThatWasNeverToldAdmitsNothing(t *testing.T) {
+	s := limiter.Spender{Instances: func() int { return 1 }}
+	if _, unheard := s.SpendAlone(request(1), start).(limiter.Unheard); !unheard {
+		t.Error("it admits a request")
+	}
+}
+
+func TestSpenderAloneHasItsShare(t *testing.T) {
+	s := newSpender(1000)
+	for range 40 { // all that is spent is spent here
+		s.Answered(request(20), limiter.Balance{Account: "a", Granted: true, Left: 1000}, start, start)
+	}
+	s.Settled(limiter.Balance{Account: "a", Counted: 800, Left: 1000, Use: 400}, request(0).Limit, start, start)
+	admitted := 0
+	for now := start; now.Before(at(10 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		if _, ok := s.SpendAlone(request(20), now).(limiter.Admitted); ok {
+			admitted += 20
+		}
+	}
+	if admitted < 9000 || admitted > 11000 {
+		t.Errorf("%d tokens in 10 s, of 1000 a second and 1000 more", admitted)
+	}
+	if _, unheard := s.SpendAlone(request(1), at(time.Minute)).(limiter.Unheard); !unheard {
+		t.Error("it goes on for ever")
+	}
+}
+
+// Guards against a refused request that costs its account tokens.
+func TestTokensThatAreGivenBackMayBeSpent(t *testing.T) {
+	s := newSpender(1000)
+	for range 1000 {
+		if _, ok := s.Spend(request(40), start).(limiter.Admitted); !ok {
+			t.Fatal("tokens were lost")
+		}
+		s.Return("a", 40, start)
+	}
+	if diff := cmp.Diff([]limiter.Spent{{Account: "a"}}, s.Report(start)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestAnswersThatOvertakeEachOther(t *testing.T) {
+	s := newSpender(1000)
+	s.Settled(limiter.Balance{Account: "a", Left: 0}, request(0).Limit, at(20*time.Millisecond), at(30*time.Millisecond))
+	s.Settled(limiter.Balance{Account: "a", Left: 1000}, request(0).Limit, at(10*time.Millisecond), at(40*time.Millisecond))
+	if _, over := s.Spend(request(500), at(40*time.Millisecond)).(limiter.Over); !over {
+		t.Error("the older balance is in force")
+	}
+}
+
+// Guards against refused callers that come back all at once.
+func TestRefusedCallersComeBackOneAfterTheOther(t *testing.T) {
+	s := newSpender(0)
+	var waits []time.Duration
+	for range 3 {
+		waits = append(waits, s.Spend(request(1000), start).(limiter.Over).Wait)
+	}
+	urgent := request(1000)
+	less := request(1000)
+	less.Urgency = 3
+	waits = append(waits, s.Spend(less, start).(limiter.Over).Wait, s.Spend(urgent, start).(limiter.Over).Wait)
+	for n := 1; n < 4; n++ {
+		if waits[n] < waits[n-1] {
+			t.Errorf("wait %s after %s", waits[n], waits[n-1])
+		}
+	}
+	if waits[4] > waits[3] {
+		t.Errorf("an urgent one waits for %s, a less urgent one for %s", waits[4], waits[3])
+	}
+}
+
+func BenchmarkSpend(b *testing.B) {
+	for _, accounts := range []int{16, 10000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			s := limiter.Spender{Instances: func() int { return 69 }}
+			requests := make([]limiter.Request, accounts)
+			for n := range requests {
+				requests[n] = limiter.Request{Account: fmt.Sprint("account-", n), Limit: limiter.Limit{Rate: 1e12, Burst: 1e12}, Tokens: 1}
+				s.Settled(limiter.Balance{Account: requests[n].Account, Left: 1e12}, requests[n].Limit, start, start)
+			}
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				s.Spend(requests[n%accounts], start)
+			}
+		})
+	}
+}
