Callers show who they are: keys, accounts and quotas on the platform

The configuration of the shifted deployment names client accounts with keys, a priority and a quota.

identifier finds the account by the hash of the key. 401 with WWW-Authenticate for an unknown key, none, or two; 503 where the configuration may be old, as 401 is final. The account's name is set by the system alone, the key goes no further, and the account's priority goes before the route's. The same request of two accounts has two digests.

Quotas are settled with whoever tells an instance what changes, every 150 ms, and between leaders every 250 ms; beyond its part an instance asks. A request that has not run gets its tokens back. 429 for what is over, 503 where nothing is known of the quota.

--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -107,6 +107,7 @@
 	storeUp    dependency
 	crashes    checks
 	quarantine quarantine
+	quotas     quotas
 }
 
 // A copyName is an adapter without its version.
@@ -131,7 +132,7 @@
 		g.unlessTold(g.watchHolders, g.holders.isSpared),
 		g.unlessTold(g.watchOperator, g.operator.isSpared),
 		g.unlessTold(g.watchRunners, func(time.Time) bool { return g.told() }),
-		g.expireRemovals, g.sweep, g.tellPaces, g.tellAges, g.tellCrashes, g.keepRows, g.watchQuarantine,
+		g.expireRemovals, g.sweep, g.tellPaces, g.tellAges, g.tellCrashes, g.keepRows, g.watchQuarantine, g.settleQuotas,
 	} {
 		loops.Go(func() { loop(work) })
 	}
@@ -154,6 +155,7 @@
 func (g *Gatekeeper) init() {
 	g.kicks = make(chan struct{}, 1)
 	g.quarantine.init()
+	g.quotas.init(g)
 	g.versions = make(map[copyName]int)
 	g.controllers = make(map[string]*controller)
 	g.links = make(map[string]*link)
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -56,6 +56,12 @@
 			return judge.Refuse(judge.ReasonStarting, "the runners are not known here yet")
 		}
 		return d.publish(ctx, from, m, reply)
+	case relayer.Settle:
+		settled, err := g.settle(m)
+		if err != nil {
+			return err
+		}
+		return reply.Finish(settled)
 	default:
 		return judge.Refuse(judge.ReasonPeer, "a gateway answers no %T", m)
 	}
--- a/internal/instance/gatekeeper/peers.go
+++ b/internal/instance/gatekeeper/peers.go
@@ -34,7 +34,7 @@
 // A replier takes the answer to a message of a peer.
 type replier interface {
 	// Finish sends a message that ends the answer by itself.
-	Finish(m relayer.Reserved) error
+	Finish(m relayer.Message) error
 	// Send sends one message of the answer.
 	Send(m relayer.Message) error
 }
--- a/internal/instance/gatekeeper/serve.go
+++ b/internal/instance/gatekeeper/serve.go
@@ -55,9 +55,16 @@
 		g.Refused(r.ID, err)
 		return err
 	}
+	if err := g.Admit(ctx, r.Quota); err != nil {
+		g.Refused(r.ID, err)
+		return err
+	}
 	g.working.Add(1)
 	defer g.working.Add(-1)
 	err := g.Forwarder.Forward(ctx, r, sink)
+	if err != nil && err.Verdict == judge.NotRun {
+		g.Return(r.Quota)
+	}
 	g.measure(r, err)
 	return err
 }
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -94,11 +94,15 @@
 func (g *Gatekeeper) adopt(c *matcher.Catalog) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if old := g.catalog.Load(); old != nil && c.Version <= old.Version {
+	old := g.catalog.Load()
+	if old != nil && c.Version <= old.Version {
 		return
 	}
 	g.catalog.Store(c)
 	g.Recorder.Log(recorder.Config, "msg", "in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services))
+	if c.Accounts != nil {
+		g.logLimits(old, c)
+	}
 }
 
 // watchRunners keeps the runners, as long as no peer tells of them.
--- a/internal/member/relayer/conversation.go
+++ b/internal/member/relayer/conversation.go
@@ -89,12 +89,20 @@
 		c.ended = true
 		return nil, &judge.Error{Verdict: fail.Verdict, Reason: fail.Reason, Message: fail.Message, Retry: fail.Retry}
 	}
-	_, ends := m.(End)
-	_, reserved := m.(Reserved)
-	c.ended = ends || reserved
+	c.ended = ends(m)
 	return m, nil
 }
 
+// ends reports whether a message is the last of an answer.
+func ends(m Message) bool {
+	switch m.(type) {
+	case End, Reserved, Settled:
+		return true
+	default:
+		return false
+	}
+}
+
 // A Reply is the answering side of a conversation.
 type Reply struct {
 	ctx    context.Context
@@ -129,7 +137,7 @@
 }
 
 // Finish sends a message that ends the answer by itself.
-func (r *Reply) Finish(m Reserved) error {
+func (r *Reply) Finish(m Message) error {
 	r.finished = true
 	r.number++
 	return r.link.send(r.id, r.number, m)
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -70,7 +70,7 @@
 	p.asked = best.Runner
 	p.unuse()
 	p.Placement.Wait(Waiter{
-		Copy: p.request.Copy, InTime: waited+stall < p.request.Route.Goal, Priority: p.request.Route.Priority, Request: p.request.ID, Runner: best.Runner,
+		Copy: p.request.Copy, InTime: waited+stall < p.request.Route.Goal, Priority: p.request.Priority, Request: p.request.Account + "/" + p.request.ID, Runner: best.Runner,
 	})
 	if !p.rest(ctx) {
 		return p.over(ctx)
@@ -185,7 +185,7 @@
 // limit returns how much work may be before the request when it is admitted.
 func (p *exchange) limit() time.Duration {
 	route := p.request.Route
-	part := admitPart - admitStep*float64(min(route.Priority, 5))
+	part := admitPart - admitStep*float64(min(p.request.Priority, 5))
 	return time.Duration(part * float64(route.Goal))
 }
 
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -172,7 +172,7 @@
 func (p *exchange) log(err *judge.Error) {
 	r := p.request
 	fields := []any{
-		"request", r.ID, "route", r.Route.Name, "service", r.Service, "copy", r.Copy, "runner", p.at, "tokens", r.Tokens,
+		"request", r.ID, "account", r.Account, "route", r.Route.Name, "service", r.Service, "copy", r.Copy, "runner", p.at, "tokens", r.Tokens,
 		"queue", p.queue, "arrivals", p.arrivals, "runs", p.runs, "after", p.after, "waited", p.waited, "first", p.first, "pause", p.pause, "took", time.Since(r.Arrived),
 	}
 	if err == nil {
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -10,6 +10,7 @@
 	"io"
 	"time"
 
+	"github.com/sardinetiller/sardinetiller/internal/account/limiter"
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
@@ -19,17 +20,28 @@
 // A Request is one request of a caller.
 type Request struct {
 	ID       string // of this client attempt
+	Account  string // of the caller; empty for none
 	Arrived  time.Time
 	Deadline time.Time // until when the caller waits
 	After    int       // last event that the caller has; 0 for none
 	Copy     placer.Copy
 	Engine   *matcher.Engine // of the service; nil for a plain one
 	Message  Message
+	Priority int // 0 is the most urgent
+	Quota    limiter.Request
 	Route    *matcher.Route
 	Service  string
 	Tokens   int // of the prompt; 0 if unknown
 }
 
+// owner tells apart the same request of two accounts. A host has no slash.
+func (r *Request) owner() string {
+	if r.Account == "" {
+		return r.Route.Host
+	}
+	return r.Account + "/" + r.Route.Host
+}
+
 // A Message is an HTTP request as it came, less what concerns one connection.
 type Message struct {
 	Body   []byte
--- a/internal/request/forwarder/suspect.go
+++ b/internal/request/forwarder/suspect.go
@@ -40,7 +40,7 @@
 func (p *exchange) digest() quarantiner.Digest {
 	if p.identity == "" {
 		r := p.request
-		p.identity = quarantiner.DigestOf(r.Route.Host, r.Message.Method, r.Message.Target, r.Message.Body)
+		p.identity = quarantiner.DigestOf(r.owner(), r.Message.Method, r.Message.Target, r.Message.Body)
 	}
 	return p.identity
 }
--- a/internal/request/judge/verdict.go
+++ b/internal/request/judge/verdict.go
@@ -33,6 +33,7 @@
 	ReasonPeer       Reason = "peer"       // the link to the owning instance failed
 	ReasonQuarantine Reason = "quarantine" // runners crashed that ran the request
 	ReasonQueue      Reason = "queue"      // the queue is full
+	ReasonQuota      Reason = "quota"      // the account has used its quota
 	ReasonRefused    Reason = "refused"    // the upstream refused before running
 	ReasonShare      Reason = "share"      // the account has used its share of the queue
 	ReasonStarting   Reason = "starting"   // no settings are in force here yet
@@ -45,7 +46,7 @@
 var Reasons = []Reason{
 	ReasonAdapter, ReasonAuth, ReasonBody, ReasonCancelled, ReasonClaim,
 	ReasonCut, ReasonDeadline, ReasonDial, ReasonDuplicate, ReasonHeader,
-	ReasonLoad, ReasonMismatch, ReasonOwner, ReasonPeer, ReasonQuarantine, ReasonQueue,
+	ReasonLoad, ReasonMismatch, ReasonOwner, ReasonPeer, ReasonQuarantine, ReasonQueue, ReasonQuota,
 	ReasonRefused, ReasonShare, ReasonStarting, ReasonStopping,
 	ReasonUpstream, ReasonWritten,
 }
--- a/internal/request/matcher/matcher.go
+++ b/internal/request/matcher/matcher.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardinetiller/sardinetiller/internal/account/identifier"
 )
 
 // A Kind says what may be repeated of a route's requests.
@@ -22,6 +24,7 @@
 // A Catalog is one version of the operator's configuration. It is not changed
 // once it is in force.
 type Catalog struct {
+	Accounts *identifier.Directory // nil: anybody may call
 	Version  uint64
 	Routes   []Route
 	Services map[string]Service
@@ -37,6 +40,7 @@
 	Gap      time.Duration // longest pause between events that is still on time; 0 if not a stream
 	Goal     time.Duration // to the answer, or the first event, for full worth
 	Priority int           // 0 is the most urgent
+	Public   bool          // callers need no key
 	Resumes  bool          // a stream may go on at another runner after its last event
 	Shares   []Share
 	Timeout  time.Duration // after which the caller must have an answer
--- a/internal/setting/configurer/gateway.go
+++ b/internal/setting/configurer/gateway.go
@@ -48,6 +48,7 @@
 type Bounds struct {
 	Grace  time.Duration `yaml:"grace"`  // from the signal to stop to the end of the process
 	Part   float64       `yaml:"part"`   // retries that one request pays for
+	Quota  time.Duration `yaml:"quota"`  // over which the quotas of accounts are judged
 	Quiet  time.Duration `yaml:"quiet"`  // between the orders of two instances to one runner
 	Slack  float64       `yaml:"slack"`  // retries of a service beyond the part, over all instances in a window
 	Window time.Duration `yaml:"window"` // in which retries are counted
@@ -59,7 +60,7 @@
 	Ready:  "127.0.0.1:8081",
 	Peer:   "127.0.0.1:8082",
 	Bounds: Bounds{
-		Grace: 8 * time.Second, Part: 0.2, Quiet: 3 * time.Second,
+		Grace: 8 * time.Second, Part: 0.2, Quiet: 3 * time.Second, Quota: 8 * time.Second,
 		Slack: 50, Window: 10 * time.Second,
 	},
 }
@@ -93,7 +94,7 @@
 		c.addresses(field[string]{"caller", g.Caller}, field[string]{"ready", g.Ready}, field[string]{"peer", g.Peer}, field[string]{"platform", g.Platform}),
 		c.optional(field[string]{"advertise", g.Advertise}, field[string]{"metrics", g.Metrics}),
 		c.times("3s", field[time.Duration]{"bounds.grace", g.Bounds.Grace}, field[time.Duration]{"bounds.quiet", g.Bounds.Quiet},
-			field[time.Duration]{"bounds.window", g.Bounds.Window}),
+			field[time.Duration]{"bounds.quota", g.Bounds.Quota}, field[time.Duration]{"bounds.window", g.Bounds.Window}),
 	)
 	if err != nil {
 		return err
