After a restart of all, quotas are known within the time that a request may wait

A request now waits up to 0.4 s for somebody who knows its quota, and a ledger that finds no older one begins with its part of half of the operator's tolerance, which the settings carry now.

--- a/internal/account/limiter/ledger.go
+++ b/internal/account/limiter/ledger.go
@@ -13,6 +13,7 @@
 // A Ledger sums up what all instances spend. Its fields are set before use; it is safe for
 // concurrent use.
 type Ledger struct {
+	First  func(l Limit) float64 // tokens that are left when it begins; nil for none
 	Limits func(account string) (Limit, bool)
 	Window time.Duration // over which quotas are judged: what was spent too much is forgotten after it
 
@@ -55,8 +56,8 @@
 // sweepEvery is how often it is looked who is silent.
 const sweepEvery = 100 * time.Millisecond
 
-// Begin begins with nothing known. Nothing is left of any quota then: those who settled
-// with another Ledger before may have spent it.
+// Begin begins with nothing known. Next to nothing is left of any quota then: those who
+// settled with another Ledger before may have spent it.
 func (l *Ledger) Begin(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -196,13 +197,20 @@
 func (l *Ledger) tally(account string, limit Limit, now time.Time) *tally {
 	t, ok := l.accounts[account]
 	if !ok {
-		t = &tally{settled: now, bucket: bucket{at: l.empty}, entries: make(map[string]*entry)}
+		t = &tally{settled: now, bucket: bucket{level: l.first(limit), at: l.empty}, entries: make(map[string]*entry)}
 		l.accounts[account] = t
 	}
 	t.fill(limit.Rate, limit.Burst, now)
 	return t
 }
 
+func (l *Ledger) first(limit Limit) float64 {
+	if l.First == nil {
+		return 0
+	}
+	return l.First(limit)
+}
+
 // entry returns the entry of a party. What another Ledger has counted since this one began
 // is new here. A Spender's first word tells of nothing that others have not settled.
 func (l *Ledger) entry(t *tally, from Party, s Spent, now time.Time) *entry {
--- a/internal/account/limiter/ledger_test.go
+++ b/internal/account/limiter/ledger_test.go
@@ -42,8 +42,11 @@
 		got = append(got, b)
 	}
 	want := []limiter.Balance{
-		{Account: "a", Left: 1000}, {Account: "a", Counted: 300, Granted: true, Left: 700}, {Account: "a", Counted: 400, Left: 600},
-		{Account: "a", Counted: 350, Left: 650}, {Account: "a", Counted: 350, Left: 650},
+		{Account: "a", Left: 1000},
+		{Account: "a", Counted: 300, Granted: true, Left: 700},
+		{Account: "a", Counted: 400, Left: 600},
+		{Account: "a", Counted: 350, Left: 650},
+		{Account: "a", Counted: 350, Left: 650},
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
--- a/internal/account/limiter/ways_test.go
+++ b/internal/account/limiter/ways_test.go
@@ -30,8 +30,9 @@
 	return load{rate: usual, at: some(l, max(3, len(l.instances)/4)), mean: meanRequest}
 }
 
-func (d load) times(x float64) load {
-	d.rate *= x
+// heavy returns the load of an account that sends eight times its usual.
+func (d load) heavy() load {
+	d.rate *= 8
 	return d
 }
 
@@ -40,7 +41,7 @@
 	{"eight times its usual", func(l *lab) {
 		d := callers(l)
 		l.play(10*time.Second, d)
-		l.play(10*time.Second, d.times(8))
+		l.play(10*time.Second, d.heavy())
 		l.play(10*time.Second, d)
 	}},
 	{"callers move", func(l *lab) {
@@ -55,17 +56,17 @@
 	{"all restart at eight times its usual", func(l *lab) {
 		d := callers(l)
 		l.play(10*time.Second, d)
-		l.play(4*time.Second, d.times(8))
+		l.play(4*time.Second, d.heavy())
 		for _, i := range l.instances {
 			l.way.restart(i)
 		}
-		l.play(10*time.Second, d.times(8))
+		l.play(10*time.Second, d.heavy())
 	}},
 	{"a third cut off at eight times its usual", func(l *lab) {
 		d := callers(l)
 		l.play(10*time.Second, d)
 		l.cut(8*time.Second, func(i *instance) bool { return i.number%3 == 1 })
-		l.play(10*time.Second, d.times(8))
+		l.play(10*time.Second, d.heavy())
 		l.play(5*time.Second, d)
 	}},
 	{"a third cut off in calm", func(l *lab) {
--- a/internal/instance/gatekeeper/quota.go
+++ b/internal/instance/gatekeeper/quota.go
@@ -24,6 +24,10 @@
 	exchangeEvery = 250 * time.Millisecond
 	// settleTimeout bounds such a word. No request waits for it.
 	settleTimeout = 400 * time.Millisecond
+	// unheardPatience is how long a request waits for somebody who knows its quota, and
+	// unheardLook how often it asks. A caller that is sent away comes back later than that.
+	unheardPatience = 400 * time.Millisecond
+	unheardLook     = 25 * time.Millisecond
 	// namedAccounts bounds the accounts that have a counter of their own.
 	namedAccounts = 100
 )
@@ -45,6 +49,7 @@
 	q.spender.Instances = g.Members
 	q.ledger.Limits = g.limitOf
 	q.ledger.Window = g.Config.Bounds.Quota
+	q.ledger.First = g.firstTokens
 }
 
 // limitOf returns the quota of an account as the configuration in force has it.
@@ -60,6 +65,15 @@
 	return a.Limit, true
 }
 
+// firstTokens returns what a ledger has of a quota that knows nothing of its use yet: its
+// part of half of the tolerance. Without it a small account has nothing for seconds after a
+// restart of all.
+func (g *Gatekeeper) firstTokens(l limiter.Limit) float64 {
+	b := g.Config.Bounds
+	tolerance := b.Over*(l.Rate*b.Quota.Seconds()+l.Burst) + b.Spare
+	return tolerance / 2 / float64(len(g.domains()))
+}
+
 // Admit counts a request against the quota of its account, or refuses it.
 func (g *Gatekeeper) Admit(ctx context.Context, r limiter.Request) *judge.Error {
 	if !r.Limit.Bounds() {
@@ -68,7 +82,7 @@
 	decision := g.quotas.spender.Spend(r, time.Now())
 	by := g.Config.ID
 	if _, asks := decision.(limiter.Ask); asks {
-		decision, by = g.askLedger(ctx, r)
+		decision, by = g.askUntilHeard(ctx, r)
 	}
 	switch d := decision.(type) {
 	case limiter.Over:
@@ -103,6 +117,17 @@
 	g.Metrics.GetOrCreateCounter(fmt.Sprintf(`sardinetiller_quota_refusals_total{account=%q}`, account)).Inc()
 }
 
+// askUntilHeard asks again where nothing is known of the quota yet. After a restart of all
+// somebody leads again within that time.
+func (g *Gatekeeper) askUntilHeard(ctx context.Context, r limiter.Request) (d limiter.Decision, by string) {
+	for end := time.Now().Add(unheardPatience); ; pause(ctx, unheardLook) {
+		d, by = g.askLedger(ctx, r)
+		if _, unheard := d.(limiter.Unheard); !unheard || ctx.Err() != nil || !time.Now().Before(end) {
+			return d, by
+		}
+	}
+}
+
 // askLedger has whoever settles for this instance decide on a request, or decides alone if
 // nobody answers; by says who decided.
 func (g *Gatekeeper) askLedger(ctx context.Context, r limiter.Request) (d limiter.Decision, by string) {
--- a/internal/setting/configurer/gateway.go
+++ b/internal/setting/configurer/gateway.go
@@ -47,10 +47,12 @@
 // Bounds are the limits that a deployment sets.
 type Bounds struct {
 	Grace  time.Duration `yaml:"grace"`  // from the signal to stop to the end of the process
+	Over   float64       `yaml:"over"`   // part by which the quota of an account may be exceeded
 	Part   float64       `yaml:"part"`   // retries that one request pays for
 	Quota  time.Duration `yaml:"quota"`  // over which the quotas of accounts are judged
 	Quiet  time.Duration `yaml:"quiet"`  // between the orders of two instances to one runner
 	Slack  float64       `yaml:"slack"`  // retries of a service beyond the part, over all instances in a window
+	Spare  float64       `yaml:"spare"`  // units by which the quota of an account may be exceeded beyond that
 	Window time.Duration `yaml:"window"` // in which retries are counted
 }
 
@@ -102,8 +104,8 @@
 	if g.Link < 0 {
 		return c.fault("link", "give the Mbit/s of the link, or leave it out")
 	}
-	if g.Bounds.Part < 0 || g.Bounds.Slack < 0 {
-		return c.fault("bounds", "part and slack cannot be negative")
+	if b := g.Bounds; b.Part < 0 || b.Slack < 0 || b.Over < 0 || b.Spare < 0 {
+		return c.fault("bounds", "part, slack, over and spare cannot be negative")
 	}
 	return nil
 }
