A ledger counts what another one spent before its first word of an account

A ledger that had begun a moment after another one took that one's first counter of an account for what was spent before, and so lost it: at a jump to 25 times the limit in virtual time both spent the whole burst and neither knew of the other. Words now say what is recent. An older ledger is adopted only by one that has just begun: later it would undo what was counted meanwhile.

Tests with whole instances in virtual time: the quota holds over all of them, outlasts its leader, and one that is cut off keeps its share.

--- a/internal/account/limiter/ledger.go
+++ b/internal/account/limiter/ledger.go
@@ -38,6 +38,7 @@
 type tally struct {
 	bucket            // what is left
 	own     float64   // tokens that parties spent which settle with no other Ledger
+	told    int64     // of them, those that others were told of
 	settled time.Time // last
 	use     meter
 	entries map[string]*entry // by instance
@@ -88,7 +89,7 @@
 func (l *Ledger) Adopt(balances []Balance, age time.Duration, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.since.IsZero() || l.adopted || age < l.Window {
+	if l.since.IsZero() || l.adopted || age < l.Window || now.Sub(l.since) > l.Window {
 		return
 	}
 	l.adopted = true
@@ -186,7 +187,9 @@
 	var report []Spent
 	for name, t := range l.accounts {
 		if now.Sub(t.settled) <= reportedFor {
-			report = append(report, Spent{Account: name, Counter: int64(t.own)})
+			counter := int64(t.own)
+			report = append(report, Spent{Account: name, Counter: counter, Recent: counter - t.told})
+			t.told = counter
 		}
 	}
 	return report
@@ -211,12 +214,12 @@
 	return l.First(limit)
 }
 
-// entry returns the entry of a party. What another Ledger has counted since this one began
-// is new here. A Spender's first word tells of nothing that others have not settled.
+// entry returns the entry of a party. Of one that is new here only what is recent is, or what
+// was spent since this Ledger began: the rest is in what is left.
 func (l *Ledger) entry(t *tally, from Party, s Spent, now time.Time) *entry {
 	e, ok := t.entries[from.Instance]
 	if !ok {
-		e = &entry{counted: s.Counter, until: now}
+		e = &entry{counted: s.Counter - s.Recent, until: now}
 		if from.leads() && from.Age <= now.Sub(l.since) {
 			e.counted = 0
 		}
--- a/internal/account/limiter/spender.go
+++ b/internal/account/limiter/spender.go
@@ -169,7 +169,7 @@
 	var report []Spent
 	for name, a := range s.accounts {
 		if now.Sub(a.used) <= reportedFor {
-			report = append(report, Spent{Account: name, Counter: a.spent})
+			report = append(report, Spent{Account: name, Counter: a.spent, Recent: int64(a.unsettled())})
 		}
 	}
 	return report
@@ -179,7 +179,8 @@
 func (s *Spender) Want(r Request) Spent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Spent{Account: r.Account, Counter: s.account(r.Account).spent, Want: r.Tokens}
+	a := s.account(r.Account)
+	return Spent{Account: r.Account, Counter: a.spent, Recent: int64(a.unsettled()), Want: r.Tokens}
 }
 
 func (s *Spender) account(name string) *spending {
--- /dev/null
+++ b/internal/instance/gatekeeper/quota_test.go
@@ -0,0 +1,132 @@
+package gatekeeper
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/account/identifier"
+	"github.com/sardinetiller/sardinetiller/internal/account/limiter"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
+)
+
+var millLimit = limiter.Limit{Rate: 1000, Burst: 1000}
+
+// newQuotaSite returns a deployment of two failure domains in whose configuration an account
+// has a quota.
+func newQuotaSite(t *testing.T) *site {
+	s := newSite(t, rand.New(rand.NewPCG(1, 1)), 2, 6)
+	for _, m := range s.instances {
+		s.settleQuotas(t, m)
+	}
+	s.pass(3*time.Second, newWitness(s))
+	return s
+}
+
+// settleQuotas lets an instance know of the account and settle, as its process does.
+func (s *site) settleQuotas(t *testing.T, m *member) {
+	g, ctx := m.running()
+	accounts := &identifier.Directory{}
+	if err := accounts.Add(identifier.Account{Name: "mill", Limit: millLimit}, nil); err != nil {
+		t.Fatal(err)
+	}
+	g.catalog.Store(&matcher.Catalog{Version: 1 << 40, Accounts: accounts})
+	go g.settleQuotas(ctx)
+}
+
+func (m *member) admits(tokens int64) *judge.Error {
+	g, ctx := m.running()
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	return g.Admit(ctx, limiter.Request{Account: "mill", Limit: millLimit, Tokens: tokens})
+}
+
+// admitted sends requests to all instances in turn for a time, and returns the tokens that
+// were admitted.
+func (s *site) admitted(span time.Duration) (tokens int64) {
+	for end, n := time.Now().Add(span), 0; time.Now().Before(end); n++ {
+		if m := s.instances[n%len(s.instances)]; m.admits(50) == nil {
+			tokens += 50
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return tokens
+}
+
+func TestQuotaHoldsOverAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newQuotaSite(t)
+		if got := s.admitted(5 * time.Second); got < 5000 || got > 6600 {
+			t.Errorf("%d tokens in 5 s, of 1000 a second and 1000 more", got)
+		}
+		s.end()
+	})
+}
+
+// Guards against a quota that is whole again, or gone, where its leader has been replaced.
+func TestQuotaOutlastsItsLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newQuotaSite(t)
+		spent := s.admitted(3 * time.Second)
+		leader := s.holder("a")
+		leader.kill()
+		leader.start()
+		s.settleQuotas(t, leader)
+		for _, m := range s.instances {
+			if m != leader && m.domain == "a" {
+				s.give("a", m)
+				break
+			}
+		}
+		spent += s.admitted(5 * time.Second)
+		if spent < 5000 || spent > 10000 {
+			t.Errorf("%d tokens in 8 s, of 1000 a second and 1000 more", spent)
+		}
+		s.end()
+	})
+}
+
+// Guards against an instance that is cut off and spends the quota of all.
+func TestInstanceThatIsCutOffKeepsItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newQuotaSite(t)
+		s.admitted(5 * time.Second)
+		alone := s.instances[5]
+		alone.disturb(&alone.cut, time.Now().Add(20*time.Second))
+		tokens := int64(0)
+		for range 500 {
+			if alone.admits(10) == nil {
+				tokens += 10
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		if tokens < 200 || tokens > 4000 {
+			t.Errorf("one of six instances admits %d tokens while it is cut off, of 1000 a second", tokens)
+		}
+		s.end()
+	})
+}
+
+// Guards against a request that is refused and has cost its account tokens.
+func TestInstanceThatKnowsNothingOfAQuotaSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newQuotaSite(t)
+		m := s.instances[5]
+		m.disturb(&m.cut, time.Now().Add(time.Minute))
+		m.kill()
+		m.start()
+		s.settleQuotas(t, m)
+		began := time.Now()
+		err := m.admits(10)
+		if err == nil || err.Reason != judge.ReasonStarting || err.Verdict != judge.NotRun || err.Retry <= 0 {
+			t.Errorf("refused with %+v", err)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("it took %s", took)
+		}
+		s.end()
+	})
+}
--- a/internal/instance/gatekeeper/site_peers_test.go
+++ b/internal/instance/gatekeeper/site_peers_test.go
@@ -85,7 +85,7 @@
 func (c *siteConversation) Close() { c.cancel() }
 
 // Finish implements replier.
-func (c *siteConversation) Finish(relayer.Message) error { return errLink }
+func (c *siteConversation) Finish(m relayer.Message) error { return c.Send(m) }
 
 // Send implements replier.
 func (c *siteConversation) Send(m relayer.Message) error {
--- a/internal/instance/gatekeeper/site_test.go
+++ b/internal/instance/gatekeeper/site_test.go
@@ -55,6 +55,9 @@
 	disturbed time.Time // until when anything of this was so
 }
 
+// quotaWindow is over which quotas are judged.
+const quotaWindow = 8 * time.Second
+
 // A siteLog keeps what instances log, with the time of the site.
 type siteLog struct {
 	mu  sync.Mutex
@@ -169,6 +172,7 @@
 	g.Pool = &pooler.Pool{}
 	g.Store, g.Decoder, g.Peers = m.way, siteDecoder{}, sitePeers{m}
 	g.Recorder.Instance, g.Recorder.Out = m.id, m.site.log
+	g.Config.Bounds.Quota = quotaWindow
 	g.init()
 	g.setViews()
 	ctx, stop := context.WithCancel(context.Background())
