Places at the runners of plain services are asked for

Each of 69 instances chose the runner with the least work as far as it knew, which is what the others had sent 0.15 to 0.4 s ago: all chose the one that had seemed free, and filled up one after the other.

Now whoever orders for a runner's domain counts the requests there. A request asks for a place in its own domain, for a second one if it would wait there for more than a sixth of its goal, and is refused at once if both take more than half of it. The conversation that asked ends with the request, so a place is given back whatever becomes of who holds it. Nobody to ask: as before.

--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -54,6 +54,7 @@
 	busy   bool           // an order or a report is under way
 	asked  time.Time      // for the last report
 	line   admitter.Timeline
+	places tracker.Places // of a plain service
 	told   map[placer.Copy]time.Time
 	wait   time.Duration // for a place, as last told
 	dark   darkness
--- a/internal/instance/gatekeeper/news.go
+++ b/internal/instance/gatekeeper/news.go
@@ -56,6 +56,12 @@
 			return judge.Refuse(judge.ReasonStarting, "the runners are not known here yet")
 		}
 		return d.publish(ctx, from, m, reply)
+	case relayer.Place:
+		d, err := g.held(m.Domain)
+		if err != nil {
+			return err
+		}
+		return d.holdPlace(ctx, m, reply)
 	case relayer.Settle:
 		settled, err := g.settle(m)
 		if err != nil {
--- /dev/null
+++ b/internal/instance/gatekeeper/place.go
@@ -0,0 +1,93 @@
+package gatekeeper
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+)
+
+// Place implements forwarder.Placement. Whoever orders for the runner's domain counts the
+// requests that are there: what each instance knows of the others' is as old as a few runs
+// take.
+func (g *Gatekeeper) Place(ctx context.Context, runner string, within time.Duration) (p forwarder.Place, refused *judge.Error, ok bool) {
+	l, found := g.linkOf(runner)
+	if !found {
+		return forwarder.Place{}, nil, false
+	}
+	if d := g.controllers[l.domain]; d.holds() {
+		wait, done, err := d.place(runner, within)
+		return forwarder.Place{Done: done, Wait: wait}, tooFull(err), err == nil || tooFull(err) != nil
+	}
+	l.mu.Lock()
+	holder := l.holder
+	l.mu.Unlock()
+	if holder.Holder == "" || l.silence() > unheard {
+		return forwarder.Place{}, nil, false
+	}
+	conversation, err := g.Peers.Open(ctx, holder.Address, relayer.Place{Domain: l.domain, Runner: runner, Within: within})
+	if err != nil {
+		return forwarder.Place{}, nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	message, err := conversation.Next(ctx)
+	answer, is := message.(relayer.Placed)
+	if err != nil || !is {
+		conversation.Close()
+		return forwarder.Place{}, tooFull(err), tooFull(err) != nil
+	}
+	return forwarder.Place{Done: sync.OnceFunc(conversation.Close), Wait: answer.Wait}, nil, true
+}
+
+// tooFull returns the refusal that an error is if there is no place.
+func tooFull(err error) *judge.Error {
+	var refused *judge.Error
+	if errors.As(err, &refused) && refused.Reason == judge.ReasonQueue {
+		return refused
+	}
+	return nil
+}
+
+// place counts a request in at a runner until done, or refuses it.
+func (d *controller) place(runner string, within time.Duration) (wait time.Duration, done func(), err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c, ok := d.runners[runner]
+	if !ok {
+		return 0, nil, judge.Refuse(judge.ReasonUpstream, "runner %s is not known here", runner)
+	}
+	now := time.Now()
+	wait = c.places.Wait(c.runner.Slots)
+	if wait > within {
+		return 0, nil, judge.Refuse(judge.ReasonQueue, "requests wait for %s there", wait.Round(time.Millisecond)).After(wait - within)
+	}
+	entry := c.places.Enter(now)
+	return wait, sync.OnceFunc(func() { d.leave(c, entry) }), nil
+}
+
+// leave counts a request out at a runner.
+func (d *controller) leave(c *runnerState, e tracker.Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.places.Leave(e, c.runner.Slots, time.Now())
+}
+
+// holdPlace answers a Place, and holds the place until the sender wants it no more.
+func (d *controller) holdPlace(ctx context.Context, m relayer.Place, reply replier) error {
+	wait, done, err := d.place(m.Runner, m.Within)
+	if err != nil {
+		return err
+	}
+	defer done()
+	if err := reply.Send(relayer.Placed{Wait: wait}); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/internal/instance/gatekeeper/place_test.go
@@ -0,0 +1,44 @@
+package gatekeeper
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Guards against places that are never given back, and against a runner's places that each
+// instance counts for itself.
+func TestPlacesAreCountedByTheHolderOfTheDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newCalmSite(t, 4)
+		defer s.end()
+		runner := s.runners[0].id
+		var waits []bool
+		var done []func()
+		for n := range 3 {
+			g, ctx := s.instances[n].running()
+			p, refused, ok := g.Place(ctx, runner, time.Hour)
+			if !ok || refused != nil {
+				t.Fatalf("instance %d: %v, %t", n, refused, ok)
+			}
+			waits = append(waits, p.Wait > 0)
+			done = append(done, p.Done)
+		}
+		if diff := cmp.Diff([]bool{false, false, true}, waits); diff != "" {
+			t.Errorf("who waits at a runner with two slots: %s", diff)
+		}
+		for _, leave := range done {
+			leave()
+			leave() // a second time does nothing
+		}
+		time.Sleep(time.Second)
+		g, ctx := s.instances[3].running()
+		p, refused, ok := g.Place(ctx, runner, 0)
+		if !ok || refused != nil || p.Wait != 0 {
+			t.Fatalf("after all have left: %v, %v, %t", p.Wait, refused, ok)
+		}
+		p.Done()
+	})
+}
--- a/internal/instance/gatekeeper/site_runner_test.go
+++ b/internal/instance/gatekeeper/site_runner_test.go
@@ -27,7 +27,7 @@
 
 // register writes the row of a runner.
 func (s *site) register(r *siteRunner) {
-	value, err := encoder.Marshal(tracker.Runner{ID: r.id, Domain: r.domain, Service: "llm", Leaving: r.leaving})
+	value, err := encoder.Marshal(tracker.Runner{ID: r.id, Domain: r.domain, Service: "llm", Slots: 2, Leaving: r.leaving})
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -32,6 +32,7 @@
 	p.at, p.sent = runner.ID, now
 	p.use(runner.ID)
 	defer p.unuse()
+	defer p.leavePlace()
 	watch := p.watch(runner.ID, cancel)
 	defer watch.stop()
 	reply, seen := p.Upstream.Send(ctx, Attempt{Request: p.request, Runner: runner, After: p.after, Left: deadline.Sub(now)})
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -17,6 +17,13 @@
 		if refused := p.quarantined(); refused != nil {
 			return tracker.Runner{}, refused
 		}
+		p.leavePlace()
+		if runner, refused, asked := p.choosePlace(ctx); asked {
+			if refused != nil {
+				refused = refused.After(comeBack(refused.Retry))
+			}
+			return runner, refused
+		}
 		now := time.Now()
 		terms, refused := p.best(now)
 		if refused != nil {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -62,6 +62,7 @@
 	first    time.Duration // from the arrival to the first part of the answer
 	last     time.Time     // when the last event was passed on
 	pause    time.Duration // the longest between two events
+	place    Place         // at a runner of a plain service
 	paid     atomic.Bool   // the next retry is withdrawn already
 	runs     int           // of the arrivals, the ones that may have run
 	sent     time.Time     // to that runner
@@ -84,6 +85,7 @@
 	p.budget.Deposit()
 	err := p.run(ctx)
 	p.unuse()
+	p.leavePlace()
 	p.log(err)
 	return err
 }
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -40,6 +40,7 @@
 
 // A placement has every adapter there and room as its script says.
 type placement struct {
+	place   func(runner string, within time.Duration) (forwarder.Place, *judge.Error, bool)
 	reserve func(a forwarder.Ask) (forwarder.Room, *judge.Error, bool)
 	want    func(runner string)
 }
@@ -50,6 +51,13 @@
 		p.want(runner)
 	}
 }
+
+func (p placement) Place(_ context.Context, runner string, within time.Duration) (forwarder.Place, *judge.Error, bool) {
+	if p.place == nil {
+		return forwarder.Place{}, nil, false
+	}
+	return p.place(runner, within)
+}
 func (placement) Use(string, placer.Copy) func()              { return func() {} }
 func (placement) There(string, placer.Copy, time.Time)        {}
 func (placement) Paused(string, time.Duration, time.Duration) {}
--- /dev/null
+++ b/internal/request/forwarder/place_test.go
@@ -0,0 +1,128 @@
+package forwarder_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+)
+
+// A ward gives out the places of plain runners, and keeps who holds one.
+type ward struct {
+	waits map[string]time.Duration // by runner; without one nobody answers
+	asked []string
+	held  map[string]int
+}
+
+func (w *ward) place(runner string, within time.Duration) (forwarder.Place, *judge.Error, bool) {
+	w.asked = append(w.asked, runner)
+	wait, ok := w.waits[runner]
+	switch {
+	case !ok:
+		return forwarder.Place{}, nil, false
+	case wait > within:
+		return forwarder.Place{}, judge.Refuse(judge.ReasonQueue, "full").After(wait - within), true
+	}
+	if w.held == nil {
+		w.held = make(map[string]int)
+	}
+	w.held[runner]++
+	return forwarder.Place{Wait: wait, Done: func() { w.held[runner]-- }}, nil, true
+}
+
+// Requests of a plain service go to the runner of their own failure domain, to a second one
+// where they would wait there, and are refused at once where they would be late.
+func TestPlaces(t *testing.T) {
+	const goal = 300 * time.Millisecond
+	for _, tc := range []struct {
+		name   string
+		waits  map[string]time.Duration
+		sent   string // runner; empty for none
+		asked  int
+		reason judge.Reason
+	}{
+		{"free", map[string]time.Duration{"own": 0, "far": 0}, "own", 1, ""},
+		{"almost free", map[string]time.Duration{"own": 40 * time.Millisecond, "far": 0}, "own", 1, ""},
+		{"the other one is freer", map[string]time.Duration{"own": 100 * time.Millisecond, "far": 0}, "far", 2, ""},
+		{"the other one is not", map[string]time.Duration{"own": 100 * time.Millisecond, "far": 120 * time.Millisecond}, "own", 2, ""},
+		{"the own one is full", map[string]time.Duration{"own": time.Second, "far": 120 * time.Millisecond}, "far", 2, ""},
+		{"both are full", map[string]time.Duration{"own": time.Second, "far": 200 * time.Millisecond}, "", 2, judge.ReasonQueue},
+		{"nobody tells of the own one", map[string]time.Duration{"far": 0}, "far", 2, ""},
+		{"nobody tells", nil, "own", 2, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &ward{waits: tc.waits}
+				sent := ""
+				u := &upstream{answer: func(_ context.Context, _ int, a forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+					sent = a.Runner.ID
+					if w.waits != nil && w.held[sent] != 1 {
+						t.Errorf("it is sent to %s without a place there: %v", sent, w.held)
+					}
+					return &forwarder.Reply{Status: 200, Body: strings.NewReader("body"), Close: func(bool) {}}, nil
+				}}
+				f := newForwarder(u, placement{place: w.place}, 0)
+				f.Fleet.Set(tracker.Runner{ID: "own", Service: "plain", Domain: "a", Slots: 6, Revision: 1})
+				f.Fleet.Set(tracker.Runner{ID: "far", Service: "plain", Domain: "b", Slots: 6, Revision: 1})
+				now := time.Now()
+				r := &forwarder.Request{
+					ID: "q", Arrived: now, Deadline: now.Add(3 * time.Second), Service: "plain",
+					Route: &matcher.Route{Name: "r", Attempts: 1, Goal: goal},
+				}
+				reason := judge.Reason("")
+				if err := f.Forward(t.Context(), r, &sink{}); err != nil {
+					reason = err.Reason
+					if err.Verdict != judge.NotRun || err.Retry <= 0 {
+						t.Errorf("refused with %+v", err)
+					}
+				}
+				if diff := cmp.Diff([]any{tc.sent, tc.asked, tc.reason}, []any{sent, len(w.asked), reason}); diff != "" {
+					t.Error(diff)
+				}
+				for runner, n := range w.held {
+					if n != 0 {
+						t.Errorf("%d places are held at %s afterwards", n, runner)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a place that is held for good as its request went out again.
+func TestPlaceIsGivenBackBeforeAnotherTry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &ward{waits: map[string]time.Duration{"i-0": 0, "i-1": 0}}
+		u := &upstream{answer: func(_ context.Context, n int, _ forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+			if n == 1 {
+				return nil, judge.Broken{Written: 1, Err: io.EOF}
+			}
+			return &forwarder.Reply{Status: 200, Body: strings.NewReader("body"), Close: func(bool) {}}, nil
+		}}
+		f := newForwarder(u, placement{place: w.place}, 0)
+		for n := range 2 {
+			f.Fleet.Set(tracker.Runner{ID: fmt.Sprint("i-", n), Service: "plain", Domain: "a", Slots: 6, Revision: 1})
+		}
+		now := time.Now()
+		r := &forwarder.Request{
+			ID: "q", Arrived: now, Deadline: now.Add(3 * time.Second), Service: "plain",
+			Route: &matcher.Route{Name: "r", Kind: matcher.Idempotent, Attempts: 2, Goal: 300 * time.Millisecond},
+		}
+		if err := f.Forward(t.Context(), r, &sink{}); err != nil {
+			t.Error(err)
+		}
+		if diff := cmp.Diff(map[string]int{"i-0": 0, "i-1": 0}, w.held); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -100,6 +100,9 @@
 	// returns how long to hold the request back, or a refusal. ok is false if
 	// nobody can tell.
 	Reserve(ctx context.Context, a Ask) (r Room, refused *judge.Error, ok bool)
+	// Place asks for a place at a runner of a plain service. It returns how long the request
+	// waits there, or a refusal that says how much too long. ok is false if nobody can tell.
+	Place(ctx context.Context, runner string, within time.Duration) (p Place, refused *judge.Error, ok bool)
 	// There tells that a runner took a request for a copy that was sent at a time.
 	There(runner string, c placer.Copy, sent time.Time)
 	// Use tells that a request needs a copy to stay at a runner until done.
@@ -120,6 +123,12 @@
 	Within time.Duration // in which the prompt has to be read
 }
 
+// A Place is one at a runner of a plain service, which is held until it is given back.
+type Place struct {
+	Done func() // gives it back
+	Wait time.Duration
+}
+
 // A Room is what a request is given at a runner.
 type Room struct {
 	Absent bool          // the copy has made way meanwhile
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -68,6 +68,8 @@
 		return r.cost(p, request, c, rank)
 	case First:
 		return r.first(p, request, c, rank, f)
+	case Spread:
+		return p.terms(c)
 	case Hash:
 		return Terms{Runner: c.Runner, Total: rank}
 	case Least:
@@ -170,6 +172,15 @@
 	return t
 }
 
+// terms tells only runners apart that answer badly or are far away.
+func (p Spread) terms(c *Candidate) Terms {
+	t := Terms{Runner: c.Runner, Queue: c.Backlog.Seconds(), Total: failedCost*c.Failing + p.Away*p.Draw()}
+	if c.Away {
+		t.Total += p.Away
+	}
+	return t
+}
+
 // Another returns the best runner that could hold one more copy of the adapter.
 // ok is false if there is none, or if a copy is on its way to some runner.
 func Another(terms []Terms) (runner string, ok bool) {
--- /dev/null
+++ b/internal/upstream/tracker/places_test.go
@@ -0,0 +1,46 @@
+package tracker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+)
+
+func TestPlaces(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var p tracker.Places
+	var waits []time.Duration
+	var entries []tracker.Entry
+	for range 4 {
+		waits = append(waits, p.Wait(2))
+		entries = append(entries, p.Enter(now))
+	}
+	want := []time.Duration{0, 0, 50 * time.Millisecond, 100 * time.Millisecond}
+	if diff := cmp.Diff(want, waits); diff != "" {
+		t.Error(diff)
+	}
+	for _, e := range entries {
+		p.Leave(e, 2, now.Add(100*time.Millisecond))
+	}
+	if got := p.Wait(2); got != 0 {
+		t.Errorf("a request waits for %s at an empty runner", got)
+	}
+}
+
+// Guards against a runner that looks slower the longer requests wait there, and is refused
+// requests for that.
+func TestTimeInTheQueueIsNoRunTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var p tracker.Places
+	first := p.Enter(now)
+	for range 100 {
+		p.Leave(p.Enter(now), 1, now.Add(time.Minute))
+	}
+	if got := p.Wait(1); got != 100*time.Millisecond {
+		t.Errorf("a request waits for %s", got)
+	}
+	p.Leave(first, 1, now.Add(100*time.Millisecond))
+}
