Runners that pause too often are given less than half of the time for reading

On the shifted deployment 3.9 % of the answers had a pause beyond 300 ms, most of them of 300 to 400 ms, as many as had a late first event: a third of the runners is slower by 1.3, and the share of reading was never below a half. It now goes down to 0.3 in small steps where long pauses go on.

--- a/internal/request/admitter/share.go
+++ b/internal/request/admitter/share.go
@@ -11,12 +11,14 @@
 // With a fixed half, prompts were held back by 0.1 to 0.2 s on runners whose
 // pauses stayed below two thirds of what their callers bear.
 type Share struct {
-	above float64 // over leastShare
+	above float64 // over firstShare; below it if negative
 }
 
 const (
-	// leastShare is safe on the engines with the longest pauses known so far.
-	leastShare = 0.5
+	// firstShare is assumed before anything was learned, and leastShare where even that
+	// makes too many runs pause: the runners of a service differ in speed.
+	firstShare = 0.5
+	leastShare = 0.3
 	// mostShare is where a prompt is never held back for the runs' sake.
 	mostShare = 2
 	// keptStep is by how much an answer with short pauses makes the share larger,
@@ -25,6 +27,10 @@
 	// doubles in ten seconds.
 	keptStep = 0.005
 	longStep = 1
+	// lowKeptStep and lowLongStep are the same below firstShare: there nobody knows how far
+	// down it goes, and one long pause in a hundred is borne rather than that all wait.
+	lowKeptStep = 0.0005
+	lowLongStep = 0.05
 	// shortPause and longPause are parts of the longest pause that callers bear.
 	// Between them the share stays as it is.
 	shortPause = 0.75
@@ -32,12 +38,31 @@
 )
 
 // Value returns the share.
-func (s *Share) Value() float64 { return leastShare + s.above }
+func (s *Share) Value() float64 { return firstShare + s.above }
 
 // Learn takes in how many answers had only short pauses, and how many a long one.
 func (s *Share) Learn(short, long int) {
-	s.above += keptStep*float64(short) - longStep*float64(long)
-	s.above = min(mostShare-leastShare, max(0, s.above))
+	s.rise(float64(short))
+	for range long {
+		s.fall()
+	}
+	s.above = min(mostShare-firstShare, max(leastShare-firstShare, s.above))
+}
+
+func (s *Share) rise(short float64) {
+	if s.above < 0 {
+		s.above += lowKeptStep * short
+		return
+	}
+	s.above += keptStep * short
+}
+
+func (s *Share) fall() {
+	if s.above <= 0 {
+		s.above -= lowLongStep
+		return
+	}
+	s.above = max(0, s.above-longStep)
 }
 
 // Short and Long report whether a pause leaves the runner time to read more, and
--- a/internal/request/admitter/share_test.go
+++ b/internal/request/admitter/share_test.go
@@ -26,6 +26,9 @@
 		{"all there is", func(rng *rand.Rand, share float64) time.Duration {
 			return time.Duration(rng.Float64() * share * 1.5 * float64(most))
 		}, 0.5, 0.8, 0.02},
+		{"all there is, on slow engines", func(rng *rand.Rand, share float64) time.Duration {
+			return time.Duration(rng.Float64() * share * 2.5 * float64(most))
+		}, 0.3, 0.5, 0.02},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(1, 1))
--- a/internal/request/admitter/timeline.go
+++ b/internal/request/admitter/timeline.go
@@ -21,7 +21,7 @@
 	Pause  time.Duration // that its runs bear between events; 0 for no bound
 	Queue  time.Duration // until a place in the batch is free
 	Read   time.Duration // that its prompt takes
-	Share  float64       // of the time that the runner may read; 0 for the least
+	Share  float64       // of the time that the runner may read; 0 if nothing was learned
 	Within time.Duration // in which the reading has to be done
 }
 
@@ -33,7 +33,10 @@
 // Reserve returns how long the request is held back. If it would be too late,
 // ok is false, nothing is reserved, and wait is the time by which it is.
 func (t *Timeline) Reserve(p Prompt, now time.Time) (wait time.Duration, ok bool) {
-	share := max(leastShare, p.Share)
+	share := p.Share
+	if share == 0 {
+		share = firstShare
+	}
 	wait = p.Queue
 	if p.Pause > 0 {
 		ahead := max(0, t.paced.Sub(now)) // bounded first: the first time of all is long ago
