Tokens that come soon are waited for; a silent ledger's successor is not counted twice

What was kept for the time that the successor tells of is given back with its first word (failing test first: -1,228 left of 1000 a second of which 500 were spent).

A request whose tokens come within 0.25 s waits for them in place of being sent away for 0.2 s at least.

--- a/internal/account/limiter/ledger.go
+++ b/internal/account/limiter/ledger.go
@@ -38,6 +38,7 @@
 type tally struct {
 	bucket            // what is left
 	own     float64   // tokens that parties spent which settle with no other Ledger
+	back    float64   // tokens to be given back with the next word of another Ledger
 	told    int64     // of them, those that others were told of
 	settled time.Time // last
 	use     meter
@@ -251,6 +252,10 @@
 		t.own -= e.kept
 	}
 	e.kept = 0
+	if from.leads() {
+		t.level += t.back
+		t.back = 0
+	}
 }
 
 // advance keeps back what silent parties may spend, and returns the burst that the others
@@ -292,18 +297,32 @@
 }
 
 // replace forgets the Ledger of a domain that another one follows. Its parties settle with
-// that one.
+// that one, which tells what they have spent since it began.
 func (l *Ledger) replace(by Party) {
 	if !by.leads() {
 		return
 	}
 	for instance, p := range l.parties {
 		if p.Domain == by.Domain {
+			l.giveBack(p, by.Age)
 			l.drop(instance)
 		}
 	}
 }
 
+// giveBack gives back, with the next word of a Ledger, what was kept for a silent one for a
+// time that the next one tells of. Both were taken for spent otherwise.
+func (l *Ledger) giveBack(p *party, told time.Duration) {
+	for name, t := range l.accounts {
+		e, ok := t.entries[p.Instance]
+		limit, bounds := l.Limits(name)
+		if !ok || !bounds {
+			continue
+		}
+		t.back += min(e.kept, e.share*limit.Rate*told.Seconds())
+	}
+}
+
 func (l *Ledger) drop(instance string) {
 	delete(l.parties, instance)
 	for _, t := range l.accounts {
--- a/internal/account/limiter/ledger_test.go
+++ b/internal/account/limiter/ledger_test.go
@@ -155,3 +155,23 @@
 		l.Settle(one, spent, start)
 	}
 }
+
+// Guards against an account that has nothing for seconds after a cut, as what was kept for a
+// leader that was silent and what its successor tells were both taken for spent.
+func TestSuccessorOfASilentLedgerIsNotCountedTwice(t *testing.T) {
+	l := newLedger(thousand)
+	former := limiter.Party{Instance: "former", Born: 1, Domain: "d"}
+	for n := range 50 {
+		now := at(time.Duration(n) * 100 * time.Millisecond)
+		settle(t, l, one, spent(int64(n)*10, 0), now)
+		settle(t, l, former, spent(int64(n)*40, 0), now)
+	}
+	for now := at(5 * time.Second); now.Before(at(10 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		settle(t, l, one, spent(490, 0), now)
+	}
+	successor := limiter.Party{Instance: "successor", Born: 2, Domain: "d", Age: 4 * time.Second}
+	settle(t, l, successor, spent(1600, 0), at(10*time.Second))
+	if got := settle(t, l, one, spent(490, 0), at(10*time.Second)).Left; got < 0 {
+		t.Errorf("%d tokens are left of 1000 a second, of which 500 were spent", got)
+	}
+}
--- a/internal/account/limiter/spender.go
+++ b/internal/account/limiter/spender.go
@@ -34,10 +34,10 @@
 
 // A spending is what one instance has spent of an account's quota.
 type spending struct {
-	spent  int64 // tokens, less those that were given back
-	used   time.Time
-	use    meter
-	queued [urgencies]bucket // tokens for which refused callers were told to come back
+	spent int64 // tokens, less those that were given back
+	used  time.Time
+	use   meter
+	line  line
 
 	told   Balance
 	at     time.Time // when it was told; zero for never
@@ -70,7 +70,8 @@
 	Over struct {
 		Left int64         // tokens of the quota
 		Age  time.Duration // of that figure
-		Wait time.Duration // until it may be tried again
+		Soon time.Duration // until its tokens have come
+		Wait time.Duration // until its caller may come back
 	}
 )
 
--- a/internal/instance/gatekeeper/quota.go
+++ b/internal/instance/gatekeeper/quota.go
@@ -28,6 +28,12 @@
 	// unheardLook how often it asks. A caller that is sent away comes back later than that.
 	unheardPatience = 400 * time.Millisecond
 	unheardLook     = 25 * time.Millisecond
+	// tokensPatience is how long a request waits for tokens that come in that time. It is
+	// what a caller would be told to stay away for at least.
+	tokensPatience = 250 * time.Millisecond
+	// firstPart is the part of the tolerance that ledgers have between them which know
+	// nothing of the past; the rest is for cuts.
+	firstPart = 0.7
 	// namedAccounts bounds the accounts that have a counter of their own.
 	namedAccounts = 100
 )
@@ -66,12 +72,12 @@
 }
 
 // firstTokens returns what a ledger has of a quota that knows nothing of its use yet: its
-// part of half of the tolerance. Without it a small account has nothing for seconds after a
+// part of the tolerance. Without it a small account has nothing for seconds after a
 // restart of all.
 func (g *Gatekeeper) firstTokens(l limiter.Limit) float64 {
 	b := g.Config.Bounds
 	tolerance := b.Over*(l.Rate*b.Quota.Seconds()+l.Burst) + b.Spare
-	return tolerance / 2 / float64(len(g.domains()))
+	return firstPart * tolerance / float64(len(g.domains()))
 }
 
 // Admit counts a request against the quota of its account, or refuses it.
@@ -79,10 +85,10 @@
 	if !r.Limit.Bounds() {
 		return nil
 	}
-	decision := g.quotas.spender.Spend(r, time.Now())
-	by := g.Config.ID
-	if _, asks := decision.(limiter.Ask); asks {
-		decision, by = g.askUntilHeard(ctx, r)
+	decision, by := g.decide(ctx, r)
+	if over, is := decision.(limiter.Over); is && over.Soon <= tokensPatience {
+		pause(ctx, over.Soon)
+		decision, by = g.decide(ctx, r)
 	}
 	switch d := decision.(type) {
 	case limiter.Over:
@@ -117,6 +123,15 @@
 	g.Metrics.GetOrCreateCounter(fmt.Sprintf(`sardinetiller_quota_refusals_total{account=%q}`, account)).Inc()
 }
 
+// decide decides on a request; by says who did.
+func (g *Gatekeeper) decide(ctx context.Context, r limiter.Request) (d limiter.Decision, by string) {
+	d = g.quotas.spender.Spend(r, time.Now())
+	if _, asks := d.(limiter.Ask); asks {
+		return g.askUntilHeard(ctx, r)
+	}
+	return d, g.Config.ID
+}
+
 // askUntilHeard asks again where nothing is known of the quota yet. After a restart of all
 // somebody leads again within that time.
 func (g *Gatekeeper) askUntilHeard(ctx context.Context, r limiter.Request) (d limiter.Decision, by string) {
