--- a/internal/account/identifier/directory_test.go
+++ b/internal/account/identifier/directory_test.go
@@ -129,3 +129,23 @@
 		}
 	})
 }
+
+func BenchmarkIdentify(b *testing.B) {
+	for _, accounts := range []int{16, 10000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			var d identifier.Directory
+			for n := range accounts {
+				if err := d.Add(identifier.Account{Name: fmt.Sprint("account-", n)}, []string{fmt.Sprint("key-", n)}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			values := [][]byte{[]byte("Bearer key-7")}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, outcome := d.Identify(values); outcome != identifier.Known {
+					b.Fatal(outcome)
+				}
+			}
+		})
+	}
+}
--- a/internal/account/limiter/ledger.go
+++ b/internal/account/limiter/ledger.go
@@ -38,8 +38,8 @@
 type tally struct {
 	bucket            // what is left
 	own     float64   // tokens that parties spent which settle with no other Ledger
+	told    int64     // those of them that other Ledgers were told of
 	back    float64   // tokens to be given back with the next word of another Ledger
-	told    int64     // of them, those that others were told of
 	settled time.Time // last
 	use     meter
 	entries map[string]*entry // by instance
