--- a/internal/account/limiter/ledger.go
+++ b/internal/account/limiter/ledger.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// silentAfter is the time after its last word from which on a party that still had a share
+// silentAfter is the time after its last update from which on a party that still had a share
 // is taken to go on without a Ledger. It is longer than a Spender trusts a balance.
 const silentAfter = trust + 300*time.Millisecond
 
@@ -31,18 +31,18 @@
 // A party is who settles here.
 type party struct {
 	Party
-	heard time.Time
+	seen time.Time
 }
 
 // A tally is what was spent of one account's quota.
 type tally struct {
-	bucket            // what is left
-	own     float64   // tokens that parties spent which settle with no other Ledger
-	told    int64     // those of them that other Ledgers were told of
-	back    float64   // tokens to be given back with the next word of another Ledger
-	settled time.Time // last
-	use     meter
-	entries map[string]*entry // by instance
+	bucket             // what is left
+	own      float64   // tokens that parties spent which settle with no other Ledger
+	reported int64     // those of them in the last report
+	back     float64   // tokens to be given back with the next update of another Ledger
+	settled  time.Time // last
+	use      meter
+	entries  map[string]*entry // by instance
 }
 
 // An entry is what one party has spent of it.
@@ -50,7 +50,7 @@
 	counted int64
 	use     meter
 	share   float64   // of the limit and of what is left, which it goes on to spend if it is silent
-	left    float64   // tokens that were left at its last word
+	left    float64   // tokens that were left at its last update
 	kept    float64   // tokens that are kept back for it since then
 	until   time.Time // up to when
 }
@@ -103,14 +103,14 @@
 }
 
 // Settle takes in what a party has spent, and returns how its accounts stand; ok is false
-// if nothing is settled here. A Ledger that has just begun is told of all accounts.
+// if nothing is settled here. A Ledger that has just begun gets all accounts.
 func (l *Ledger) Settle(from Party, spent []Spent, now time.Time) (balances []Balance, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.since.IsZero() {
 		return nil, false
 	}
-	l.hear(from, now)
+	l.observe(from, now)
 	l.sweep(now)
 	balances = make([]Balance, 0, len(spent))
 	for _, s := range spent {
@@ -126,13 +126,13 @@
 
 // addOthers adds how the accounts stand that are not among the balances.
 func (l *Ledger) addOthers(balances []Balance, now time.Time) []Balance {
-	told := make(map[string]bool, len(balances))
+	listed := make(map[string]bool, len(balances))
 	for _, b := range balances {
-		told[b.Account] = true
+		listed[b.Account] = true
 	}
 	for name := range l.accounts {
 		limit, ok := l.Limits(name)
-		if !ok || !limit.Bounds() || told[name] {
+		if !ok || !limit.Bounds() || listed[name] {
 			continue
 		}
 		t := l.tally(name, limit, now)
@@ -162,7 +162,7 @@
 }
 
 // left returns what is left of a quota. Other Ledgers have gone on to admit as they did since
-// their last word: without that each of them admits what is left for all.
+// their last update: without that each of them admits what is left for all.
 func (l *Ledger) left(t *tally, now time.Time) float64 {
 	left := t.level
 	for _, instance := range l.leaders {
@@ -189,8 +189,8 @@
 	for name, t := range l.accounts {
 		if now.Sub(t.settled) <= reportedFor {
 			counter := int64(t.own)
-			report = append(report, Spent{Account: name, Counter: counter, Recent: counter - t.told})
-			t.told = counter
+			report = append(report, Spent{Account: name, Counter: counter, Recent: counter - t.reported})
+			t.reported = counter
 		}
 	}
 	return report
@@ -244,7 +244,7 @@
 	}
 }
 
-// release gives back what was kept for a party while it was silent; it tells now what it
+// release gives back what was kept for a party while it was silent; it says now what it
 // has spent.
 func (t *tally) release(e *entry, from Party) {
 	t.level += e.kept
@@ -278,8 +278,8 @@
 	return burst
 }
 
-// hear takes in that a party lives.
-func (l *Ledger) hear(from Party, now time.Time) {
+// observe takes in that a party lives.
+func (l *Ledger) observe(from Party, now time.Time) {
 	before, ok := l.parties[from.Instance]
 	if ok && (before.Born != from.Born || before.leads() != from.leads()) {
 		l.drop(from.Instance)
@@ -293,11 +293,11 @@
 			l.leaders = append(l.leaders, from.Instance)
 		}
 	}
-	before.Party, before.heard = from, now
+	before.Party, before.seen = from, now
 }
 
 // replace forgets the Ledger of a domain that another one follows. Its parties settle with
-// that one, which tells what they have spent since it began.
+// that one, which reports what they have spent since it began.
 func (l *Ledger) replace(by Party) {
 	if !by.leads() {
 		return
@@ -310,16 +310,16 @@
 	}
 }
 
-// giveBack gives back, with the next word of a Ledger, what was kept for a silent one for a
-// time that the next one tells of. Both were taken for spent otherwise.
-func (l *Ledger) giveBack(p *party, told time.Duration) {
+// giveBack gives back, with the next update of a Ledger, what was kept for a silent one for a
+// time that the next one reports on. Both were taken for spent otherwise.
+func (l *Ledger) giveBack(p *party, reported time.Duration) {
 	for name, t := range l.accounts {
 		e, ok := t.entries[p.Instance]
 		limit, bounds := l.Limits(name)
 		if !ok || !bounds {
 			continue
 		}
-		t.back += min(e.kept, e.share*limit.Rate*told.Seconds())
+		t.back += min(e.kept, e.share*limit.Rate*reported.Seconds())
 	}
 }
 
@@ -340,7 +340,7 @@
 	l.swept = now
 	l.silent = l.silent[:0]
 	for instance, p := range l.parties {
-		switch silence := now.Sub(p.heard); {
+		switch silence := now.Sub(p.seen); {
 		case silence > aloneFor:
 			l.drop(instance)
 		case silence > silentAfter:
--- a/internal/account/limiter/message.go
+++ b/internal/account/limiter/message.go
@@ -19,7 +19,7 @@
 	_       struct{} `cbor:",toarray"`
 	Account string
 	Counter int64 // all tokens since its counters were zero, less those that were given back
-	Recent  int64 // those of them since its last word to anybody
+	Recent  int64 // those of them since its last update to anybody
 	Want    int64 // for a request that waits for the answer; 0 for none
 }
 
--- a/internal/account/limiter/spender.go
+++ b/internal/account/limiter/spender.go
@@ -12,15 +12,15 @@
 	// spent nothing lately has a share too. In a cut both sides have this part, so it is
 	// half of what a quota may be exceeded by.
 	even = 0.05
-	// aloneFor is how long an instance that hears no Ledger goes on with its share, and
+	// aloneFor is how long an instance that reaches no Ledger goes on with its share, and
 	// a Ledger keeps that back. It outlasts a cut; what is gone for good costs no longer.
 	aloneFor = 30 * time.Second
 	// reportedFor is how long an account is settled after its last use: its share is
 	// nothing by then.
 	reportedFor = 6 * meterTime
-	// unheardWait is when a caller may come back who was refused as nothing is known: a
+	// unknownWait is when a caller may come back who was refused as nothing is known: a
 	// Ledger that is gone has a successor soon.
-	unheardWait = 500 * time.Millisecond
+	unknownWait = 500 * time.Millisecond
 )
 
 // A Spender admits the requests of one instance. Its fields are set before use; it is safe
@@ -39,13 +39,13 @@
 	use   meter
 	line  line
 
-	told   Balance
-	at     time.Time // when it was told; zero for never
-	asked  time.Time // when it was asked for
-	others float64   // tokens a second that others spent then
-	share  float64   // of the limit, as of then
+	balance Balance   // the last one
+	at      time.Time // when it came; zero for never
+	asked   time.Time // when it was asked for
+	others  float64   // tokens a second that others spent then
+	share   float64   // of the limit, as of then
 
-	alone   bucket // what is left while no Ledger is heard
+	alone   bucket // what is left while no Ledger is reached
 	isAlone bool
 }
 
@@ -61,8 +61,8 @@
 	// Ask says that a Ledger is to be asked.
 	Ask struct{}
 
-	// Unheard says that it is not, as nothing is known of the quota, or not any more.
-	Unheard struct {
+	// Unknown says that it is not, as nothing is known of the quota, or not any more.
+	Unknown struct {
 		Wait time.Duration // until it may be tried again
 	}
 
@@ -78,7 +78,7 @@
 func (Admitted) decision() {}
 func (Ask) decision()      {}
 func (Over) decision()     {}
-func (Unheard) decision()  {}
+func (Unknown) decision()  {}
 
 // A Request is for tokens of an account's quota.
 type Request struct {
@@ -137,7 +137,7 @@
 	defer s.mu.Unlock()
 	a := s.account(r.Account)
 	if a.at.IsZero() || now.Sub(a.at) > aloneFor {
-		return Unheard{Wait: unheardWait}
+		return Unknown{Wait: unknownWait}
 	}
 	if !a.isAlone {
 		a.beginAlone()
@@ -211,29 +211,29 @@
 		return
 	}
 	use := a.use.value(now)
-	a.told, a.at, a.asked, a.isAlone = b, now, asked, false
+	a.balance, a.at, a.asked, a.isAlone = b, now, asked, false
 	a.others = max(0, float64(b.Use)-use)
 	a.share = least + shareOf(use, float64(b.Use), l)
 }
 
 // unsettled returns what was spent that the last balance does not count.
-func (a *spending) unsettled() float64 { return float64(a.spent - a.told.Counted) }
+func (a *spending) unsettled() float64 { return float64(a.spent - a.balance.Counted) }
 
 // left returns what is left of the quota. Others go on to spend as they did.
 func (a *spending) left(l Limit, now time.Time) float64 {
 	age := now.Sub(a.at).Seconds()
-	return min(l.Burst, float64(a.told.Left)+(l.Rate-a.others)*age) - a.unsettled()
+	return min(l.Burst, float64(a.balance.Left)+(l.Rate-a.others)*age) - a.unsettled()
 }
 
 // part returns what this instance may spend of it without asking. The parts of all
 // instances add up to what is left, so callers may turn to any of them at once.
 func (a *spending) part(l Limit, now time.Time) float64 {
 	age := now.Sub(a.at).Seconds()
-	return a.share*min(l.Burst, max(0, float64(a.told.Left))+l.Rate*age) - a.unsettled()
+	return a.share*min(l.Burst, max(0, float64(a.balance.Left))+l.Rate*age) - a.unsettled()
 }
 
-// beginAlone leaves the instance its share of what was left when it heard of a Ledger last.
+// beginAlone leaves the instance its share of what was left when it reached a Ledger last.
 func (a *spending) beginAlone() {
 	a.isAlone = true
-	a.alone = bucket{level: a.share*max(0, float64(a.told.Left)) - a.unsettled(), at: a.at}
+	a.alone = bucket{level: a.share*max(0, float64(a.balance.Left)) - a.unsettled(), at: a.at}
 }
--- a/internal/account/limiter/spender_test.go
+++ b/internal/account/limiter/spender_test.go
@@ -73,7 +73,7 @@
 // Guards against an instance that begins with a quota of its own after a restart.
 func TestSpenderThatWasNeverToldAdmitsNothing(t *testing.T) {
 	s := limiter.Spender{Instances: func() int { return 1 }}
-	if _, unheard := s.SpendAlone(request(1), start).(limiter.Unheard); !unheard {
+	if _, unknown := s.SpendAlone(request(1), start).(limiter.Unknown); !unknown {
 		t.Error("it admits a request")
 	}
 }
@@ -93,7 +93,7 @@
 	if admitted < 9000 || admitted > 11000 {
 		t.Errorf("%d tokens in 10 s, of 1000 a second and 1000 more", admitted)
 	}
-	if _, unheard := s.SpendAlone(request(1), at(time.Minute)).(limiter.Unheard); !unheard {
+	if _, unknown := s.SpendAlone(request(1), at(time.Minute)).(limiter.Unknown); !unknown {
 		t.Error("it goes on for ever")
 	}
 }
--- a/internal/instance/gatekeeper/quota.go
+++ b/internal/instance/gatekeeper/quota.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// unheardPatience is how long a request waits for somebody who knows its quota, and
-	// unheardLook how often it asks. A caller that is sent away comes back later than that.
-	unheardPatience = 400 * time.Millisecond
-	unheardLook     = 25 * time.Millisecond
+	// unknownPatience is how long a request waits for somebody who knows its quota, and
+	// unknownRetry how often it asks. A caller that is sent away comes back later than that.
+	unknownPatience = 400 * time.Millisecond
+	unknownRetry    = 25 * time.Millisecond
 	// tokensPatience is how long a request waits for tokens that come in that time. It is
 	// what a caller would be told to stay away for at least.
 	tokensPatience = 250 * time.Millisecond
@@ -85,7 +85,7 @@
 		g.countRefusal(r.Account)
 		return judge.Refuse(judge.ReasonQuota, "account %s asks for %d tokens and has %d left, as %s knew %s ago",
 			r.Account, r.Tokens, d.Left, by, d.Age.Round(time.Millisecond)).After(d.Wait)
-	case limiter.Unheard:
+	case limiter.Unknown:
 		return judge.Refuse(judge.ReasonStarting, "what is left of the quota of account %s is not known here", r.Account).After(d.Wait)
 	default:
 		return nil
@@ -117,17 +117,17 @@
 func (g *Gatekeeper) decide(ctx context.Context, r limiter.Request) (d limiter.Decision, by string) {
 	d = g.quotas.spender.Spend(r, time.Now())
 	if _, asks := d.(limiter.Ask); asks {
-		return g.askUntilHeard(ctx, r)
+		return g.askUntilKnown(ctx, r)
 	}
 	return d, g.Config.ID
 }
 
-// askUntilHeard asks again where nothing is known of the quota yet. After a restart of all
+// askUntilKnown asks again where nothing is known of the quota yet. After a restart of all
 // somebody leads again within that time.
-func (g *Gatekeeper) askUntilHeard(ctx context.Context, r limiter.Request) (d limiter.Decision, by string) {
-	for end := time.Now().Add(unheardPatience); ; pause(ctx, unheardLook) {
+func (g *Gatekeeper) askUntilKnown(ctx context.Context, r limiter.Request) (d limiter.Decision, by string) {
+	for end := time.Now().Add(unknownPatience); ; pause(ctx, unknownRetry) {
 		d, by = g.askLedger(ctx, r)
-		if _, unheard := d.(limiter.Unheard); !unheard || ctx.Err() != nil || !time.Now().Before(end) {
+		if _, unknown := d.(limiter.Unknown); !unknown || ctx.Err() != nil || !time.Now().Before(end) {
 			return d, by
 		}
 	}
--- a/internal/instance/gatekeeper/settle.go
+++ b/internal/instance/gatekeeper/settle.go
@@ -11,15 +11,15 @@
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
-// Quotas are settled like everything else that instances share: with the instance that
-// tells this one what changes, and between the holders of the failure domains.
+// Quotas are settled like everything else that instances share: with the source of
+// this instance, and between the holders of the failure domains.
 
 const (
 	// settleEvery is how often an instance settles what it has spent, and exchangeEvery how
 	// often holders settle with each other; bytes between domains are paid for.
 	settleEvery   = 150 * time.Millisecond
 	exchangeEvery = 250 * time.Millisecond
-	// settleTimeout bounds such a word. No request waits for it.
+	// settleTimeout bounds such an update. No request waits for it.
 	settleTimeout = 400 * time.Millisecond
 )
 
@@ -101,7 +101,7 @@
 	return keeps
 }
 
-// settleOwn settles with whoever tells this instance what changes.
+// settleOwn settles with the source of this instance.
 func (g *Gatekeeper) settleOwn(ctx context.Context, now time.Time) {
 	to, ok := g.teller()
 	if !ok {
@@ -118,7 +118,7 @@
 	}
 }
 
-// partFrom tells the instance that settled for this one before that another one does. It
+// partFrom informs the instance that settled for this one before that another one does. It
 // would keep a share back for this one.
 func (g *Gatekeeper) partFrom(ctx context.Context, to source, now time.Time) {
 	q := &g.quotas
@@ -129,9 +129,9 @@
 	if former == to || former == (source{}) {
 		return
 	}
-	word := relayer.Settle{Party: g.party(now), Parted: true}
+	update := relayer.Settle{Party: g.party(now), Parted: true}
 	go func() {
-		if _, err := g.exchange(ctx, former, word, settleTimeout); err != nil {
+		if _, err := g.exchange(ctx, former, update, settleTimeout); err != nil {
 			g.Recorder.Log(recorder.Belief, "msg", "not parted", "instance", former.id, "err", err)
 		}
 	}()
@@ -147,26 +147,26 @@
 	}
 }
 
-// settleWithHolders tells the holders of the other domains what those have spent who settle
+// settleWithHolders informs the holders of the other domains what those have spent who settle
 // here.
 func (g *Gatekeeper) settleWithHolders(ctx context.Context, now time.Time) {
 	since, ok := g.quotas.ledger.Began()
 	if catalog := g.Catalog(); !ok || catalog == nil || catalog.Accounts == nil {
 		return
 	}
-	word := relayer.Settle{
+	update := relayer.Settle{
 		Party: limiter.Party{Instance: g.Config.ID, Born: since.UnixNano(), Domain: g.Config.Domain, Age: now.Sub(since)},
 		Spent: g.quotas.ledger.Report(now),
 	}
 	for _, to := range g.otherHolders() {
-		go g.settleWith(ctx, to, word)
+		go g.settleWith(ctx, to, update)
 	}
 }
 
-// settleWith tells the holder of another domain. All is told again with the next word, and
+// settleWith informs the holder of another domain. All is sent again with the next update, and
 // silence shows there.
-func (g *Gatekeeper) settleWith(ctx context.Context, to source, word relayer.Settle) {
-	if settled, err := g.exchange(ctx, to, word, settleTimeout); err == nil {
+func (g *Gatekeeper) settleWith(ctx context.Context, to source, update relayer.Settle) {
+	if settled, err := g.exchange(ctx, to, update, settleTimeout); err == nil {
 		g.quotas.ledger.Adopt(settled.Balances, settled.Age, time.Now())
 	}
 }
--- a/internal/request/forwarder/place.go
+++ b/internal/request/forwarder/place.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// nearer returns the refusal that tells the shorter wait.
+// nearer returns the refusal with the shorter wait.
 func nearer(a, b *judge.Error) *judge.Error {
 	if a == nil || b.Retry < a.Retry {
 		return b
