One way to ask a peer and await its first answer

Places and quotas wrote again what asking for room does: open a conversation, await the first message within a time, close it on an error; and the look for the holder and for a refusal for want of room. askPeer, orderer and tooFull serve all three.

--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -59,6 +59,14 @@
 	l.gatekeeper.Recorder.Log(recorder.Belief, "msg", "tenure", "domain", l.domain, "holder", t.Holder, "fence", t.Fence)
 }
 
+// orderer returns the holder, which orders in the domain, and who tells this instance of it; ok
+// is false if the holder is not to be asked, as nothing is heard of it.
+func (l *link) orderer() (holder, via source, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return sourceOf(l.holder), l.via, l.holder.Holder != "" && time.Since(l.heard) <= unheard
+}
+
 // setMembers takes in how many instances there are.
 func (l *link) setMembers(members int) {
 	g := l.gatekeeper
--- a/internal/instance/gatekeeper/peers.go
+++ b/internal/instance/gatekeeper/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -31,6 +32,23 @@
 	Next(ctx context.Context) (relayer.Message, error)
 }
 
+// askPeer asks a peer and returns the first message of its answer, and the conversation, which
+// the caller closes.
+func (g *Gatekeeper) askPeer(ctx context.Context, address string, m relayer.Message, timeout time.Duration) (Conversation, relayer.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conversation, err := g.Peers.Open(ctx, address, m)
+	if err != nil {
+		return nil, nil, err
+	}
+	message, err := conversation.Next(ctx)
+	if err != nil {
+		conversation.Close()
+		return nil, nil, err
+	}
+	return conversation, message, nil
+}
+
 // A replier takes the answer to a message of a peer.
 type replier interface {
 	// Finish sends a message that ends the answer by itself.
--- a/internal/instance/gatekeeper/place.go
+++ b/internal/instance/gatekeeper/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -22,36 +21,39 @@
 	}
 	if d := g.controllers[l.domain]; d.holds() {
 		wait, done, err := d.place(runner, within)
-		return forwarder.Place{Done: done, Wait: wait}, tooFull(err), err == nil || tooFull(err) != nil
+		if err != nil {
+			return noPlace(err)
+		}
+		return forwarder.Place{Done: done, Wait: wait}, nil, true
 	}
-	l.mu.Lock()
-	holder := l.holder
-	l.mu.Unlock()
-	if holder.Holder == "" || l.silence() > unheard {
+	holder, _, ok := l.orderer()
+	if !ok {
 		return forwarder.Place{}, nil, false
 	}
-	conversation, err := g.Peers.Open(ctx, holder.Address, relayer.Place{Domain: l.domain, Runner: runner, Within: within})
+	conversation, message, err := g.askPeer(ctx, holder.address, relayer.Place{Domain: l.domain, Runner: runner, Within: within}, askTimeout)
 	if err != nil {
-		return forwarder.Place{}, nil, false
+		return noPlace(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	message, err := conversation.Next(ctx)
 	answer, is := message.(relayer.Placed)
-	if err != nil || !is {
+	if !is {
 		conversation.Close()
-		return forwarder.Place{}, tooFull(err), tooFull(err) != nil
+		return forwarder.Place{}, nil, false
 	}
 	return forwarder.Place{Done: sync.OnceFunc(conversation.Close), Wait: answer.Wait}, nil, true
 }
 
-// tooFull returns the refusal that an error is if there is no place.
+// noPlace returns what Place does after an error: a refusal, or that nobody can tell.
+func noPlace(err error) (p forwarder.Place, refused *judge.Error, ok bool) {
+	refused = tooFull(err)
+	return forwarder.Place{}, refused, refused != nil
+}
+
+// tooFull returns the refusal that an error is if it is one for want of room, else nil.
 func tooFull(err error) *judge.Error {
-	var refused *judge.Error
-	if errors.As(err, &refused) && refused.Reason == judge.ReasonQueue {
-		return refused
+	if !is(err, judge.ReasonQueue) {
+		return nil
 	}
-	return nil
+	return judge.As(err)
 }
 
 // place counts a request in at a runner until done, or refuses it.
--- a/internal/instance/gatekeeper/reserve.go
+++ b/internal/instance/gatekeeper/reserve.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
@@ -28,29 +27,24 @@
 		reserved, err := d.reserve(g.Config.ID, r)
 		return g.learnRoom(a, reserved, err)
 	}
-	l.mu.Lock()
-	holder, via := l.holder, l.via
-	l.mu.Unlock()
-	if holder.Holder == "" || l.silence() > unheard {
+	holder, via, ok := l.orderer()
+	if !ok {
 		return forwarder.Room{}, nil, false
 	}
-	if via.id != holder.Holder {
+	if via.id != holder.id {
 		r.By = via.id
 		l.hurry() // the word of whoever passes this use on must not come without it
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	conversation, err := g.Peers.Open(ctx, holder.Address, r)
+	conversation, message, err := g.askPeer(ctx, holder.address, r, askTimeout)
 	if err != nil {
-		return forwarder.Room{}, nil, false
+		return g.learnRoom(a, relayer.Reserved{}, err)
 	}
 	defer conversation.Close()
-	message, err := conversation.Next(ctx)
 	reserved, is := message.(relayer.Reserved)
-	if err == nil && !is {
+	if !is {
 		return forwarder.Room{}, nil, false
 	}
-	return g.learnRoom(a, reserved, err)
+	return g.learnRoom(a, reserved, nil)
 }
 
 // learnRoom takes in what the holder said. Only a refusal for want of room is
@@ -62,8 +56,7 @@
 		}
 		return forwarder.Room{Absent: reserved.Absent, Wait: reserved.Wait}, nil, true
 	}
-	var refused *judge.Error
-	if errors.As(err, &refused) && refused.Reason == judge.ReasonQueue {
+	if refused := tooFull(err); refused != nil {
 		g.Fleet.Reading(a.Runner, a.Within+refused.Retry)
 		return forwarder.Room{}, refused, true
 	}
--- a/internal/instance/gatekeeper/settle.go
+++ b/internal/instance/gatekeeper/settle.go
@@ -31,17 +31,11 @@
 
 // exchange settles with another instance.
 func (g *Gatekeeper) exchange(ctx context.Context, with source, m relayer.Settle, timeout time.Duration) (relayer.Settled, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	conversation, err := g.Peers.Open(ctx, with.address, m)
+	conversation, message, err := g.askPeer(ctx, with.address, m, timeout)
 	if err != nil {
 		return relayer.Settled{}, err
 	}
 	defer conversation.Close()
-	message, err := conversation.Next(ctx)
-	if err != nil {
-		return relayer.Settled{}, err
-	}
 	settled, ok := message.(relayer.Settled)
 	if !ok {
 		return relayer.Settled{}, judge.Refuse(judge.ReasonPeer, "%s answers a Settle with %T", with.id, message)
