--- a/internal/account/limiter/ledger.go
+++ b/internal/account/limiter/ledger.go
@@ -19,7 +19,6 @@
 
 	mu       sync.Mutex
 	since    time.Time // when it began; zero: it settles nothing
-	empty    time.Time // when nothing was left of what was not settled since
 	adopted  bool      // it knows what was spent before it began
 	accounts map[string]*tally
 	parties  map[string]*party // by instance
@@ -63,7 +62,7 @@
 func (l *Ledger) Begin(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.since, l.empty, l.adopted = now, now, false
+	l.since, l.adopted = now, false
 	l.accounts = make(map[string]*tally)
 	l.parties = make(map[string]*party)
 	l.leaders, l.silent = nil, nil
@@ -94,7 +93,6 @@
 		return
 	}
 	l.adopted = true
-	l.empty = l.since.Add(-l.Window)
 	for _, b := range balances {
 		if limit, ok := l.Limits(b.Account); ok && limit.Bounds() {
 			l.tally(b.Account, limit, now).level = float64(b.Left)
@@ -201,13 +199,21 @@
 func (l *Ledger) tally(account string, limit Limit, now time.Time) *tally {
 	t, ok := l.accounts[account]
 	if !ok {
-		t = &tally{settled: now, bucket: bucket{level: l.first(limit), at: l.empty}, entries: make(map[string]*entry)}
+		t = &tally{settled: now, bucket: bucket{level: l.first(limit), at: l.emptyAt()}, entries: make(map[string]*entry)}
 		l.accounts[account] = t
 	}
 	t.fill(limit.Rate, limit.Burst, now)
 	return t
 }
 
+// emptyAt returns when next to nothing was left of a quota of which nothing was settled since.
+func (l *Ledger) emptyAt() time.Time {
+	if l.adopted {
+		return l.since.Add(-l.Window)
+	}
+	return l.since
+}
+
 func (l *Ledger) first(limit Limit) float64 {
 	if l.First == nil {
 		return 0
@@ -220,7 +226,7 @@
 func (l *Ledger) entry(t *tally, from Party, s Spent, now time.Time) *entry {
 	e, ok := t.entries[from.Instance]
 	if !ok {
-		e = &entry{counted: s.Counter - s.Recent, until: now}
+		e = &entry{counted: s.Counter - s.Recent}
 		if from.leads() && from.Age <= now.Sub(l.since) {
 			e.counted = 0
 		}
