A configuration logs eight changed quotas at most, and how many there are

The first one logged a line for each account under the lock of the instance; 16 lines of the 20 a second that configuration lines have, with thousands of accounts all of them, so versions of adapters and ages were dropped.

--- a/internal/instance/gatekeeper/quota.go
+++ b/internal/instance/gatekeeper/quota.go
@@ -161,14 +161,23 @@
 	return g.quotas.spender.Answered(r, balances[0], asked, now)
 }
 
-// logLimits logs the quotas that a configuration changes.
+// mostLimitsLogged bounds the lines about the quotas that one configuration changes. The
+// first one brings those of all accounts, and would hide other lines of its kind.
+const mostLimitsLogged = 8
+
+// logLimits logs how many accounts a configuration has, and some of the quotas that it changes.
 func (g *Gatekeeper) logLimits(old, current *matcher.Catalog) {
+	changed := 0
 	for a := range current.Accounts.All() {
 		if old != nil && old.Accounts != nil {
 			if before, ok := old.Accounts.Named(a.Name); ok && before.Limit == a.Limit {
 				continue
 			}
 		}
-		g.Recorder.Log(recorder.Config, "msg", "quota", "version", current.Version, "account", a.Name, "rate", a.Limit.Rate, "burst", a.Limit.Burst, "plain", a.Limit.Plain)
+		changed++
+		if changed <= mostLimitsLogged {
+			g.Recorder.Log(recorder.Config, "msg", "quota", "version", current.Version, "account", a.Name, "rate", a.Limit.Rate, "burst", a.Limit.Burst, "plain", a.Limit.Plain)
+		}
 	}
+	g.Recorder.Log(recorder.Config, "msg", "accounts", "version", current.Version, "accounts", current.Accounts.Len(), "changed", changed)
 }
--- a/internal/instance/gatekeeper/settle.go
+++ b/internal/instance/gatekeeper/settle.go
@@ -15,8 +15,9 @@
 // this instance, and between the holders of the failure domains.
 
 const (
-	// settleEvery is how often an instance settles what it has spent, and exchangeEvery how
-	// often holders settle with each other; bytes between domains are paid for.
+	// settleEvery is how often an instance settles what it has spent. Holders settle with each
+	// other at the first time that is exchangeEvery after the last one: bytes between domains
+	// are paid for.
 	settleEvery   = 150 * time.Millisecond
 	exchangeEvery = 250 * time.Millisecond
 	// settleTimeout bounds such an update. No request waits for it.
