Requests that ask for tokens at the same time are counted, all of them

The counter of a request that asked while another one's answer was on its way did not contain that one's tokens, so the ledger took them back and granted them again; the next update made it good 0.15 s later. What is asked for now counts in what else is settled until the answer is there, and updates are numbered: one that was overtaken says nothing of the counter.

TestAsksUnderWayAtTheSameTimeAreCounted failed before (3 of 3 granted, 2 have room), in both orders.

--- a/internal/account/limiter/ledger.go
+++ b/internal/account/limiter/ledger.go
@@ -38,6 +38,7 @@
 	bucket             // what is left
 	own      float64   // tokens that parties spent which settle with no other Ledger
 	reported int64     // those of them in the last report
+	seq      int64     // of the last report
 	back     float64   // tokens to be given back with the next update of another Ledger
 	settled  time.Time // last
 	use      meter
@@ -47,6 +48,7 @@
 // An entry is what one party has spent of it.
 type entry struct {
 	counted int64
+	seq     int64 // of the latest update
 	use     meter
 	share   float64   // of the limit and of what is left, which it goes on to spend if it is silent
 	left    float64   // tokens that were left at its last update
@@ -146,7 +148,12 @@
 	limit.Burst = l.advance(t, limit, now)
 	e := l.entry(t, from, s, now)
 	t.release(e, from)
-	t.take(e, from, s.Counter-e.counted, now)
+	if s.Seq >= e.seq {
+		e.seq = s.Seq
+		t.take(e, from, s.Counter-e.counted, now)
+	} else {
+		t.take(e, from, -s.Want, now) // the counter of the update that overtook it contains this request
+	}
 	t.level = max(t.level, -limit.Rate*l.Window.Seconds())
 	left := l.left(t, now)
 	granted := s.Want > 0 && fits(s.Want, left, limit)
@@ -187,7 +194,8 @@
 	for name, t := range l.accounts {
 		if now.Sub(t.settled) <= reportedFor {
 			counter := int64(t.own)
-			report = append(report, Spent{Account: name, Counter: counter, Recent: counter - t.reported})
+			t.seq++
+			report = append(report, Spent{Account: name, Counter: counter, Recent: counter - t.reported, Seq: t.seq})
 			t.reported = counter
 		}
 	}
--- a/internal/account/limiter/ledger_test.go
+++ b/internal/account/limiter/ledger_test.go
@@ -175,3 +175,36 @@
 		t.Errorf("%d tokens are left of 1000 a second, of which 500 were spent", got)
 	}
 }
+
+// Guards against requests that ask at the same time and are all granted the same tokens: the
+// counter of the later one did not yet contain what the earlier one was granted.
+func TestAsksUnderWayAtTheSameTimeAreCounted(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		order []int // in which the ledger gets the asks
+	}{{"in order", []int{0, 1, 2}}, {"overtaking", []int{2, 0, 1}}} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, s := newLedger(thousand), newSpender(1000)
+			settle(t, l, one, spent(0, 0), start)
+			r := request(400)
+			asks := []limiter.Spent{s.Want(r), s.Want(r), s.Want(r)}
+			balances := make([]limiter.Balance, len(asks))
+			granted := 0
+			for _, n := range tc.order {
+				balances[n] = settle(t, l, one, asks[n], start)
+				if balances[n].Granted {
+					granted++
+				}
+			}
+			if granted < 1 || granted > 2 {
+				t.Errorf("%d requests of 400 tokens are granted of 1000", granted)
+			}
+			for _, b := range balances {
+				s.Answered(r, b, start, start)
+			}
+			if got := settle(t, l, one, s.Report(start)[0], start).Left; got != int64(1000-400*granted) {
+				t.Errorf("%d tokens are left after %d requests of 400", got, granted)
+			}
+		})
+	}
+}
--- a/internal/account/limiter/message.go
+++ b/internal/account/limiter/message.go
@@ -21,6 +21,7 @@
 	Counter int64 // all tokens since its counters were zero, less those that were given back
 	Recent  int64 // those of them since its last update to anybody
 	Want    int64 // for a request that waits for the answer; 0 for none
+	Seq     int64 // number of the update; those that are overtaken by a later one say nothing of the counter
 }
 
 // A Balance is how one account stands over all instances, as far as a Ledger knows.
--- a/internal/account/limiter/spender.go
+++ b/internal/account/limiter/spender.go
@@ -34,10 +34,12 @@
 
 // A spending is what one instance has spent of an account's quota.
 type spending struct {
-	spent int64 // tokens, less those that were given back
-	used  time.Time
-	use   meter
-	line  line
+	spent   int64 // tokens, less those that were given back
+	pending int64 // tokens of requests for which a Ledger is asked
+	seq     int64 // of the last update
+	used    time.Time
+	use     meter
+	line    line
 
 	balance Balance   // the last one
 	at      time.Time // when it came; zero for never
@@ -121,6 +123,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.account(r.Account)
+	a.pending -= r.Tokens
 	if b.Granted {
 		a.take(r.Tokens, now)
 	}
@@ -131,6 +134,13 @@
 	return a.over(r, float64(b.Left), s.least(), now)
 }
 
+// Unanswered takes in that a Ledger which was asked for a request has not answered.
+func (s *Spender) Unanswered(r Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.account(r.Account).pending -= r.Tokens
+}
+
 // SpendAlone decides on a request while no Ledger answers.
 func (s *Spender) SpendAlone(r Request, now time.Time) Decision {
 	s.mu.Lock()
@@ -170,18 +180,23 @@
 	var report []Spent
 	for name, a := range s.accounts {
 		if now.Sub(a.used) <= reportedFor {
-			report = append(report, Spent{Account: name, Counter: a.spent, Recent: int64(a.unsettled())})
+			report = append(report, a.update(name))
 		}
 	}
 	return report
 }
 
-// Want returns what a Ledger is to be asked for a request.
+// Want returns what a Ledger is to be asked for a request. Until it has answered, or is known
+// not to, the request counts in what else is settled: asks at the same time would all be
+// granted the same tokens.
 func (s *Spender) Want(r Request) Spent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.account(r.Account)
-	return Spent{Account: r.Account, Counter: a.spent, Recent: int64(a.unsettled()), Want: r.Tokens}
+	want := a.update(r.Account)
+	want.Want = r.Tokens
+	a.pending += r.Tokens
+	return want
 }
 
 func (s *Spender) account(name string) *spending {
@@ -216,8 +231,14 @@
 	a.share = least + shareOf(use, float64(b.Use), l)
 }
 
-// unsettled returns what was spent that the last balance does not count.
-func (a *spending) unsettled() float64 { return float64(a.spent - a.balance.Counted) }
+// update returns what is to be settled of the account.
+func (a *spending) update(account string) Spent {
+	a.seq++
+	return Spent{Account: account, Counter: a.spent + a.pending, Recent: int64(a.unsettled()), Seq: a.seq}
+}
+
+// unsettled returns what was spent, or may be, that the last balance does not count.
+func (a *spending) unsettled() float64 { return float64(a.spent + a.pending - a.balance.Counted) }
 
 // left returns what is left of the quota. Others go on to spend as they did.
 func (a *spending) left(l Limit, now time.Time) float64 {
--- a/internal/account/limiter/spender_test.go
+++ b/internal/account/limiter/spender_test.go
@@ -81,6 +81,7 @@
 func TestSpenderAloneHasItsShare(t *testing.T) {
 	s := newSpender(1000)
 	for range 40 { // all that is spent is spent here
+		s.Want(request(20))
 		s.Answered(request(20), limiter.Balance{Account: "a", Granted: true, Left: 1000}, start, start)
 	}
 	s.Settled(limiter.Balance{Account: "a", Counted: 800, Left: 1000, Use: 400}, request(0).Limit, start, start)
@@ -107,7 +108,7 @@
 		}
 		s.Return("a", 40, start)
 	}
-	if diff := cmp.Diff([]limiter.Spent{{Account: "a"}}, s.Report(start)); diff != "" {
+	if diff := cmp.Diff([]limiter.Spent{{Account: "a", Seq: 1}}, s.Report(start)); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/internal/instance/gatekeeper/quota.go
+++ b/internal/instance/gatekeeper/quota.go
@@ -148,17 +148,20 @@
 			return g.decided(r, settled.Balances, asked), to.id
 		}
 	}
+	s.Unanswered(r)
 	return s.SpendAlone(r, time.Now()), g.Config.ID
 }
 
 // decided returns what follows from a ledger's answer. One that does not know of the quota
 // has an older configuration.
 func (g *Gatekeeper) decided(r limiter.Request, balances []limiter.Balance, asked time.Time) limiter.Decision {
+	s := &g.quotas.spender
 	now := time.Now()
 	if len(balances) != 1 {
-		return g.quotas.spender.SpendAlone(r, now)
+		s.Unanswered(r)
+		return s.SpendAlone(r, now)
 	}
-	return g.quotas.spender.Answered(r, balances[0], asked, now)
+	return s.Answered(r, balances[0], asked, now)
 }
 
 // mostLimitsLogged bounds the lines about the quotas that one configuration changes. The
