Log runners that state that they are leaving, or ask for rest

Nothing showed whether an instance had been told. As with limits, each change is a line and a counter now; no decision depends on it yet.

--- a/internal/instance/gatekeeper/notice.go
+++ b/internal/instance/gatekeeper/notice.go
@@ -20,11 +20,31 @@
 // ObserveNotice records what a runner stated about itself in a response, and tells the leader
 // of its failure domain, which publishes it.
 func (g *Gatekeeper) ObserveNotice(runner tracker.Runner, n tracker.Notice) {
+	g.observeLeaving(runner.ID, n.Leaving, sourceResponse)
+	g.observeRest(runner.ID, n.RestUntil)
 	if g.observeLimit(runner.ID, n.Limit, sourceResponse) {
 		go g.tellLeader(runner)
 	}
 }
 
+// observeLeaving records whether a runner stated that it is leaving.
+func (g *Gatekeeper) observeLeaving(runner string, leaving bool, source string) {
+	if !leaving || !g.Fleet.ObserveLeaving(runner) {
+		return
+	}
+	g.Recorder.Log(recorder.View, "msg", "runner leaving", "runner", runner, "source", source)
+	g.Metrics.GetOrCreateCounter(fmt.Sprintf(`sardinetiller_runners_leaving_total{source=%q}`, source)).Inc()
+}
+
+// observeRest records until when a runner wants no request from this instance.
+func (g *Gatekeeper) observeRest(runner string, until time.Time) {
+	if until.IsZero() || !g.Fleet.ObserveRest(runner, until) {
+		return
+	}
+	g.Recorder.Log(recorder.View, "msg", "runner rests", "runner", runner, "for", time.Until(until))
+	g.Metrics.GetOrCreateCounter("sardinetiller_runner_rests_total").Inc()
+}
+
 // observeLimit records a statement of a runner about its request rate, and publishes a limit
 // to the subscribers of the runner's failure domain. It reports whether the limit has changed.
 //
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -24,7 +24,9 @@
 	loadQueueWait map[string]time.Duration // by failure domain: time until a further load begins
 	leaderless    map[string]bool          // failure domains without a leader to order loads
 	loadTimes     map[string]LoadTimes     // by failure domain, as last reported
+	leaving       map[string]bool          // runners that stated in a response that they are leaving
 	limits        map[string]*limitState   // by runner ID
+	restUntil     map[string]time.Time     // by runner ID, as stated in a response
 }
 
 // LoadTimes are the load times of adapters.
@@ -358,6 +360,8 @@
 		f.idByName = make(map[string]string)
 		f.runners = make(map[string]*runnerState)
 		f.latencies = make(map[string]*latencyModel)
+		f.leaving = make(map[string]bool)
 		f.limits = make(map[string]*limitState)
+		f.restUntil = make(map[string]time.Time)
 	}
 }
--- a/internal/upstream/tracker/notice.go
+++ b/internal/upstream/tracker/notice.go
@@ -7,7 +7,9 @@
 
 // A Notice is what a runner stated about itself in a response.
 type Notice struct {
-	Limit RateLimit
+	Leaving   bool // it is shutting down
+	Limit     RateLimit
+	RestUntil time.Time // until when it wants no request from this instance; zero if it did not say
 }
 
 // A RateLimit is a runner's statement about how many requests it accepts from all instances
@@ -26,6 +28,30 @@
 	deniedUntil time.Time // until when this instance sends the runner no request
 }
 
+// ObserveLeaving records that a runner stated that it is leaving, which is final for its
+// incarnation. It reports whether that is new.
+func (f *Fleet) ObserveLeaving(id string) (changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	changed = !f.leaving[id]
+	f.leaving[id] = true
+	return changed
+}
+
+// ObserveRest records that a runner wants no request from this instance until a time. It
+// reports whether that is later than what was known.
+func (f *Fleet) ObserveRest(id string, until time.Time) (changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	if !until.After(f.restUntil[id]) {
+		return false
+	}
+	f.restUntil[id] = until
+	return true
+}
+
 // ObserveLimit records a statement of a runner, unless a later one is known. It reports
 // whether the limit has changed.
 func (f *Fleet) ObserveLimit(id string, limit RateLimit) (changed bool) {
