Send nothing to a runner that has said that it leaves

What runners saw: requests 2.8 and 7.6 s after an instance had passed on a response that said so, 2 s are allowed. The store was away for 12 s, and with it the row.

Cause: the same as with limits. Leaving was known from the row only; the header of the response went to the caller.

The leader is told, sends no more orders there and publishes it. The last look is right before a request is sent.

--- a/internal/instance/gatekeeper/apply.go
+++ b/internal/instance/gatekeeper/apply.go
@@ -20,9 +20,7 @@
 	}
 	g.applyReachability(update, now)
 	matches := l.applyRunners(update)
-	for _, limit := range update.Limits {
-		g.observeLimit(limit.Runner, limit.RateLimit(now), sourcePeer)
-	}
+	g.applyStatements(update, now)
 	l.mu.Lock()
 	l.diverged.observe(matches, now)
 	if update.Fresh && matches {
@@ -62,6 +60,16 @@
 	c.recordRenewal(update.Lease, update.Renewal, update.Age)
 }
 
+// applyStatements applies what runners have stated to other instances.
+func (g *Gatekeeper) applyStatements(update relayer.News, now time.Time) {
+	for _, runner := range update.Leaving {
+		g.observeLeaving(runner, sourcePeer)
+	}
+	for _, limit := range update.Limits {
+		g.observeLimit(limit.Runner, limit.RateLimit(now), sourcePeer)
+	}
+}
+
 // applyReachability records since when another leader has reached the store.
 func (g *Gatekeeper) applyReachability(update relayer.News, now time.Time) {
 	if update.Operator.Newest > 0 {
--- a/internal/instance/gatekeeper/changelog.go
+++ b/internal/instance/gatekeeper/changelog.go
@@ -19,6 +19,7 @@
 type event struct {
 	removal    *relayer.RemovedRunner
 	copyChange *copyEvent
+	leaving    string // runner that stated that it is leaving
 	limit      *limitEvent
 	slotWait   *slotEvent
 	runner     *tracker.Runner
--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -150,7 +150,7 @@
 		if state.placer == nil {
 			state.placer = c.newPlacer(catalog, state.runner)
 		}
-		if state.placer == nil || state.callInFlight || state.runner.Leaving {
+		if state.placer == nil || state.callInFlight || c.gatekeeper.Fleet.Leaving(id) {
 			continue
 		}
 		state.placer.LoadTime, state.placer.ReloadTime = c.gatekeeper.LoadTime(), c.gatekeeper.ReloadTime()
--- a/internal/instance/gatekeeper/crash.go
+++ b/internal/instance/gatekeeper/crash.go
@@ -112,7 +112,7 @@
 // stopsGracefully reports whether a runner is shutting down gracefully, or has been removed.
 func (g *Gatekeeper) stopsGracefully(runner tracker.Runner) bool {
 	_, known := g.Fleet.Get(runner.ID)
-	return !known || g.isLeaving(runner)
+	return !known || g.Fleet.Leaving(runner.ID)
 }
 
 // checkRunner finds out whether a runner has crashed, and if so suspects the requests that broke
@@ -120,7 +120,7 @@
 func (g *Gatekeeper) checkRunner(runner tracker.Runner) {
 	began := time.Now()
 	result := g.probeLiveness(runner)
-	crashed := (result == tracker.Refuses || result == tracker.Replaced) && !g.isLeaving(runner)
+	crashed := (result == tracker.Refuses || result == tracker.Replaced) && !g.Fleet.Leaving(runner.ID)
 	requests := g.crashes.end(runner.ID, crashed)
 	g.Recorder.Log(recorder.Suspect, "msg", "runner checked", "runner", runner.ID, "life", result, "crashed", crashed,
 		"requests", len(requests), "took", time.Since(began))
@@ -129,12 +129,6 @@
 	}
 }
 
-// isLeaving reports whether a runner has announced that it is shutting down.
-func (g *Gatekeeper) isLeaving(runner tracker.Runner) bool {
-	known, ok := g.Fleet.Get(runner.ID)
-	return ok && known.Leaving
-}
-
 // probeLiveness probes a runner until it is clear whether it is alive, or until probeTimeout is
 // over.
 func (g *Gatekeeper) probeLiveness(runner tracker.Runner) tracker.ProbeResult {
--- a/internal/instance/gatekeeper/notice.go
+++ b/internal/instance/gatekeeper/notice.go
@@ -20,20 +20,35 @@
 // ObserveNotice records what a runner stated about itself in a response, and tells the leader
 // of its failure domain, which publishes it.
 func (g *Gatekeeper) ObserveNotice(runner tracker.Runner, n tracker.Notice) {
-	g.observeLeaving(runner.ID, n.Leaving, sourceResponse)
 	g.observeRest(runner.ID, n.RestUntil)
-	if g.observeLimit(runner.ID, n.Limit, sourceResponse) {
+	leaves := n.Leaving && g.observeLeaving(runner.ID, sourceResponse)
+	if limitChanged := g.observeLimit(runner.ID, n.Limit, sourceResponse); limitChanged || leaves {
 		go g.tellLeader(runner)
 	}
 }
 
-// observeLeaving records whether a runner stated that it is leaving.
-func (g *Gatekeeper) observeLeaving(runner string, leaving bool, source string) {
-	if !leaving || !g.Fleet.ObserveLeaving(runner) {
-		return
+// observeLeaving records that a runner stated that it is leaving, and publishes it to the
+// subscribers of its failure domain. It reports whether that is new.
+func (g *Gatekeeper) observeLeaving(runner, source string) (changed bool) {
+	if !g.Fleet.ObserveLeaving(runner) {
+		return false
 	}
 	g.Recorder.Log(recorder.View, "msg", "runner leaving", "runner", runner, "source", source)
 	g.Metrics.GetOrCreateCounter(fmt.Sprintf(`sardinetiller_runners_leaving_total{source=%q}`, source)).Inc()
+	g.publishStatement(runner, event{leaving: runner})
+	return true
+}
+
+// publishStatement publishes a statement of a runner to the subscribers of its failure domain.
+func (g *Gatekeeper) publishStatement(runner string, e event) {
+	l, found := g.linkOf(runner)
+	if !found {
+		return
+	}
+	c := g.controllers[l.domain]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changes.add(e)
 }
 
 // observeRest records until when a runner wants no request from this instance.
@@ -56,11 +71,8 @@
 	}
 	g.Recorder.Log(recorder.View, "msg", "runner limit", "runner", runner, "limited", limit.Limited, "rate", limit.PerSecond, "source", source)
 	g.Metrics.GetOrCreateCounter(fmt.Sprintf(`sardinetiller_runner_limits_total{source=%q}`, source)).Inc()
-	if l, found := g.linkOf(runner); found && limit.Limited {
-		c := g.controllers[l.domain]
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.changes.add(event{limit: &limitEvent{runner: runner, limit: limit}})
+	if limit.Limited {
+		g.publishStatement(runner, event{limit: &limitEvent{runner: runner, limit: limit}})
 	}
 	return true
 }
@@ -98,8 +110,11 @@
 	if !ok {
 		return judge.Refuse(judge.ReasonOwner, "no instance leads %s", l.domain)
 	}
-	notice := relayer.Notice{Domain: l.domain, Limit: relayer.NewRunnerLimit(runner, l.gatekeeper.Fleet.Limit(runner), time.Now())}
-	conversation, _, err := l.gatekeeper.askPeer(context.Background(), leader.address, notice, noticeTimeout)
+	g := l.gatekeeper
+	notice := relayer.Notice{
+		Domain: l.domain, Limit: relayer.NewRunnerLimit(runner, g.Fleet.Limit(runner), time.Now()), Leaving: g.Fleet.LeavingStated(runner),
+	}
+	conversation, _, err := g.askPeer(context.Background(), leader.address, notice, noticeTimeout)
 	if err != nil {
 		return err
 	}
@@ -109,5 +124,8 @@
 
 // applyNotice applies a peer's notice, as the leader of the domain.
 func (g *Gatekeeper) applyNotice(n relayer.Notice) {
+	if n.Leaving {
+		g.observeLeaving(n.Limit.Runner, sourcePeer)
+	}
 	g.observeLimit(n.Limit.Runner, n.Limit.RateLimit(time.Now()), sourcePeer)
 }
--- a/internal/instance/gatekeeper/publish.go
+++ b/internal/instance/gatekeeper/publish.go
@@ -210,6 +210,8 @@
 			update.Removed = append(update.Removed, *e.removal)
 		case e.copyChange != nil:
 			update.AddHeld(e.copyChange.runner, e.copyChange.copy, e.copyChange.delay(now))
+		case e.leaving != "":
+			update.Leaving = append(update.Leaving, e.leaving)
 		case e.limit != nil:
 			update.Limits = append(update.Limits, relayer.NewRunnerLimit(e.limit.runner, e.limit.limit, now))
 		case e.slotWait != nil:
@@ -264,6 +266,9 @@
 		}
 		update.Runners = append(update.Runners, r)
 		update.SlotWaits = append(update.SlotWaits, relayer.SlotWait{Runner: r.ID, Wait: wait})
+		if c.gatekeeper.Fleet.LeavingStated(r.ID) {
+			update.Leaving = append(update.Leaving, r.ID)
+		}
 		if limit := c.gatekeeper.Fleet.Limit(r.ID); limit.Limited {
 			update.Limits = append(update.Limits, relayer.NewRunnerLimit(r.ID, limit, now))
 		}
--- a/internal/instance/gatekeeper/stepdown.go
+++ b/internal/instance/gatekeeper/stepdown.go
@@ -54,7 +54,7 @@
 func (c *controller) partitioned(now time.Time) bool {
 	count, runners := 0, 0
 	for _, state := range c.runners {
-		if state.placer == nil || state.runner.Leaving {
+		if state.placer == nil || c.gatekeeper.Fleet.Leaving(state.runner.ID) {
 			continue
 		}
 		runners++
--- a/internal/instance/gatekeeper/takeover.go
+++ b/internal/instance/gatekeeper/takeover.go
@@ -35,7 +35,7 @@
 func (c *controller) probeTargets(limit int) []tracker.Runner {
 	var runners []tracker.Runner
 	for _, state := range c.runners {
-		if len(runners) < limit && !state.runner.Leaving && state.runner.Slots > 0 && len(state.runner.Models) > 0 {
+		if len(runners) < limit && !c.gatekeeper.Fleet.Leaving(state.runner.ID) && state.runner.Slots > 0 && len(state.runner.Models) > 0 {
 			runners = append(runners, state.runner)
 		}
 	}
--- a/internal/member/relayer/leader.go
+++ b/internal/member/relayer/leader.go
@@ -96,6 +96,7 @@
 	Revision          uint64                    `cbor:"22,keyasint,omitempty"` // of the store up to which the sender itself has read the table of runners
 	Snapshot          bool                      `cbor:"6,keyasint,omitempty"`  // Runners and Held are complete
 	Limits            []RunnerLimit             `cbor:"25,keyasint,omitempty"` // stated by runners since the last update
+	Leaving           []string                  `cbor:"26,keyasint,omitempty"` // runners that have stated since then that they are leaving
 }
 
 // A Span is a period of time, given by how long ago it began and ended.
--- a/internal/member/relayer/take.go
+++ b/internal/member/relayer/take.go
@@ -40,8 +40,9 @@
 
 // A Notice tells the leader of a failure domain what a runner there has stated.
 type Notice struct {
-	Domain string      `cbor:"1,keyasint"`
-	Limit  RunnerLimit `cbor:"2,keyasint"`
+	Domain  string      `cbor:"1,keyasint"`
+	Limit   RunnerLimit `cbor:"2,keyasint"`           // names the runner
+	Leaving bool        `cbor:"3,keyasint,omitempty"` // it is leaving
 }
 
 // A Noticed is the response to a Notice and ends the conversation.
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -22,7 +22,7 @@
 			if refused != nil {
 				return runner, refused.WithRetryAfter(retryAfter(refused.RetryAfter))
 			}
-			if !x.takeToken(ctx, runner.ID) {
+			if !x.takeToken(ctx, runner.ID) || x.Fleet.Leaving(runner.ID) {
 				continue
 			}
 			return runner, nil
@@ -58,7 +58,7 @@
 		if refused == nil && !x.takeToken(ctx, runner.ID) {
 			continue // the token expired while the request was delayed
 		}
-		if runner, ok = x.Fleet.Get(runner.ID); refused == nil && (!ok || runner.Leaving) {
+		if runner, ok = x.Fleet.Get(runner.ID); refused == nil && (!ok || x.Fleet.Leaving(runner.ID)) {
 			continue // it started draining while the request was delayed
 		}
 		if refused == nil {
--- a/internal/request/forwarder/slot.go
+++ b/internal/request/forwarder/slot.go
@@ -62,7 +62,7 @@
 		return tracker.Runner{}, refused, refused != nil
 	}
 	runner, known := x.Fleet.Get(best.runner)
-	if !known || runner.Leaving {
+	if !known || x.Fleet.Leaving(runner.ID) {
 		best.Release()
 		return tracker.Runner{}, nil, false
 	}
--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -23,13 +23,13 @@
 
 // eligible reports whether the runner is eligible for the request at all.
 func (f *Fleet) eligible(s *runnerState, id string, d Demand, now time.Time) bool {
-	return s.available(id, d, now) && !now.Before(f.deniedUntil(id))
+	return f.available(s, id, d, now) && !now.Before(f.deniedUntil(id))
 }
 
 // available reports whether the runner is eligible for the request if it does not limit its
 // request rate.
-func (s *runnerState) available(id string, d Demand, now time.Time) bool {
-	return s.Service == d.Service && !s.Leaving && !d.Excluded[id] && !now.Before(s.suspendedUntil)
+func (f *Fleet) available(s *runnerState, id string, d Demand, now time.Time) bool {
+	return s.Service == d.Service && !s.Leaving && !f.leaving[id] && !d.Excluded[id] && !now.Before(s.suspendedUntil)
 }
 
 // AnyEligible reports whether any runner is eligible for a request, whatever adapters it
--- a/internal/upstream/tracker/notice.go
+++ b/internal/upstream/tracker/notice.go
@@ -39,6 +39,21 @@
 	return changed
 }
 
+// Leaving reports whether a runner is leaving, by its description or by its own statement.
+func (f *Fleet) Leaving(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, known := f.runners[id]
+	return f.leaving[id] || known && s.Leaving
+}
+
+// LeavingStated reports whether a runner stated in a response that it is leaving.
+func (f *Fleet) LeavingStated(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaving[id]
+}
+
 // ObserveRest records that a runner wants no request from this instance until a time. It
 // reports whether that is later than what was known.
 func (f *Fleet) ObserveRest(id string, until time.Time) (changed bool) {
@@ -138,7 +153,7 @@
 	defer f.mu.Unlock()
 	for id, s := range f.runners {
 		until := f.deniedUntil(id)
-		if !now.Before(until) || !s.available(id, d, now) {
+		if !now.Before(until) || !f.available(s, id, d, now) {
 			continue
 		}
 		if left := until.Sub(now); !ok || left < wait {
