Send nothing to a runner for as long as it has asked for rest

What runners saw: after a 503 with Retry-After: 3 the same instance sent 10 and 4 requests more in that time, two are allowed. What callers saw: requests rejected one after the other by runners that shed all load, while others had room.

A rejection excluded the runner for that request only, and nothing read the time; a runner that rejects everything looks idle and attracts the next request.

The runner is not eligible at that instance until the latest end it was told, nor gets orders from it; a request that waited looks once more right before it is sent. With all runners at rest a request is refused at once, reason rest, with the earliest end.

--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -150,7 +150,11 @@
 		if state.placer == nil {
 			state.placer = c.newPlacer(catalog, state.runner)
 		}
-		if state.placer == nil || state.callInFlight || c.gatekeeper.Fleet.Leaving(id) {
+		if state.placer == nil || state.callInFlight {
+			continue
+		}
+		if c.gatekeeper.Fleet.Declines(id, now) {
+			c.publishSlotWait(state, now)
 			continue
 		}
 		state.placer.LoadTime, state.placer.ReloadTime = c.gatekeeper.LoadTime(), c.gatekeeper.ReloadTime()
--- a/internal/instance/gatekeeper/slot_wait.go
+++ b/internal/instance/gatekeeper/slot_wait.go
@@ -5,8 +5,9 @@
 // slotWait returns how long a copy that a runner does not hold waits there for an adapter
 // slot. There is no wait while the free slots outnumber the queued copies. Beyond that, each
 // slot becomes free after a load and a run, and the wait is divided by the number of slots.
+// Nothing is loaded at a runner that does not respond, leaves or rests.
 func (c *controller) slotWait(state *runnerState, now time.Time) time.Duration {
-	if state.failures >= unresponsive {
+	if state.failures >= unresponsive || c.gatekeeper.Fleet.Declines(state.runner.ID, now) {
 		return unresponsiveWait
 	}
 	p := state.placer
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -22,7 +22,7 @@
 			if refused != nil {
 				return runner, refused.WithRetryAfter(retryAfter(refused.RetryAfter))
 			}
-			if !x.takeToken(ctx, runner.ID) || x.Fleet.Leaving(runner.ID) {
+			if !x.takeToken(ctx, runner.ID) || x.Fleet.Declines(runner.ID, time.Now()) {
 				continue
 			}
 			return runner, nil
@@ -58,8 +58,8 @@
 		if refused == nil && !x.takeToken(ctx, runner.ID) {
 			continue // the token expired while the request was delayed
 		}
-		if runner, ok = x.Fleet.Get(runner.ID); refused == nil && (!ok || x.Fleet.Leaving(runner.ID)) {
-			continue // it started draining while the request was delayed
+		if runner, ok = x.Fleet.Get(runner.ID); refused == nil && (!ok || x.Fleet.Declines(runner.ID, time.Now())) {
+			continue // it was removed, or began to leave or rest, while the request was delayed
 		}
 		if refused == nil {
 			refused = x.quarantined() // quarantined while the request was delayed
@@ -194,8 +194,12 @@
 // noRunner refuses a request that no runner can serve: either there is no runner, or none
 // holds the adapter and no instance can order it now.
 func (x *exchange) noRunner(now time.Time) *judge.Error {
-	if wait, ok := x.Fleet.NextToken(x.demand(x.tried), now); ok {
-		return judge.Refuse(judge.ReasonLimit, "the runners of service %s limit their request rate", x.request.Service).WithRetryAfter(retryAfter(wait))
+	if pause, ok := x.Fleet.ShortestPause(x.demand(x.tried), now); ok {
+		reason, why := judge.ReasonRest, "ask for rest"
+		if pause.Limit {
+			reason, why = judge.ReasonLimit, "limit their request rate"
+		}
+		return judge.Refuse(reason, "the runners of service %s %s", x.request.Service, why).WithRetryAfter(retryAfter(pause.Left))
 	}
 	if x.request.Copy.Adapter != "" && x.Fleet.AnyEligible(x.demand(x.tried), now) {
 		return judge.Refuse(judge.ReasonLoad, "nobody gives orders to the runners now").WithRetryAfter(retryAfter(noRunnerRetryAfter))
--- a/internal/request/forwarder/slot.go
+++ b/internal/request/forwarder/slot.go
@@ -62,7 +62,7 @@
 		return tracker.Runner{}, refused, refused != nil
 	}
 	runner, known := x.Fleet.Get(best.runner)
-	if !known || x.Fleet.Leaving(runner.ID) {
+	if !known || x.Fleet.Declines(runner.ID, time.Now()) {
 		best.Release()
 		return tracker.Runner{}, nil, false
 	}
--- a/internal/request/forwarder/statement_test.go
+++ b/internal/request/forwarder/statement_test.go
@@ -22,6 +22,7 @@
 		observe func(f *tracker.Fleet, runner string)
 	}{
 		{"leaving", func(f *tracker.Fleet, runner string) { f.ObserveLeaving(runner) }},
+		{"resting", func(f *tracker.Fleet, runner string) { f.ObserveRest(runner, time.Now().Add(time.Second)) }},
 	} {
 		for _, plain := range []bool{false, true} {
 			t.Run(tc.name, func(t *testing.T) {
--- a/internal/request/judge/verdict.go
+++ b/internal/request/judge/verdict.go
@@ -36,6 +36,7 @@
 	ReasonQueue      Reason = "queue"      // the queue is full
 	ReasonQuota      Reason = "quota"      // the account has exhausted its quota
 	ReasonRefused    Reason = "refused"    // the upstream refused before running
+	ReasonRest       Reason = "rest"       // the runners asked this instance for rest
 	ReasonShare      Reason = "share"      // the account has exhausted its share of the queue
 	ReasonStarting   Reason = "starting"   // this instance has no settings yet
 	ReasonStopping   Reason = "stopping"   // the instance is shutting down
@@ -48,6 +49,6 @@
 	ReasonAdapter, ReasonAuth, ReasonBody, ReasonCancelled, ReasonClaim,
 	ReasonCut, ReasonDeadline, ReasonDial, ReasonDuplicate, ReasonHeader,
 	ReasonLimit, ReasonLoad, ReasonMismatch, ReasonOwner, ReasonPeer, ReasonQuarantine, ReasonQueue, ReasonQuota,
-	ReasonRefused, ReasonShare, ReasonStarting, ReasonStopping,
+	ReasonRefused, ReasonRest, ReasonShare, ReasonStarting, ReasonStopping,
 	ReasonUpstream, ReasonWritten,
 }
--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -23,11 +23,11 @@
 
 // eligible reports whether the runner is eligible for the request at all.
 func (f *Fleet) eligible(s *runnerState, id string, d Demand, now time.Time) bool {
-	return f.available(s, id, d, now) && !now.Before(f.deniedUntil(id))
+	return f.available(s, id, d, now) && !now.Before(f.restUntil[id]) && !now.Before(f.deniedUntil(id))
 }
 
-// available reports whether the runner is eligible for the request if it does not limit its
-// request rate.
+// available reports whether the runner is eligible for the request, apart from the times at
+// which it wants none from this instance.
 func (f *Fleet) available(s *runnerState, id string, d Demand, now time.Time) bool {
 	return s.Service == d.Service && !s.Leaving && !f.leaving[id] && !d.Excluded[id] && !now.Before(s.suspendedUntil)
 }
--- a/internal/upstream/tracker/fleet_test.go
+++ b/internal/upstream/tracker/fleet_test.go
@@ -188,3 +188,31 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against a shorter rest that ends a longer one, and against a rest that is lost with
+// the row of the runner.
+func TestLongestRestCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &tracker.Fleet{Domain: "a"}
+		r := tracker.Runner{ID: "i-1", Service: "llm", Domain: "a", Revision: 1}
+		f.Set(r)
+		now := time.Now()
+		f.ObserveRest("i-1", now.Add(3*time.Second))
+		f.ObserveRest("i-1", now.Add(time.Second))
+		f.Remove("i-1", 1)
+		r.Revision = 2
+		f.Set(r)
+		time.Sleep(2 * time.Second)
+		if !f.Declines("i-1", time.Now()) {
+			t.Error("the rest has ended after 2 s, want 3 s")
+		}
+		p, ok := f.ShortestPause(tracker.Demand{Service: "llm"}, time.Now())
+		if diff := cmp.Diff(tracker.Pause{Left: time.Second}, p); diff != "" || !ok {
+			t.Error(diff)
+		}
+		time.Sleep(time.Second)
+		if f.Declines("i-1", time.Now()) {
+			t.Error("the rest has not ended after 3 s")
+		}
+	})
+}
--- a/internal/upstream/tracker/notice.go
+++ b/internal/upstream/tracker/notice.go
@@ -146,19 +146,35 @@
 	return ok && s.Limited
 }
 
-// NextToken returns when this instance may ask again for a token of one of the runners that
-// would be eligible for a request with one. ok is false if there is no such runner.
-func (f *Fleet) NextToken(d Demand, now time.Time) (wait time.Duration, ok bool) {
+// Declines reports whether a runner wants nothing from this instance, as it is leaving or
+// rests.
+func (f *Fleet) Declines(id string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, known := f.runners[id]
+	return known && s.Leaving || f.leaving[id] || now.Before(f.restUntil[id])
+}
+
+// A Pause is the time for which runners of a service want no request from this instance.
+type Pause struct {
+	Left  time.Duration // until the first of them does
+	Limit bool          // it then has no token; otherwise it rests
+}
+
+// ShortestPause returns the pause that ends first among the runners that are otherwise
+// available for a request. ok is false if there is none.
+func (f *Fleet) ShortestPause(d Demand, now time.Time) (p Pause, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, s := range f.runners {
-		until := f.deniedUntil(id)
-		if !now.Before(until) || !f.available(s, id, d, now) {
+		rest, denied := f.restUntil[id].Sub(now), f.deniedUntil(id).Sub(now)
+		left := max(rest, denied)
+		if left <= 0 || !f.available(s, id, d, now) {
 			continue
 		}
-		if left := until.Sub(now); !ok || left < wait {
-			wait, ok = left, true
+		if !ok || left < p.Left {
+			p, ok = Pause{Left: left, Limit: denied >= rest}, true
 		}
 	}
-	return wait, ok
+	return p, ok
 }
