Name the missing adapter before runners that rest in a refusal

With one runner at rest and the adapter loaded nowhere, a request was refused with reason rest, although the runner that takes requests lacked the adapter. The wait for the adapter is no longer counted for a runner without a token. Found by reading; TestRefusalNamesWhatIsMissing failed for the first.

--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -43,11 +43,11 @@
 		if !ok {
 			continue // removed in the meantime
 		}
-		x.adapterWait += now.Sub(started)
-		x.queueWait = time.Duration(best.Queue * float64(time.Second))
 		if !x.takeToken(ctx, runner.ID) {
 			continue
 		}
+		x.adapterWait += now.Sub(started)
+		x.queueWait = time.Duration(best.Queue * float64(time.Second))
 		x.acquireCopy(runner.ID) // prevents eviction of the copy while the request is delayed
 		resident, refused := x.reserve(ctx, runner, terms)
 		if !resident {
@@ -191,9 +191,12 @@
 	return terms, nil
 }
 
-// noRunner refuses a request that no runner can serve: either there is no runner, or none
-// holds the adapter and no instance can order it now.
+// noRunner refuses a request that no runner can serve: none holds the adapter and no instance
+// can order it now, or those that there are want no request now, or there is none.
 func (x *exchange) noRunner(now time.Time) *judge.Error {
+	if x.request.Copy.Adapter != "" && x.Fleet.AnyEligible(x.demand(x.tried), now) {
+		return judge.Refuse(judge.ReasonLoad, "nobody gives orders to the runners now").WithRetryAfter(retryAfter(noRunnerRetryAfter))
+	}
 	if pause, ok := x.Fleet.ShortestPause(x.demand(x.tried), now); ok {
 		reason, why := judge.ReasonRest, "ask for rest"
 		if pause.Limit {
@@ -201,9 +204,6 @@
 		}
 		return judge.Refuse(reason, "the runners of service %s %s", x.request.Service, why).WithRetryAfter(retryAfter(pause.Left))
 	}
-	if x.request.Copy.Adapter != "" && x.Fleet.AnyEligible(x.demand(x.tried), now) {
-		return judge.Refuse(judge.ReasonLoad, "nobody gives orders to the runners now").WithRetryAfter(retryAfter(noRunnerRetryAfter))
-	}
 	return judge.Refuse(judge.ReasonUpstream, "no runner of service %s takes requests", x.request.Service).WithRetryAfter(retryAfter(noRunnerRetryAfter))
 }
 
--- a/internal/request/forwarder/statement_test.go
+++ b/internal/request/forwarder/statement_test.go
@@ -9,11 +9,42 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 )
 
+// Guards against a refusal that names the wrong cause: one runner rests, and the adapter
+// cannot be loaded at the other one.
+func TestRefusalNamesWhatIsMissing(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		resting []string
+		want    judge.Reason
+	}{
+		{"one runner rests", []string{"i-0"}, judge.ReasonLoad},
+		{"both rest", []string{"i-0", "i-1"}, judge.ReasonRest},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newForwarder(&upstream{}, placement{}, 2)
+				f.Fleet.SetLeaderPresent("a", false)
+				for _, id := range tc.resting {
+					f.Fleet.ObserveRest(id, time.Now().Add(time.Minute))
+				}
+				r := newRequest(resumableRoute())
+				r.Copy = placer.Copy{Model: "m", Adapter: "a1", Version: 2}
+				var got sink
+				err := f.Forward(t.Context(), r, &got)
+				if diff := cmp.Diff(tc.want, err.Reason); diff != "" {
+					t.Errorf("%v %s", err, diff)
+				}
+			})
+		})
+	}
+}
+
 // Guards against requests that were waiting when their runner stated that it wants no more of
 // them, and are sent there all the same.
 func TestWaitingRequestLeavesRunnerThatWantsNoMore(t *testing.T) {
