--- a/internal/upstream/tracker/notice.go
+++ b/internal/upstream/tracker/notice.go
@@ -13,9 +13,10 @@
 }
 
 // A RateLimit is a runner's statement about how many requests it accepts from all instances
-// together.
+// together. AsOf orders statements, as responses overtake each other: it is when the response
+// with a limit arrived, or when the request was sent whose response states none.
 type RateLimit struct {
-	AsOf      time.Time // the runner made the statement at this time or later
+	AsOf      time.Time
 	Limited   bool
 	PerSecond float64 // not below 0
 }
