Keep what a runner stated in one record, and publish it one way

Three maps by runner ID were looked up for each candidate of each request. One record by ID, which outlives the description, is now reached from the runner's state. No rule changes; tests are as they were. Tracker, gatekeeper, forwarder and the tests of statements in platform pass with the race detector.

--- a/internal/instance/gatekeeper/changelog.go
+++ b/internal/instance/gatekeeper/changelog.go
@@ -19,8 +19,7 @@
 type event struct {
 	removal    *relayer.RemovedRunner
 	copyChange *copyEvent
-	leaving    string // runner that stated that it is leaving
-	limit      *limitEvent
+	stated     string // runner that has stated something about itself
 	slotWait   *slotEvent
 	runner     *tracker.Runner
 }
@@ -33,12 +32,6 @@
 	present bool
 }
 
-// A limitEvent is a limit that a runner has stated.
-type limitEvent struct {
-	runner string
-	limit  tracker.RateLimit
-}
-
 // A slotEvent is a change of how long a copy waits for an adapter slot at a runner.
 type slotEvent struct {
 	runner string
--- a/internal/instance/gatekeeper/notice.go
+++ b/internal/instance/gatekeeper/notice.go
@@ -35,12 +35,12 @@
 	}
 	g.Recorder.Log(recorder.View, "msg", "runner leaving", "runner", runner, "source", source)
 	g.Metrics.GetOrCreateCounter(fmt.Sprintf(`sardinetiller_runners_leaving_total{source=%q}`, source)).Inc()
-	g.publishStatement(runner, event{leaving: runner})
+	g.publishStatements(runner)
 	return true
 }
 
-// publishStatement publishes a statement of a runner to the subscribers of its failure domain.
-func (g *Gatekeeper) publishStatement(runner string, e event) {
+// publishStatements publishes what a runner has stated to the subscribers of its failure domain.
+func (g *Gatekeeper) publishStatements(runner string) {
 	l, found := g.linkOf(runner)
 	if !found {
 		return
@@ -48,7 +48,7 @@
 	c := g.controllers[l.domain]
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.changes.add(e)
+	c.changes.add(event{stated: runner})
 }
 
 // observeRest records until when a runner wants no request from this instance.
@@ -72,7 +72,7 @@
 	g.Recorder.Log(recorder.View, "msg", "runner limit", "runner", runner, "limited", limit.Limited, "rate", limit.PerSecond, "source", source)
 	g.Metrics.GetOrCreateCounter(fmt.Sprintf(`sardinetiller_runner_limits_total{source=%q}`, source)).Inc()
 	if limit.Limited {
-		g.publishStatement(runner, event{limit: &limitEvent{runner: runner, limit: limit}})
+		g.publishStatements(runner)
 	}
 	return true
 }
--- a/internal/instance/gatekeeper/publish.go
+++ b/internal/instance/gatekeeper/publish.go
@@ -210,10 +210,8 @@
 			update.Removed = append(update.Removed, *e.removal)
 		case e.copyChange != nil:
 			update.AddHeld(e.copyChange.runner, e.copyChange.copy, e.copyChange.delay(now))
-		case e.leaving != "":
-			update.Leaving = append(update.Leaving, e.leaving)
-		case e.limit != nil:
-			update.Limits = append(update.Limits, relayer.NewRunnerLimit(e.limit.runner, e.limit.limit, now))
+		case e.stated != "":
+			c.addStatements(&update, e.stated, now)
 		case e.slotWait != nil:
 			update.SlotWaits = append(update.SlotWaits, relayer.SlotWait{Runner: e.slotWait.runner, Wait: e.slotWait.wait})
 		}
@@ -266,18 +264,24 @@
 		}
 		update.Runners = append(update.Runners, r)
 		update.SlotWaits = append(update.SlotWaits, relayer.SlotWait{Runner: r.ID, Wait: wait})
-		if c.gatekeeper.Fleet.LeavingStated(r.ID) {
-			update.Leaving = append(update.Leaving, r.ID)
-		}
-		if limit := c.gatekeeper.Fleet.Limit(r.ID); limit.Limited {
-			update.Limits = append(update.Limits, relayer.NewRunnerLimit(r.ID, limit, now))
-		}
+		c.addStatements(update, r.ID, now)
 		for copied, at := range held {
 			update.AddHeld(r.ID, copied, max(0, at.Sub(now)))
 		}
 	}
 }
 
+// addStatements adds what a runner has stated about itself.
+func (c *controller) addStatements(update *relayer.News, runner string, now time.Time) {
+	fleet := c.gatekeeper.Fleet
+	if fleet.LeavingStated(runner) {
+		update.Leaving = append(update.Leaving, runner)
+	}
+	if limit := fleet.Limit(runner); limit.Limited {
+		update.Limits = append(update.Limits, relayer.NewRunnerLimit(runner, limit, now))
+	}
+}
+
 // delay returns the time until the copy is usable; negative if the runner does not hold it. It is
 // a duration, not a point in time, as clocks differ between instances.
 func (e copyEvent) delay(now time.Time) time.Duration {
--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -22,14 +22,14 @@
 }
 
 // eligible reports whether the runner is eligible for the request at all.
-func (f *Fleet) eligible(s *runnerState, id string, d Demand, now time.Time) bool {
-	return f.available(s, id, d, now) && !now.Before(f.restUntil[id]) && !now.Before(f.deniedUntil(id))
+func (s *runnerState) eligible(id string, d Demand, now time.Time) bool {
+	return s.available(id, d, now) && !now.Before(s.stated.restUntil) && !now.Before(s.stated.deniedUntil)
 }
 
 // available reports whether the runner is eligible for the request, apart from the times at
 // which it wants none from this instance.
-func (f *Fleet) available(s *runnerState, id string, d Demand, now time.Time) bool {
-	return s.Service == d.Service && !s.Leaving && !f.leaving[id] && !d.Excluded[id] && !now.Before(s.suspendedUntil)
+func (s *runnerState) available(id string, d Demand, now time.Time) bool {
+	return s.Service == d.Service && !s.Leaving && !s.stated.leaving && !d.Excluded[id] && !now.Before(s.suspendedUntil)
 }
 
 // AnyEligible reports whether any runner is eligible for a request, whatever adapters it
@@ -38,7 +38,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, s := range f.runners {
-		if f.eligible(s, id, d, now) {
+		if s.eligible(id, d, now) {
 			return true
 		}
 	}
@@ -52,7 +52,7 @@
 	prefill := f.latency(d.Service).prefillTime(d.Tokens)
 	var candidates, limited []router.Candidate
 	for id, s := range f.runners {
-		if !f.eligible(s, id, d, now) {
+		if !s.eligible(id, d, now) {
 			continue
 		}
 		c := router.Candidate{
@@ -70,7 +70,7 @@
 		if !c.Resident && !c.Loading && f.leaderless[s.Domain] {
 			continue
 		}
-		if !c.Resident && f.limited(id) {
+		if !c.Resident && s.stated.limit.Limited {
 			limited = append(limited, c)
 			continue
 		}
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -24,9 +24,7 @@
 	loadQueueWait map[string]time.Duration // by failure domain: time until a further load begins
 	leaderless    map[string]bool          // failure domains without a leader to order loads
 	loadTimes     map[string]LoadTimes     // by failure domain, as last reported
-	leaving       map[string]bool          // runners that stated in a response that they are leaving
-	limits        map[string]*limitState   // by runner ID
-	restUntil     map[string]time.Time     // by runner ID, as stated in a response
+	statements    map[string]*statements   // of runners, by ID
 }
 
 // LoadTimes are the load times of adapters.
@@ -38,6 +36,7 @@
 // A runnerState is a runner with the observations of it.
 type runnerState struct {
 	Runner
+	stated          *statements                   // outlive this state
 	failureRate     float64                       // failure rate of recent requests, decaying with time
 	failureRateAt   time.Time                     // when failureRate was last updated
 	held            map[placer.Copy]time.Time     // when each copy can be used; zero: now
@@ -87,7 +86,7 @@
 	}
 	f.idByName[r.Name()] = r.ID
 	if !known {
-		s = &runnerState{held: make(map[placer.Copy]time.Time), evicted: warmer.RecentSet[placer.Copy]{Limit: warmer.HostMemoryCopies}}
+		s = &runnerState{stated: f.statementsOf(r.ID), held: make(map[placer.Copy]time.Time), evicted: warmer.RecentSet[placer.Copy]{Limit: warmer.HostMemoryCopies}}
 		f.runners[r.ID] = s
 	}
 	r.Leaving = r.Leaving || s.Leaving // draining is final for an incarnation
@@ -360,8 +359,6 @@
 		f.idByName = make(map[string]string)
 		f.runners = make(map[string]*runnerState)
 		f.latencies = make(map[string]*latencyModel)
-		f.leaving = make(map[string]bool)
-		f.limits = make(map[string]*limitState)
-		f.restUntil = make(map[string]time.Time)
+		f.statements = make(map[string]*statements)
 	}
 }
--- a/internal/upstream/tracker/notice.go
+++ b/internal/upstream/tracker/notice.go
@@ -21,12 +21,26 @@
 	PerSecond float64 // not below 0
 }
 
-// A limitState is the last statement of a runner, and what followed from it. It outlives the
-// runner's description, as the row of a living runner may expire and return.
-type limitState struct {
-	RateLimit
-	denials     int       // consecutive ones
-	deniedUntil time.Time // until when this instance sends the runner no request
+// The statements of a runner are what it has stated about itself, and what followed from it at
+// this instance. They outlive its description, as the row of a living runner may expire and
+// return.
+type statements struct {
+	leaving     bool
+	restUntil   time.Time
+	limit       RateLimit
+	denials     int       // consecutive denials of a token
+	deniedUntil time.Time // until when this instance sends the runner no request, as it has no token
+}
+
+// statementsOf returns the statements of a runner.
+func (f *Fleet) statementsOf(id string) *statements {
+	f.init()
+	st, ok := f.statements[id]
+	if !ok {
+		st = &statements{}
+		f.statements[id] = st
+	}
+	return st
 }
 
 // ObserveLeaving records that a runner stated that it is leaving, which is final for its
@@ -34,9 +48,9 @@
 func (f *Fleet) ObserveLeaving(id string) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.init()
-	changed = !f.leaving[id]
-	f.leaving[id] = true
+	st := f.statementsOf(id)
+	changed = !st.leaving
+	st.leaving = true
 	return changed
 }
 
@@ -44,15 +58,19 @@
 func (f *Fleet) Leaving(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.isLeaving(id)
+}
+
+func (f *Fleet) isLeaving(id string) bool {
 	s, known := f.runners[id]
-	return f.leaving[id] || known && s.Leaving
+	return known && s.Leaving || f.statementsOf(id).leaving
 }
 
 // LeavingStated reports whether a runner stated in a response that it is leaving.
 func (f *Fleet) LeavingStated(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.leaving[id]
+	return f.statementsOf(id).leaving
 }
 
 // ObserveRest records that a runner wants no request from this instance until a time. It
@@ -60,11 +78,11 @@
 func (f *Fleet) ObserveRest(id string, until time.Time) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.init()
-	if !until.After(f.restUntil[id]) {
+	st := f.statementsOf(id)
+	if !until.After(st.restUntil) {
 		return false
 	}
-	f.restUntil[id] = until
+	st.restUntil = until
 	return true
 }
 
@@ -73,19 +91,15 @@
 func (f *Fleet) ObserveLimit(id string, limit RateLimit) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.init()
-	s, ok := f.limits[id]
-	switch {
-	case !ok && !limit.Limited, ok && limit.AsOf.Before(s.AsOf):
+	st := f.statementsOf(id)
+	neverLimited := st.limit == RateLimit{}
+	if neverLimited && !limit.Limited || limit.AsOf.Before(st.limit.AsOf) {
 		return false
-	case !ok:
-		s = &limitState{}
-		f.limits[id] = s
 	}
-	changed = s.Limited != limit.Limited || s.PerSecond != limit.PerSecond
-	s.RateLimit = limit
+	changed = st.limit.Limited != limit.Limited || st.limit.PerSecond != limit.PerSecond
+	st.limit = limit
 	if !limit.Limited {
-		s.denials, s.deniedUntil = 0, time.Time{}
+		st.denials, st.deniedUntil = 0, time.Time{}
 	}
 	return changed
 }
@@ -94,10 +108,7 @@
 func (f *Fleet) Limit(id string) RateLimit {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s, ok := f.limits[id]; ok {
-		return s.RateLimit
-	}
-	return RateLimit{}
+	return f.statementsOf(id).limit
 }
 
 const (
@@ -115,36 +126,20 @@
 func (f *Fleet) RecordDenial(id string, wait time.Duration, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s, ok := f.limits[id]
-	if !ok || !s.Limited {
+	st := f.statementsOf(id)
+	if !st.limit.Limited {
 		return
 	}
-	wait = min(wait<<min(s.denials, maxDoublings), maxDenialWait)
-	s.denials++
-	s.deniedUntil = now.Add(wait + time.Duration(rand.Float64()*float64(wait)))
+	wait = min(wait<<min(st.denials, maxDoublings), maxDenialWait)
+	st.denials++
+	st.deniedUntil = now.Add(wait + time.Duration(rand.Float64()*float64(wait)))
 }
 
 // RecordGrant records that this instance got a token for a limited runner.
 func (f *Fleet) RecordGrant(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s, ok := f.limits[id]; ok {
-		s.denials = 0
-	}
-}
-
-// deniedUntil returns until when a runner gets no request as this instance has no token.
-func (f *Fleet) deniedUntil(id string) time.Time {
-	if s, ok := f.limits[id]; ok {
-		return s.deniedUntil
-	}
-	return time.Time{}
-}
-
-// limited reports whether a runner limits its request rate.
-func (f *Fleet) limited(id string) bool {
-	s, ok := f.limits[id]
-	return ok && s.Limited
+	f.statementsOf(id).denials = 0
 }
 
 // Declines reports whether a runner wants nothing from this instance, as it is leaving or
@@ -152,8 +147,7 @@
 func (f *Fleet) Declines(id string, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s, known := f.runners[id]
-	return known && s.Leaving || f.leaving[id] || now.Before(f.restUntil[id])
+	return f.isLeaving(id) || now.Before(f.statementsOf(id).restUntil)
 }
 
 // A Pause is the time for which runners of a service want no request from this instance.
@@ -168,9 +162,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, s := range f.runners {
-		rest, denied := f.restUntil[id].Sub(now), f.deniedUntil(id).Sub(now)
+		rest, denied := s.stated.restUntil.Sub(now), s.stated.deniedUntil.Sub(now)
 		left := max(rest, denied)
-		if left <= 0 || !f.available(s, id, d, now) {
+		if left <= 0 || !s.available(id, d, now) {
 			continue
 		}
 		if !ok || left < p.Left {
