--- a/internal/setting/configurer/gateway.go
+++ b/internal/setting/configurer/gateway.go
@@ -21,6 +21,8 @@
 	Link      Link     `yaml:"link"`      // network link of the instance
 	First     bool     `yaml:"first"`     // first start of the whole deployment: no instance holds a lease yet
 	Bounds    Bounds   `yaml:"bounds"`
+	Contracts []string `yaml:"contracts"` // parts of the platform's rules that are in force, by its names
+	Load      Load     `yaml:"load"`
 }
 
 // A Link is the bandwidth of a network link in Mbit/s; 0 means unknown.
@@ -67,6 +69,7 @@
 		Grace: 8 * time.Second, Part: 0.2, Quiet: 3 * time.Second, Quota: 8 * time.Second,
 		Slack: 50, Window: 10 * time.Second,
 	},
+	Load: Load{Ahead: Auto, Order: Auto, Pace: Auto, Quota: Auto},
 }
 
 // AdvertisedAddress returns the address under which peers reach the instance.
@@ -100,6 +103,7 @@
 		c.optionalAddresses(field[string]{"advertise", g.Advertise}, field[string]{"metrics", g.Metrics}),
 		c.durations("3s", field[time.Duration]{"bounds.grace", g.Bounds.Grace}, field[time.Duration]{"bounds.quiet", g.Bounds.Quiet},
 			field[time.Duration]{"bounds.quota", g.Bounds.Quota}, field[time.Duration]{"bounds.window", g.Bounds.Window}),
+		g.Load.check(c),
 	)
 	if err != nil {
 		return err
--- a/internal/setting/configurer/gateway_test.go
+++ b/internal/setting/configurer/gateway_test.go
@@ -20,6 +20,8 @@
 		{"invalid address", strings.Replace(validGateway, "127.0.0.1:4", "store", 1), "g.yaml: platform:"},
 		{"invalid duration", validGateway + "bounds:\n  quiet: fast\n", "g.yaml:8:"},
 		{"zero duration", validGateway + "bounds:\n  quiet: 0s\n", "g.yaml: bounds.quiet:"},
+		{"load switches", validGateway + "load:\n  order: on\n  pace: off\n  ahead: auto\n", ""},
+		{"unknown load switch", validGateway + "load:\n  order: yes\n", "g.yaml: load.order:"},
 		{"negative", validGateway + "bounds:\n  slack: -1\n", "g.yaml: bounds:"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
