Wait for ticks without selecting on channel timers that are due

In a synctest bubble with the race detector, a receive from a channel timer that came due while no goroutine waited on it runs the timer on the thread of the receiving goroutine (runtime.maybeRunChan, unlockAndRun), with the one race context that all timers of the bubble share. Two threads in it at once crash the process: SIGSEGV, or the CHECK of tsan_rtl.cpp:346. A program of 64 goroutines in a bubble that receive from due tickers shows both: of 27 runs 4 SIGSEGV and 5 failed CHECKs. The same receives from tickers that are not due, and due ones of a single goroutine, pass 17 of 17 runs each. So the failed CHECK is not a matter of the number of events of a process.

Package pacer has the waits for loops: a Ticker with the schedule of a time.Ticker, and After.

--- a/internal/clock/repeater/repeater.go
+++ b/internal/clock/repeater/repeater.go
@@ -4,20 +4,16 @@
 import (
 	"context"
 	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/clock/pacer"
 )
 
 // Every calls do after each period, and whenever trigger receives a value, until
 // ctx ends. trigger may be nil.
 func Every(ctx context.Context, period time.Duration, trigger <-chan struct{}, do func()) {
-	ticker := time.NewTicker(period)
+	ticker := pacer.NewTicker(period)
 	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-trigger:
-		case <-ticker.C:
-		}
+	for ticker.Wait(ctx, trigger) {
 		do()
 	}
 }
--- a/internal/experiment/stager/hop_test.go
+++ b/internal/experiment/stager/hop_test.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sardinetiller/sardinetiller/internal/clock/pacer"
 	"github.com/sardinetiller/sardinetiller/internal/experiment/stager"
 	"github.com/sardinetiller/sardinetiller/internal/wire/requester"
 )
@@ -53,10 +54,10 @@
 	var mu sync.Mutex
 	var took []time.Duration
 	var calls sync.WaitGroup
-	ticker := time.NewTicker(every)
+	ticker := pacer.NewTicker(every)
 	defer ticker.Stop()
 	for range b.N {
-		<-ticker.C
+		ticker.Wait(b.Context(), nil)
 		calls.Go(func() {
 			start := time.Now()
 			call()
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -240,8 +240,8 @@
 	}
 }
 
-// pause waits for d, or until ctx ends. It creates no timer that would expire at once: with
-// such timers, tests with many instances crashed in the runtime's race detector.
+// pause waits for d, or until ctx ends. It creates no timer that is due at once, for the reason
+// given in package pacer.
 func pause(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/instance/gatekeeper/publish.go
+++ b/internal/instance/gatekeeper/publish.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/sardinetiller/sardinetiller/internal/clock/pacer"
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
@@ -136,7 +137,7 @@
 	sequence, lastDue := -1, time.Time{}
 	crashes := 0 // sequence number of the last change of the ledger that was sent
 	fence := c.currentFence()
-	ticker := time.NewTicker(intervals.changes)
+	ticker := pacer.NewTicker(intervals.changes)
 	defer ticker.Stop()
 	for {
 		if !c.publishes() {
@@ -157,10 +158,8 @@
 		if due {
 			lastDue = time.Now()
 		}
-		select {
-		case <-ctx.Done():
+		if !ticker.Wait(ctx, nil) {
 			return ctx.Err()
-		case <-ticker.C:
 		}
 	}
 }
--- a/internal/instance/gatekeeper/store_test.go
+++ b/internal/instance/gatekeeper/store_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/clock/pacer"
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
 )
@@ -135,7 +136,9 @@
 	if err := s.admit(ctx, wait); err != nil {
 		return nil, 0, err
 	}
-	sentAt, end := time.Now(), time.After(wait)
+	sentAt := time.Now()
+	end, stop := pacer.After(wait)
+	defer stop()
 	s.mu.Lock()
 	hung := s.hung
 	s.mu.Unlock()
--- a/internal/request/claimer/batcher.go
+++ b/internal/request/claimer/batcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/sardinetiller/sardinetiller/internal/clock/pacer"
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
 )
 
@@ -62,13 +63,13 @@
 // collect adds transactions that arrive within the wait or are already queued.
 func (b *batcher) collect(ctx context.Context, first *pending, wait time.Duration) []*pending {
 	batch := []*pending{first}
-	timer := time.NewTimer(max(0, wait))
-	defer timer.Stop()
+	end, stop := pacer.After(wait)
+	defer stop()
 	for len(batch) < b.maxSize {
 		select {
 		case p := <-b.queue:
 			batch = append(batch, p)
-		case <-timer.C:
+		case <-end:
 			return b.addQueued(batch)
 		case <-ctx.Done():
 			return batch
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -15,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/clock/pacer"
 	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
@@ -114,8 +115,10 @@
 	if b.from > b.to {
 		return 0, b.end
 	}
+	delay, stop := pacer.After(b.delays[b.from])
+	defer stop()
 	select {
-	case <-time.After(b.delays[b.from]):
+	case <-delay:
 	case <-b.ctx.Done():
 		return 0, context.Cause(b.ctx)
 	}
