Gauge of a runner's pace, and whether a service's runners state one

Each runner may state how long work takes there in percent of the usual time. Nothing observes statements yet.

--- a/internal/upstream/tracker/notice.go
+++ b/internal/upstream/tracker/notice.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/upstream/gauger"
 )
 
 // A Notice is what a runner stated about itself in a response.
@@ -28,8 +30,9 @@
 	leaving     bool
 	restUntil   time.Time
 	limit       RateLimit
-	denials     int       // consecutive denials of a token
-	deniedUntil time.Time // until when this instance sends the runner no request, as it has no token
+	denials     int           // consecutive denials of a token
+	deniedUntil time.Time     // until when this instance sends the runner no request, as it has no token
+	pace        *gauger.Gauge // nil if it has stated no pace
 }
 
 // statementsOf returns the statements of a runner.
