Use the pace that runners state

Where runners state a fourth figure in Instance-Load, estimates at a runner are multiplied by the pace expected there, relative to the mean over the service's runners; the latency model becomes that of a runner with the mean pace. Members report statements with their demand, the leader publishes changed usual paces and runners that are slow now. Without a fourth figure no message, estimate or choice changes.

--- a/internal/instance/gatekeeper/apply.go
+++ b/internal/instance/gatekeeper/apply.go
@@ -44,6 +44,7 @@
 		return
 	}
 	l.applyCopies(update, now)
+	g.adoptPaces(update.Paces, now)
 	c := g.controllers[l.domain]
 	c.recordUpdate(update, now)
 	if update.HasLoads {
--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -59,6 +59,7 @@
 	published       map[placer.Copy]time.Time
 	publishedWait   time.Duration // for an adapter slot, as last published
 	failures        failureScore
+	usualPace       float64            // as last logged; 0 if this instance as the leader has seen none
 	throttle        throttler.Throttle // used while the runner limits its request rate
 }
 
@@ -104,6 +105,7 @@
 		return
 	}
 	c.toggleChecksum(state.runner)
+	c.dropPace(state)
 	delete(c.runners, id)
 	c.changes.add(event{removal: &relayer.RemovedRunner{Runner: id, Revision: revision}})
 }
@@ -198,6 +200,7 @@
 	c.firstReportAt = time.Time{}
 	for _, state := range c.runners {
 		state.placer = nil
+		c.dropPace(state)
 	}
 	c.gatekeeper.Recorder.Log(recorder.View, "msg", "giving no more orders", "domain", c.domain)
 }
--- a/internal/instance/gatekeeper/demand.go
+++ b/internal/instance/gatekeeper/demand.go
@@ -55,6 +55,9 @@
 	if from != c.gatekeeper.Config.ID && reportsResponse(demand) {
 		c.partition.respondedElsewhere = now
 	}
+	if from != c.gatekeeper.Config.ID {
+		c.applyPaces(demand.Paces, now)
+	}
 	c.prefillShare.Record(demand.ShortGaps, demand.LongGaps)
 	for _, u := range demand.Hits {
 		c.withPlacer(u.Runner, func(p *placer.Placer) { c.observeLoad(p.ObserveHit(u.Copy, u.Requests, now.Add(-u.Age))) })
--- a/internal/instance/gatekeeper/load_time.go
+++ b/internal/instance/gatekeeper/load_time.go
@@ -116,6 +116,7 @@
 		}
 		for _, c := range g.controllers {
 			c.logLoads()
+			c.logPaces()
 		}
 	})
 }
--- a/internal/instance/gatekeeper/notice.go
+++ b/internal/instance/gatekeeper/notice.go
@@ -20,6 +20,7 @@
 // ObserveNotice records what a runner stated about itself in a response, and tells the leader
 // of its failure domain, which publishes it.
 func (g *Gatekeeper) ObserveNotice(runner tracker.Runner, n tracker.Notice) {
+	g.observePace(runner, n)
 	g.observeRest(runner.ID, n.RestUntil)
 	leaves := n.Leaving && g.observeLeaving(runner.ID, sourceResponse)
 	if limitChanged := g.observeLimit(runner.ID, n.Limit, sourceResponse); limitChanged || leaves {
--- a/internal/instance/gatekeeper/pending_demand.go
+++ b/internal/instance/gatekeeper/pending_demand.go
@@ -8,6 +8,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/request/admitter"
 	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/gauger"
 )
 
 // pendingDemand is the demand at the domain's runners that is to be reported. Uses and waits are
@@ -21,6 +22,7 @@
 	hits      map[aggregator.Key]hitCount
 	uses      map[aggregator.Key]int
 	waits     map[aggregator.Key]map[string]waiter // by copy and request ID
+	paces     map[string]gauger.Statement          // latest statement by runner
 }
 
 // A hitCount counts the requests that found a copy loaded on a runner.
--- a/internal/instance/gatekeeper/publish.go
+++ b/internal/instance/gatekeeper/publish.go
@@ -134,6 +134,7 @@
 	defer c.addSubscriber()()
 	intervals := c.intervals(member, s)
 	sequence, lastDue := -1, time.Time{}
+	paces := make(publishedPaces)
 	crashes := 0 // sequence number of the last change of the ledger that was sent
 	fence := c.currentFence()
 	ticker := time.NewTicker(intervals.changes)
@@ -144,6 +145,9 @@
 		}
 		due := time.Since(lastDue) >= intervals.loads
 		update, next, changed := c.updateFor(member.ID, sequence, due)
+		if due || update.Snapshot {
+			update.Paces = c.pacesFor(paces, update.Snapshot, time.Now())
+		}
 		update.Tables = c.gatekeeper.tableUpdates(s.Tables, due)
 		if s.Crashes {
 			update.Crashes, crashes = c.gatekeeper.quarantine.ledger.Since(crashes, time.Now())
--- a/internal/instance/gatekeeper/relay.go
+++ b/internal/instance/gatekeeper/relay.go
@@ -128,6 +128,9 @@
 	for _, u := range demand.Spare {
 		l.pendingDemand.spare = mark(l.pendingDemand.spare, keyOf(u.Runner, u.Copy))
 	}
+	for _, p := range demand.Paces {
+		l.pendingDemand.recordPace(p.Runner, p.Statement(now))
+	}
 	urgent := len(demand.Misses) > 0
 	for _, u := range demand.Misses {
 		l.pendingDemand.misses = mark(l.pendingDemand.misses, keyOf(u.Runner, u.Copy))
--- a/internal/instance/gatekeeper/report.go
+++ b/internal/instance/gatekeeper/report.go
@@ -73,6 +73,7 @@
 	for k := range l.pendingDemand.spare {
 		demand.Spare = append(demand.Spare, relayer.CopyUse{Runner: k.Runner, Copy: k.Copy})
 	}
+	demand.Paces = l.pendingDemand.takePaces(now)
 	l.pendingDemand.misses, l.pendingDemand.spare, l.pendingDemand.hits = nil, nil, nil
 	l.pendingDemand.shortGaps, l.pendingDemand.longGaps = 0, 0
 	for k, at := range l.urgentAt {
--- a/internal/instance/gatekeeper/request_slot.go
+++ b/internal/instance/gatekeeper/request_slot.go
@@ -56,7 +56,9 @@
 	return judge.As(err)
 }
 
-// acquireSlot takes a request slot at a runner until done is called, or refuses the request.
+// acquireSlot takes a request slot at a runner until done is called, or refuses the request. The
+// wait includes how much longer the request runs there than at a runner with the mean pace, so
+// that the instance prefers one that is not slow now.
 func (c *controller) acquireSlot(runner string, within time.Duration) (wait time.Duration, done func(), err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -65,19 +67,21 @@
 		return 0, nil, judge.Refuse(judge.ReasonUpstream, "runner %s is not known here", runner)
 	}
 	now := time.Now()
-	wait = state.slots.Wait(state.runner.Slots)
+	pace := c.gatekeeper.Fleet.PaceFactor(runner, now)
+	wait = state.slots.Wait(state.runner.Slots, pace)
 	if wait > within {
 		return 0, nil, judge.Refuse(judge.ReasonQueue, "requests wait for %s there", wait.Round(time.Millisecond)).WithRetryAfter(wait - within)
 	}
 	entry := state.slots.Enter(now)
-	return wait, sync.OnceFunc(func() { c.releaseSlot(state, entry) }), nil
+	return wait + state.slots.Excess(pace), sync.OnceFunc(func() { c.releaseSlot(state, entry) }), nil
 }
 
 // releaseSlot releases a request slot at a runner.
 func (c *controller) releaseSlot(state *runnerState, e tracker.Entry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	state.slots.Leave(e, state.runner.Slots, time.Now())
+	now := time.Now()
+	state.slots.Leave(e, state.runner.Slots, c.gatekeeper.Fleet.PaceFactor(state.runner.ID, now), now)
 }
 
 // holdSlot handles a relayer.Place: it holds the request slot until the sender cancels.
--- a/internal/instance/gatekeeper/reserve.go
+++ b/internal/instance/gatekeeper/reserve.go
@@ -80,7 +80,7 @@
 	}
 	fleet := c.gatekeeper.Fleet
 	wait, ok := state.prefillQueue.Reserve(admitter.Prompt{
-		MaxGap: r.MaxGap, SlotWait: fleet.RequestSlotWait(r.Runner), PrefillTime: fleet.PrefillTime(state.runner.Service, r.Tokens), Share: c.prefillShare.Value(), Timeout: r.Timeout,
+		MaxGap: r.MaxGap, SlotWait: fleet.RequestSlotWait(r.Runner), PrefillTime: fleet.PrefillTimeAt(state.runner, r.Tokens, now), Share: c.prefillShare.Value(), Timeout: r.Timeout,
 	}, now)
 	if !ok {
 		refused := judge.Refuse(judge.ReasonQueue, "%s of prompts are to be read there", state.prefillQueue.Backlog(now).Round(time.Millisecond))
--- a/internal/member/relayer/leader.go
+++ b/internal/member/relayer/leader.go
@@ -25,6 +25,7 @@
 	Misses         []CopyUse               `cbor:"2,keyasint,omitempty"`  // copies for lack of which a runner refused requests
 	Hits           []CopyUse               `cbor:"6,keyasint,omitempty"`  // copies that requests found resident
 	Spare          []CopyUse               `cbor:"7,keyasint,omitempty"`  // copies that would help later requests; none waits for them
+	Paces          []Pace                  `cbor:"12,keyasint,omitempty"` // stated by runners since the last report
 	Uses           []CopyUse               `cbor:"3,keyasint,omitempty"`  // all copies that requests use now
 	Waits          []Wait                  `cbor:"4,keyasint,omitempty"`  // all copies that requests wait for now
 }
@@ -95,6 +96,7 @@
 	StoreReached      Span                      `cbor:"24,keyasint,omitzero"`  // during which the store was reachable without interruption, up to the sender's last call
 	Revision          uint64                    `cbor:"22,keyasint,omitempty"` // of the store up to which the sender itself has read the table of runners
 	Snapshot          bool                      `cbor:"6,keyasint,omitempty"`  // Runners and Held are complete
+	Paces             []RunnerPace              `cbor:"27,keyasint,omitempty"` // usual paces that have changed, and runners that are slow now
 	Limits            []RunnerLimit             `cbor:"25,keyasint,omitempty"` // stated by runners since the last update
 	Leaving           []string                  `cbor:"26,keyasint,omitempty"` // runners that have stated since then that they are leaving
 }
@@ -134,9 +136,10 @@
 // Urgent reports whether the receiver must check at once whether orders are due.
 func (d Demand) Urgent() bool { return len(d.Waits) > 0 || len(d.Misses) > 0 || len(d.Spare) > 0 }
 
-// Empty reports whether the sender neither needs nor uses anything.
+// Empty reports whether the sender neither needs nor uses anything, and has no statements to
+// pass on.
 func (d Demand) Empty() bool {
-	return len(d.Loads)+len(d.Misses)+len(d.Hits)+len(d.Spare)+len(d.Uses)+len(d.Waits)+d.ShortGaps+d.LongGaps == 0
+	return len(d.Loads)+len(d.Misses)+len(d.Hits)+len(d.Spare)+len(d.Uses)+len(d.Waits)+len(d.Paces)+d.ShortGaps+d.LongGaps == 0
 }
 
 // A Wait counts the requests that wait for a copy at a runner.
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -160,7 +160,7 @@
 func (x *exchange) demand(tried map[string]bool) tracker.Demand {
 	r := x.request
 	return tracker.Demand{
-		LoadingRunner: x.loadRunner, Copy: r.Copy, MaxPrefill: x.prefillLimit(), Refused: x.fullRunners, LoadTime: x.LoadTime(), ReloadTime: x.ReloadTime(), Service: r.Service, Tokens: r.Tokens,
+		LoadingRunner: x.loadRunner, Copy: r.Copy, MaxGap: r.Route.MaxGap, MaxPrefill: x.prefillLimit(), Refused: x.fullRunners, LoadTime: x.LoadTime(), ReloadTime: x.ReloadTime(), Service: r.Service, Tokens: r.Tokens,
 		Excluded: tried,
 	}
 }
--- a/internal/request/router/policy.go
+++ b/internal/request/router/policy.go
@@ -47,6 +47,7 @@
 type Candidate struct {
 	Runner      string
 	OtherDomain bool          // in another failure domain
+	Own         time.Duration // until the first token of this request on the idle runner; 0 where runners state no pace
 	Backlog     time.Duration // until the known work ahead of this request is done
 	Congested   bool          // one more prompt would delay the tokens of the requests running there
 	Failing     float64       // fraction of the recent requests that failed there, 0 to 1
@@ -61,6 +62,7 @@
 	Sent        int           // requests from this instance since the last report
 	Ramp        float64       // fraction of the batch that an engine is given while it warms up, 0 to 1
 	LoadWait    time.Duration // until another load could start
+	UsualFactor float64       // usual time of work, relative to the mean over the runners of the service; 0 if it is unknown
 }
 
 // A Request is the part of a request that the choice depends on.
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -62,7 +62,7 @@
 func hasCopy(c Candidate) bool { return c.Resident || c.Loading || c.HeldBefore }
 
 func (r *Router) terms(request Request, c *Candidate, f fleetState) Terms {
-	rank := float64(rendezvousHash(request.Adapter, c.Runner)) / math.MaxUint64
+	rank := weightedRank(float64(rendezvousHash(request.Adapter, c.Runner))/math.MaxUint64, c.UsualFactor)
 	switch p := r.Policy.(type) {
 	case Cost:
 		return r.cost(p, request, c, rank)
@@ -152,7 +152,7 @@
 	t := Terms{
 		Absent: !c.Resident && !c.Loading, Congested: c.Congested, Runner: c.Runner, Queue: c.Backlog.Seconds(), Stall: c.ReadyIn.Seconds(),
 	}
-	t.Total = max(t.Queue, t.Stall) + failureCost*c.Failing
+	t.Total = max(t.Queue, t.Stall) + c.Own.Seconds() + failureCost*c.Failing
 	switch {
 	case request.Adapter == "" || c.Resident || c.Loading:
 	case c.HeldBefore:
@@ -241,6 +241,16 @@
 	return max(0, 1-fill)
 }
 
+// weightedRank returns the rank of a runner whose hash is u, from 0 to 1. The probability that a
+// runner has the lowest rank is proportional to its usual speed, 1/factor. A factor of 0 stands
+// for an unknown one.
+func weightedRank(u, factor float64) float64 {
+	if factor == 0 || factor == 1 {
+		return u
+	}
+	return 1 - math.Pow(1-u, factor)
+}
+
 func rendezvousHash(adapter, runner string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/internal/upstream/gauger/gauge.go
+++ b/internal/upstream/gauger/gauge.go
@@ -98,15 +98,15 @@
 
 // Observe records a statement. It ignores one that is not later than the latest, and one that
 // is not valid.
-func (g *Gauge) Observe(percent int, at time.Time) {
-	if !Valid(percent) || !at.After(g.latest.At) {
+func (g *Gauge) Observe(s Statement) {
+	if !Valid(s.Percent) || !s.At.After(g.latest.At) {
 		return
 	}
-	g.latest = Statement{At: at, Percent: percent}
-	if n := len(g.samples); n > 0 && at.Sub(g.samples[n-1].At) < sampleInterval {
+	g.latest = s
+	if n := len(g.samples); n > 0 && s.At.Sub(g.samples[n-1].At) < sampleInterval {
 		return
 	}
-	g.samples = slices.DeleteFunc(g.samples, func(s Statement) bool { return at.Sub(s.At) > Memory })
+	g.samples = slices.DeleteFunc(g.samples, func(old Statement) bool { return s.At.Sub(old.At) > Memory })
 	if len(g.samples) == maxSamples {
 		g.samples = slices.Delete(g.samples, 0, 1)
 	}
--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -12,6 +12,7 @@
 type Demand struct {
 	LoadingRunner string          // runner that has been asked to load the copy; empty for none
 	Copy          placer.Copy     // zero for a plain service
+	MaxGap        time.Duration   // maximum gap between events of the requests running there; 0 for no limit
 	MaxPrefill    time.Duration   // limit of backlog plus prefill time, above which a runner is congested: prefill stalls its running requests; 0 for no limit
 	Refused       map[string]bool // runners that have refused it for lack of capacity
 	LoadTime      time.Duration   // time to load an adapter from the weight store
@@ -49,20 +50,31 @@
 func (f *Fleet) Candidates(d Demand, now time.Time) []router.Candidate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	prefill := f.latency(d.Service).prefillTime(d.Tokens)
+	m := f.latency(d.Service)
+	prefill := m.prefillTime(d.Tokens)
+	paced := f.paced && f.servicePace(d.Service, now).runners > 0
 	var candidates, limited []router.Candidate
 	for id, s := range f.runners {
 		if !s.eligible(id, d, now) {
 			continue
 		}
+		pace := unknownPace
+		if paced {
+			pace = f.paceFactors(s, now)
+		}
 		c := router.Candidate{
 			Runner: id, OtherDomain: s.Domain != f.Domain, Batch: s.Slots, Running: s.ownLoad.Running + s.otherLoad.Running,
-			Backlog: f.backlog(s, d), Failing: s.currentFailureRate(now), Resident: true,
+			Backlog: f.backlog(s, d, pace), Failing: s.currentFailureRate(now), Resident: true,
 		}
 		if d.Refused[id] {
 			c.Backlog += refusalPenalty
 		}
-		c.Congested = d.MaxPrefill > 0 && c.Backlog+prefill > d.MaxPrefill
+		c.Congested = d.MaxPrefill > 0 && c.Backlog+stretched(pace, prefill) > d.MaxPrefill
+		if paced {
+			c.Own = stretched(pace, m.firstToken(d.Tokens))
+			c.UsualFactor = pace.usual
+			c.Congested = c.Congested || d.MaxGap > 0 && c.Own > d.MaxGap // the base is at least the time of one event
+		}
 		if d.Copy != (placer.Copy{}) {
 			s.setReadiness(&c, d, f.loadQueueWait[s.Domain], f.loadTimesIn(s.Domain, d), now)
 		}
@@ -124,20 +136,22 @@
 const refusalPenalty = 10 * time.Second
 
 // backlog estimates how long a request waits at the runner: for the prefill of the
-// prompts before it, and for a request slot if all are taken.
-func (f *Fleet) backlog(s *runnerState, d Demand) time.Duration {
+// prompts before it, and for a request slot if all are taken. The leader's report of the
+// prefill includes the pace already.
+func (f *Fleet) backlog(s *runnerState, d Demand, pace paceFactors) time.Duration {
 	m := f.latency(d.Service)
 	load := s.ownLoad.Plus(s.otherLoad)
-	wait := max(float64(load.PrefillTokens)*m.prefill, time.Until(s.prefillUntil).Seconds()) + s.requestSlotWait(m)
+	wait := max(pace.stretch(float64(load.PrefillTokens)*m.prefill), time.Until(s.prefillUntil).Seconds()) + pace.stretch(s.requestSlotWait(m))
 	if d.Copy == (placer.Copy{}) && s.Slots > 0 {
 		// Concurrent requests to a plain service (one without adapters) share
 		// the processor of the runner and slow each other down before any queues.
-		wait += float64(load.Running) / float64(s.Slots) * m.run
+		wait += pace.stretch(float64(load.Running) / float64(s.Slots) * m.run)
 	}
 	return time.Duration(wait * float64(time.Second))
 }
 
-// requestSlotWait returns the estimated seconds until a request slot is free.
+// requestSlotWait returns the estimated seconds until a request slot is free, at the mean pace
+// of the service.
 func (s *runnerState) requestSlotWait(m *latencyModel) float64 {
 	running := s.ownLoad.Running + s.otherLoad.Running
 	if s.Slots == 0 || running < s.Slots {
@@ -146,7 +160,8 @@
 	return float64(running-s.Slots+1) / float64(s.Slots) * m.run
 }
 
-// RunTime returns the estimated run time of a request to a service.
+// RunTime returns the estimated run time of a request to a service, at a runner with the mean
+// pace.
 func (f *Fleet) RunTime(service string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -161,7 +176,8 @@
 	if !ok {
 		return 0
 	}
-	return time.Duration(s.requestSlotWait(f.latency(s.Service)) * float64(time.Second))
+	wait := f.paceFactors(s, time.Now()).stretch(s.requestSlotWait(f.latency(s.Service)))
+	return time.Duration(wait * float64(time.Second))
 }
 
 // Latency returns the latency model of a service as estimated so far: the seconds to
--- a/internal/upstream/tracker/latency.go
+++ b/internal/upstream/tracker/latency.go
@@ -3,7 +3,7 @@
 import "time"
 
 // A latencyModel describes the latency of the runners of a service, estimated from observed
-// requests.
+// requests. Where runners state their pace, it is that of a runner with the mean pace.
 //
 // The time to the first token grows with the prompts before it, of which an instance
 // knows only a part. A mean or a linear regression over all observations therefore
@@ -49,6 +49,11 @@
 	return time.Duration(m.prefill * float64(tokens) * float64(time.Second))
 }
 
+// firstToken returns the estimated time to the first token of a prompt on an idle runner.
+func (m *latencyModel) firstToken(tokens int) time.Duration {
+	return time.Duration(m.base*float64(time.Second)) + m.prefillTime(tokens)
+}
+
 // observeFirstToken records the time to the first token, with the prompt tokens before it.
 func (m *latencyModel) observeFirstToken(tokens int, after time.Duration) {
 	seconds := after.Seconds()
--- a/internal/upstream/tracker/notice.go
+++ b/internal/upstream/tracker/notice.go
@@ -9,9 +9,11 @@
 
 // A Notice is what a runner stated about itself in a response.
 type Notice struct {
-	Leaving   bool // it is shutting down
-	Limit     RateLimit
-	RestUntil time.Time // until when it wants no request from this instance; zero if it did not say
+	Leaving     bool // it is shutting down
+	Limit       RateLimit
+	Pace        int       // how long work takes now, in percent of the usual time; 0 if it did not say
+	PaceInvalid bool      // it stated a pace that cannot be read
+	RestUntil   time.Time // until when it wants no request from this instance; zero if it did not say
 }
 
 // A RateLimit is a runner's statement about how many requests it accepts from all instances
--- a/internal/upstream/tracker/pace.go
+++ b/internal/upstream/tracker/pace.go
@@ -70,10 +70,10 @@
 }
 
 // ObservePace records a pace that a runner stated.
-func (f *Fleet) ObservePace(id string, percent int, at time.Time) {
+func (f *Fleet) ObservePace(id string, s gauger.Statement) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.gauge(id).Observe(percent, at)
+	f.gauge(id).Observe(s)
 }
 
 // Pace returns what is known of a runner's pace; ok is false if it states none.
@@ -102,18 +102,15 @@
 
 // PrefillTimeAt returns the estimated prefill time of a prompt at a runner that is otherwise
 // idle.
-func (f *Fleet) PrefillTimeAt(id string, tokens int, now time.Time) time.Duration {
+func (f *Fleet) PrefillTimeAt(r Runner, tokens int, now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s, ok := f.runners[id]
+	prefill := f.latency(r.Service).prefillTime(tokens)
+	s, ok := f.runners[r.ID]
 	if !ok {
-		return 0
-	}
-	prefill := f.latency(s.Service).prefillTime(tokens)
-	if pace := f.paceFactors(s, now); pace != unknownPace {
-		prefill = stretched(pace, prefill)
+		return prefill
 	}
-	return prefill
+	return stretched(f.paceFactors(s, now), prefill)
 }
 
 // StatesPace reports whether any runner of a service states its pace.
@@ -177,5 +174,8 @@
 
 // stretched returns how long work takes at a runner with these factors.
 func stretched(p paceFactors, work time.Duration) time.Duration {
+	if p == unknownPace {
+		return work
+	}
 	return time.Duration(p.stretch(work.Seconds()) * float64(time.Second))
 }
--- a/internal/upstream/tracker/pace_test.go
+++ b/internal/upstream/tracker/pace_test.go
@@ -21,7 +21,7 @@
 		states := func() []bool { return []bool{f.StatesPace("llm"), f.StatesPace("records"), f.StatesPace("none")} }
 		var got [][]bool
 		got = append(got, states())
-		f.ObservePace("r2", 250, time.Now())
+		f.ObservePace("r2", gauger.Statement{At: time.Now(), Percent: 250})
 		got = append(got, states())
 		time.Sleep(gauger.Memory + time.Second)
 		got = append(got, states())
--- a/internal/upstream/tracker/plain_simulation_test.go
+++ b/internal/upstream/tracker/plain_simulation_test.go
@@ -149,7 +149,7 @@
 
 func (s *plainSimulation) end(r plainRequest) {
 	at := &s.runners[r.runner]
-	at.requestSlots.Leave(r.entry, plainSlots, s.clock())
+	at.requestSlots.Leave(r.entry, plainSlots, 1, s.clock())
 	at.active--
 	s.own[r.instance][r.runner]--
 	if s.now-r.arrived <= plainGoal {
@@ -184,11 +184,11 @@
 // one if the first is not nearly free.
 func twoChoices(s *plainSimulation, _ int) (runner int, wait time.Duration) {
 	order := s.rng.Perm(len(s.runners))[:2]
-	first := s.runners[order[0]].requestSlots.Wait(plainSlots)
+	first := s.runners[order[0]].requestSlots.Wait(plainSlots, 1)
 	if first <= plainShortWait {
 		return order[0], first
 	}
-	if second := s.runners[order[1]].requestSlots.Wait(plainSlots); second < first {
+	if second := s.runners[order[1]].requestSlots.Wait(plainSlots, 1); second < first {
 		return order[1], second
 	}
 	return order[0], first
--- a/internal/upstream/tracker/request_slots_test.go
+++ b/internal/upstream/tracker/request_slots_test.go
@@ -15,7 +15,7 @@
 	var waits []time.Duration
 	var entries []tracker.Entry
 	for range 4 {
-		waits = append(waits, slots.Wait(2))
+		waits = append(waits, slots.Wait(2, 1))
 		entries = append(entries, slots.Enter(now))
 	}
 	want := []time.Duration{0, 0, 50 * time.Millisecond, 100 * time.Millisecond}
@@ -23,9 +23,9 @@
 		t.Error(diff)
 	}
 	for _, e := range entries {
-		slots.Leave(e, 2, now.Add(100*time.Millisecond))
+		slots.Leave(e, 2, 1, now.Add(100*time.Millisecond))
 	}
-	if got := slots.Wait(2); got != 0 {
+	if got := slots.Wait(2, 1); got != 0 {
 		t.Errorf("a request waits for %s at an empty runner", got)
 	}
 }
@@ -37,10 +37,10 @@
 	var slots tracker.RequestSlots
 	first := slots.Enter(now)
 	for range 100 {
-		slots.Leave(slots.Enter(now), 1, now.Add(time.Minute))
+		slots.Leave(slots.Enter(now), 1, 1, now.Add(time.Minute))
 	}
-	if got := slots.Wait(1); got != 100*time.Millisecond {
+	if got := slots.Wait(1, 1); got != 100*time.Millisecond {
 		t.Errorf("a request waits for %s", got)
 	}
-	slots.Leave(first, 1, now.Add(100*time.Millisecond))
+	slots.Leave(first, 1, 1, now.Add(100*time.Millisecond))
 }
--- a/internal/upstream/tracker/run.go
+++ b/internal/upstream/tracker/run.go
@@ -52,7 +52,7 @@
 	}
 	s.ownLoad.PrefillTokens = max(0, s.ownLoad.PrefillTokens-r.tokens)
 	if r.prefillTokens > 0 {
-		r.fleet.latency(s.Service).observeFirstToken(r.prefillTokens, now.Sub(r.startedAt))
+		r.fleet.latency(s.Service).observeFirstToken(r.prefillTokens, r.fleet.paceFactors(s, now).unstretch(now.Sub(r.startedAt)))
 	}
 }
 
@@ -70,7 +70,7 @@
 	}
 	s.recordOutcome(end, now)
 	if end == Done {
-		r.fleet.latency(s.Service).observeRun(now.Sub(r.startedAt))
+		r.fleet.latency(s.Service).observeRun(r.fleet.paceFactors(s, now).unstretch(now.Sub(r.startedAt)))
 	}
 }
 
