--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -69,11 +69,10 @@
 		if d.Refused[id] {
 			c.Backlog += refusalPenalty
 		}
-		c.Congested = d.MaxPrefill > 0 && c.Backlog+stretched(pace, prefill) > d.MaxPrefill
+		c.Congested = d.MaxPrefill > 0 && c.Backlog+stretched(pace, prefill) > d.maxPrefillAt(pace)
 		if paced {
 			c.Own = stretched(pace, m.firstToken(d.Tokens))
 			c.UsualFactor = pace.usual
-			c.Congested = c.Congested || d.MaxGap > 0 && c.Own > d.MaxGap // the base is at least the time of one event
 		}
 		if d.Copy != (placer.Copy{}) {
 			s.setReadiness(&c, d, f.loadQueueWait[s.Domain], f.loadTimesIn(s.Domain, d), now)
@@ -94,6 +93,15 @@
 	return candidates
 }
 
+// maxPrefillAt returns MaxPrefill at a runner. The rest of a maximum gap is for the tokens of an
+// event, which take longer or shorter there.
+func (d Demand) maxPrefillAt(pace paceFactors) time.Duration {
+	if pace == unknownPace || d.MaxGap == 0 {
+		return d.MaxPrefill
+	}
+	return d.MaxGap - time.Duration(pace.now*float64(d.MaxGap-d.MaxPrefill))
+}
+
 // setReadiness sets whether the copy is resident or being loaded at the runner, and how
 // long it takes until it can be used there.
 func (s *runnerState) setReadiness(c *router.Candidate, d Demand, queueWait time.Duration, times LoadTimes, now time.Time) {
--- a/internal/upstream/tracker/plain_simulation_test.go
+++ b/internal/upstream/tracker/plain_simulation_test.go
@@ -20,6 +20,11 @@
 	own      [][]int // requests in progress, by instance and runner
 	reported [][]int // requests of the other instances, as last reported
 	choose   func(s *plainSimulation, instance int) (runner int, wait time.Duration)
+	goal     time.Duration
+	runTime  time.Duration            // mean run time
+	paces    []float64                // time of work at each runner now, relative to the usual time; nil for 1
+	expected func(runner int) float64 // the pace that the leader expects, relative to the mean; nil for 1
+	ended    func(runner int)         // called when a request ends; may be nil
 
 	now              time.Duration
 	requests, inTime int
@@ -64,12 +69,10 @@
 	plainGoal        = 300 * time.Millisecond
 	plainReportEvery = 150 * time.Millisecond // interval between reports to an instance
 	plainDuration    = 15 * time.Second
-	plainMaxWait     = plainGoal / 2 // longest accepted wait
-	plainShortWait   = plainGoal / 6
 )
 
 func newPlainSimulation(instances, runners int, perSecond float64, choose func(s *plainSimulation, instance int) (int, time.Duration)) *plainSimulation {
-	s := &plainSimulation{rng: rand.New(rand.NewPCG(1, 1)), runners: make([]plainRunner, runners), choose: choose}
+	s := &plainSimulation{goal: plainGoal, runTime: plainRun, rng: rand.New(rand.NewPCG(1, 1)), runners: make([]plainRunner, runners), choose: choose}
 	for range instances {
 		s.own = append(s.own, make([]int, runners))
 		s.reported = append(s.reported, make([]int, runners))
@@ -118,7 +121,8 @@
 func (s *plainSimulation) arrive(r plainRequest) {
 	runner, wait := s.choose(s, r.instance)
 	to := &s.runners[runner]
-	if wait > plainMaxWait || to.active >= plainSlots+plainQueueLimit {
+	maxWait := s.goal / 2
+	if wait > maxWait || to.active >= plainSlots+plainQueueLimit {
 		s.reject(r)
 		return
 	}
@@ -143,16 +147,22 @@
 }
 
 func (s *plainSimulation) begin(r plainRequest) {
-	run := time.Duration(float64(plainRun) * math.Exp(0.5*s.rng.NormFloat64()-0.125))
+	run := time.Duration(float64(s.runTime) * math.Exp(0.5*s.rng.NormFloat64()-0.125))
+	if s.paces != nil {
+		run = time.Duration(float64(run) * s.paces[r.runner])
+	}
 	s.schedule(s.now+run, func() { s.end(r) })
 }
 
 func (s *plainSimulation) end(r plainRequest) {
 	at := &s.runners[r.runner]
-	at.requestSlots.Leave(r.entry, plainSlots, 1, s.clock())
+	at.requestSlots.Leave(r.entry, plainSlots, s.expectedPace(r.runner), s.clock())
+	if s.ended != nil {
+		s.ended(r.runner)
+	}
 	at.active--
 	s.own[r.instance][r.runner]--
-	if s.now-r.arrived <= plainGoal {
+	if s.now-r.arrived <= s.goal {
 		s.inTime++
 	} else {
 		s.late++
@@ -164,6 +174,20 @@
 	}
 }
 
+// expectedPace returns the pace of a runner that the leader expects.
+func (s *plainSimulation) expectedPace(runner int) float64 {
+	if s.expected == nil {
+		return 1
+	}
+	return s.expected(runner)
+}
+
+// wait returns how much later a request ends at a runner than at a free one with the mean pace.
+func (s *plainSimulation) wait(runner int) time.Duration {
+	slots, pace := &s.runners[runner].requestSlots, s.expectedPace(runner)
+	return slots.Wait(plainSlots, pace) + slots.Excess(pace)
+}
+
 // leastLoaded chooses the runner with the least load known to the instance.
 func leastLoaded(s *plainSimulation, instance int) (runner int, wait time.Duration) {
 	best := math.MaxInt
@@ -184,11 +208,11 @@
 // one if the first is not nearly free.
 func twoChoices(s *plainSimulation, _ int) (runner int, wait time.Duration) {
 	order := s.rng.Perm(len(s.runners))[:2]
-	first := s.runners[order[0]].requestSlots.Wait(plainSlots, 1)
-	if first <= plainShortWait {
+	first := s.wait(order[0])
+	if shortWait := s.goal / 6; first <= shortWait {
 		return order[0], first
 	}
-	if second := s.runners[order[1]].requestSlots.Wait(plainSlots, 1); second < first {
+	if second := s.wait(order[1]); second < first {
 		return order[1], second
 	}
 	return order[0], first
