--- a/internal/upstream/tracker/pace_simulation_test.go
+++ b/internal/upstream/tracker/pace_simulation_test.go
@@ -285,11 +285,11 @@
 	speeds := []float64{70, 170, 170}
 	for _, perSecond := range []float64{12, 16} {
 		without, with := simulateEngine(t, speeds, perSecond, false), simulateEngine(t, speeds, perSecond, true)
-		if got, min := with.inTimeShare(), without.inTimeShare()+0.04; got < min {
-			t.Errorf("%.0f a second: %.3f of the first events are in time, want at least %.3f", perSecond, got, min)
+		if got, least := with.inTimeShare(), without.inTimeShare()+0.04; got < least {
+			t.Errorf("%.0f a second: %.3f of the first events are in time, want at least %.3f", perSecond, got, least)
 		}
-		if got, max := with.longGapShare(), 0.7*without.longGapShare(); got > max {
-			t.Errorf("%.0f a second: %.3f of the streams have a long gap, want at most %.3f", perSecond, got, max)
+		if got, most := with.longGapShare(), 0.7*without.longGapShare(); got > most {
+			t.Errorf("%.0f a second: %.3f of the streams have a long gap, want at most %.3f", perSecond, got, most)
 		}
 	}
 }
