--- a/internal/upstream/tracker/pace_test.go
+++ b/internal/upstream/tracker/pace_test.go
@@ -153,19 +153,21 @@
 		now := time.Now()
 		for n := range 2 {
 			for range 8 {
-				f.Begin(fmt.Sprint("r", n), 500, now)
+				f.Begin(fmt.Sprint("r", n), 400, now)
 			}
 		}
-		f.SetPrefillBacklog("r0", 300*time.Millisecond)
+		f.SetPrefillBacklog("r0", 235*time.Millisecond)
 		candidates := f.Candidates(tracker.Demand{Copy: paceCopy, MaxGap: paceMaxGap, MaxPrefill: 225 * time.Millisecond, Service: "llm", Tokens: 1000}, now)
 		slices.SortFunc(candidates, func(a, b router.Candidate) int { return cmp.Compare(a.Runner, b.Runner) })
 		common := router.Candidate{Batch: 8, Running: 8, Resident: true}
 		fast, slow := common, common
-		// 4,000 tokens are 120 ms of prefill at the mean pace, 1,000 tokens 30 ms, a slot is free
+		// 3,200 tokens are 96 ms of prefill at the mean pace, 1,000 tokens 30 ms, a slot is free
 		// after 12.5 ms, and the first token of a short prompt comes after 30 ms.
-		fast.Runner, fast.UsualFactor, fast.Backlog, fast.Own = "r0", 0.5, 306250*time.Microsecond, 30*time.Millisecond
-		slow.Runner, slow.UsualFactor, slow.Backlog, slow.Own = "r1", 1.5, 198750*time.Microsecond, 90*time.Millisecond
-		fast.Congested, slow.Congested = true, true // above 262.5 ms and 187.5 ms: the rest of the gap is for an event
+		fast.Runner, fast.UsualFactor, fast.Backlog, fast.Own = "r0", 0.5, 241250*time.Microsecond, 30*time.Millisecond
+		slow.Runner, slow.UsualFactor, slow.Backlog, slow.Own = "r1", 1.5, 162750*time.Microsecond, 90*time.Millisecond
+		// The prefill may take 262.5 ms and 187.5 ms, and 225 ms at the mean pace: the rest of the
+		// maximum gap is for the tokens of an event. With this prompt it is 256.25 ms and 207.75 ms.
+		slow.Congested = true
 		round := gocmp.Transformer("round", func(d time.Duration) time.Duration { return d.Round(time.Microsecond) })
 		if diff := gocmp.Diff([]router.Candidate{fast, slow}, candidates, round); diff != "" {
 			t.Errorf("candidates (-want +got):\n%s", diff)
