--- a/internal/instance/gatekeeper/slot_wait.go
+++ b/internal/instance/gatekeeper/slot_wait.go
@@ -15,7 +15,7 @@
 	if ahead <= 0 || p.AdapterSlots == 0 {
 		return 0
 	}
-	occupied := c.gatekeeper.LoadTime() + c.gatekeeper.Fleet.RunTime(state.runner.Service)
+	occupied := c.gatekeeper.LoadTime() + c.gatekeeper.Fleet.RunTimeAt(state.runner, now)
 	return time.Duration(ahead) * occupied / time.Duration(p.AdapterSlots)
 }
 
--- a/internal/upstream/tracker/pace.go
+++ b/internal/upstream/tracker/pace.go
@@ -113,6 +113,18 @@
 	return stretched(f.paceFactors(s, now), prefill)
 }
 
+// RunTimeAt returns the estimated run time of a request at a runner, at its mean pace: it is for
+// waits of several runs, which outlast passing slowness.
+func (f *Fleet) RunTimeAt(r Runner, now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	run := f.latency(r.Service).run
+	if s, ok := f.runners[r.ID]; ok {
+		run *= f.paceFactors(s, now).later
+	}
+	return time.Duration(run * float64(time.Second))
+}
+
 // StatesPace reports whether any runner of a service states its pace.
 func (f *Fleet) StatesPace(service string) bool {
 	f.mu.Lock()
--- a/internal/upstream/tracker/pace_test.go
+++ b/internal/upstream/tracker/pace_test.go
@@ -188,6 +188,10 @@
 			got = append(got, f.PrefillTimeAt(r, tokens, time.Now()).Round(time.Millisecond))
 		}
 		ms := time.Millisecond
+		slow, _ := f.Get("r1")
+		if run := f.RunTimeAt(slow, time.Now()).Round(ms); run != 133*ms { // 100 ms at the mean pace
+			t.Errorf("run time %s over several runs", run)
+		}
 		if diff := gocmp.Diff([]time.Duration{60 * ms, 300 * ms, 1400 * ms, 2600 * ms}, got); diff != "" {
 			t.Errorf("prefill times (-want +got):\n%s", diff)
 		}
