Published slowness of a runner is no sample of its pace

A member with few responses of a runner was sent its slow statements only, so that their median, 2.5 times the usual pace, became the usual pace there. TestPublishedSlownessDoesNotMoveTheUsualPace fails without this.

--- a/internal/instance/gatekeeper/pace.go
+++ b/internal/instance/gatekeeper/pace.go
@@ -111,7 +111,7 @@
 		}
 		g.Fleet.AdoptPace(p.Runner, p.Estimate(), now)
 		if p.Percent > 0 {
-			g.Fleet.ObservePace(p.Runner, p.Statement(now))
+			g.Fleet.ObserveSlowPace(p.Runner, p.Statement(now))
 		}
 	}
 }
--- a/internal/instance/gatekeeper/pace_test.go
+++ b/internal/instance/gatekeeper/pace_test.go
@@ -229,6 +229,32 @@
 	})
 }
 
+// Guards against a usual pace of 2.5 times the real one at a member that receives hardly any
+// responses of a runner: what it is sent of passing slowness would be most of its samples.
+func TestPublishedSlownessDoesNotMoveTheUsualPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newPacedChain()
+		for range 3 {
+			for range 20 {
+				hear(c.leader, "i-1", 100)
+				time.Sleep(gauger.Fresh / 2)
+			}
+			for range 6 {
+				hear(c.leader, "i-1", 250)
+				c.publish()
+				time.Sleep(gauger.Fresh / 2)
+			}
+		}
+		hear(c.leader, "i-1", 100)
+		c.publish()
+		for _, g := range []*Gatekeeper{c.leader, c.relay, c.member} {
+			if pace, ok := g.Fleet.Pace("i-1", time.Now()); !ok || pace.Usual != 100 {
+				t.Errorf("%s: usual pace %v, want 100", g.Config.ID, pace.Usual)
+			}
+		}
+	})
+}
+
 // Guards against a partition that makes members keep to a slowness that is over, or forget which
 // runners are fast as soon as the leader is silent: the reports end while i-2 is slow.
 func TestPacesWithoutALeader(t *testing.T) {
--- a/internal/upstream/gauger/gauge.go
+++ b/internal/upstream/gauger/gauge.go
@@ -99,10 +99,9 @@
 // Observe records a statement. It ignores one that is not later than the latest, and one that
 // is not valid.
 func (g *Gauge) Observe(s Statement) {
-	if !Valid(s.Percent) || !s.At.After(g.latest.At) {
+	if !g.ObserveSlow(s) {
 		return
 	}
-	g.latest = s
 	if n := len(g.samples); n > 0 && s.At.Sub(g.samples[n-1].At) < sampleInterval {
 		return
 	}
@@ -114,6 +113,17 @@
 	g.own = estimate(g.samples)
 }
 
+// ObserveSlow records a statement that another instance passed on because it is slower than
+// usual, and reports whether it is valid and later than the latest. It is no sample: an instance
+// with few statements of its own would take the slow ones that it is sent for the usual pace.
+func (g *Gauge) ObserveSlow(s Statement) (recorded bool) {
+	if !Valid(s.Percent) || !s.At.After(g.latest.At) {
+		return false
+	}
+	g.latest = s
+	return true
+}
+
 // estimate returns the mean and the median of the samples. The median of an even number is the
 // lower of the two in the middle, as passing slowness only increases a pace.
 func estimate(samples []Statement) Estimate {
--- a/internal/upstream/gauger/gauge_test.go
+++ b/internal/upstream/gauger/gauge_test.go
@@ -139,3 +139,26 @@
 		t.Errorf("a statement allocates %.2f times", allocations)
 	}
 }
+
+// Guards against a usual pace of 2.5 times the real one at an instance that rarely sends requests
+// to a runner: it is sent the slow statements only, twice during each passing slowness.
+func TestPublishedSlownessIsNoSample(t *testing.T) {
+	var g gauger.Gauge
+	at := time.Unix(0, 0)
+	reported := gauger.Estimate{Mean: 150, Usual: 100}
+	g.Adopt(reported, at)
+	for range 20 {
+		at = at.Add(gauger.Fresh / 2)
+		g.ObserveSlow(gauger.Statement{At: at, Percent: 250})
+	}
+	now := at.Add(gauger.Fresh / 2)
+	if e, ok := g.Estimate(now); !ok || e != reported {
+		t.Errorf("estimate %+v, %t, want %+v", e, ok, reported)
+	}
+	if expected, _ := g.Expected(now); expected != 200 {
+		t.Errorf("expected pace %v, want 200: half-way from the latest statement to the mean", expected)
+	}
+	if g.ObserveSlow(gauger.Statement{At: at, Percent: 300}) || g.ObserveSlow(gauger.Statement{At: now}) {
+		t.Error("a statement that is not later than the latest, or not valid, is recorded")
+	}
+}
--- a/internal/upstream/tracker/pace.go
+++ b/internal/upstream/tracker/pace.go
@@ -76,6 +76,14 @@
 	f.gauge(id).Observe(s)
 }
 
+// ObserveSlowPace records a pace slower than usual that the leader of a runner's failure domain
+// published.
+func (f *Fleet) ObserveSlowPace(id string, s gauger.Statement) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gauge(id).ObserveSlow(s)
+}
+
 // Pace returns what is known of a runner's pace; ok is false if it states none.
 func (f *Fleet) Pace(id string, now time.Time) (p Pace, ok bool) {
 	f.mu.Lock()
--- a/internal/upstream/tracker/pace_simulation_test.go
+++ b/internal/upstream/tracker/pace_simulation_test.go
@@ -148,7 +148,7 @@
 		if p, ok := s.leader.Pace(r.id, now); ok {
 			s.after(paceReportEvery/2, func() {
 				f.AdoptPace(r.id, p.Estimate, now)
-				f.ObservePace(r.id, p.Latest)
+				f.ObserveSlowPace(r.id, p.Latest)
 			})
 		}
 	}
