Paces of removed runners are forgotten

The gauge of each incarnation stayed for ever, and late responses of a removed runner made a new one. TestPaceOfARemovedRunnerIsForgotten fails without this.

--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -150,6 +150,9 @@
 	}
 	f.removed[id] = max(f.removed[id], revision)
 	delete(f.runners, id)
+	if st, ok := f.statements[id]; ok {
+		st.pace = nil // a kilobyte for each incarnation, and soon learned again if the row returns
+	}
 }
 
 // Partitioned reports whether most of the runners of a failure domain with recent
--- a/internal/upstream/tracker/notice.go
+++ b/internal/upstream/tracker/notice.go
@@ -27,7 +27,7 @@
 
 // The statements of a runner are what it has stated about itself, and what followed from it at
 // this instance. They outlive its description, as the row of a living runner may expire and
-// return.
+// return; only the pace does not.
 type statements struct {
 	leaving     bool
 	restUntil   time.Time
--- a/internal/upstream/tracker/pace.go
+++ b/internal/upstream/tracker/pace.go
@@ -66,14 +66,18 @@
 func (f *Fleet) AdoptPace(id string, e gauger.Estimate, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.gauge(id).Adopt(e, at)
+	if g := f.gauge(id); g != nil {
+		g.Adopt(e, at)
+	}
 }
 
 // ObservePace records a pace that a runner stated.
 func (f *Fleet) ObservePace(id string, s gauger.Statement) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.gauge(id).Observe(s)
+	if g := f.gauge(id); g != nil {
+		g.Observe(s)
+	}
 }
 
 // ObserveSlowPace records a pace slower than usual that the leader of a runner's failure domain
@@ -81,7 +85,9 @@
 func (f *Fleet) ObserveSlowPace(id string, s gauger.Statement) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.gauge(id).ObserveSlow(s)
+	if g := f.gauge(id); g != nil {
+		g.ObserveSlow(s)
+	}
 }
 
 // Pace returns what is known of a runner's pace; ok is false if it states none.
@@ -140,8 +146,12 @@
 	return f.paced && f.servicePace(service, time.Now()).runners > 0
 }
 
-// gauge returns the gauge of a runner.
+// gauge returns the gauge of a runner; nil for an unknown or removed one, whose gauge nothing
+// would remove.
 func (f *Fleet) gauge(id string) *gauger.Gauge {
+	if _, known := f.runners[id]; !known {
+		return nil
+	}
 	st := f.statementsOf(id)
 	if st.pace == nil {
 		st.pace = &gauger.Gauge{}
--- a/internal/upstream/tracker/pace_test.go
+++ b/internal/upstream/tracker/pace_test.go
@@ -145,6 +145,32 @@
 	})
 }
 
+// Guards against gauges of removed runners that accumulate over restarts, and that late responses
+// or messages bring back.
+func TestPaceOfARemovedRunnerIsForgotten(t *testing.T) {
+	f := &tracker.Fleet{Domain: "a"}
+	f.Set(tracker.Runner{ID: "r", Service: "llm", Domain: "a", Revision: 1})
+	state(f, "r", 300)
+	f.Remove("r", 1)
+	check := func(when string) {
+		t.Helper()
+		if pace, known := f.Pace("r", time.Now()); known || pace.Latest.Percent != 0 {
+			t.Errorf("%s the pace is %+v, known: %t", when, pace, known)
+		}
+	}
+	check("after the removal")
+	state(f, "r", 300)
+	f.ObserveSlowPace("r", gauger.Statement{At: time.Now(), Percent: 300})
+	f.AdoptPace("r", gauger.Estimate{Mean: 300, Usual: 300}, time.Now())
+	check("after late statements")
+	f.Set(tracker.Runner{ID: "r", Service: "llm", Domain: "a", Revision: 2})
+	check("after the return of its row")
+	state(f, "r", 70)
+	if pace, known := f.Pace("r", time.Now()); !known || pace.Usual != 70 {
+		t.Errorf("after its next statement the pace is %+v, known: %t", pace, known)
+	}
+}
+
 // Guards against a slow runner that looks like the others: its own prompt, the work before it and
 // its free slots take longer there.
 func TestCandidatesAtTheirPace(t *testing.T) {
