Pace gauges exist only while orders are sent

A leader that lost the lease before it had sent an order kept them, as stopOrdering does nothing there. TestPaceIsNotExportedBeforeOrdersAreSent fails without this.

--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -59,7 +59,7 @@
 	published       map[placer.Copy]time.Time
 	publishedWait   time.Duration // for an adapter slot, as last published
 	failures        failureScore
-	usualPace       float64            // as last logged; 0 if this instance as the leader has seen none
+	usualPace       float64            // as last logged; 0 while it is not exported
 	throttle        throttler.Throttle // used while the runner limits its request rate
 }
 
--- a/internal/instance/gatekeeper/pace.go
+++ b/internal/instance/gatekeeper/pace.go
@@ -94,9 +94,7 @@
 			continue
 		}
 		c.gatekeeper.Fleet.ObservePace(p.Runner, p.Statement(now))
-		if c.elector.IsLeader(uptime()) {
-			c.recordPace(p.Runner, now)
-		}
+		c.recordPace(p.Runner, now)
 	}
 }
 
@@ -116,11 +114,12 @@
 	}
 }
 
-// recordPace logs a change of a runner's usual pace, and exports the pace, as the leader of the
-// domain.
+// recordPace logs a change of a runner's usual pace, and exports the pace, while this instance
+// sends orders as the leader of the domain: stopOrdering then ends the export. An instance may
+// lose the lease before it has sent any.
 func (c *controller) recordPace(runner string, now time.Time) {
 	state, known := c.runners[runner]
-	if !known {
+	if !known || c.orderingFence == 0 {
 		return
 	}
 	g := c.gatekeeper
--- a/internal/instance/gatekeeper/pace_test.go
+++ b/internal/instance/gatekeeper/pace_test.go
@@ -403,6 +403,26 @@
 	})
 }
 
+// Guards against a gauge that remains at an instance that loses the lease before it may send orders:
+// stopOrdering has nothing to drop there.
+func TestPaceIsNotExportedBeforeOrdersAreSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newDomainGatekeeper("b-1", "b")
+		addPacedRunners(g)
+		makeLeader(g, "b")
+		hear(g, "i-1", 70)
+		g.HandleDemand(heartbeater.Instance{ID: "b-2", Domain: "b"}, relayer.Demand{Domain: "b", Paces: []relayer.Pace{{Runner: "i-2", Percent: 170}}})
+		c := g.controllers["b"]
+		c.mu.Lock()
+		c.elector.Leave(uptime())
+		c.stopOrdering()
+		c.mu.Unlock()
+		if names := g.Metrics.ListMetricNames(); slices.ContainsFunc(names, func(name string) bool { return strings.HasPrefix(name, "sardinetiller_runner_pace{") }) {
+			t.Errorf("an instance that leads no more exports %q", names)
+		}
+	})
+}
+
 // Measures the cost of what is published every 150 ms to each subscriber, of a domain with 90
 // runners.
 func BenchmarkPacesFor(b *testing.B) {
