Paces count as sent only where members use them

A relay that received nothing from the leader marked them as sent in updates whose paces members ignore, and did not send them again for ten seconds. TestPacesAreSentOnceTheRelayHearsTheLeaderAgain fails without this.

--- a/internal/instance/gatekeeper/pace.go
+++ b/internal/instance/gatekeeper/pace.go
@@ -152,6 +152,14 @@
 
 func paceChanged(before, usual float64) bool { return math.Abs(usual-before) > paceChange*before }
 
+// addPaces adds paces to an update that carries loads or is a snapshot. It adds none without
+// leader state: members ignore them there, and would not be sent them again for paceRefresh.
+func (c *controller) addPaces(update *relayer.News, published publishedPaces, due bool, now time.Time) {
+	if (due || update.Snapshot) && !lacksLeaderState(*update) {
+		update.Paces = c.pacesFor(published, update.Snapshot, now)
+	}
+}
+
 // pacesFor returns what to publish to a member of the runners' paces: usual paces that have
 // changed since the member was sent them, and runners that are slow now. all adds the usual
 // pace of every runner that has stated one.
--- a/internal/instance/gatekeeper/pace_test.go
+++ b/internal/instance/gatekeeper/pace_test.go
@@ -229,6 +229,36 @@
 	})
 }
 
+// Guards against members that do not know the paces for ten seconds: a relay that receives nothing
+// from the leader counted them as sent, while members ignore all but the runners in its updates.
+func TestPacesAreSentOnceTheRelayHearsTheLeaderAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newPacedChain()
+		hear(c.leader, "i-1", 70)
+		hear(c.leader, "i-2", 170)
+		c.publish()
+		c.sentToMember = make(publishedPaces)
+		for _, tc := range []struct {
+			silent   time.Duration
+			due, all bool
+			want     int
+		}{
+			{2 * updateTimeout, true, true, 0},
+			{2 * updateTimeout, true, false, 0},
+			{0, false, false, 0},
+			{0, true, false, 2},
+			{0, true, false, 0},
+			{0, false, true, 2},
+		} {
+			update := relayer.News{SinceLeaderUpdate: tc.silent, Snapshot: tc.all}
+			c.relay.controllers["b"].addPaces(&update, c.sentToMember, tc.due, time.Now())
+			if len(update.Paces) != tc.want {
+				t.Errorf("leader silent for %v, due %t, snapshot %t: %d paces, want %d", tc.silent, tc.due, tc.all, len(update.Paces), tc.want)
+			}
+		}
+	})
+}
+
 // Guards against a usual pace of 2.5 times the real one at a member that receives hardly any
 // responses of a runner: what it is sent of passing slowness would be most of its samples.
 func TestPublishedSlownessDoesNotMoveTheUsualPace(t *testing.T) {
--- a/internal/instance/gatekeeper/publish.go
+++ b/internal/instance/gatekeeper/publish.go
@@ -145,9 +145,7 @@
 		}
 		due := time.Since(lastDue) >= intervals.loads
 		update, next, changed := c.updateFor(member.ID, sequence, due)
-		if due || update.Snapshot {
-			update.Paces = c.pacesFor(paces, update.Snapshot, time.Now())
-		}
+		c.addPaces(&update, paces, due, time.Now())
 		update.Tables = c.gatekeeper.tableUpdates(s.Tables, due)
 		if s.Crashes {
 			update.Crashes, crashes = c.gatekeeper.quarantine.ledger.Since(crashes, time.Now())
