--- a/internal/instance/gatekeeper/pace.go
+++ b/internal/instance/gatekeeper/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"time"
 
@@ -74,8 +75,15 @@
 	}
 }
 
+// dropOldPaces drops the statements that no longer count. Without a leader, nothing is reported,
+// and those of runners that have been removed would accumulate.
+func (p *pendingDemand) dropOldPaces(now time.Time) {
+	maps.DeleteFunc(p.paces, func(_ string, s gauger.Statement) bool { return now.Sub(s.At) > gauger.Memory })
+}
+
 // takePaces returns and clears the statements to be reported.
 func (p *pendingDemand) takePaces(now time.Time) []relayer.Pace {
+	p.dropOldPaces(now)
 	var paces []relayer.Pace
 	for runner, s := range p.paces {
 		paces = append(paces, relayer.NewPace(runner, s, now))
--- a/internal/instance/gatekeeper/pace_test.go
+++ b/internal/instance/gatekeeper/pace_test.go
@@ -259,6 +259,23 @@
 	})
 }
 
+// Guards against statements that accumulate while a domain has no leader, as its runners restart.
+func TestUnreportedPacesAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newDomainGatekeeper("a-1", "a")
+		addPacedRunners(g)
+		hear(g, "i-1", 70)
+		time.Sleep(gauger.Memory)
+		hear(g, "i-2", 170)
+		time.Sleep(updateInterval)
+		l := g.links["b"]
+		l.report(t.Context())
+		if len(l.pendingDemand.paces) != 1 {
+			t.Errorf("pending statements: %v, want that of i-2 only", l.pendingDemand.paces)
+		}
+	})
+}
+
 // Guards against a usual pace of 2.5 times the real one at a member that receives hardly any
 // responses of a runner: what it is sent of passing slowness would be most of its samples.
 func TestPublishedSlownessDoesNotMoveTheUsualPace(t *testing.T) {
--- a/internal/instance/gatekeeper/report.go
+++ b/internal/instance/gatekeeper/report.go
@@ -29,6 +29,9 @@
 	l.reportToPrevious(ctx)
 	target, ok := l.reportTarget()
 	if !ok {
+		l.mu.Lock()
+		l.pendingDemand.dropOldPaces(time.Now())
+		l.mu.Unlock()
 		return
 	}
 	demand := l.demand()
