--- a/internal/instance/gatekeeper/pace.go
+++ b/internal/instance/gatekeeper/pace.go
@@ -160,6 +160,11 @@
 
 func paceChanged(before, usual float64) bool { return math.Abs(usual-before) > paceChange*before }
 
+// slowNow reports whether a runner is slower than usual, by a statement that is still fresh.
+func slowNow(p tracker.Pace, now time.Time) bool {
+	return float64(p.Latest.Percent) > slowFactor*p.Usual && now.Sub(p.Latest.At) < gauger.Fresh
+}
+
 // addPaces adds paces to an update that carries loads or is a snapshot. It adds none without
 // leader state: members ignore them there, and would not be sent them again for paceRefresh.
 func (c *controller) addPaces(update *relayer.News, published publishedPaces, due bool, now time.Time) {
@@ -184,7 +189,7 @@
 			continue
 		}
 		before := published[runner]
-		slow := float64(pace.Latest.Percent) > slowFactor*pace.Usual && now.Sub(pace.Latest.At) < gauger.Fresh
+		slow := slowNow(pace, now)
 		if !all && !slow && !paceChanged(before.usual, pace.Usual) && now.Sub(before.at) < paceRefresh {
 			continue
 		}
@@ -219,11 +224,11 @@
 		}
 	}
 	for service, paces := range services {
-		least, most, slow := math.Inf(1), 0.0, 0
+		least, most, slowed := math.Inf(1), 0.0, 0
 		for _, p := range paces {
 			least, most = min(least, p.Usual), max(most, p.Usual)
-			if float64(p.Latest.Percent) > slowFactor*p.Usual && now.Sub(p.Latest.At) < gauger.Fresh {
-				slow++
+			if slowNow(p, now) {
+				slowed++
 			}
 		}
 		var thirds [3]int
@@ -235,6 +240,6 @@
 			thirds[third]++
 		}
 		c.gatekeeper.Recorder.Log(recorder.View, "msg", "pace", "domain", c.domain, "service", service, "runners", len(paces),
-			"least", least, "most", most, "fast", thirds[0], "middle", thirds[1], "slow", thirds[2], "slowed", slow)
+			"least", least, "most", most, "fast", thirds[0], "middle", thirds[1], "slow", thirds[2], "slowed", slowed)
 	}
 }
--- a/internal/instance/gatekeeper/request_slot.go
+++ b/internal/instance/gatekeeper/request_slot.go
@@ -67,13 +67,13 @@
 		return 0, nil, judge.Refuse(judge.ReasonUpstream, "runner %s is not known here", runner)
 	}
 	now := time.Now()
-	pace := c.gatekeeper.Fleet.PaceFactor(runner, now)
-	wait = state.slots.Wait(state.runner.Slots, pace)
+	factor := c.gatekeeper.Fleet.PaceFactor(runner, now)
+	wait = state.slots.Wait(state.runner.Slots, factor)
 	if wait > within {
 		return 0, nil, judge.Refuse(judge.ReasonQueue, "requests wait for %s there", wait.Round(time.Millisecond)).WithRetryAfter(wait - within)
 	}
 	entry := state.slots.Enter(now)
-	return wait + state.slots.Excess(pace), sync.OnceFunc(func() { c.releaseSlot(state, entry) }), nil
+	return wait + state.slots.Excess(factor), sync.OnceFunc(func() { c.releaseSlot(state, entry) }), nil
 }
 
 // releaseSlot releases a request slot at a runner.
--- a/internal/upstream/tracker/request_slots.go
+++ b/internal/upstream/tracker/request_slots.go
@@ -7,7 +7,7 @@
 // safe for concurrent use.
 type RequestSlots struct {
 	active  int     // requests that run or wait
-	meanRun float64 // mean seconds at the mean pace of the service of requests that did not wait for a slot; 0 before the first one
+	meanRun float64 // mean seconds, at pace factor 1, of requests that did not wait for a slot; 0 before the first one
 }
 
 // An Entry is one counted request.
@@ -16,19 +16,19 @@
 	ahead     int // requests at the runner when it arrived
 }
 
-// Wait estimates how long a further request waits for a slot. pace is the time that work takes
-// at the runner now, relative to the mean over the runners of the service; 1 if it is unknown.
-func (s *RequestSlots) Wait(slots int, pace float64) time.Duration {
+// Wait estimates how long a further request waits for a slot at a runner with a pace factor,
+// as of Fleet.PaceFactor.
+func (s *RequestSlots) Wait(slots int, factor float64) time.Duration {
 	if slots <= 0 || s.active < slots {
 		return 0
 	}
-	return time.Duration(float64(s.active-slots+1) / float64(slots) * s.meanRunTime() * pace * float64(time.Second))
+	return time.Duration(float64(s.active-slots+1) / float64(slots) * s.meanRunTime() * factor * float64(time.Second))
 }
 
 // Excess estimates how much longer a further request runs than at a runner with the mean pace;
 // 0 at a faster one.
-func (s *RequestSlots) Excess(pace float64) time.Duration {
-	return time.Duration(max(0, pace-1) * s.meanRunTime() * float64(time.Second))
+func (s *RequestSlots) Excess(factor float64) time.Duration {
+	return time.Duration(max(0, factor-1) * s.meanRunTime() * float64(time.Second))
 }
 
 // Enter adds a request.
@@ -38,14 +38,15 @@
 	return e
 }
 
-// Leave removes a request that ran at a pace, as of Wait. Its duration counts as run time only if it had a slot at once:
-// waiting time would make the runner look slower, and more requests would be refused.
-func (s *RequestSlots) Leave(e Entry, slots int, pace float64, now time.Time) {
+// Leave removes a request that ran at a pace factor. Its duration counts as run time only if it
+// had a slot at once: waiting time would make the runner look slower, and more requests would be
+// refused.
+func (s *RequestSlots) Leave(e Entry, slots int, factor float64, now time.Time) {
 	s.active--
 	if e.ahead >= slots {
 		return
 	}
-	s.meanRun = s.meanRunTime() + runWeight*(now.Sub(e.startedAt).Seconds()/pace-s.meanRunTime())
+	s.meanRun = s.meanRunTime() + runWeight*(now.Sub(e.startedAt).Seconds()/factor-s.meanRunTime())
 }
 
 func (s *RequestSlots) meanRunTime() float64 {
