--- a/internal/instance/gatekeeper/pace.go
+++ b/internal/instance/gatekeeper/pace.go
@@ -112,9 +112,6 @@
 		return
 	}
 	for _, p := range paces {
-		if _, known := g.Fleet.Get(p.Runner); !known {
-			continue
-		}
 		g.Fleet.AdoptPace(p.Runner, p.Estimate(), now)
 		if p.Percent > 0 {
 			g.Fleet.ObserveSlowPace(p.Runner, p.Statement(now))
