--- a/internal/instance/gatekeeper/publish.go
+++ b/internal/instance/gatekeeper/publish.go
@@ -135,6 +135,7 @@
 	defer c.addSubscriber()()
 	intervals := c.intervals(member, s)
 	sequence, lastDue := -1, time.Time{}
+	paces := make(publishedPaces)
 	crashes := 0 // sequence number of the last change of the ledger that was sent
 	fence := c.currentFence()
 	ticker := pacer.NewTicker(intervals.changes)
@@ -145,6 +146,7 @@
 		}
 		due := time.Since(lastDue) >= intervals.loads
 		update, next, changed := c.updateFor(member.ID, sequence, due)
+		c.addPaces(&update, paces, due, time.Now())
 		update.Tables = c.gatekeeper.tableUpdates(s.Tables, due)
 		if s.Crashes {
 			update.Crashes, crashes = c.gatekeeper.quarantine.ledger.Since(crashes, time.Now())
--- a/internal/instance/gatekeeper/report.go
+++ b/internal/instance/gatekeeper/report.go
@@ -29,6 +29,9 @@
 	l.reportToPrevious(ctx)
 	target, ok := l.reportTarget()
 	if !ok {
+		l.mu.Lock()
+		l.pendingDemand.dropOldPaces(time.Now())
+		l.mu.Unlock()
 		return
 	}
 	demand := l.demand()
@@ -73,6 +76,7 @@
 	for k := range l.pendingDemand.spare {
 		demand.Spare = append(demand.Spare, relayer.CopyUse{Runner: k.Runner, Copy: k.Copy})
 	}
+	demand.Paces = l.pendingDemand.takePaces(now)
 	l.pendingDemand.misses, l.pendingDemand.spare, l.pendingDemand.hits = nil, nil, nil
 	l.pendingDemand.shortGaps, l.pendingDemand.longGaps = 0, 0
 	for k, at := range l.urgentAt {
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -25,6 +25,8 @@
 	leaderless    map[string]bool          // failure domains without a leader to order loads
 	loadTimes     map[string]LoadTimes     // by failure domain, as last reported
 	statements    map[string]*statements   // of runners, by ID
+	paced         bool                     // some runner has stated a pace
+	servicePaces  map[string]servicePace   // by service
 }
 
 // LoadTimes are the load times of adapters.
@@ -148,6 +150,9 @@
 	}
 	f.removed[id] = max(f.removed[id], revision)
 	delete(f.runners, id)
+	if st, ok := f.statements[id]; ok {
+		st.pace = nil // a kilobyte for each incarnation, and soon learned again if the row returns
+	}
 }
 
 // Partitioned reports whether most of the runners of a failure domain with recent
--- a/internal/upstream/tracker/notice.go
+++ b/internal/upstream/tracker/notice.go
@@ -3,13 +3,17 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/upstream/gauger"
 )
 
 // A Notice is what a runner stated about itself in a response.
 type Notice struct {
-	Leaving   bool // it is shutting down
-	Limit     RateLimit
-	RestUntil time.Time // until when it wants no request from this instance; zero if it did not say
+	Leaving     bool // it is shutting down
+	Limit       RateLimit
+	Pace        int       // how long work takes now, in percent of the usual time; 0 if it did not say
+	PaceInvalid bool      // it stated a pace that cannot be read
+	RestUntil   time.Time // until when it wants no request from this instance; zero if it did not say
 }
 
 // A RateLimit is a runner's statement about how many requests it accepts from all instances
@@ -23,13 +27,14 @@
 
 // The statements of a runner are what it has stated about itself, and what followed from it at
 // this instance. They outlive its description, as the row of a living runner may expire and
-// return.
+// return; only the pace does not.
 type statements struct {
 	leaving     bool
 	restUntil   time.Time
 	limit       RateLimit
-	denials     int       // consecutive denials of a token
-	deniedUntil time.Time // until when this instance sends the runner no request, as it has no token
+	denials     int           // consecutive denials of a token
+	deniedUntil time.Time     // until when this instance sends the runner no request, as it has no token
+	pace        *gauger.Gauge // nil if it has stated no pace
 }
 
 // statementsOf returns the statements of a runner.
