Quota: reserve for urgent requests, and returns by what is left over

Spenders report with Settle what is asked for by urgency; ledgers state the sum in their balances. Off, messages and decisions are as before.

--- a/internal/account/limiter/ledger.go
+++ b/internal/account/limiter/ledger.go
@@ -43,6 +43,7 @@
 	refundDue    float64 // tokens to refund with the next update of another Ledger
 	lastSettled  time.Time
 	usage        meter
+	demand       accountDemand
 	entries      map[string]*entry // by instance
 }
 
@@ -51,10 +52,11 @@
 	counted   int64 // the reporter's counter as far as it is deducted from the level
 	seq       int64 // highest sequence number of its updates
 	usage     meter
-	share     float64   // fraction of the quota that it may spend while it is unresponsive
-	remaining float64   // tokens left to the account at its last update
-	reserved  float64   // tokens reserved for it since then
-	asOf      time.Time // time up to which tokens are reserved
+	demand    *reportedDemand // nil: none is reported
+	share     float64         // fraction of the quota that it may spend while it is unresponsive
+	remaining float64         // tokens left to the account at its last update
+	reserved  float64         // tokens reserved for it since then
+	asOf      time.Time       // time up to which tokens are reserved
 }
 
 // sweepInterval is the minimum time between two checks for unresponsive reporters.
@@ -152,20 +154,28 @@
 	t.release(e, from)
 	if s.Seq >= e.seq {
 		e.seq = s.Seq
+		if len(s.Asked) > 0 {
+			t.demand.apply(e, from, s.Asked, now)
+		}
 		t.record(e, from, s.Counter-e.counted, now)
 	} else {
 		t.record(e, from, -s.Want, now) // a later update arrived first, and its counter contains this request
 	}
 	t.level = max(t.level, -limit.Rate*l.Window.Seconds())
 	left := l.left(t, now)
-	granted := s.Want > 0 && fits(s.Want, left, limit)
+	demand := t.demand.total(now)
+	granted := s.Want > 0 && fits(s.Want, left, limit) && fitsReserve(s.Want, left, demand.reserve(Level(s.Urgency), limit), limit)
 	if granted {
 		t.record(e, from, s.Want, now)
 		left -= float64(s.Want)
 	}
 	e.share = shareOf(e.usage.value(now), t.usage.value(now), limit)
 	e.remaining = max(0, left)
-	return Balance{Account: s.Account, Counted: e.counted, Granted: granted, Left: int64(left), Usage: int64(t.usage.value(now))}
+	b := Balance{Account: s.Account, Counted: e.counted, Granted: granted, Left: int64(left), Usage: int64(t.usage.value(now))}
+	if len(s.Asked) > 0 && !from.isLedger() {
+		b.Demand = demand.stated(limit)
+	}
+	return b
 }
 
 // left returns the tokens left of a quota. It assumes that other Ledgers have admitted at the
@@ -197,7 +207,11 @@
 		if now.Sub(t.lastSettled) <= idleAfter {
 			counter := int64(t.domainSpent)
 			t.seq++
-			report = append(report, Spent{Account: name, Counter: counter, Recent: counter - t.lastReported, Seq: t.seq})
+			spent := Spent{Account: name, Counter: counter, Recent: counter - t.lastReported, Seq: t.seq}
+			if t.demand.asked != [urgencyLevels]int64{} {
+				spent.Asked = slices.Clone(t.demand.asked[:])
+			}
+			report = append(report, spent)
 			t.lastReported = counter
 		}
 	}
@@ -285,6 +299,7 @@
 		if !ok {
 			continue
 		}
+		t.demand.forget(e)
 		tokens := e.share * (e.remaining + limit.Rate*now.Sub(e.asOf).Seconds())
 		e.remaining, e.asOf = 0, now
 		e.reserved += tokens
@@ -344,7 +359,10 @@
 func (l *Ledger) drop(instance string) {
 	delete(l.reporters, instance)
 	for _, t := range l.accounts {
-		delete(t.entries, instance)
+		if e, ok := t.entries[instance]; ok {
+			t.demand.forget(e)
+			delete(t.entries, instance)
+		}
 	}
 	l.leaders = slices.DeleteFunc(l.leaders, func(other string) bool { return other == instance })
 	l.unresponsive = slices.DeleteFunc(l.unresponsive, func(r *reporter) bool { return r.Instance == instance })
--- a/internal/account/limiter/message.go
+++ b/internal/account/limiter/message.go
@@ -22,6 +22,10 @@
 	Recent  int64 // tokens since the last update to any Ledger
 	Want    int64 // tokens of a request that waits for the reply; 0 for none
 	Seq     int64 // sequence number; the counter of an update that arrives after a later one is ignored
+
+	// Set only where requests are admitted by urgency. Their place in messages is up to the sender.
+	Asked   []int64 `cbor:"-"` // by urgency: tokens of all requests since the counters were zero, admitted or not
+	Urgency int     `cbor:"-"` // of the request that waits for the reply
 }
 
 // A Balance is the state of an account's quota across all instances, as known to a Ledger.
@@ -32,4 +36,8 @@
 	Granted bool  // the wanted tokens are included and may be spent
 	Left    int64 // tokens left; negative if too many were spent
 	Usage   int64 // mean use, in tokens a second
+
+	// By urgency: tokens a second that are asked for, admitted or not; nil if that is little. Set
+	// only where requests are admitted by urgency.
+	Demand []int64 `cbor:"-"`
 }
--- a/internal/account/limiter/spender.go
+++ b/internal/account/limiter/spender.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,6 +28,7 @@
 // A Spender admits the requests of one instance. Its fields are set before use; it is safe
 // for concurrent use.
 type Spender struct {
+	ByUrgency bool       // while an account exceeds its rate, urgent requests are admitted first
 	Instances func() int // returns the number of instances
 
 	mu       sync.Mutex
@@ -40,7 +42,8 @@
 	seq      int64 // sequence number of the last update
 	lastUsed time.Time
 	usage    meter
-	queue    retryQueue
+	queue    retryQueue    // unless requests are admitted by urgency
+	urgency  *urgencyState // nil: requests are not admitted by urgency
 
 	balance     Balance   // the latest
 	balanceAt   time.Time // when it arrived; zero: there is none
@@ -75,6 +78,8 @@
 		Age         time.Duration // of Left
 		AvailableIn time.Duration // until its tokens are available
 		RetryAfter  time.Duration // until the caller should retry; bounded
+		Reserved    int64         // tokens of Left that are reserved for more urgent requests
+		ByReserve   bool          // the request is refused only because of Reserved
 	}
 )
 
@@ -85,10 +90,11 @@
 
 // A Request asks for tokens of an account's quota.
 type Request struct {
-	Account string
-	Limit   Limit
-	Tokens  int64
-	Urgency int // 0 is the most urgent
+	Account  string
+	Limit    Limit
+	Tokens   int64
+	Urgency  int  // 0 is the most urgent
+	Repeated bool // it was decided on before, while the same caller waits
 }
 
 // Spend decides on a request by the latest balance, unless a Ledger must decide.
@@ -97,17 +103,20 @@
 	defer s.mu.Unlock()
 	a := s.account(r.Account)
 	a.lastUsed = now
+	if a.urgency != nil {
+		a.urgency.ask(r, now)
+	}
 	if a.balanceAt.IsZero() || now.Sub(a.balanceAt) > balanceTTL {
 		return AskLedger{}
 	}
-	left := a.left(r.Limit, now)
-	if !fits(r.Tokens, left, r.Limit) {
+	left, reserved := a.left(r.Limit, now), a.reserved(r)
+	if !fits(r.Tokens, left, r.Limit) || !fitsReserve(r.Tokens, left, reserved, r.Limit) {
 		return a.refuse(r, left, s.minShare(), now)
 	}
-	if float64(r.Tokens) > a.allowance(r.Limit, now) {
+	if float64(r.Tokens) > a.allowance(r.Limit, reserved, now) {
 		return AskLedger{}
 	}
-	a.record(r.Tokens, now)
+	a.admit(r, now)
 	return Admitted{}
 }
 
@@ -126,7 +135,7 @@
 	a := s.account(r.Account)
 	a.pending -= r.Tokens
 	if b.Granted {
-		a.record(r.Tokens, now)
+		a.admit(r, now)
 	}
 	a.applyBalance(b, r.Limit, requestedAt, now, s.minShare())
 	if b.Granted {
@@ -155,11 +164,11 @@
 	}
 	// The bucket may fill up to a request that is larger than the share of the burst.
 	a.disconnected.fill(a.share*r.Limit.Rate, max(a.share*r.Limit.Burst, float64(r.Tokens)), now)
-	if a.disconnected.level < float64(r.Tokens) {
+	if a.disconnected.level < float64(r.Tokens) || !a.fitsOwnReserve(r, now) {
 		return a.refuse(r, a.disconnected.level, s.minShare(), now)
 	}
 	a.disconnected.level -= float64(r.Tokens)
-	a.record(r.Tokens, now)
+	a.admit(r, now)
 	return Admitted{}
 }
 
@@ -196,6 +205,9 @@
 	a := s.account(r.Account)
 	want := a.update(r.Account)
 	want.Want = r.Tokens
+	if a.urgency != nil {
+		want.Urgency = a.urgency.urgency(r)
+	}
 	a.pending += r.Tokens
 	return want
 }
@@ -207,14 +219,39 @@
 			s.accounts = make(map[string]*accountState)
 		}
 		a = &accountState{}
+		if s.ByUrgency {
+			a.urgency = &urgencyState{}
+		}
 		s.accounts[name] = a
 	}
 	return a
 }
 
+// TakeReturns returns the counts of returns since the last call.
+func (s *Spender) TakeReturns(now time.Time) (counts ReturnCounts) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.accounts {
+		if a.urgency != nil && a.urgency.returns != nil {
+			a.urgency.returns.advance(now)
+			counts.Add(a.urgency.returns.counts)
+			a.urgency.returns.counts = ReturnCounts{}
+		}
+	}
+	return counts
+}
+
 // minShare returns the share that every instance has.
 func (s *Spender) minShare() float64 { return evenShare / float64(max(1, s.Instances())) }
 
+// admit counts a request that is admitted.
+func (a *accountState) admit(r Request, now time.Time) {
+	a.record(r.Tokens, now)
+	if a.urgency != nil {
+		a.urgency.admitted(r)
+	}
+}
+
 func (a *accountState) record(tokens int64, now time.Time) {
 	a.spent += tokens
 	a.usage.add(float64(tokens), now)
@@ -230,12 +267,19 @@
 	a.balance, a.balanceAt, a.requestedAt, a.isDisconnected = b, now, requestedAt, false
 	a.othersRate = max(0, float64(b.Usage)-usage)
 	a.share = minShare + shareOf(usage, float64(b.Usage), l)
+	if a.urgency != nil {
+		a.urgency.setDemand(b.Demand)
+	}
 }
 
 // update returns the report of the account.
 func (a *accountState) update(account string) Spent {
 	a.seq++
-	return Spent{Account: account, Counter: a.spent + a.pending, Recent: int64(a.unsettled()), Seq: a.seq}
+	spent := Spent{Account: account, Counter: a.spent + a.pending, Recent: int64(a.unsettled()), Seq: a.seq}
+	if a.urgency != nil {
+		spent.Asked = slices.Clone(a.urgency.asked[:])
+	}
+	return spent
 }
 
 // unsettled returns the tokens, spent or pending, that the latest balance does not include.
@@ -248,10 +292,11 @@
 }
 
 // allowance returns the tokens that this instance may spend without asking. The allowances of
-// all instances add up to the tokens left, so callers may send to any of them at once.
-func (a *accountState) allowance(l Limit, now time.Time) float64 {
+// all instances add up to the tokens left less those reserved, so callers may send to any of
+// them at once.
+func (a *accountState) allowance(l Limit, reserved float64, now time.Time) float64 {
 	age := now.Sub(a.balanceAt).Seconds()
-	return a.share*min(l.Burst, max(0, float64(a.balance.Left))+l.Rate*age) - a.unsettled()
+	return a.share*min(l.Burst, max(0, float64(a.balance.Left)-reserved)+l.Rate*age) - a.unsettled()
 }
 
 // disconnect leaves the instance its share of the tokens left at the latest balance.
@@ -259,3 +304,24 @@
 	a.isDisconnected = true
 	a.disconnected = bucket{level: a.share*max(0, float64(a.balance.Left)) - a.unsettled(), at: a.balanceAt}
 }
+
+// fitsOwnReserve reports whether a request leaves its share of the tokens that are reserved for
+// more urgent ones, while no Ledger can be reached.
+func (a *accountState) fitsOwnReserve(r Request, now time.Time) bool {
+	if a.urgency == nil {
+		return true
+	}
+	if now.Sub(a.balanceAt) > balanceTTL {
+		a.urgency.estimate(a.share, now)
+	}
+	own := Limit{Rate: a.share * r.Limit.Rate, Burst: max(a.share*r.Limit.Burst, float64(r.Tokens))}
+	return fitsReserve(r.Tokens, a.disconnected.level, a.share*a.urgency.reserved(r), own)
+}
+
+// reserved returns the tokens that a request must leave to more urgent ones.
+func (a *accountState) reserved(r Request) float64 {
+	if a.urgency == nil {
+		return 0
+	}
+	return a.urgency.reserved(r)
+}
--- /dev/null
+++ b/internal/account/limiter/urgency.go
@@ -0,0 +1,91 @@
+package limiter
+
+import "time"
+
+// An urgencyState is one instance's state of an account's quota by urgency.
+type urgencyState struct {
+	asked   [urgencyLevels]int64   // tokens of all requests, admitted or not
+	own     [urgencyLevels]meter   // the same as a rate
+	credit  [urgencyLevels]float64 // tokens of the floor of each level that it has not been given
+	demand  demand                 // of all instances, as of the latest balance
+	returns *returnSchedule        // nil: nobody was refused yet
+}
+
+// ask counts a request, and credits its level with its floor.
+func (u *urgencyState) ask(r Request, now time.Time) {
+	n := Level(r.Urgency)
+	if u.returns != nil {
+		u.returns.advance(now)
+	}
+	if r.Repeated {
+		return
+	}
+	tokens := float64(r.Tokens)
+	u.asked[n] += r.Tokens
+	u.own[n].add(tokens, now)
+	if u.demand.exceeds(r.Limit) {
+		// Beyond two requests the credit would only delay the more urgent ones later.
+		u.credit[n] = max(u.credit[n], min(u.credit[n]+u.demand.floor(r.Limit)*tokens, 2*tokens))
+	}
+}
+
+// admitted counts a request that is admitted.
+func (u *urgencyState) admitted(r Request) {
+	n := Level(r.Urgency)
+	u.credit[n] = max(0, u.credit[n]-float64(r.Tokens))
+	if u.returns != nil {
+		u.returns.admitted++
+	}
+}
+
+// estimate replaces the demand that a Ledger stated. What is asked for here is assumed to be the
+// instance's share of what is asked for at all instances.
+func (u *urgencyState) estimate(share float64, now time.Time) {
+	for n := range u.demand {
+		u.demand[n] = u.own[n].value(now) / share
+	}
+}
+
+// refuse refuses a request, and schedules the return of its caller at the rate that new requests
+// leave over, of which the instance has a share. left is a fraction of the tokens left of the
+// quota: the share of the instance while no Ledger can be reached.
+func (u *urgencyState) refuse(r Request, left, fraction, share float64, now time.Time) QuotaExceeded {
+	if u.returns == nil {
+		u.returns = &returnSchedule{}
+	}
+	n := Level(r.Urgency)
+	reserved := fraction * u.reserved(r)
+	leftover := u.demand.leftover(n, r.Limit)
+	missing := max(0, min(float64(r.Tokens)+reserved, max(fraction*r.Limit.Burst, float64(r.Tokens)))-left)
+	earliest := time.Duration(min(missing/(fraction*leftover), maxWait.Seconds()) * float64(time.Second))
+	u.returns.advance(now)
+	u.returns.refused++
+	return QuotaExceeded{
+		AvailableIn: u.returns.promise(float64(r.Tokens), n, share*leftover, earliest, now),
+		ByReserve:   reserved > 0 && fits(r.Tokens, left, r.Limit),
+		Reserved:    int64(reserved),
+	}
+}
+
+// urgency returns the urgency by which the reserve for a request is computed: the highest one if
+// the floor of its level covers the request.
+func (u *urgencyState) urgency(r Request) int {
+	n := Level(r.Urgency)
+	if u.credit[n] >= float64(r.Tokens) {
+		return 0
+	}
+	return n
+}
+
+// reserved returns the tokens that a request must leave to more urgent ones.
+func (u *urgencyState) reserved(r Request) float64 {
+	return u.demand.reserve(u.urgency(r), r.Limit)
+}
+
+// setDemand applies the demand stated in a balance.
+func (u *urgencyState) setDemand(stated []int64) {
+	u.demand = demand{}
+	for n := range min(urgencyLevels, len(stated)) {
+		u.demand[n] = float64(max(0, stated[n]))
+	}
+}
--- a/internal/instance/gatekeeper/quota.go
+++ b/internal/instance/gatekeeper/quota.go
@@ -10,6 +10,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
+	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
@@ -43,6 +44,7 @@
 	q.started = time.Now()
 	q.counted = make(map[string]bool)
 	q.spender.Instances = g.Members
+	q.spender.ByUrgency = g.Config.Load.Quota == configurer.On
 	q.ledger.Limits = g.limitOf
 	q.ledger.Window = g.Config.Bounds.Quota
 	q.ledger.InitialTokens = g.initialTokens
@@ -78,13 +80,16 @@
 	decision, by := g.decide(ctx, r)
 	if over, is := decision.(limiter.QuotaExceeded); is && over.AvailableIn <= tokensWaitLimit {
 		pause(ctx, over.AvailableIn)
+		r.Repeated = true
 		decision, by = g.decide(ctx, r)
 	}
 	switch d := decision.(type) {
 	case limiter.QuotaExceeded:
 		g.countRefusal(r.Account)
-		return judge.Refuse(judge.ReasonQuota, "account %s asks for %d tokens and has %d left, as %s knew %s ago",
-			r.Account, r.Tokens, d.Left, by, d.Age.Round(time.Millisecond)).WithRetryAfter(d.RetryAfter)
+		if d.ByReserve {
+			g.countReserved(r.Urgency)
+		}
+		return refuseQuota(r, d, by)
 	case limiter.BalanceUnknown:
 		return judge.Refuse(judge.ReasonStarting, "what is left of the quota of account %s is not known here", r.Account).WithRetryAfter(d.RetryAfter)
 	default:
@@ -113,6 +118,24 @@
 	g.Metrics.GetOrCreateCounter(fmt.Sprintf(`sardinetiller_quota_refusals_total{account=%q}`, account)).Inc()
 }
 
+// countReserved counts a request that is refused only because the tokens left are reserved.
+func (g *Gatekeeper) countReserved(urgency int) {
+	g.Metrics.GetOrCreateCounter(fmt.Sprintf(`sardinetiller_quota_reserved_total{urgency="%d"}`, limiter.Level(urgency))).Inc()
+}
+
+// countReturns counts the returns of refused callers since the last call.
+func (g *Gatekeeper) countReturns(now time.Time) {
+	counts := g.quotas.spender.TakeReturns(now)
+	for _, c := range []struct {
+		result string
+		n      int
+	}{{"promised", counts.Promised}, {"admitted", counts.Admitted}, {"refused", counts.Refused}} {
+		if c.n > 0 {
+			g.Metrics.GetOrCreateCounter(fmt.Sprintf(`sardinetiller_returns_total{result=%q}`, c.result)).Add(c.n)
+		}
+	}
+}
+
 // decide decides on a request; by is the instance that decided.
 func (g *Gatekeeper) decide(ctx context.Context, r limiter.Request) (d limiter.Decision, by string) {
 	d = g.quotas.spender.Spend(r, time.Now())
@@ -184,3 +207,14 @@
 	}
 	g.Recorder.Log(recorder.Config, "msg", "accounts", "version", current.Version, "accounts", current.Accounts.Len(), "changed", changed)
 }
+
+// refuseQuota returns the refusal of a request that exceeds its account's quota, as the instance
+// that decided knew it.
+func refuseQuota(r limiter.Request, d limiter.QuotaExceeded, by string) *judge.Error {
+	reserved := ""
+	if d.Reserved > 0 {
+		reserved = fmt.Sprintf(", with %d reserved for requests more urgent than %d", d.Reserved, r.Urgency)
+	}
+	return judge.Refuse(judge.ReasonQuota, "account %s asks for %d tokens and has %d left%s, as %s knew %s ago",
+		r.Account, r.Tokens, d.Left, reserved, by, d.Age.Round(time.Millisecond)).WithRetryAfter(d.RetryAfter)
+}
--- a/internal/instance/gatekeeper/settle.go
+++ b/internal/instance/gatekeeper/settle.go
@@ -64,6 +64,7 @@
 	var exchanged time.Time
 	repeater.Every(ctx, settleInterval, nil, func() {
 		now := time.Now()
+		g.countReturns(now)
 		if !g.ensureLedger(now) {
 			exchanged = time.Time{}
 			g.settleWithSource(ctx, now)
