--- a/internal/account/limiter/demand.go
+++ b/internal/account/limiter/demand.go
@@ -24,6 +24,9 @@
 // includes requests that are refused.
 type demand [urgencyLevels]float64
 
+// covered stands for the level of a request that the floor of its level covers.
+const covered = -1
+
 // Level returns the urgency class of a request's urgency.
 func Level(urgency int) int { return min(max(0, urgency), urgencyLevels-1) }
 
@@ -46,13 +49,17 @@
 	return max(l.Rate-d.upTo(level), minLeftover*l.Rate)
 }
 
-// reserve returns the tokens that are reserved for requests more urgent than a level. Nothing is
-// reserved while no more is asked for than the rate.
+// reserve returns the tokens that a request of an urgency level must leave to others: what more
+// urgent requests ask for, and the floors of less urgent ones. Without the latter, floors would be
+// used up where the more urgent requests alone exceed the rate. Nothing is reserved while no more
+// is asked for than the rate, and from requests of the level covered.
 func (d *demand) reserve(level int, l Limit) float64 {
-	if level == 0 || !d.exceeds(l) {
+	if level == covered || !d.exceeds(l) {
 		return 0
 	}
-	return min(d.upTo(level-1)*reserveHorizon.Seconds(), maxReserve*l.Burst)
+	lessUrgent := d.upTo(urgencyLevels-1) - d.upTo(level)
+	rate := d.upTo(level-1) + d.floor(l)*lessUrgent
+	return min(rate*reserveHorizon.Seconds(), maxReserve*l.Burst)
 }
 
 // upTo returns the demand of a level and all more urgent ones.
--- a/internal/account/limiter/load_test.go
+++ b/internal/account/limiter/load_test.go
@@ -41,7 +41,7 @@
 		tr.run(11*time.Second, meanOfLoad, loads(all, 6*calmLoad), all...)
 		t.Log(on, "messages", tr.sim.messages-m)
 		for u, o := range tr.stats[all[0]] {
-			t.Logf("%t urgency %d: %d requests, %.3f first, refused %d told %d again %d vain %d longest %s", on, u, o.requests, float64(o.first)/float64(o.requests), o.refused, o.told, o.again, o.vain, o.longest)
+			t.Logf("%t urgency %d: %d requests, %.3f first, refused %d told %d again %d vain %d longest %s tok %.3f served %.3fR when %s", on, u, o.requests, float64(o.first)/float64(o.requests), o.refused, o.told, o.again, o.vain, o.longest, float64(o.served)/float64(o.tokens),  float64(o.served)/11/hotLimit.Rate, o.when)
 		}
 		refused := 0
 		for _, n := range all[1:] {
--- a/internal/account/limiter/reported.go
+++ b/internal/account/limiter/reported.go
@@ -71,15 +71,21 @@
 	}
 }
 
-// total returns the demand of all reporters. The lower of two rates counts: single requests of
-// small accounts do not make it jump, and it falls at once when less is asked for.
-func (a *accountDemand) total(now time.Time) (total demand) {
-	for u := range total {
-		if a.fast[u] > 0 {
-			total[u] = min(a.fast[u], a.slow[u].value(now))
-		}
+// total returns the demand of all reporters. Until more than the rate has been asked for over the
+// time constant of a meter, the lower of the two rates counts: single requests of small accounts
+// do not make it exceed the rate. It falls at once when less is asked for.
+func (a *accountDemand) total(l Limit, now time.Time) demand {
+	var slow demand
+	for u := range slow {
+		slow[u] = a.slow[u].value(now)
+	}
+	if slow.exceeds(l) {
+		return a.fast
+	}
+	for u := range slow {
+		slow[u] = min(slow[u], a.fast[u])
 	}
-	return total
+	return slow
 }
 
 // statedDemand is the fraction of the rate beyond which a Ledger states the demand for a quota in
--- a/internal/account/limiter/simulation_test.go
+++ b/internal/account/limiter/simulation_test.go
@@ -263,7 +263,7 @@
 	for d, from := range st.leaders {
 		report := st.ledgers[d].Report(now)
 		since, _ := st.ledgers[d].StartedAt()
-		reporter := limiter.Reporter{Instance: from.id, Incarnation: since.UnixNano(), Domain: fmt.Sprint("d", d), Age: now.Sub(since)}
+		reporter := limiter.Reporter{Instance: from.id, Incarnation: since.UnixNano(), Domain: fmt.Sprint("d", d%domains), Age: now.Sub(since)}
 		for e, to := range st.leaders {
 			if e != d && st.connected(from, to) {
 				st.sim.messages++
--- a/internal/account/limiter/spender.go
+++ b/internal/account/limiter/spender.go
@@ -206,7 +206,7 @@
 	want := a.update(r.Account)
 	want.Want = r.Tokens
 	if a.urgency != nil {
-		want.Urgency = a.urgency.urgency(r)
+		want.Level = a.urgency.level(r)
 	}
 	a.pending += r.Tokens
 	return want
--- a/internal/account/limiter/traffic_test.go
+++ b/internal/account/limiter/traffic_test.go
@@ -91,6 +91,8 @@
 	arrivals map[int64]int // returns by 200 ms since the start of the simulation
 	longest  time.Duration // longest Retry-After
 	waits    []refusal
+	tokens, served int64
+	when []time.Duration
 }
 
 type refusal struct {
@@ -187,8 +189,12 @@
 
 func (t *traffic) try(a attempt) {
 	o := t.of(a.request)
+	if !a.returned && !a.request.Repeated {
+		o.tokens += a.request.Tokens
+	}
 	switch d := t.strategy.decide(a.instance, a.request).(type) {
 	case limiter.Admitted:
+		o.served += a.request.Tokens
 		if a.returned {
 			o.again++
 		} else {
@@ -213,6 +219,7 @@
 	o := t.of(a.request)
 	if a.returned {
 		o.vain++
+		o.when = append(o.when, t.sim.now.Sub(t.sim.startedAt))
 		return
 	}
 	o.refused++
--- a/internal/account/limiter/urgency.go
+++ b/internal/account/limiter/urgency.go
@@ -2,6 +2,11 @@
 
 import "time"
 
+// floorHorizon bounds how far the floor of an urgency level may be in arrears, besides two
+// requests. It outlasts a few balances; more would be made up for at the expense of more urgent
+// requests.
+const floorHorizon = time.Second
+
 // An urgencyState is one instance's state of an account's quota by urgency.
 type urgencyState struct {
 	asked   [urgencyLevels]int64   // tokens of all requests, admitted or not
@@ -24,8 +29,9 @@
 	u.asked[n] += r.Tokens
 	u.own[n].add(tokens, now)
 	if u.demand.exceeds(r.Limit) {
-		// Beyond two requests the credit would only delay the more urgent ones later.
-		u.credit[n] = max(u.credit[n], min(u.credit[n]+u.demand.floor(r.Limit)*tokens, 2*tokens))
+		floor := u.demand.floor(r.Limit)
+		limit := max(2*tokens, floor*u.own[n].rate*floorHorizon.Seconds())
+		u.credit[n] = max(u.credit[n], min(u.credit[n]+floor*tokens, limit))
 	}
 }
 
@@ -60,26 +66,25 @@
 	earliest := time.Duration(min(missing/(fraction*leftover), maxWait.Seconds()) * float64(time.Second))
 	u.returns.advance(now)
 	u.returns.refused++
-	return QuotaExceeded{
-		AvailableIn: u.returns.promise(float64(r.Tokens), n, share*leftover, earliest, now),
-		ByReserve:   reserved > 0 && fits(r.Tokens, left, r.Limit),
-		Reserved:    int64(reserved),
+	exceeded := QuotaExceeded{AvailableIn: maxWait, ByReserve: reserved > 0 && fits(r.Tokens, left, r.Limit), Reserved: int64(reserved)}
+	if u.demand.upTo(n) < r.Limit.Rate {
+		exceeded.AvailableIn = u.returns.promise(float64(r.Tokens), n, share*leftover, earliest, now)
 	}
+	return exceeded
 }
 
-// urgency returns the urgency by which the reserve for a request is computed: the highest one if
-// the floor of its level covers the request.
-func (u *urgencyState) urgency(r Request) int {
+// level returns the level by which the reserve for a request is computed.
+func (u *urgencyState) level(r Request) int {
 	n := Level(r.Urgency)
 	if u.credit[n] >= float64(r.Tokens) {
-		return 0
+		return covered
 	}
 	return n
 }
 
 // reserved returns the tokens that a request must leave to more urgent ones.
 func (u *urgencyState) reserved(r Request) float64 {
-	return u.demand.reserve(u.urgency(r), r.Limit)
+	return u.demand.reserve(u.level(r), r.Limit)
 }
 
 // setDemand applies the demand stated in a balance.
--- a/internal/member/relayer/quota.go
+++ b/internal/member/relayer/quota.go
@@ -36,7 +36,7 @@
 	demand := make([]askedTokens, len(s.Spent))
 	stated := false
 	for n, spent := range s.Spent {
-		demand[n] = askedTokens{Urgency: spent.Urgency, Asked: spent.Asked}
+		demand[n] = askedTokens{Level: spent.Level, Asked: spent.Asked}
 		stated = stated || len(spent.Asked) > 0
 	}
 	if stated {
@@ -55,7 +55,7 @@
 		return errDemand
 	}
 	for n, d := range demand {
-		s.Spent[n].Urgency, s.Spent[n].Asked = d.Urgency, d.Asked
+		s.Spent[n].Level, s.Spent[n].Asked = d.Level, d.Asked
 	}
 	return nil
 }
@@ -93,7 +93,7 @@
 // askedTokens is the demand for the quota of one account in a Settle.
 type askedTokens struct {
 	_       struct{} `cbor:",toarray"`
-	Urgency int
+	Level   int
 	Asked   []int64
 }
 
