--- a/internal/account/limiter/message.go
+++ b/internal/account/limiter/message.go
@@ -24,8 +24,8 @@
 	Seq     int64 // sequence number; the counter of an update that arrives after a later one is ignored
 
 	// Set only where requests are admitted by urgency. Their place in messages is up to the sender.
-	Asked   []int64 `cbor:"-"` // by urgency: tokens of all requests since the counters were zero, admitted or not
-	Level   int     `cbor:"-"` // urgency of the request that waits for the reply; -1: the floor of its level covers it
+	Asked []int64 `cbor:"-"` // by urgency: tokens of all requests since the counters were zero, admitted or not
+	Level int     `cbor:"-"` // urgency of the request that waits for the reply; -1: the floor of its level covers it
 }
 
 // A Balance is the state of an account's quota across all instances, as known to a Ledger.
