--- a/internal/account/limiter/demand.go
+++ b/internal/account/limiter/demand.go
@@ -22,6 +22,9 @@
 	// minLeftover is the fraction of the rate that is assumed to be left to returning callers at
 	// least. Without it no return could be promised while new requests alone use up the rate.
 	minLeftover = 0.1
+	// statedDemand is the fraction of the rate beyond which a Ledger states the demand for a quota
+	// in its balances: below it most of the rate is left to returning callers anyway.
+	statedDemand = 0.5
 )
 
 // A demand is the recent rate at which tokens are asked for by urgency, in tokens a second. It
@@ -66,6 +69,18 @@
 	return min(tokens, maxReserve*l.Burst)
 }
 
+// stated returns the demand as stated in a Balance; nil if it is low.
+func (d *demand) stated(l Limit) []int64 {
+	if d.upTo(urgencyLevels-1) <= statedDemand*l.Rate {
+		return nil
+	}
+	stated := make([]int64, urgencyLevels)
+	for u := range d {
+		stated[u] = int64(d[u])
+	}
+	return stated
+}
+
 // upTo returns the demand of a level and all more urgent ones.
 func (d *demand) upTo(level int) float64 {
 	sum := 0.0
--- a/internal/account/limiter/ledger.go
+++ b/internal/account/limiter/ledger.go
@@ -164,7 +164,7 @@
 	t.level = max(t.level, -limit.Rate*l.Window.Seconds())
 	left := l.left(t, now)
 	demand := t.demand.total(limit, now)
-	granted := s.Want > 0 && fits(s.Want, left, limit) && fitsReserve(s.Want, left, demand.reserve(max(covered, min(s.Level, urgencyLevels-1)), limit), limit)
+	granted := s.Want > 0 && fits(s.Want, left, limit) && fitsReserve(s.Want, left, demand.reserve(s.level(), limit), limit)
 	if granted {
 		t.record(e, from, s.Want, now)
 		left -= float64(s.Want)
--- a/internal/account/limiter/message.go
+++ b/internal/account/limiter/message.go
@@ -41,3 +41,12 @@
 	// only where requests are admitted by urgency.
 	Demand []int64 `cbor:"-"`
 }
+
+// level returns the level of the request that waits for the reply. Without a demand the reporter
+// does not admit requests by urgency, and its request need not leave what is reserved.
+func (s Spent) level() int {
+	if len(s.Asked) == 0 {
+		return covered
+	}
+	return max(covered, min(s.Level, urgencyLevels-1))
+}
--- a/internal/account/limiter/returns.go
+++ b/internal/account/limiter/returns.go
@@ -74,6 +74,15 @@
 	s.due, s.admitted, s.refused = 0, 0, 0
 }
 
+// free returns the tokens of a slot that are not promised to a level or to more urgent ones.
+func (s *returnSchedule) free(slot int64, level int, capacity float64) float64 {
+	free := capacity
+	for _, tokens := range s.promised[slot%returnSlots][:level+1] {
+		free -= tokens
+	}
+	return max(0, free)
+}
+
 // promise schedules the return of a refused caller whose tokens are not available earlier than
 // the given wait, and returns when. rate is the rate that is left to returning callers of the
 // level. Nothing is scheduled if the tokens do not become available within maxWait.
@@ -105,12 +114,3 @@
 	at := time.Unix(0, end*int64(returnSlot)).Add(time.Duration(used * float64(returnSlot)))
 	return max(earliest, at.Sub(now))
 }
-
-// free returns the tokens of a slot that are not promised to a level or to more urgent ones.
-func (s *returnSchedule) free(slot int64, level int, capacity float64) float64 {
-	free := capacity
-	for _, tokens := range s.promised[slot%returnSlots][:level+1] {
-		free -= tokens
-	}
-	return max(0, free)
-}
--- a/internal/account/limiter/urgency.go
+++ b/internal/account/limiter/urgency.go
@@ -16,6 +16,15 @@
 	returns *returnSchedule        // nil: nobody was refused yet
 }
 
+// admitted counts a request that is admitted.
+func (u *urgencyState) admitted(r Request) {
+	n := Level(r.Urgency)
+	u.credit[n] = max(0, u.credit[n]-float64(r.Tokens))
+	if u.returns != nil {
+		u.returns.admitted++
+	}
+}
+
 // ask counts a request, and credits its level with its floor.
 func (u *urgencyState) ask(r Request, now time.Time) {
 	n := Level(r.Urgency)
@@ -35,15 +44,6 @@
 	}
 }
 
-// admitted counts a request that is admitted.
-func (u *urgencyState) admitted(r Request) {
-	n := Level(r.Urgency)
-	u.credit[n] = max(0, u.credit[n]-float64(r.Tokens))
-	if u.returns != nil {
-		u.returns.admitted++
-	}
-}
-
 // estimate replaces the demand that a Ledger stated. What is asked for here is assumed to be the
 // instance's share of what is asked for at all instances.
 func (u *urgencyState) estimate(share float64, now time.Time) {
@@ -52,6 +52,15 @@
 	}
 }
 
+// level returns the level by which the reserve for a request is computed.
+func (u *urgencyState) level(r Request) int {
+	n := Level(r.Urgency)
+	if u.credit[n] >= float64(r.Tokens) {
+		return covered
+	}
+	return n
+}
+
 // refuse refuses a request, and schedules the return of its caller at the rate that new requests
 // leave over, of which the instance has a share. left is a fraction of the tokens left of the
 // quota: the share of the instance while no Ledger can be reached.
@@ -73,15 +82,6 @@
 	return exceeded
 }
 
-// level returns the level by which the reserve for a request is computed.
-func (u *urgencyState) level(r Request) int {
-	n := Level(r.Urgency)
-	if u.credit[n] >= float64(r.Tokens) {
-		return covered
-	}
-	return n
-}
-
 // reserved returns the tokens that a request must leave to more urgent ones.
 func (u *urgencyState) reserved(r Request) float64 {
 	return u.demand.reserve(u.level(r), r.Limit)
--- a/internal/account/limiter/urgency_test.go
+++ b/internal/account/limiter/urgency_test.go
@@ -58,6 +58,7 @@
 		{"no more than the rate is asked for", 100, []int64{600, 300}, urgent(2, 1), limiter.Admitted{}},
 		{"no demand is known", 100, nil, urgent(2, 1), limiter.Admitted{}},
 		{"the reserve is bounded", 900, []int64{9000, 100}, urgent(10, 1), limiter.Admitted{}},
+		{"beyond its allowance of what is not reserved", 600, []int64{9000, 100}, urgent(10, 1), limiter.AskLedger{}},
 		{"no such urgency", 900, []int64{9000, 100}, urgent(10, 99), limiter.Admitted{}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -184,16 +185,16 @@
 	}
 	settle(t, l, one, spent(500, 0), now)
 	var got []bool
-	for _, level := range []int{1, 0, -1, 99} {
+	for _, level := range []int{1, 0, -1, 99, -99} {
 		s := spent(500, 300)
-		s.Level = level
+		s.Level, s.Asked = level, []int64{1740, 2900}
 		b := settle(t, l, one, s, now)
 		got = append(got, b.Granted)
 		if b.Granted {
 			settle(t, l, one, spent(500, 0), now) // returns the tokens
 		}
 	}
-	if diff := cmp.Diff([]bool{false, true, true, false}, got); diff != "" {
+	if diff := cmp.Diff([]bool{false, true, true, false, true}, got); diff != "" {
 		t.Error(diff)
 	}
 }
