--- a/internal/account/limiter/traffic_test.go
+++ b/internal/account/limiter/traffic_test.go
@@ -16,10 +16,15 @@
 
 	byUrgency bool
 	mix       [urgencies]float64 // fractions of the requests
-	requested [urgencies]int64   // tokens
+	requested [urgencies]int64   // tokens, except where the ledger owes tokens
 	admitted  [urgencies]int64
+	owed      int64 // tokens refused where the ledger owes tokens
 }
 
+// owes is how many tokens a ledger is short of when it owes some, as a fraction of the rate. After
+// restarts it may for long, and then admits nothing of any urgency.
+const owes = 0.1
+
 func newUrgentStrategy(byUrgency bool, mix [urgencies]float64) func(sim *simulation) strategy {
 	return func(sim *simulation) strategy {
 		st := &urgentStrategy{ledgerStrategy: newLedgerStrategy(sim).(*ledgerStrategy), byUrgency: byUrgency, mix: mix}
@@ -32,12 +37,20 @@
 
 func (st *urgentStrategy) admit(i *instance, tokens int64) bool {
 	u := st.urgency()
-	_, admitted := st.decide(i, limiter.Request{Account: "a", Limit: st.sim.limit, Tokens: tokens, Urgency: u}).(limiter.Admitted)
-	st.requested[u] += tokens
-	if admitted {
+	switch d := st.decide(i, limiter.Request{Account: "a", Limit: st.sim.limit, Tokens: tokens, Urgency: u}).(type) {
+	case limiter.Admitted:
+		st.requested[u] += tokens
 		st.admitted[u] += tokens
+		return true
+	case limiter.QuotaExceeded:
+		if float64(d.Left) < -owes*st.sim.limit.Rate {
+			st.owed += tokens
+			return false
+		}
+	case limiter.AskLedger, limiter.BalanceUnknown:
 	}
-	return admitted
+	st.requested[u] += tokens
+	return false
 }
 
 func (st *urgentStrategy) decide(i *instance, r limiter.Request) limiter.Decision {
--- a/internal/account/limiter/urgency_test.go
+++ b/internal/account/limiter/urgency_test.go
@@ -139,6 +139,15 @@
 	}
 }
 
+// Guards against single requests of a small account that count as an excess of demand.
+func TestSingleRequestIsNoExcess(t *testing.T) {
+	l := newLedger(thousand)
+	settle(t, l, one, asked(0), start)
+	if got := settle(t, l, one, asked(0, 900), at(150*time.Millisecond)).Demand; got != nil {
+		t.Errorf("the demand is %v after one request of 900 tokens", got)
+	}
+}
+
 // Guards against demand of instances that are gone: what they spend is reserved for them.
 func TestDemandOfUnresponsiveReporterIsForgotten(t *testing.T) {
 	l := newLedger(thousand)
@@ -159,6 +168,21 @@
 	}
 }
 
+// Guards against demand that counts at two ledgers after an instance has changed its ledger.
+func TestDemandOfRemovedReporterIsForgotten(t *testing.T) {
+	l := newLedger(thousand)
+	two := limiter.Reporter{Instance: "two", Incarnation: 1}
+	now := start
+	for n := range int64(30) {
+		now = at(time.Duration(n) * 100 * time.Millisecond)
+		settle(t, l, two, asked(200*n), now)
+	}
+	l.Remove("two")
+	if got := settle(t, l, one, asked(0), now).Demand; got != nil {
+		t.Errorf("the demand is %v", got)
+	}
+}
+
 // Guards against a report that arrives twice or late and counts again.
 func TestOutdatedDemandIsIgnored(t *testing.T) {
 	l := newLedger(thousand)
@@ -208,19 +232,22 @@
 	}
 	s.ApplyBalance(limiter.Balance{Account: "a", Counted: 800, Left: 1000, Usage: 400}, request(0).Limit, start, start)
 	var requested, admitted [2]int64
-	for now := start; now.Before(at(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
-		for urgency, tokens := range []int64{6, 20} {
-			r := urgent(tokens, urgency)
-			if _, asks := s.Spend(r, now).(limiter.AskLedger); !asks {
-				continue
-			}
-			requested[urgency] += tokens
-			if _, ok := s.SpendDisconnected(r, now).(limiter.Admitted); ok {
-				admitted[urgency] += tokens
-			}
+	for now, n := start, 0; now.Before(at(20 * time.Second)); now, n = now.Add(5*time.Millisecond), n+1 {
+		urgency := 1
+		if n%4 == 3 {
+			urgency = 0
+		}
+		r := urgent(10, urgency)
+		if _, asks := s.Spend(r, now).(limiter.AskLedger); !asks {
+			continue
+		}
+		requested[urgency] += r.Tokens
+		if _, ok := s.SpendDisconnected(r, now).(limiter.Admitted); ok {
+			admitted[urgency] += r.Tokens
 		}
 	}
-	for urgency, least := range []float64{0.95, 0.09} {
+	// 500 and 1500 tokens a second are asked for.
+	for urgency, least := range []float64{0.95, 0.25} {
 		if got := float64(admitted[urgency]) / float64(requested[urgency]); got < least {
 			t.Errorf("%.3f of the tokens of urgency %d are admitted", got, urgency)
 		}
--- a/internal/account/limiter/urgent_property_test.go
+++ b/internal/account/limiter/urgent_property_test.go
@@ -7,10 +7,11 @@
 	"time"
 )
 
-var urgentSeeds = flag.Uint64("limiter.urgent-seeds", 60, "number of seeds to run the random check of urgent requests with")
+var urgentSeeds = flag.Uint64("limiter.urgent-seeds", 30, "number of seeds to run the random check of urgent requests with")
 
 // Guards against quotas that are exceeded, and urgency levels that are starved, where urgent
-// requests are admitted first.
+// requests are admitted first. Without the reserve it fails at the 27th seed, without floors at the
+// first, and where urgent requests are admitted beyond the quota at the first.
 func TestUrgentRequestsFirst(t *testing.T) {
 	for seed := range *urgentSeeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -30,21 +31,20 @@
 			w := calmWorkload(sim)
 			w.rate = 1.5 + 6*sim.rng.Float64()
 			sim.run(4*time.Second, w)
-			st.requested, st.admitted = [urgencies]int64{}, [urgencies]int64{}
+			st.requested, st.admitted, st.owed = [urgencies]int64{}, [urgencies]int64{}, 0
 			sim.run(30*time.Second, w)
 			for u := range urgencies {
 				t.Logf("urgency %d: %.2f times the rate, %.3f of the tokens admitted", u, st.mix[u]*w.rate, st.admittedShare(u))
 			}
+			t.Logf("%d tokens refused where a ledger owes", st.owed)
 			if seed%2 == 1 {
 				return // in 30 s the floor of a small account is one request or two
 			}
-			// Without faults 0.97 is admitted. After them a ledger may owe tokens for long, and
-			// the instances that settle with it admit next to nothing.
-			if got := st.admittedShare(0); st.mix[0]*w.rate < 0.75 && got < 0.65 {
+			if got := st.admittedShare(0); st.mix[0]*w.rate < 0.75 && got < 0.5 {
 				t.Errorf("%.2f of the most urgent tokens are admitted, which are %.2f of the rate", got, st.mix[0]*w.rate)
 			}
 			for u := range urgencies {
-				if floor := 0.25 / w.rate; st.admittedShare(u) < 0.35*floor {
+				if floor := 0.25 / w.rate; st.admittedShare(u) < 0.5*floor {
 					t.Errorf("urgency %d: %.4f of the tokens are admitted, and the floor is %.4f", u, st.admittedShare(u), floor)
 				}
 			}
