Quota: refusals state what is reserved for other urgencies

The reserve includes the floors of less urgent levels, so the most urgent requests were refused with tokens "reserved for requests more urgent than 0".

--- a/internal/account/limiter/spender.go
+++ b/internal/account/limiter/spender.go
@@ -78,7 +78,7 @@
 		Age         time.Duration // of Left
 		AvailableIn time.Duration // until its tokens are available
 		RetryAfter  time.Duration // until the caller should retry; bounded
-		Reserved    int64         // tokens of Left that are reserved for more urgent requests
+		Reserved    int64         // tokens of Left that are reserved for other urgencies
 		ByReserve   bool          // the request is refused only because of Reserved
 	}
 )
@@ -306,7 +306,7 @@
 }
 
 // fitsOwnReserve reports whether a request leaves its share of the tokens that are reserved for
-// more urgent ones, while no Ledger can be reached.
+// other urgencies, while no Ledger can be reached.
 func (a *accountState) fitsOwnReserve(r Request, now time.Time) bool {
 	if a.urgency == nil {
 		return true
@@ -318,7 +318,7 @@
 	return fitsReserve(r.Tokens, a.disconnected.level, a.share*a.urgency.reserved(r), own)
 }
 
-// reserved returns the tokens that a request must leave to more urgent ones.
+// reserved returns the tokens that a request must leave to other urgencies.
 func (a *accountState) reserved(r Request) float64 {
 	if a.urgency == nil {
 		return 0
--- a/internal/account/limiter/urgency.go
+++ b/internal/account/limiter/urgency.go
@@ -82,7 +82,7 @@
 	return exceeded
 }
 
-// reserved returns the tokens that a request must leave to more urgent ones.
+// reserved returns the tokens that a request must leave to other urgencies.
 func (u *urgencyState) reserved(r Request) float64 {
 	return u.demand.reserve(u.level(r), r.Limit)
 }
--- a/internal/account/limiter/urgency_test.go
+++ b/internal/account/limiter/urgency_test.go
@@ -53,6 +53,7 @@
 	}{
 		{"tokens are reserved", 400, []int64{600, 600}, urgent(200, 1), limiter.QuotaExceeded{Left: 400, AvailableIn: 10 * time.Second, RetryAfter: 10 * time.Second, Reserved: 300, ByReserve: true}},
 		{"more than the tokens left", 100, []int64{600, 600}, urgent(200, 1), limiter.QuotaExceeded{Left: 100, AvailableIn: 10 * time.Second, RetryAfter: 10 * time.Second, Reserved: 300}},
+		{"floors of less urgent ones are reserved", 10, []int64{1000, 9000}, urgent(5, 0), limiter.QuotaExceeded{Left: 10, AvailableIn: 10 * time.Second, RetryAfter: 10 * time.Second, Reserved: 33, ByReserve: true}},
 		{"the most urgent", 400, []int64{600, 600}, urgent(10, 0), limiter.Admitted{}},
 		{"tokens to spare", 900, []int64{600, 600}, urgent(10, 1), limiter.Admitted{}},
 		{"no more than the rate is asked for", 100, []int64{600, 300}, urgent(2, 1), limiter.Admitted{}},
--- a/internal/instance/gatekeeper/quota.go
+++ b/internal/instance/gatekeeper/quota.go
@@ -213,7 +213,7 @@
 func refuseQuota(r limiter.Request, d limiter.QuotaExceeded, by string) *judge.Error {
 	reserved := ""
 	if d.Reserved > 0 {
-		reserved = fmt.Sprintf(", with %d reserved for requests more urgent than %d", d.Reserved, r.Urgency)
+		reserved = fmt.Sprintf(", with %d reserved for other urgencies than %d", d.Reserved, r.Urgency)
 	}
 	return judge.Refuse(judge.ReasonQuota, "account %s asks for %d tokens and has %d left%s, as %s knew %s ago",
 		r.Account, r.Tokens, d.Left, reserved, by, d.Age.Round(time.Millisecond)).WithRetryAfter(d.RetryAfter)
