Quota: a floor covers concurrent requests only once

Requests of one level that waited for a ledger at the same time were all covered by the same credit, and took more than the floor from more urgent ones. The quota was kept.

--- a/internal/account/limiter/spender.go
+++ b/internal/account/limiter/spender.go
@@ -133,7 +133,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.account(r.Account)
-	a.pending -= r.Tokens
+	a.addPending(r, -r.Tokens)
 	if b.Granted {
 		a.admit(r, now)
 	}
@@ -148,7 +148,7 @@
 func (s *Spender) Unanswered(r Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.account(r.Account).pending -= r.Tokens
+	s.account(r.Account).addPending(r, -r.Tokens)
 }
 
 // SpendDisconnected decides on a request while no Ledger can be reached.
@@ -208,7 +208,7 @@
 	if a.urgency != nil {
 		want.Level = a.urgency.level(r)
 	}
-	a.pending += r.Tokens
+	a.addPending(r, r.Tokens)
 	return want
 }
 
@@ -244,6 +244,14 @@
 // minShare returns the share that every instance has.
 func (s *Spender) minShare() float64 { return evenShare / float64(max(1, s.Instances())) }
 
+// addPending adds tokens of a request for which a Ledger is asked, or removes them.
+func (a *accountState) addPending(r Request, tokens int64) {
+	a.pending += tokens
+	if a.urgency != nil {
+		a.urgency.pending[Level(r.Urgency)] += tokens
+	}
+}
+
 // admit counts a request that is admitted.
 func (a *accountState) admit(r Request, now time.Time) {
 	a.record(r.Tokens, now)
--- a/internal/account/limiter/urgency.go
+++ b/internal/account/limiter/urgency.go
@@ -12,6 +12,7 @@
 	asked   [urgencyLevels]int64   // tokens of all requests, admitted or not
 	own     [urgencyLevels]meter   // the same as a rate
 	credit  [urgencyLevels]float64 // tokens of the floor of each level that it has not been given
+	pending [urgencyLevels]int64   // tokens of requests for which a Ledger has been asked
 	demand  demand                 // of all instances, as of the latest balance
 	returns *returnSchedule        // nil: nobody was refused yet
 }
@@ -52,10 +53,11 @@
 	}
 }
 
-// level returns the level by which the reserve for a request is computed.
+// level returns the level by which the reserve for a request is computed. The credit of a level
+// covers each of several concurrent requests only once.
 func (u *urgencyState) level(r Request) int {
 	n := Level(r.Urgency)
-	if u.credit[n] >= float64(r.Tokens) {
+	if u.credit[n] >= float64(u.pending[n]+r.Tokens) {
 		return covered
 	}
 	return n
--- a/internal/account/limiter/urgency_test.go
+++ b/internal/account/limiter/urgency_test.go
@@ -89,6 +89,25 @@
 	}
 }
 
+// Guards against concurrent requests that all use the same credit of their level, and so take more
+// than its floor from more urgent requests.
+func TestFloorCoversConcurrentRequestsOnce(t *testing.T) {
+	s := newUrgentSpender(0, 1000, 1000)
+	r := urgent(100, 1)
+	for range 10 { // credits 0.125 of each
+		s.Spend(r, start)
+	}
+	levels := []int{s.Want(r).Level, s.Want(r).Level}
+	s.Unanswered(r)
+	s.Unanswered(r)
+	levels = append(levels, s.Want(r).Level)
+	s.Answered(r, limiter.Balance{Account: "a", Granted: true, Demand: []int64{1000, 1000}}, start, start)
+	levels = append(levels, s.Want(r).Level)
+	if diff := cmp.Diff([]int{-1, 1, -1, 1}, levels); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Guards against demand that is counted twice where a request waits for its tokens.
 func TestRepeatedRequestIsCountedOnce(t *testing.T) {
 	s := newUrgentSpender(0)
