Quota: tell callers 10 s only in an excess of 1.5 s or longer

In short peaks callers were told 10 s as soon as new requests left nothing, and most gave up although tokens were left over after the peak. Until the excess has lasted for 1.5 s, returns are scheduled at the rate that more urgent requests leave.

--- a/internal/account/limiter/demand.go
+++ b/internal/account/limiter/demand.go
@@ -34,6 +34,14 @@
 // covered stands for the level of a request that the floor of its level covers.
 const covered = -1
 
+// demandOf returns the demand that is stated in a balance.
+func demandOf(stated []int64) (d demand) {
+	for u := range min(urgencyLevels, len(stated)) {
+		d[u] = float64(max(0, stated[u]))
+	}
+	return d
+}
+
 // Level returns the urgency class of a request's urgency.
 func Level(urgency int) int { return min(max(0, urgency), urgencyLevels-1) }
 
--- a/internal/account/limiter/load_test.go
+++ b/internal/account/limiter/load_test.go
@@ -100,10 +100,11 @@
 }
 
 // Covers peaks of 0.6 s at 5 times the rate every 4 s, after each of which tokens are left over.
-// Guards against callers that return in vain. The end of a peak cannot be foreseen: more callers
-// than necessary are told that they cannot return in time, and the test states how many.
+// Guards against callers that return in vain, and against callers that are told to stay away longer
+// than the peak.
 func TestLoadOfShortPeaks(t *testing.T) {
 	var vain [2]float64
+	var again [2]int
 	for n, byUrgency := range []bool{false, true} {
 		tr := newCalmTraffic(1, byUrgency, alike)
 		for range 5 {
@@ -113,9 +114,10 @@
 		o := tr.sum(hotAccount)
 		vain[n] = share(o.vain, o.again+o.vain)
 		t.Logf("by urgency %t: %d of %d refused, %d gave up, %d returned, of which %.3f refused again", byUrgency, o.refused, o.requests, o.gaveUp, o.again+o.vain, vain[n])
-		if byUrgency && o.again == 0 {
-			t.Error("nobody returns")
-		}
+		again[n] = o.again
+	}
+	if again[1] < again[0] {
+		t.Errorf("%d returning callers are admitted, and %d by urgency", again[0], again[1])
 	}
 	if vain[0] < 0.4 || vain[1] > 0.25 {
 		t.Errorf("%.3f of the returning callers are refused again, and %.3f by urgency", vain[0], vain[1])
--- a/internal/account/limiter/spender.go
+++ b/internal/account/limiter/spender.go
@@ -276,7 +276,7 @@
 	a.othersRate = max(0, float64(b.Usage)-usage)
 	a.share = minShare + shareOf(usage, float64(b.Usage), l)
 	if a.urgency != nil {
-		a.urgency.setDemand(b.Demand)
+		a.urgency.setDemand(demandOf(b.Demand), l, now)
 	}
 }
 
@@ -320,7 +320,7 @@
 		return true
 	}
 	if now.Sub(a.balanceAt) > balanceTTL {
-		a.urgency.estimate(a.share, now)
+		a.urgency.estimate(a.share, r.Limit, now)
 	}
 	own := Limit{Rate: a.share * r.Limit.Rate, Burst: max(a.share*r.Limit.Burst, float64(r.Tokens))}
 	return fitsReserve(r.Tokens, a.disconnected.level, a.share*a.urgency.reserved(r), own)
--- a/internal/account/limiter/urgency.go
+++ b/internal/account/limiter/urgency.go
@@ -14,7 +14,8 @@
 	credit  [urgencyLevels]float64 // tokens of the floor of each level that it has not been given
 	pending [urgencyLevels]int64   // tokens of requests for which a Ledger has been asked
 	demand  demand                 // of all instances, as of the latest balance
-	returns *returnSchedule        // nil: nobody was refused yet
+	excess  [urgencyLevels]excess
+	returns *returnSchedule // nil: nobody was refused yet
 }
 
 // admitted counts a request that is admitted.
@@ -47,10 +48,21 @@
 
 // estimate replaces the demand that a Ledger stated. What is asked for here is assumed to be the
 // instance's share of what is asked for at all instances.
-func (u *urgencyState) estimate(share float64, now time.Time) {
-	for n := range u.demand {
-		u.demand[n] = u.own[n].value(now) / share
+func (u *urgencyState) estimate(share float64, l Limit, now time.Time) {
+	var d demand
+	for n := range d {
+		d[n] = u.own[n].value(now) / share
 	}
+	u.setDemand(d, l, now)
+}
+
+// leftover returns the rate that is left to returning callers of a level. During an excess it is
+// what more urgent requests leave, as if the excess of the level ended now.
+func (u *urgencyState) leftover(level int, l Limit) float64 {
+	if u.excess[level].isCurrent {
+		level--
+	}
+	return u.demand.leftover(level, l)
 }
 
 // level returns the level by which the reserve for a request is computed. The credit of a level
@@ -72,13 +84,13 @@
 	}
 	n := Level(r.Urgency)
 	reserved := fraction * u.reserved(r)
-	leftover := u.demand.leftover(n, r.Limit)
+	leftover := u.leftover(n, r.Limit)
 	missing := max(0, min(float64(r.Tokens)+reserved, max(fraction*r.Limit.Burst, float64(r.Tokens)))-left)
 	earliest := time.Duration(min(missing/(fraction*leftover), maxWait.Seconds()) * float64(time.Second))
 	u.returns.advance(now)
 	u.returns.refused++
 	exceeded := QuotaExceeded{AvailableIn: maxWait, ByReserve: reserved > 0 && fits(r.Tokens, left, r.Limit), Reserved: int64(reserved)}
-	if u.demand.upTo(n) < r.Limit.Rate {
+	if !u.excess[n].isLong(now) {
 		exceeded.AvailableIn = u.returns.promise(float64(r.Tokens), n, share*leftover, earliest, now)
 	}
 	return exceeded
@@ -89,10 +101,10 @@
 	return u.demand.reserve(u.level(r), r.Limit)
 }
 
-// setDemand applies the demand stated in a balance.
-func (u *urgencyState) setDemand(stated []int64) {
-	u.demand = demand{}
-	for n := range min(urgencyLevels, len(stated)) {
-		u.demand[n] = float64(max(0, stated[n]))
+// setDemand replaces the demand of all instances.
+func (u *urgencyState) setDemand(d demand, l Limit, now time.Time) {
+	u.demand = d
+	for n := range u.excess {
+		u.excess[n].observe(d.upTo(n) >= l.Rate, now)
 	}
 }
--- a/internal/account/limiter/urgency_test.go
+++ b/internal/account/limiter/urgency_test.go
@@ -10,9 +10,15 @@
 	"github.com/sardinetiller/sardinetiller/internal/account/limiter"
 )
 
-// newUrgentSpender returns a spender that admits by urgency, with a balance that is new at start.
+// longExcess is how long an excess lasts until callers are told that nothing is left.
+const longExcess = 1500 * time.Millisecond
+
+// newUrgentSpender returns a spender that admits by urgency, with a balance that is new at start and
+// a demand that has lasted.
 func newUrgentSpender(left int64, demand ...int64) *limiter.Spender {
 	s := &limiter.Spender{ByUrgency: true, Instances: func() int { return 1 }}
+	before := start.Add(-longExcess)
+	s.ApplyBalance(limiter.Balance{Account: "a", Left: left, Demand: demand}, request(0).Limit, before, before)
 	s.ApplyBalance(limiter.Balance{Account: "a", Left: left, Demand: demand}, request(0).Limit, start, start)
 	return s
 }
@@ -29,7 +35,9 @@
 func ExampleSpender_byUrgency() {
 	limit := limiter.Limit{Rate: 1000, Burst: 1000}
 	spender := limiter.Spender{ByUrgency: true, Instances: func() int { return 1 }}
-	spender.ApplyBalance(limiter.Balance{Account: "mill", Left: 400, Demand: []int64{600, 1400}}, limit, start, start)
+	for _, now := range []time.Time{start.Add(-longExcess), start} {
+		spender.ApplyBalance(limiter.Balance{Account: "mill", Left: 400, Demand: []int64{600, 1400}}, limit, now, now)
+	}
 	for _, urgency := range []int{1, 0} {
 		decision := spender.Spend(limiter.Request{Account: "mill", Limit: limit, Tokens: 200, Urgency: urgency}, start)
 		if d, exceeded := decision.(limiter.QuotaExceeded); exceeded {
@@ -305,6 +313,85 @@
 	}
 }
 
+// Guards against callers that are told to stay away for the whole of a short peak and after it.
+func TestReturnsInShortExcess(t *testing.T) {
+	const ms = time.Millisecond
+	for _, tc := range []struct {
+		name   string
+		demand []int64
+		r      limiter.Request
+		want   []time.Duration // by number of refused callers before
+	}{
+		{"of the most urgent", []int64{1500}, urgent(100, 0), []time.Duration{300 * ms, 400 * ms, 500 * ms}},
+		{"more urgent ones ask for half of the rate", []int64{500, 1500}, urgent(100, 1), []time.Duration{800 * ms, 1000 * ms, 1200 * ms}},
+		{"more urgent ones ask for all", []int64{1500, 100}, urgent(100, 1), []time.Duration{7 * time.Second, 8 * time.Second, 9 * time.Second}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &limiter.Spender{ByUrgency: true, Instances: func() int { return 1 }}
+			balance := limiter.Balance{Account: "a", Demand: tc.demand}
+			s.ApplyBalance(balance, tc.r.Limit, start, start)
+			var got []time.Duration
+			for range tc.want {
+				got = append(got, retryAfter(s, tc.r, start).Round(100*ms))
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Error(diff)
+			}
+			s.ApplyBalance(balance, tc.r.Limit, at(longExcess), at(longExcess))
+			if got := retryAfter(s, tc.r, at(longExcess)); got != 10*time.Second {
+				t.Errorf("in a long excess a caller is told to return in %s", got)
+			}
+		})
+	}
+}
+
+// Guards against demand close to the rate that never counts as a long excess, and against peaks far
+// apart that count as one.
+func TestInterruptedExcess(t *testing.T) {
+	for _, tc := range []struct {
+		calm   time.Duration
+		isLong bool
+	}{{200 * time.Millisecond, true}, {longExcess + time.Millisecond, false}} {
+		s := &limiter.Spender{ByUrgency: true, Instances: func() int { return 1 }}
+		now := start
+		demand := func(tokens int64, lasts time.Duration) {
+			s.ApplyBalance(limiter.Balance{Account: "a", Demand: []int64{tokens}}, request(0).Limit, now, now)
+			now = now.Add(lasts)
+		}
+		demand(1500, 700*time.Millisecond)
+		demand(1500, 0)
+		demand(900, tc.calm)
+		demand(1500, 700*time.Millisecond)
+		demand(1500, 0)
+		if got := retryAfter(s, urgent(10, 0), now); (got == 10*time.Second) != tc.isLong {
+			t.Errorf("after %s without excess a caller is told to return in %s", tc.calm, got)
+		}
+	}
+}
+
+// Guards against an instance without a ledger that takes its own excess for a short one forever.
+func TestLongExcessOfDisconnectedSpender(t *testing.T) {
+	s := newUrgentSpender(1000)
+	var first, last time.Duration
+	for now := at(time.Second); now.Before(at(5 * time.Second)); now = now.Add(5 * time.Millisecond) {
+		r := urgent(10, 0)
+		s.Spend(r, now)
+		if d, is := s.SpendDisconnected(r, now).(limiter.QuotaExceeded); is {
+			last = d.RetryAfter
+			if first == 0 {
+				first = last
+			}
+		}
+	}
+	if first > 5*time.Second || last != 10*time.Second {
+		t.Errorf("the first caller is told to return in %s, the last in %s", first, last)
+	}
+}
+
+func retryAfter(s *limiter.Spender, r limiter.Request, now time.Time) time.Duration {
+	return s.Spend(r, now).(limiter.QuotaExceeded).RetryAfter
+}
+
 // Guards against a Retry-After that stays long when the excess has ended.
 func TestRetryAfterShrinksWithDemand(t *testing.T) {
 	s := newUrgentSpender(0, 900, 3000)
