Quota: in an excess nobody returns before a short one has ended

Callers that returned within a peak were refused again by the new requests of the same peak. Returns in an excess begin 1.5 s after its start, when it has ended or counts as long.

--- a/internal/account/limiter/excess.go
+++ b/internal/account/limiter/excess.go
@@ -3,9 +3,10 @@
 import "time"
 
 // longExcess is how long demand must exceed the rate until callers are told that nothing is left
-// for them. Shorter peaks end before a caller returns that is told a time by the rate. Two peaks
-// with less than this between them are one excess: demand close to the rate falls below it between
-// reports.
+// for them. Until then they are told to return no earlier than at its end, when a shorter peak is
+// over. It outlasts peaks of some hundred milliseconds and the 0.6 s that their demand takes to
+// fall below the rate after them (demandTimeConstant). Two peaks with less than this between them
+// are one excess: demand close to the rate falls below it between reports.
 const longExcess = 1500 * time.Millisecond
 
 // An excess is the time in which an urgency level and more urgent ones ask for the whole rate.
--- a/internal/account/limiter/urgency.go
+++ b/internal/account/limiter/urgency.go
@@ -57,7 +57,7 @@
 }
 
 // leftover returns the rate that is left to returning callers of a level. During an excess it is
-// what more urgent requests leave, as if the excess of the level ended now.
+// what more urgent requests leave once the excess of the level ends.
 func (u *urgencyState) leftover(level int, l Limit) float64 {
 	if u.excess[level].isCurrent {
 		level--
@@ -77,7 +77,8 @@
 
 // refuse refuses a request, and schedules the return of its caller at the rate that new requests
 // leave over, of which the instance has a share. left is a fraction of the tokens left of the
-// quota: the share of the instance while no Ledger can be reached.
+// quota: the share of the instance while no Ledger can be reached. During an excess nobody returns
+// before a short one would have ended: until then new requests use up the rate.
 func (u *urgencyState) refuse(r Request, left, fraction, share float64, now time.Time) QuotaExceeded {
 	if u.returns == nil {
 		u.returns = &returnSchedule{}
@@ -87,6 +88,9 @@
 	leftover := u.leftover(n, r.Limit)
 	missing := max(0, min(float64(r.Tokens)+reserved, max(fraction*r.Limit.Burst, float64(r.Tokens)))-left)
 	earliest := time.Duration(min(missing/(fraction*leftover), maxWait.Seconds()) * float64(time.Second))
+	if e := &u.excess[n]; e.isCurrent {
+		earliest = max(earliest, e.since.Add(longExcess).Sub(now))
+	}
 	u.returns.advance(now)
 	u.returns.refused++
 	exceeded := QuotaExceeded{AvailableIn: maxWait, ByReserve: reserved > 0 && fits(r.Tokens, left, r.Limit), Reserved: int64(reserved)}
