Load copies of adapters ahead of demand

The leader forecasts how many copies of each adapter its failure domain needs when a load that is ordered now is complete, and requests the missing ones as spare loads, several at a time.

--- a/internal/adapter/placer/placer.go
+++ b/internal/adapter/placer/placer.go
@@ -17,13 +17,14 @@
 // A Placer tracks the copies that one runner holds and those that are requested
 // of it. Its exported fields are set before use; it is not safe for concurrent use.
 type Placer struct {
-	Copies       func(Copy) int  // runners of the failure domain that hold a copy; nil if unknown
-	InUse        func(Copy) bool // whether a request uses a copy; nil if unknown
-	Model        string          // base model that the runner has to hold
-	AdapterSlots int             // adapter slots of the runner
-	LoadTime     time.Duration   // time to load an adapter from the weight store
-	MaxLoads     int             // maximum number of concurrent loads on the runner
-	ReloadTime   time.Duration   // time to load an adapter that the runner held before
+	Copies       func(Copy) int                // runners of the failure domain that hold a copy; nil if unknown
+	InUse        func(Copy) bool               // whether a request uses a copy; nil if unknown
+	MayEvict     func(victim, ahead Copy) bool // whether a copy may be evicted for one that is loaded ahead of demand; nil: yes
+	Model        string                        // base model that the runner has to hold
+	AdapterSlots int                           // adapter slots of the runner
+	LoadTime     time.Duration                 // time to load an adapter from the weight store
+	MaxLoads     int                           // maximum number of concurrent loads on the runner
+	ReloadTime   time.Duration                 // time to load an adapter that the runner held before
 
 	clock        warmer.Clock
 	copies       map[Copy]*slot
@@ -69,8 +70,10 @@
 // A demand is the reported demand for a copy.
 type demand struct {
 	Waiting
+	ahead     bool // requested ahead of demand
 	firstSeen time.Time
 	lastSeen  time.Time
+	uses      float64 // expected in the next second, if requested ahead of demand
 }
 
 // Waiting summarizes the requests that wait for a copy.
@@ -138,7 +141,7 @@
 	if !ok {
 		d.firstSeen = now
 	}
-	d.Waiting, d.lastSeen = waiting, now
+	d.Waiting, d.lastSeen, d.ahead = waiting, now, false
 	p.demands[c] = d
 }
 
@@ -179,10 +182,10 @@
 }
 
 // Next returns the order to send now, if there is one. Finish must be called
-// with its outcome. limit restricts the fetches from the weight store; a copy that the
+// with its outcome. fetches restricts the fetches from the weight store; a copy that the
 // runner has held before and that a request waits for is not subject to it, as the
 // runner still has it in host memory.
-func (p *Placer) Next(now time.Time, limit FetchLimit) (Order, bool) {
+func (p *Placer) Next(now time.Time, fetches FetchLimit) (Order, bool) {
 	p.init()
 	if !p.known || p.inFlight != nil || now.Before(p.notBefore) || p.Model == "" {
 		return Order{}, false
@@ -196,7 +199,7 @@
 		}
 		return Order{}, false
 	}
-	c, ok := p.nextLoad(now, limit)
+	c, ok := p.nextLoad(now, fetches)
 	if !ok {
 		return Order{}, false
 	}
@@ -206,9 +209,13 @@
 		return p.issue(Order{Copy: old, Unload: true}, now), true
 	}
 	if !retried && len(p.copies) >= p.AdapterSlots {
-		return p.evict(now)
+		return p.evict(c, now)
 	}
-	if p.loadsInProgress(now) >= p.MaxLoads {
+	limit := p.MaxLoads
+	if p.demands[c].ahead {
+		limit-- // leaves one for a copy that a request will wait for
+	}
+	if p.loadsInProgress(now) >= limit {
 		return Order{}, false
 	}
 	return p.issue(Order{Copy: c}, now), true
@@ -295,7 +302,7 @@
 	s, ok := p.copies[o.Copy]
 	p.resend = ok && s.unconfirmed
 	if o.Copy.Adapter != "" && !o.Unload {
-		p.copies[o.Copy] = &slot{state: loading, unconfirmed: true, readyAt: now.Add(p.loadTime(o.Copy))}
+		p.copies[o.Copy] = &slot{state: loading, unconfirmed: true, readyAt: now.Add(p.loadTime(o.Copy)), heat: p.clock.NewHeat(p.expectedUses(o.Copy))}
 	}
 	return o
 }
--- a/internal/adapter/placer/victim.go
+++ b/internal/adapter/placer/victim.go
@@ -17,22 +17,26 @@
 	return Copy{}, false
 }
 
-// evict returns the order to unload the least valuable copy. A copy that may be in
+// evict returns the order to unload the least valuable copy, for another one to be loaded. A copy that may be in
 // use is kept: its unload would wait for the running requests, and requests on
 // the way to it would be refused.
-func (p *Placer) evict(now time.Time) (Order, bool) {
+func (p *Placer) evict(wanted Copy, now time.Time) (Order, bool) {
+	ahead := p.demands[wanted].ahead
 	var coldest *victim
 	for c, s := range p.copies {
 		if s.state == unloading && s.unconfirmed {
 			return p.issue(Order{Copy: c, Unload: true}, now), true
 		}
-		if s.unconfirmed || !p.evictable(c, s, now) {
+		if s.unconfirmed || !p.evictable(c, s, now) || ahead && !p.mayEvict(c, wanted) {
 			continue
 		}
 		if v := (victim{c, s, p.evictionCost(c, s)}); coldest == nil || v.evictedBefore(coldest) {
 			coldest = &v
 		}
 	}
+	if coldest == nil && ahead {
+		return Order{}, false
+	}
 	if coldest == nil {
 		return p.resendUnconfirmed(now)
 	}
--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -39,6 +39,7 @@
 	loadWindow    placer.Window         // limits the concurrent loads from the weight store
 	prefillShare  admitter.PrefillShare // learned from the gaps in responses
 	partition     partitionDetector
+	ahead         aheadCopies
 	cutOffSince   time.Time    // since when other leaders have reached the store and this one has not
 	releasedFence uint64       // fencing token of the lease that was released last
 	relayed       relayedState // last update from the leader, while another instance leads
@@ -144,6 +145,7 @@
 		return
 	}
 	catalog := c.gatekeeper.Catalog()
+	c.loadAhead(now)
 	l := c.loadStats(now)
 	for _, id := range c.runnersByWaiting() {
 		state := c.runners[id]
@@ -165,7 +167,7 @@
 				c.requestReport(ctx, state)
 			}
 		default:
-			if o, ok := state.placer.Next(now, l.allows()); ok {
+			if o, ok := state.placer.Next(now, c.allows(l)); ok {
 				if !o.Unload && o.Copy.Adapter != "" && !state.placer.HeldBefore(o.Copy) {
 					l.fetching++
 				}
@@ -181,6 +183,7 @@
 // runners hold since this instance last led.
 func (c *controller) startOrdering(fence uint64) {
 	c.orderingFence = fence
+	c.clearAhead()
 	for _, state := range c.runners {
 		state.placer = nil
 		state.published = nil
@@ -194,6 +197,7 @@
 		return
 	}
 	c.orderingFence = 0
+	c.clearAhead()
 	c.aggregator.Clear() // members report to the next leader
 	c.firstReportAt = time.Time{}
 	for _, state := range c.runners {
@@ -223,7 +227,7 @@
 		slots = min(slots, (engine.Memory-model.Size)/model.AdapterSize)
 	}
 	inUse := func(copied placer.Copy) bool { return c.aggregator.Uses(keyOf(r.ID, copied)) > 0 }
-	return &placer.Placer{Copies: c.copyCount, InUse: inUse, Model: model.Name, AdapterSlots: slots, MaxLoads: maxLoadsPerRunner}
+	return &placer.Placer{Copies: c.copyCount, InUse: inUse, MayEvict: c.mayEvict, Model: model.Name, AdapterSlots: slots, MaxLoads: maxLoadsPerRunner}
 }
 
 // requestReport asks a runner which adapters it holds.
--- a/internal/instance/gatekeeper/pending_demand.go
+++ b/internal/instance/gatekeeper/pending_demand.go
@@ -116,7 +116,8 @@
 
 // RequestSpareCopy implements forwarder.Placement.
 func (g *Gatekeeper) RequestSpareCopy(runner string, c placer.Copy) {
-	if l, ok := g.linkOf(runner); ok {
+	r, known := g.Fleet.Get(runner)
+	if l, ok := g.linkOf(runner); known && ok && l.asksForSpareCopies(r) {
 		l.addPending(&l.pendingDemand.spare, keyOf(runner, c))
 	}
 }
--- a/internal/instance/gatekeeper/reserve.go
+++ b/internal/instance/gatekeeper/reserve.go
@@ -76,6 +76,7 @@
 			return relayer.Reserved{Absent: true}, nil
 		}
 		state.placer.MarkAssigned(r.Copy, now)
+		c.recordArrival(state, r.Copy, now)
 		c.recordUse(cmp.Or(r.Reporter, from), keyOf(r.Runner, r.Copy))
 	}
 	fleet := c.gatekeeper.Fleet
