--- a/internal/adapter/forecaster/adapter.go
+++ b/internal/adapter/forecaster/adapter.go
@@ -18,7 +18,9 @@
 	counted        int       // waiting requests that were counted as arrivals
 	inProgress     int       // requests that use a copy or wait for one, as of the last step
 	waiting        int       // those that wait for one
-	planned        int       // copies needed, as of the last plan
+	planned        int       // copies needed or held, as of the last plan
+	highest        int       // copies needed at most within holdTime
+	highestAt      time.Time // when highest was needed
 	successorUntil time.Time // until when it needs a copy, as the successor of a version that had requests
 }
 
@@ -35,13 +37,16 @@
 	maxGapFactor = 3
 	// maxTrend bounds by what fraction of the rate the trend changes it until the copies have
 	// loaded. Over few arrivals the trend is mostly noise.
-	maxTrend = 0.25
+	maxTrend = 0.1
 	// maxRelative bounds the expected requests relative to those of the steady state at the
 	// current rate: the ones in progress beyond that came in a burst, and a copy that is loaded
 	// now does not serve them.
 	maxRelative = 2
 	// minRunTime bounds the run time against an estimate that was not measured yet.
 	minRunTime = 50 * time.Millisecond
+	// holdTime is for how long the need does not fall, so that the noise of few arrivals does not
+	// withdraw copies that are requested again in the next step.
+	holdTime = 500 * time.Millisecond
 	// successorTime is for how long after the last request for a version its successor is loaded
 	// although no request waits for it.
 	successorTime = 3 * time.Second
@@ -82,12 +87,25 @@
 	if !a.lasts(now) {
 		n = min(n, 1)
 	}
+	if n > 0 && now.Sub(a.highestAt) <= holdTime {
+		n = max(n, a.highest) // a first copy is loaded only while a request waits for it
+	}
 	if a.waiting > 0 || now.Before(a.successorUntil) {
 		n = max(n, 1)
 	}
 	return min(max(0, n), capacity.maxCopies())
 }
 
+// plan returns how many copies are needed, and keeps the highest need.
+func (a *adapter) plan(capacity Capacity, held int, now time.Time) int {
+	n := a.needed(capacity, now)
+	if n >= a.highest || now.Sub(a.highestAt) > holdTime {
+		a.highest, a.highestAt = n, now
+	}
+	a.planned = max(n, held)
+	return n
+}
+
 // rateAt returns the expected rate of arrivals per second up to a horizon in seconds.
 func (a *adapter) rateAt(horizon float64, now time.Time) float64 {
 	a.rate.decay(now)
--- a/internal/adapter/forecaster/forecaster.go
+++ b/internal/adapter/forecaster/forecaster.go
@@ -51,8 +51,9 @@
 	searched = 8
 	// keepFactor is how much more requests a further copy must be expected to serve than the
 	// copy that is evicted for it. It keeps two adapters that are popular in turn from
-	// replacing each other.
-	keepFactor = 2
+	// replacing each other: the rate by which a copy is kept is then half of that of the other
+	// adapter, so 2 would be the limit.
+	keepFactor = 3
 )
 
 // Arrive records that a request for a copy has arrived.
@@ -141,8 +142,8 @@
 			continue
 		}
 		capacity = f.load.atLeast(capacity, now)
-		held, needed := requests[a.copy].Held, a.needed(capacity, now)
-		a.planned = needed
+		held := requests[a.copy].Held
+		needed := a.plan(capacity, held, now)
 		if held >= needed {
 			continue
 		}
