--- a/internal/adapter/forecaster/forecaster.go
+++ b/internal/adapter/forecaster/forecaster.go
@@ -52,8 +52,9 @@
 	// keepFactor is how much more requests a further copy must be expected to serve than the
 	// copy that is evicted for it. It keeps two adapters that are popular in turn from
 	// replacing each other: the rate by which a copy is kept is then half of that of the other
-	// adapter, so 2 would be the limit.
-	keepFactor = 3
+	// adapter, so 2 would be the limit without the noise of the rates. With 3, a test with such
+	// adapters found copies that were replaced.
+	keepFactor = 4
 )
 
 // Arrive records that a request for a copy has arrived.
--- a/internal/adapter/forecaster/forecaster_test.go
+++ b/internal/adapter/forecaster/forecaster_test.go
@@ -205,7 +205,7 @@
 		d.run(b, 28, time.Second)
 	}
 	d.run(a, 28, 500*time.Millisecond)
-	if d.f.MayEvict(b, 6, a, d.now) {
+	if d.f.MayEvict(b, d.requests[a].Held, a, d.now) { // both have as many
 		t.Error("a copy of the other adapter may be evicted")
 	}
 	if !d.f.MayEvict(adapter("idle"), 1, a, d.now) {
--- a/internal/instance/gatekeeper/ahead_load_test.go
+++ b/internal/instance/gatekeeper/ahead_load_test.go
@@ -1,12 +1,19 @@
 package gatekeeper
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/member/elector"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
 	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 )
 
 const (
@@ -52,10 +59,194 @@
 	return result
 }
 
-func TestTrial(t *testing.T) {
-	for _, ahead := range []configurer.Switch{configurer.On} {
-		for seed := range uint64(3) {
-			t.Logf("%s seed %d: %+v", ahead, seed, playChangingLoad(t, ahead, seed))
+// The popular adapters change every two seconds. Guards against copies that are requested one after
+// the other, when requests queue already: the most popular adapter never had enough copies before
+// the next one was popular, and 0.73 of its requests were in time.
+func TestPopularAdapterHasEnoughCopiesSoon(t *testing.T) {
+	before, after := playChangingLoad(t, configurer.Off, 0), playChangingLoad(t, configurer.On, 0)
+	t.Logf("without copies ahead of demand: %+v", before)
+	t.Logf("with them: %+v", after)
+	soon := 0
+	for _, d := range after.enough {
+		if d <= 1200*time.Millisecond {
+			soon++
+		}
+	}
+	if soon < 4 {
+		t.Errorf("after %d of %d changes there were %d copies within 1.2 s", soon, len(after.enough), enoughCopies)
+	}
+	if after.popular < 0.85 || after.all < 0.9 {
+		t.Errorf("%.3f of the requests for the most popular adapter and %.3f of all are in time", after.popular, after.all)
+	}
+	if billed, limit := after.loads.First+after.loads.Further, before.loads.First+before.loads.Further; billed > limit+limit/50 {
+		t.Errorf("%d loads from the weight store, %d without copies ahead of demand", billed, limit)
+	}
+	if after.loads.Overfull > 0 {
+		t.Errorf("%d loads were ordered without a free adapter slot", after.loads.Overfull)
+	}
+}
+
+// Demand for all adapters rises by half. Guards against copies that are loaded and evicted in
+// turn, and against more of them than the demand needs.
+func TestCopiesFollowRisingDemandWithoutOscillation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(2, 1))
+		s := newLoadSimulation(t, configurer.On)
+		time.Sleep(time.Second)
+		p := newPopularity(rng, time.Minute)
+		s.run(5*time.Second, rng, func(time.Duration) float64 { return 100 }, p.draw)
+		popular := placer.Copy{Model: "m", Adapter: p.adapter(0, 0), Version: 1}
+		settled, before := s.ready(popular), s.counts()
+		lowest := settled
+		for range 10 {
+			s.run(500*time.Millisecond, rng, func(time.Duration) float64 { return 150 }, p.draw)
+			lowest = min(lowest, s.ready(popular))
+		}
+		after := s.counts()
+		t.Logf("%d copies before, %d after; further copies of all adapters %d before, %d after; reloads %d", settled, s.ready(popular), before.Further, after.Further, after.Reloads-before.Reloads)
+		if lowest < settled-1 {
+			t.Errorf("%d copies of the most popular adapter before demand rose, %d at the lowest since", settled, lowest)
+		}
+		// 150 requests a second, a fifth of them for this adapter, of 1.6 s each, 8 for each copy
+		if n := s.ready(popular); n < 5 || n > 10 {
+			t.Errorf("%d copies of the most popular adapter", n)
+		}
+		s.finish()
+	})
+}
+
+// A new version of the most popular adapter is named every two seconds. Guards against requests
+// that wait for the first copy of each version, or queue at it.
+func TestNewVersionsInSuccessionAreLoadedAhead(t *testing.T) {
+	play := func(ahead configurer.Switch) (fraction float64, loads loadCounts) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(3, 1))
+			s := newLoadSimulation(t, ahead)
+			time.Sleep(time.Second)
+			p := newPopularity(rng, time.Minute)
+			for version := 1; version <= 5; version++ {
+				s.nameVersion(p.adapter(0, 0), version)
+				s.run(2*time.Second, rng, steadily, p.draw)
+			}
+			s.finish()
+			fraction, _ = s.inTime(func(r loadResult) bool { return r.adapter == p.adapter(0, 0) && r.version > 1 })
+			loads = s.counts()
+		})
+		return fraction, loads
+	}
+	before, loadsBefore := play(configurer.Off)
+	after, loadsAfter := play(configurer.On)
+	t.Logf("in time without copies ahead of demand %.3f (%+v), with them %.3f (%+v)", before, loadsBefore, after, loadsAfter)
+	if after < 0.85 || after < before {
+		t.Errorf("%.3f of the requests for new versions are in time, %.3f without copies ahead of demand", after, before)
+	}
+}
+
+// A quarter of the runners is lost, and returns without adapters two seconds later. Guards against
+// popular adapters that are left with fewer copies than they need.
+func TestCopiesOfLostRunnersAreReplaced(t *testing.T) {
+	play := func(ahead configurer.Switch) (fraction float64, copies int, loads loadCounts) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(4, 1))
+			s := newLoadSimulation(t, ahead)
+			time.Sleep(time.Second)
+			p := newPopularity(rng, time.Minute)
+			s.run(4*time.Second, rng, steadily, p.draw)
+			popular := placer.Copy{Model: "m", Adapter: p.adapter(0, 0), Version: 1}
+			lost := s.holders(popular) // the ones that hurt most
+			lost = lost[:min(len(lost)-1, loadRunners/4)]
+			for _, id := range lost {
+				s.removeRunner(id)
+			}
+			at := time.Now()
+			s.run(time.Second, rng, steadily, p.draw)
+			copies = s.ready(popular)
+			s.run(time.Second, rng, steadily, p.draw)
+			for n := range lost {
+				s.addRunner(fmt.Sprint("again-", n), 2)
+			}
+			s.run(2*time.Second, rng, steadily, p.draw)
+			s.finish()
+			fraction, _ = s.inTime(func(r loadResult) bool { return r.arrived.After(at) })
+			loads = s.counts()
+		})
+		return fraction, copies, loads
+	}
+	before, copiesBefore, loadsBefore := play(configurer.Off)
+	after, copiesAfter, loadsAfter := play(configurer.On)
+	t.Logf("in time without copies ahead of demand %.3f (%d copies after a second, %+v), with them %.3f (%d, %+v)", before, copiesBefore, loadsBefore, after, copiesAfter, loadsAfter)
+	if after < 0.85 || copiesAfter < enoughCopies-1 {
+		t.Errorf("%.3f of the requests after the loss are in time; %d copies of the most popular adapter after a second", after, copiesAfter)
+	}
+}
+
+// Another instance begins to lead while the popular adapters change. Guards against orders without
+// the lease, and against a new leader that takes long to learn what is popular.
+func TestNewLeaderLearnsWithinASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(5, 1))
+		s := newLoadSimulation(t, configurer.On)
+		time.Sleep(time.Second)
+		p := newPopularity(rng, 4500*time.Millisecond)
+		s.run(4*time.Second, rng, steadily, p.draw)
+		s.loseLease()
+		time.Sleep(50 * time.Millisecond) // the orders that were being sent
+		orders := s.ordered()
+		s.run(450*time.Millisecond, rng, steadily, func(at time.Duration) string { return p.draw(at + 4*time.Second) })
+		if n := s.ordered() - orders; n > 0 {
+			t.Errorf("%d orders without the lease", n)
 		}
+		s.forget()
+		s.lead()
+		s.run(1200*time.Millisecond, rng, steadily, func(at time.Duration) string { return p.draw(at + 4500*time.Millisecond) })
+		popular := placer.Copy{Model: "m", Adapter: p.adapter(0, 5*time.Second), Version: 1}
+		if n := s.ready(popular); n < 4 {
+			t.Errorf("%d copies of the new most popular adapter 1.2 s after the new leader began", n)
+		}
+		s.finish()
+	})
+}
+
+// Off, nothing is recorded and nothing is requested; members request spare copies themselves.
+func TestCopiesAheadAreOffByDefault(t *testing.T) {
+	g := newTestGatekeeper()
+	for _, tc := range []struct {
+		name  string
+		ahead configurer.Switch
+		want  bool
+	}{{"unset", "", false}, {"off", configurer.Off, false}, {"auto without paces", configurer.Auto, false}, {"on", configurer.On, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			g.Config.Load.Ahead = tc.ahead
+			if diff := cmp.Diff(tc.want, g.aheadFor("llm")); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// Guards against a domain in which nobody requests further copies: the leader does where copies are
+// loaded ahead of demand, and members where it does not or there is no leader.
+func TestMembersRequestSpareCopiesWhereTheLeaderDoesNot(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		ahead  configurer.Switch
+		leader bool
+		want   int
+	}{{"off", configurer.Off, true, 1}, {"on", configurer.On, true, 0}, {"on without a leader", configurer.On, false, 1}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newTestGatekeeper()
+				g.Config.Load.Ahead = tc.ahead
+				g.setRunner(tracker.Runner{ID: "i-1", Service: "llm", Domain: "a", Revision: 1}, "test")
+				l := g.links["a"]
+				if tc.leader {
+					l.apply(relayer.News{Lease: elector.Lease{Leader: "front-1", Fence: 1}, Renewal: 5, Acting: true})
+				}
+				g.RequestSpareCopy("i-1", placer.Copy{Model: "m", Adapter: "a1", Version: 1})
+				if diff := cmp.Diff(tc.want, len(l.pendingDemand.spare)); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
 	}
 }
--- a/internal/instance/gatekeeper/ahead_simulation_test.go
+++ b/internal/instance/gatekeeper/ahead_simulation_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
 	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/pooler"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
@@ -92,7 +94,7 @@
 	s := &loadSimulation{t: t, runners: make(map[string]*loadRunner), ended: make(chan struct{})}
 	g := newTestGatekeeper()
 	g.Config.Load.Ahead = ahead
-	g.Engine = s
+	g.Engine, g.Pool = s, &pooler.Pool{}
 	g.Recorder = &recorder.Recorder{Metrics: metrics.NewSet(), Out: lockedWriter{s}}
 	g.catalog.Store(&matcher.Catalog{Version: 1, Services: map[string]matcher.Service{
 		"llm": {Name: "llm", Engine: &matcher.Engine{AdapterSlots: loadAdapterSlots, Models: []matcher.Model{{Name: "m"}}}},
@@ -459,3 +461,48 @@
 	}()
 	return enough, done
 }
+
+// forget drops what the instance has learned, as another instance that begins to lead knows
+// nothing.
+func (s *loadSimulation) forget() {
+	d := s.g.controllers[loadDomain]
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ahead = aheadCopies{}
+}
+
+// holders returns the runners that have loaded a copy, in order of ID.
+func (s *loadSimulation) holders(c placer.Copy) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []string
+	for id, r := range s.runners {
+		if at, ok := r.readyAt[c]; ok && !time.Now().Before(at) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// loseLease ends the leader's lease.
+func (s *loadSimulation) loseLease() {
+	d := s.g.controllers[loadDomain]
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.elector = elector.Elector{Self: s.g.Config.ID, LeaseDuration: time.Hour}
+}
+
+// nameVersion names the newest version of an adapter.
+func (s *loadSimulation) nameVersion(adapter string, version int) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	s.g.adapterVersions[adapterKey{"m", adapter}] = version
+}
+
+// ordered returns the number of orders that reached a runner.
+func (s *loadSimulation) ordered() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.orders
+}
