--- a/internal/adapter/forecaster/adapter.go
+++ b/internal/adapter/forecaster/adapter.go
@@ -32,9 +32,6 @@
 	burstInterval    = 50 * time.Millisecond
 	seriesPause      = 500 * time.Millisecond
 	lastingIntervals = 3
-	// maxGapFactor divided by the time since the last arrival bounds the rate: at a higher rate,
-	// so long a gap has a probability below 0.05 (e^-3).
-	maxGapFactor = 3
 	// maxTrend bounds by what fraction of the rate the trend changes it until the copies have
 	// loaded. Over few arrivals the trend is mostly noise.
 	maxTrend = 0.1
@@ -111,9 +108,5 @@
 	a.rate.decay(now)
 	level := a.rate.level()
 	limit := maxTrend * level
-	expected := level + min(limit, max(-limit, a.rate.trend()*horizon))
-	if gap := now.Sub(a.lastArrival); gap > 0 {
-		expected = min(expected, maxGapFactor/gap.Seconds())
-	}
-	return expected
+	return level + min(limit, max(-limit, a.rate.trend()*horizon))
 }
--- a/internal/adapter/forecaster/load.go
+++ b/internal/adapter/forecaster/load.go
@@ -33,6 +33,9 @@
 
 // observe records the requests in progress.
 func (l *load) observe(inProgress int, now time.Time) {
+	if l.at.IsZero() {
+		l.at = now // starts at zero, as the rate of arrivals does
+	}
 	weight := 1 - math.Exp(-now.Sub(l.at).Seconds()/steadyTime.Seconds())
 	l.inProgress += weight * (float64(inProgress) - l.inProgress)
 	l.at = now
