--- a/internal/instance/gatekeeper/ahead.go
+++ b/internal/instance/gatekeeper/ahead.go
@@ -27,7 +27,6 @@
 
 // An aheadCopy is a copy that was requested ahead of demand and not used yet.
 type aheadCopy struct {
-	held        bool      // it was resident or being loaded at the last step
 	loaded      bool      // its load has been counted
 	requestedAt time.Time // when it was first requested
 }
@@ -63,6 +62,7 @@
 	case configurer.On:
 		return true
 	case configurer.Auto:
+		// The method is that of the part that tracks the pace of runners, where it is built in.
 		paces, ok := any(g.Fleet).(interface{ StatesPace(service string) bool })
 		return ok && paces.StatesPace(service)
 	default:
@@ -187,11 +187,16 @@
 func (c *controller) trackAhead(capacities map[string]forecaster.Capacity, now time.Time) {
 	for k, requested := range c.ahead.copies {
 		state, ok := c.runners[k.Runner]
-		if !ok || state.placer == nil {
+		switch {
+		case ok && state.placer != nil:
+		case requested.loaded:
 			c.endAhead(k, "unused")
 			continue
+		default:
+			delete(c.ahead.copies, k)
+			c.ahead.forecaster.Withdraw(1)
+			continue
 		}
-		requested.held = state.placer.Holds(k.Copy)
 		if _, confirmed := state.placer.Held()[k.Copy]; confirmed && !requested.loaded {
 			requested.loaded = true
 			state.placer.WithdrawAhead(k.Copy) // a copy that is evicted is not loaded again for it
@@ -200,7 +205,7 @@
 		switch {
 		case requested.loaded && c.aggregator.Uses(k) > 0:
 			c.endAhead(k, "used")
-		case requested.held:
+		case state.placer.Holds(k.Copy):
 		case requested.loaded:
 			c.endAhead(k, "unused")
 		case now.Sub(requested.requestedAt) > aheadTimeout || !c.stillNeeded(k.Copy, capacities, now):
