Copies ahead of demand: cheaper steps, fewer stale counts; the load test sums three seeds

A step evaluates the rates as of its start when it looks for victims, skips full runners before it looks for room, and no longer copies the loads of the domain for each adapter. A withdrawn copy at an unresponsive runner is not subtracted from a count that does not contain it. Expired demand no longer excludes a runner. Copies requested ahead are settled when no runner takes part any more.

--- a/internal/adapter/forecaster/budget.go
+++ b/internal/adapter/forecaster/budget.go
@@ -9,9 +9,8 @@
 }
 
 const (
-	// budgetRate is the copies per second that may be requested per runner. On the measured day,
-	// waiting requests caused 657 loads of further copies in 14 s on 90 runners, or 0.52; no more
-	// than that are loaded ahead of demand.
+	// budgetRate is the copies per second that may be requested per runner: about as many as
+	// waiting requests cause to be loaded without this package, so that no more are billed.
 	budgetRate = 0.5
 	// budgetTime is for how long an unused budget adds up: as long as the set of popular adapters
 	// stays the same on average, as most copies are requested just after it changes.
--- a/internal/adapter/forecaster/capacity.go
+++ b/internal/adapter/forecaster/capacity.go
@@ -26,9 +26,8 @@
 	// next step, until the order is sent, and until the instances learn of the copy.
 	planDelay = 150 * time.Millisecond
 	// slack is the fraction of a copy by which the need may exceed the copies, so that the noise
-	// of the forecast requests no copy. In 30 simulated seconds with popular adapters that change
-	// every 2 s, 252 further copies were loaded with 0.25 and 222 with 0.5, compared with 227
-	// without this package; 0.949 and 0.944 of the requests were in time.
+	// of the forecast requests no copy. Smaller values load more copies than without this package
+	// while hardly more requests are in time.
 	slack = 0.5
 )
 
--- a/internal/adapter/forecaster/forecaster.go
+++ b/internal/adapter/forecaster/forecaster.go
@@ -52,8 +52,7 @@
 	// keepFactor is how much more requests a further copy must be expected to serve than the
 	// copy that is evicted for it. It keeps two adapters that are popular in turn from
 	// replacing each other: the rate by which a copy is kept is then half of that of the other
-	// adapter, so 2 would be the limit without the noise of the rates. With 3, a test with such
-	// adapters found copies that were replaced.
+	// adapter, so 2 would be the limit without the noise of the rates.
 	keepFactor = 4
 )
 
@@ -151,7 +150,10 @@
 		plan = append(plan, Forecast{Copy: a.copy, Expected: a.expected(capacity, now), Held: held, Needed: needed, Rate: a.rateAt(0, now)})
 	}
 	slices.SortFunc(plan, func(a, b Forecast) int {
-		return cmp.Or(cmp.Compare(b.Expected/float64(b.Held+1), a.Expected/float64(a.Held+1)), cmp.Compare(a.Copy.String(), b.Copy.String()))
+		if order := cmp.Compare(b.Expected/float64(b.Held+1), a.Expected/float64(a.Held+1)); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.Copy.String(), b.Copy.String()) // allocates
 	})
 	for n := range plan {
 		plan[n].Requested = min(MaxAhead, plan[n].Needed-plan[n].Held, f.budget.left(runners, now))
--- a/internal/adapter/placer/ahead.go
+++ b/internal/adapter/placer/ahead.go
@@ -13,6 +13,12 @@
 	Replaces       // an older version of the adapter is idle there
 )
 
+// Accepted reports whether the runner holds a copy or has accepted the order to load it.
+func (p *Placer) Accepted(c Copy) bool {
+	s, ok := p.copies[c]
+	return ok && !s.unconfirmed && s.state != unloading
+}
+
 // AheadRoom returns whether a copy can be loaded ahead of demand now, and at what cost. A version
 // in use is not replaced, and a newer one neither.
 func (p *Placer) AheadRoom(c Copy, now time.Time) Room {
@@ -68,9 +74,9 @@
 }
 
 // Wants reports whether a copy is held, being loaded, or requested.
-func (p *Placer) Wants(c Copy) bool {
-	_, requested := p.demands[c]
-	return requested || p.Holds(c)
+func (p *Placer) Wants(c Copy, now time.Time) bool {
+	d, ok := p.demands[c]
+	return ok && now.Sub(d.lastSeen) <= demandTTL || p.Holds(c)
 }
 
 // WithdrawAhead withdraws the request for a copy ahead of demand, unless requests wait for it.
--- a/internal/adapter/placer/victim.go
+++ b/internal/adapter/placer/victim.go
@@ -17,9 +17,9 @@
 	return Copy{}, false
 }
 
-// evict returns the order to unload the least valuable copy, for another one to be loaded. A copy that may be in
-// use is kept: its unload would wait for the running requests, and requests on
-// the way to it would be refused.
+// evict returns the order to unload the least valuable copy, for another one to be
+// loaded. A copy that may be in use is kept: its unload would wait for the running
+// requests, and requests on the way to it would be refused.
 func (p *Placer) evict(wanted Copy, now time.Time) (Order, bool) {
 	ahead := p.demands[wanted].ahead
 	var coldest *victim
--- a/internal/instance/gatekeeper/ahead.go
+++ b/internal/instance/gatekeeper/ahead.go
@@ -62,7 +62,7 @@
 	case configurer.On:
 		return true
 	case configurer.Auto:
-		// The method is that of the part that tracks the pace of runners, where it is built in.
+		// Only a fleet that tracks the pace of its runners implements this.
 		paces, ok := any(g.Fleet).(interface{ StatesPace(service string) bool })
 		return ok && paces.StatesPace(service)
 	default:
@@ -105,7 +105,7 @@
 	c.ahead.steppedAt = now
 	capacities := c.aheadCapacities()
 	c.ahead.active = len(capacities) > 0
-	if !c.ahead.active {
+	if !c.ahead.active && len(c.ahead.copies) == 0 {
 		return
 	}
 	c.countCopies(now)
@@ -197,7 +197,7 @@
 			c.ahead.forecaster.Withdraw(1)
 			continue
 		}
-		if _, confirmed := state.placer.Held()[k.Copy]; confirmed && !requested.loaded {
+		if !requested.loaded && state.placer.Accepted(k.Copy) {
 			requested.loaded = true
 			state.placer.WithdrawAhead(k.Copy) // a copy that is evicted is not loaded again for it
 			c.countAhead("loaded")
@@ -226,6 +226,9 @@
 	state.placer.WithdrawAhead(k.Copy)
 	c.ahead.forecaster.Withdraw(1)
 	delete(c.ahead.copies, k)
+	if state.failures >= unresponsive {
+		return // countCopies has not counted it
+	}
 	r := c.ahead.requests[k.Copy]
 	r.Held--
 	c.ahead.requests[k.Copy] = r
@@ -281,7 +284,6 @@
 
 // aheadSites returns the runners at which a copy can be loaded ahead of demand, best first.
 func (c *controller) aheadSites(copied placer.Copy, now time.Time) []aheadSite {
-	loads := c.aggregator.Loads("")
 	pending := make(map[string]int, len(c.ahead.copies))
 	for k := range c.ahead.copies {
 		pending[k.Runner]++
@@ -289,12 +291,15 @@
 	var sites []aheadSite
 	for id, state := range c.runners {
 		p := state.placer
-		if p == nil || p.Model != copied.Model || p.Wants(copied) || state.failures >= unresponsive || !c.gatekeeper.aheadFor(state.runner.Service) || c.gatekeeper.Fleet.Declines(id, now) {
+		if p == nil || p.Model != copied.Model || p.Wants(copied, now) || state.failures >= unresponsive || !c.gatekeeper.aheadFor(state.runner.Service) || c.gatekeeper.Fleet.Declines(id, now) {
+			continue
+		}
+		used := float64(c.aggregator.Load(id).Running) / float64(max(1, state.runner.Slots))
+		if used >= aheadMaxLoad {
 			continue
 		}
 		room := p.AheadRoom(copied, now)
-		used := float64(loads[id].Running) / float64(max(1, state.runner.Slots))
-		if room == placer.NoRoom || used >= aheadMaxLoad {
+		if room == placer.NoRoom {
 			continue
 		}
 		cost := used*c.paceFactor(id) + pendingPenalty*float64(pending[id])
@@ -326,10 +331,11 @@
 	return c.ahead.factor(runner)
 }
 
-// mayEvict reports whether a copy may be evicted for one that is loaded ahead of demand.
+// mayEvict reports whether a copy may be evicted for one that is loaded ahead of demand, by the
+// rates as of the last step: decaying the rates for each call would cost most of a step.
 func (c *controller) mayEvict(victim, ahead placer.Copy) bool {
 	requests := c.ahead.requests
-	return c.ahead.forecaster.MayEvict(victim, requests[victim].Held, ahead, time.Now())
+	return c.ahead.forecaster.MayEvict(victim, requests[victim].Held, ahead, c.ahead.steppedAt)
 }
 
 // clearAhead drops what is only valid while this instance sends orders. The demand is kept: it
--- a/internal/instance/gatekeeper/ahead_load_test.go
+++ b/internal/instance/gatekeeper/ahead_load_test.go
@@ -59,11 +59,35 @@
 	return result
 }
 
+// popularSeeds are the seeds whose results TestPopularAdapterHasEnoughCopiesSoon adds up. The order
+// of goroutines differs from run to run, and so do the figures of one seed.
+var popularSeeds = []uint64{0, 1, 2}
+
+// add adds the result of another seed.
+func (l *changingLoad) add(other changingLoad) {
+	l.all += other.all
+	l.popular += other.popular
+	l.enough = append(l.enough, other.enough...)
+	l.loads.First += other.loads.First
+	l.loads.Further += other.loads.Further
+	l.loads.Reloads += other.loads.Reloads
+	l.loads.Overfull += other.loads.Overfull
+}
+
+// playChangingLoads returns the sum of the results of popularSeeds.
+func playChangingLoads(t *testing.T, ahead configurer.Switch) (sum changingLoad) {
+	t.Helper()
+	for _, seed := range popularSeeds {
+		sum.add(playChangingLoad(t, ahead, seed))
+	}
+	return sum
+}
+
 // The popular adapters change every two seconds. Guards against copies that are requested one after
-// the other, when requests queue already: the most popular adapter never had enough copies before
-// the next one was popular, and 0.73 of its requests were in time.
+// the other, when requests queue already: the most popular adapter would not have enough copies
+// before the next one is popular, and a quarter of its requests would be late.
 func TestPopularAdapterHasEnoughCopiesSoon(t *testing.T) {
-	before, after := playChangingLoad(t, configurer.Off, 0), playChangingLoad(t, configurer.On, 0)
+	before, after := playChangingLoads(t, configurer.Off), playChangingLoads(t, configurer.On)
 	t.Logf("without copies ahead of demand: %+v", before)
 	t.Logf("with them: %+v", after)
 	soon := 0
@@ -72,14 +96,15 @@
 			soon++
 		}
 	}
-	// Goroutines run in any order, so the figures vary. In six runs, 4 of the 5 changes took 0.8
-	// to 1.1 s, and 0.910 to 0.931 of the requests for the most popular adapter and 0.897 to 0.939
-	// of all were in time; without copies ahead of demand 0.683 to 0.734 and 0.860 to 0.866.
-	if soon < 3 {
+	if 5*soon < 3*len(after.enough) {
 		t.Errorf("after %d of %d changes there were %d copies within 1.5 s", soon, len(after.enough), enoughCopies)
 	}
-	if after.popular < 0.85 || after.all < before.all {
-		t.Errorf("%.3f of the requests for the most popular adapter and %.3f of all are in time", after.popular, after.all)
+	seeds := float64(len(popularSeeds))
+	if late, lateBefore := 1-after.popular/seeds, 1-before.popular/seeds; late > 0.15 || late > lateBefore/2 {
+		t.Errorf("%.3f of the requests for the most popular adapter are late, %.3f without copies ahead of demand", late, lateBefore)
+	}
+	if after.all < before.all {
+		t.Errorf("%.3f of all requests are in time, %.3f without copies ahead of demand", after.all/seeds, before.all/seeds)
 	}
 	if billed, limit := after.loads.First+after.loads.Further, before.loads.First+before.loads.Further; billed > limit+limit/50 {
 		t.Errorf("%d loads from the weight store, %d without copies ahead of demand", billed, limit)
