--- a/internal/instance/gatekeeper/ahead_load_test.go
+++ b/internal/instance/gatekeeper/ahead_load_test.go
@@ -235,7 +235,37 @@
 	})
 }
 
-// Off, nothing is recorded and nothing is requested; members request spare copies themselves.
+// Guards against copies ahead of demand, or records of requests that nobody reads, where load.ahead
+// is off.
+func TestNothingIsRecordedOrRequestedWithCopiesAheadOff(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		ahead configurer.Switch
+		want  bool
+	}{{"unset", "", false}, {"off", configurer.Off, false}, {"auto without paces", configurer.Auto, false}, {"on", configurer.On, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newLoadSimulation(t, tc.ahead)
+				time.Sleep(time.Second)
+				s.run(3*time.Second, rand.New(rand.NewPCG(6, 1)), steadily, newPopularity(rand.New(rand.NewPCG(7, 1)), time.Minute).draw)
+				c := s.g.controllers[loadDomain]
+				c.mu.Lock()
+				tracked, active, copies, counted := c.ahead.forecaster.Tracked(), c.ahead.active, len(c.ahead.copies), len(c.ahead.requests)
+				c.mu.Unlock()
+				if got := tracked > 0 || active || copies > 0 || counted > 0; got != tc.want {
+					t.Errorf("%d adapters tracked, %d copies requested, %d counted, active: %v", tracked, copies, counted, active)
+				}
+				requested := s.g.Metrics.GetOrCreateCounter(`sardinetiller_copies_ahead_total{result="requested"}`).Get()
+				if got := requested > 0; got != tc.want {
+					t.Errorf("%d copies requested", requested)
+				}
+				s.finish()
+			})
+		})
+	}
+}
+
+// Guards against copies ahead of demand that are loaded where the setting does not ask for them.
 func TestCopiesAheadAreOffByDefault(t *testing.T) {
 	g := newTestGatekeeper()
 	for _, tc := range []struct {
