--- a/internal/adapter/forecaster/forecaster.go
+++ b/internal/adapter/forecaster/forecaster.go
@@ -37,10 +37,10 @@
 }
 
 const (
-	// MaxAhead is the largest number of copies of one adapter that one step requests. With 4, an
+	// maxAhead is the largest number of copies of one adapter that one step requests. With 4, an
 	// adapter that needs 8 copies has them requested in two steps, while the runners of the
 	// first 4 are still known to be the ones with the least load.
-	MaxAhead = 4
+	maxAhead = 4
 	// maxTracked bounds the tracked adapters; a domain with 140 requests a second has at most 700
 	// in idleTime.
 	maxTracked = 1024
@@ -156,7 +156,7 @@
 		return cmp.Compare(a.Copy.String(), b.Copy.String()) // allocates
 	})
 	for n := range plan {
-		plan[n].Requested = min(MaxAhead, plan[n].Needed-plan[n].Held, f.budget.left(runners, now))
+		plan[n].Requested = min(maxAhead, plan[n].Needed-plan[n].Held, f.budget.left(runners, now))
 		f.budget.spend(plan[n].Requested)
 	}
 	return plan
--- a/internal/instance/gatekeeper/ahead.go
+++ b/internal/instance/gatekeeper/ahead.go
@@ -189,33 +189,36 @@
 		state, ok := c.runners[k.Runner]
 		switch {
 		case ok && state.placer != nil:
+			c.trackCopy(k, requested, state, capacities, now)
 		case requested.loaded:
 			c.endAhead(k, "unused")
-			continue
 		default:
 			delete(c.ahead.copies, k)
 			c.ahead.forecaster.Withdraw(1)
-			continue
-		}
-		if !requested.loaded && state.placer.Accepted(k.Copy) {
-			requested.loaded = true
-			state.placer.WithdrawAhead(k.Copy) // a copy that is evicted is not loaded again for it
-			c.countAhead("loaded")
-		}
-		switch {
-		case requested.loaded && c.aggregator.Uses(k) > 0:
-			c.endAhead(k, "used")
-		case state.placer.Holds(k.Copy):
-		case requested.loaded:
-			c.endAhead(k, "unused")
-		case now.Sub(requested.requestedAt) > aheadTimeout || !c.stillNeeded(k.Copy, capacities, now):
-			c.withdrawAhead(k, state)
-		default:
-			state.placer.RequestAhead(k.Copy, c.usesOfOneCopy(k.Copy, now), now)
 		}
 	}
 }
 
+// trackCopy does the same for one copy, at a runner that is given orders.
+func (c *controller) trackCopy(k aggregator.Key, requested *aheadCopy, state *runnerState, capacities map[string]forecaster.Capacity, now time.Time) {
+	if !requested.loaded && state.placer.Accepted(k.Copy) {
+		requested.loaded = true
+		state.placer.WithdrawAhead(k.Copy) // a copy that is evicted is not loaded again for it
+		c.countAhead("loaded")
+	}
+	switch {
+	case requested.loaded && c.aggregator.Uses(k) > 0:
+		c.endAhead(k, "used")
+	case state.placer.Holds(k.Copy):
+	case requested.loaded:
+		c.endAhead(k, "unused")
+	case now.Sub(requested.requestedAt) > aheadTimeout || !c.stillNeeded(k.Copy, capacities, now):
+		c.withdrawAhead(k, state)
+	default:
+		state.placer.RequestAhead(k.Copy, c.usesOfOneCopy(k.Copy, now), now)
+	}
+}
+
 // stillNeeded reports whether all copies that are held or requested are needed.
 func (c *controller) stillNeeded(copied placer.Copy, capacities map[string]forecaster.Capacity, now time.Time) bool {
 	return c.ahead.forecaster.Needed(copied, capacities[copied.Model], now) >= c.ahead.requests[copied].Held
