--- a/internal/instance/gatekeeper/ahead_load_test.go
+++ b/internal/instance/gatekeeper/ahead_load_test.go
@@ -90,17 +90,15 @@
 	before, after := playChangingLoads(t, configurer.Off), playChangingLoads(t, configurer.On)
 	t.Logf("without copies ahead of demand: %+v", before)
 	t.Logf("with them: %+v", after)
-	soon := 0
+	var total time.Duration
 	for _, d := range after.enough {
-		if d <= 1500*time.Millisecond {
-			soon++
-		}
+		total += d
 	}
-	if 5*soon < 3*len(after.enough) {
-		t.Errorf("after %d of %d changes there were %d copies within 1.5 s", soon, len(after.enough), enoughCopies)
+	if mean := total / time.Duration(len(after.enough)); mean > 1500*time.Millisecond {
+		t.Errorf("there were %d copies %s after a change on average", enoughCopies, mean)
 	}
 	seeds := float64(len(popularSeeds))
-	if late, lateBefore := 1-after.popular/seeds, 1-before.popular/seeds; late > 0.15 || late > lateBefore/2 {
+	if late, lateBefore := 1-after.popular/seeds, 1-before.popular/seeds; late > 0.1 || late > lateBefore/3 {
 		t.Errorf("%.3f of the requests for the most popular adapter are late, %.3f without copies ahead of demand", late, lateBefore)
 	}
 	if after.all < before.all {
