Queue prompts at the leader in the order of urgency and account

Where load.order is on, an instance asks the leader of a runner's domain with an Enqueue instead of a Reserve. The leader grants prompts by priority, within it by account, and refuses at once what cannot start in time. Without an answer of a leader an instance keeps a queue for its own requests.

--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -54,7 +54,7 @@
 	placer          *placer.Placer // nil while this instance sends no orders, and for a plain service
 	callInFlight    bool           // an order or a report request is in flight
 	reportRequested time.Time      // when the last report was requested
-	prefillQueue    admitter.PrefillSchedule
+	prefillQueue    admissionQueue
 	slots           tracker.RequestSlots // request slots of a plain service
 	published       map[placer.Copy]time.Time
 	publishedWait   time.Duration // for an adapter slot, as last published
--- a/internal/instance/gatekeeper/demand.go
+++ b/internal/instance/gatekeeper/demand.go
@@ -52,6 +52,7 @@
 		c.firstReportAt = now
 	}
 	c.aggregator.Report(from, summedReport(demand), now)
+	c.confirmGrants(from, now)
 	if from != c.gatekeeper.Config.ID && reportsResponse(demand) {
 		c.partition.respondedElsewhere = now
 	}
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -107,6 +107,7 @@
 	crashes    crashChecks
 	quarantine quarantine
 	quotas     quotas
+	fallback   fallbackQueues
 }
 
 // An adapterKey identifies an adapter without its version.
@@ -121,6 +122,9 @@
 	g.setViews()
 	g.registerAgeGauges()
 	g.registerUpdateGauges()
+	if g.ordersPrompts() {
+		g.registerAdmissionGauges()
+	}
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var loops sync.WaitGroup
--- a/internal/instance/gatekeeper/publish.go
+++ b/internal/instance/gatekeeper/publish.go
@@ -34,6 +34,12 @@
 
 func (g *Gatekeeper) handle(ctx context.Context, from heartbeater.Instance, m relayer.Message, reply responder) error {
 	switch m := m.(type) {
+	case relayer.Enqueue:
+		c, err := g.ledController(m.Domain)
+		if err != nil {
+			return err
+		}
+		return c.answerEnqueue(ctx, from.ID, m, reply)
 	case relayer.Reserve:
 		c, err := g.ledController(m.Domain)
 		if err != nil {
--- a/internal/instance/gatekeeper/reserve.go
+++ b/internal/instance/gatekeeper/reserve.go
@@ -17,6 +17,9 @@
 
 // Reserve implements forwarder.Placement.
 func (g *Gatekeeper) Reserve(ctx context.Context, request forwarder.ReserveRequest) (reservation forwarder.Reservation, refused *judge.Error, ok bool) {
+	if g.ordersPrompts() {
+		return g.enqueue(ctx, request)
+	}
 	l, found := g.linkOf(request.Runner)
 	if !found {
 		return forwarder.Reservation{}, nil, false
@@ -51,12 +54,12 @@
 func (g *Gatekeeper) reservation(request forwarder.ReserveRequest, reserved relayer.Reserved, err error) (forwarder.Reservation, *judge.Error, bool) {
 	if err == nil {
 		if !reserved.Absent {
-			g.Fleet.SetPrefillBacklog(request.Runner, reserved.PrefillBacklog)
+			g.Fleet.SetPrefillBacklog(request.Runner, 0, reserved.PrefillBacklog)
 		}
 		return forwarder.Reservation{Absent: reserved.Absent, Delay: reserved.Delay}, nil, true
 	}
 	if refused := capacityRefusal(err); refused != nil {
-		g.Fleet.SetPrefillBacklog(request.Runner, request.Timeout+refused.RetryAfter)
+		g.Fleet.SetPrefillBacklog(request.Runner, 0, request.Timeout+refused.RetryAfter)
 		return forwarder.Reservation{}, refused, true
 	}
 	return forwarder.Reservation{}, nil, false
--- a/internal/member/aggregator/aggregator.go
+++ b/internal/member/aggregator/aggregator.go
@@ -117,6 +117,15 @@
 	return others
 }
 
+// LoadExcept returns the load of one runner from all members but one.
+func (a *Aggregator) LoadExcept(except, runner string) tracker.Load {
+	load := a.loads[runner]
+	if m, ok := a.members[except]; ok {
+		load = load.Minus(m.lastReport.Loads[runner])
+	}
+	return load
+}
+
 // Uses returns how many requests use a copy, which must not be evicted meanwhile.
 func (a *Aggregator) Uses(k Key) int { return a.uses[k] }
 
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -187,7 +187,7 @@
 var kinds = []Message{
 	1: Ask{}, 2: Beat{}, 3: Cancel{}, 4: Data{}, 5: End{}, 6: Fail{}, 7: Fetch{},
 	8: Grant{}, 9: Head{}, 10: Hello{}, 11: Inquire{}, 12: Surrendered{}, 13: Told{}, 14: Yield{},
-	15: Commit{}, 16: Committed{}, 17: Permit{}, 18: Granted{}, 19: Preload{}, 20: Demand{}, 21: News{}, 22: Subscribe{}, 23: Reserve{}, 24: Reserved{}, 25: Crashes{}, 26: Settle{}, 27: Settled{}, 28: Place{}, 29: Placed{}, 30: Take{}, 31: Taken{}, 32: Notice{}, 33: Noticed{},
+	15: Commit{}, 16: Committed{}, 17: Permit{}, 18: Granted{}, 19: Preload{}, 20: Demand{}, 21: News{}, 22: Subscribe{}, 23: Reserve{}, 24: Reserved{}, 25: Crashes{}, 26: Settle{}, 27: Settled{}, 28: Place{}, 29: Placed{}, 30: Take{}, 31: Taken{}, 32: Notice{}, 33: Noticed{}, 34: Enqueue{}, 35: Queued{},
 }
 
 // kindNumbers is the inverse of kinds.
--- a/internal/request/admitter/schedule.go
+++ b/internal/request/admitter/schedule.go
@@ -30,30 +30,47 @@
 // one such gap; the rest is for the tokens of an event.
 const burstFraction = 0.6
 
+// Add records that a prompt is sent to the runner at a time.
+func (s *PrefillSchedule) Add(p Prompt, sent time.Time) {
+	if s.busyUntil.Before(sent) {
+		s.busyUntil = sent
+	}
+	s.busyUntil = s.busyUntil.Add(p.PrefillTime)
+	if s.pacedUntil.Before(sent) {
+		s.pacedUntil = sent
+	}
+	s.pacedUntil = s.pacedUntil.Add(time.Duration(float64(p.PrefillTime) / p.share()))
+}
+
+// Delay returns how long to delay a prompt so that the requests running there tolerate its
+// prefill and a slot is free, whatever its time limit.
+func (s *PrefillSchedule) Delay(p Prompt, now time.Time) time.Duration {
+	if p.MaxGap == 0 {
+		return p.SlotWait
+	}
+	ahead := max(0, s.pacedUntil.Sub(now)) // limited first: the zero time is long ago
+	return max(p.SlotWait, ahead-time.Duration(burstFraction*p.share()*float64(p.MaxGap)))
+}
+
 // Reserve returns how long to delay the request. If its prefill would be late, ok is false,
 // nothing is reserved, and wait is by how much it would be late.
 func (s *PrefillSchedule) Reserve(p Prompt, now time.Time) (wait time.Duration, ok bool) {
-	share := p.Share
-	if share == 0 {
-		share = initialShare
-	}
-	wait = p.SlotWait
-	if p.MaxGap > 0 {
-		ahead := max(0, s.pacedUntil.Sub(now)) // limited first: the zero time is long ago
-		wait = max(wait, ahead-time.Duration(burstFraction*share*float64(p.MaxGap)))
-	}
+	wait = s.Delay(p, now)
 	before := max(wait, s.busyUntil.Sub(now))
 	if late := before + p.PrefillTime - p.Timeout; late > 0 {
 		return late, false
 	}
-	sent := now.Add(wait)
-	s.busyUntil = now.Add(before + p.PrefillTime)
-	if s.pacedUntil.Before(sent) {
-		s.pacedUntil = sent
-	}
-	s.pacedUntil = s.pacedUntil.Add(time.Duration(float64(p.PrefillTime) / share))
+	s.Add(p, now.Add(wait))
 	return wait, true
 }
 
+// share returns the share of the prompt, or the initial one if it is unknown.
+func (p *Prompt) share() float64 {
+	if p.Share == 0 {
+		return initialShare
+	}
+	return p.Share
+}
+
 // Backlog returns how long the prefill of the reserved prompts still takes.
 func (s *PrefillSchedule) Backlog(now time.Time) time.Duration { return max(0, s.busyUntil.Sub(now)) }
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -64,7 +64,11 @@
 		if refused == nil {
 			refused = x.quarantined() // quarantined while the request was delayed
 		}
-		if refused == nil || refused.Reason != judge.ReasonQueue || len(x.fullRunners) >= maxFullRunners {
+		if refused == nil || refused.Reason != judge.ReasonQueue {
+			return runner, refused
+		}
+		refused = x.soonestFull(refused)
+		if len(x.fullRunners) >= maxFullRunners {
 			return runner, refused
 		}
 		x.fullRunners[runner.ID] = true
@@ -102,10 +106,20 @@
 	if r.Engine == nil || x.headSent {
 		return true, nil
 	}
+	began := time.Now()
 	reservation, refused, ok := x.Placement.Reserve(ctx, ReserveRequest{
-		Copy: r.Copy, Runner: runner.ID, Tokens: r.Tokens, MaxGap: x.request.Route.MaxGap, Timeout: x.prefillTimeout(time.Now()),
+		Account: r.Account, Copy: r.Copy, Priority: r.Priority, Runner: runner.ID, Tokens: r.Tokens, MaxGap: x.request.Route.MaxGap, Timeout: x.prefillTimeout(time.Now()),
+		OnQueued: func(wait time.Duration) {
+			x.queueWait = wait
+			x.requestSpareCopy(terms, wait)
+		},
 	})
+	if x.Ordered {
+		x.queued += time.Since(began)
+	}
 	switch {
+	case x.Ordered && ctx.Err() != nil:
+		return true, x.contextError(ctx) // it ended while the request waited for its turn
 	case !ok:
 		return true, nil
 	case refused != nil:
@@ -135,11 +149,20 @@
 func (x *exchange) prefillTimeout(now time.Time) time.Duration {
 	left := x.queueLimit() - now.Sub(x.request.Arrived) - x.Fleet.BaseLatency(x.request.Service)
 	if x.adapterWait > 0 && left < x.queueLimit()/2 || x.delivered > 0 {
-		return x.queueLimit()
+		return x.queueLimit() - x.queued
 	}
 	return left
 }
 
+// soonestFull returns the refusal to pass on after a further runner has refused the request.
+// Where Retry-After states when the backlog of a runner drains, that of the first one counts.
+func (x *exchange) soonestFull(refused *judge.Error) *judge.Error {
+	if !x.Ordered {
+		return refused
+	}
+	return soonerRetry(x.lastFull, refused)
+}
+
 func (x *exchange) prefillLimit() time.Duration {
 	return time.Duration(prefillGapFraction * float64(x.request.Route.MaxGap))
 }
@@ -161,7 +184,7 @@
 	r := x.request
 	return tracker.Demand{
 		LoadingRunner: x.loadRunner, Copy: r.Copy, MaxPrefill: x.prefillLimit(), Refused: x.fullRunners, LoadTime: x.LoadTime(), ReloadTime: x.ReloadTime(), Service: r.Service, Tokens: r.Tokens,
-		Excluded: tried,
+		Excluded: tried, Ordered: x.Ordered, Priority: r.Priority,
 	}
 }
 
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	LoadTime          func() time.Duration            // expected time of an adapter load from the weight store
 	NewestVersion     func(model, adapter string) int // adapter version that new executions use
 	RetriesPerRequest float64                         // retries allowed per request
+	Ordered           bool                            // the Placement and the runners serve more urgent requests first
 	Placement         Placement
 	Quarantine        Quarantine
 	Recorder          *recorder.Recorder
@@ -54,6 +55,7 @@
 	loadRunner   string             // where the adapter load was requested
 	lastRunner   string             // of the last attempt
 	queueWait    time.Duration      // estimated wait at that runner
+	queued       time.Duration      // spent waiting for a turn at runners
 	lastEventID  int                // of the last event passed to the caller
 	headSent     bool               // the caller has received a response head
 	delivered    int                // attempts that reached a runner
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -98,7 +98,8 @@
 	RequestSpareCopy(runner string, c placer.Copy)
 	// Reserve reserves prefill capacity at a runner that holds what the request needs. It
 	// returns how long to delay the request, or a refusal. ok is false if no instance can
-	// grant a reservation.
+	// grant a reservation. Where prompts are ordered, it returns when it is the turn of the
+	// request, or ctx has ended.
 	Reserve(ctx context.Context, request ReserveRequest) (reservation Reservation, refused *judge.Error, ok bool)
 	// AcquireSlot acquires a request slot at a runner of a plain service. It returns how
 	// long the request waits there, or a refusal with the time by which that wait is too
@@ -123,11 +124,14 @@
 
 // A ReserveRequest is a request for prefill capacity at a runner.
 type ReserveRequest struct {
-	Copy    placer.Copy
-	Runner  string
-	Tokens  int           // of the prompt
-	MaxGap  time.Duration // maximum gap between events of the requests running there
-	Timeout time.Duration // within which the prompt has to be prefilled
+	Account  string // of the caller; empty for none
+	Copy     placer.Copy
+	OnQueued func(wait time.Duration) // called if the request has to wait for its turn, with the expected time
+	Priority int                      // 0 is the most urgent
+	Runner   string
+	Tokens   int           // of the prompt
+	MaxGap   time.Duration // maximum gap between events of the requests running there
+	Timeout  time.Duration // within which the prompt has to be prefilled
 }
 
 // A RequestSlot is a request slot at a runner of a plain service. It is held until it is
--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -16,6 +16,8 @@
 	Refused       map[string]bool // runners that have refused it for lack of capacity
 	LoadTime      time.Duration   // time to load an adapter from the weight store
 	ReloadTime    time.Duration   // time to load an adapter that the runner held before
+	Ordered       bool            // the leaders and the runners serve more urgent requests first
+	Priority      int             // 0 is the most urgent
 	Service       string
 	Tokens        int             // length of the prompt
 	Excluded      map[string]bool // runners that are excluded
@@ -128,7 +130,7 @@
 func (f *Fleet) backlog(s *runnerState, d Demand) time.Duration {
 	m := f.latency(d.Service)
 	load := s.ownLoad.Plus(s.otherLoad)
-	wait := max(float64(load.PrefillTokens)*m.prefill, time.Until(s.prefillUntil).Seconds()) + s.requestSlotWait(m)
+	wait := max(float64(load.PrefillTokens)*m.prefill, s.prefillWait(d.Priority).Seconds()) + s.slotWaitOf(d, m)
 	if d.Copy == (placer.Copy{}) && s.Slots > 0 {
 		// Concurrent requests to a plain service (one without adapters) share
 		// the processor of the runner and slow each other down before any queues.
@@ -174,16 +176,6 @@
 	return m.base, m.prefill
 }
 
-// SetPrefillBacklog records the remaining prefill time of a runner, as reported by its
-// leader.
-func (f *Fleet) SetPrefillBacklog(id string, backlog time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s, ok := f.runners[id]; ok {
-		s.prefillUntil = time.Now().Add(backlog)
-	}
-}
-
 // BaseLatency returns the estimated time to the first token of a short prompt on an idle
 // runner.
 func (f *Fleet) BaseLatency(service string) time.Duration {
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -46,7 +46,7 @@
 	ownLoad         Load                          // from this instance
 	suspendedUntil  time.Time                     // until when it gets no new requests
 	connectFailures int                           // consecutive connection failures
-	prefillUntil    time.Time                     // end of the prefill known to its leader, as last reported
+	prefillUntil    prefillEnds                   // end of the prefill known to its leader, as last reported
 	adapterSlotWait time.Duration                 // wait for an adapter slot of a copy that it does not hold, as last reported
 	heldReported    bool                          // whether held was reported by the leader of its failure domain
 }
--- a/internal/wire/recorder/recorder.go
+++ b/internal/wire/recorder/recorder.go
@@ -17,6 +17,7 @@
 
 // The kinds.
 const (
+	Admission Kind = "admission" // a prompt that was refused or displaced in the queue of a runner
 	Completed Kind = "answered"  // a request that received its complete response
 	View      Kind = "belief"    // a change in this process's view of the system
 	Config    Kind = "config"    // a configuration version that was put in force
@@ -30,7 +31,7 @@
 // rateLimits limits the lines per second of each kind. At about 250 bytes a line
 // their sum stays below 100 KB/s, while up to 100 failures a second are logged.
 var rateLimits = map[Kind]float64{
-	Completed: 20, View: 50, Config: 20, Failed: 100, Lifecycle: 50, Order: 100, Retry: 50, Suspect: 50,
+	Admission: 30, Completed: 20, View: 50, Config: 20, Failed: 100, Lifecycle: 50, Order: 100, Retry: 50, Suspect: 50,
 }
 
 // queueSize is how many lines are buffered while the log reader is slow.
