--- a/internal/request/scheduler/entry.go
+++ b/internal/request/scheduler/entry.go
@@ -54,7 +54,7 @@
 	startBy   time.Time // after which it is refused
 
 	// The place of the entry in the order, set by Queue.sort.
-	aged   bool    // ordered with the next more urgent priority
+	aged   bool    // ordered with a more urgent priority
 	class  int     // index of the priority that it is ordered with
 	ownTag float64 // tag of its account in its own priority
 	tag    float64 // tag within class
@@ -64,6 +64,22 @@
 	wait   time.Duration
 }
 
+// steps returns by how many steps the entry has become more urgent.
+func (w *waiting) steps(now time.Time) int {
+	for steps := w.level(); steps > 0; steps-- {
+		if now.After(w.agedAt(steps)) {
+			return steps
+		}
+	}
+	return 0
+}
+
+// agedAt returns when the entry becomes more urgent by a number of steps: one after half of its
+// time limit, another one after half of what is left, and so on.
+func (w *waiting) agedAt(steps int) time.Time {
+	return w.startBy.Add(-w.startBy.Sub(w.offeredAt) >> steps)
+}
+
 // byAccount orders entries by priority, account, and the time at which they must start.
 func byAccount(a, b *waiting) int {
 	if d := cmp.Or(a.level()-b.level(), cmp.Compare(a.Account, b.Account)); d != 0 {
@@ -72,6 +88,15 @@
 	return byStart(a, b)
 }
 
+// byLevel orders entries by the priority that they are ordered with, and by their own priority
+// and the tags in it.
+func byLevel(a, b *waiting) int {
+	if d := cmp.Or(a.class-b.class, a.level()-b.level(), cmp.Compare(a.ownTag, b.ownTag)); d != 0 {
+		return d
+	}
+	return byStart(a, b)
+}
+
 func byStart(a, b *waiting) int {
 	return cmp.Or(a.startBy.Compare(b.startBy), cmp.Compare(a.id, b.id))
 }
--- a/internal/request/scheduler/queue.go
+++ b/internal/request/scheduler/queue.go
@@ -27,9 +27,6 @@
 	// Capacity is the maximum number of waiting entries. A runner prefills about fifty prompts
 	// within the longest latency targets (2 s), so more would be refused for their time.
 	Capacity = 256
-	// agedFraction is the fraction of its time limit after which an entry counts as one step
-	// more urgent, so that more urgent ones do not starve it.
-	agedFraction = 0.5
 	// grantLifetime is how long a grant may be missing in the reports on which Slots is
 	// based: members report each 150 ms, relayed reports take twice as long.
 	grantLifetime = 300 * time.Millisecond
@@ -139,9 +136,7 @@
 	}
 	q.lastID++
 	id := q.lastID
-	q.entries = append(q.entries, &waiting{Entry: e, id: id, offeredAt: now, startBy: now.Add(e.startLimit())})
-	q.sort(now)
-	q.project(id, now)
+	q.entries = append(q.entries, &waiting{Entry: e, id: id, inTime: true, offeredAt: now, startBy: now.Add(e.startLimit())})
 	return q.decide(id, now)
 }
 
@@ -196,23 +191,28 @@
 
 // decide removes the entries that would start too late, and answers the offer of one.
 func (q *Queue) decide(id ID, now time.Time) (Answer, []Removal) {
-	offered := q.entries[q.index(id)]
+	offered := q.entries[len(q.entries)-1]
 	var displaced []Removal
-	q.entries = slices.DeleteFunc(q.entries, func(w *waiting) bool {
-		if w.inTime {
-			return false
-		}
-		if w.id != id {
-			displaced = append(displaced, q.removal(w, now))
-		}
-		return true
-	})
+	for late := true; late; {
+		q.sort(now)
+		q.project(offered, now)
+		late = false
+		q.entries = slices.DeleteFunc(q.entries, func(w *waiting) bool {
+			if w.inTime || !offered.inTime && w != offered {
+				return false
+			}
+			if w != offered {
+				displaced = append(displaced, q.removal(w, now))
+				late = true // without it the order of the others may change
+			}
+			return true
+		})
+	}
 	if len(q.entries) > Capacity {
 		last := q.entries[len(q.entries)-1]
 		q.entries = q.entries[:len(q.entries)-1]
-		if last.id == id {
-			offered.inTime = false
-		} else {
+		last.inTime = false
+		if last != offered {
 			displaced = append(displaced, q.removal(last, now))
 		}
 	}
@@ -255,17 +255,28 @@
 
 // project computes when each entry starts in the current order. Entries that are late because
 // another one was offered are left out for those after them.
-func (q *Queue) project(offered ID, now time.Time) {
+//
+// The first entry of each less urgent priority counts as in time if it is when it has become
+// as urgent as any. Without this, a backlog of more urgent entries would displace all others
+// before they become more urgent.
+func (q *Queue) project(offered *waiting, now time.Time) {
 	schedule, ahead, wait, after := q.PrefillSchedule, 0, time.Duration(0), false
-	for i := range q.entries {
-		w := q.entries[i]
-		after = after || w.id == offered
+	var seen [Levels]bool
+	for i, w := range q.entries {
+		after = after || w == offered
 		w.wait = max(wait, q.delay(schedule, w.paced(), ahead, now))
 		w.inTime = !after || !now.Add(w.wait).After(w.startBy)
+		if level := w.level(); !seen[level] {
+			seen[level] = true
+			if aged := max(q.entries[0].wait, w.agedAt(level).Sub(now)); i > 0 && level > 0 && aged < w.wait {
+				w.wait = aged
+				w.inTime = w.inTime || !now.Add(aged).After(w.startBy)
+			}
+		}
 		if !w.inTime {
 			continue
 		}
-		wait = w.wait
+		wait = max(wait, w.wait)
 		schedule.Add(w.paced(), now.Add(wait))
 		ahead++
 	}
@@ -288,7 +299,7 @@
 	tokens := w.tokens()
 	q.classes[w.level()].serve(w.Account, w.ownTag, tokens)
 	if w.aged {
-		q.classes[w.class].serveAged(w.tag, tokens)
+		q.classes[w.class].serveAged(w.level(), w.tag, tokens)
 	}
 }
 
@@ -309,21 +320,19 @@
 		}
 		w.ownTag, w.tag, w.class = tag, tag, w.level()
 		tag += w.tokens()
-		w.aged = w.class > 0 && now.Sub(w.offeredAt) > time.Duration(agedFraction*float64(w.startBy.Sub(w.offeredAt)))
-		if w.aged {
-			w.class--
-		}
+		w.class -= w.steps(now)
+		w.aged = w.class < w.level()
 	}
-	slices.SortFunc(q.entries, byTag)
-	var next [Levels]float64
-	for class := range next {
-		next[class] = max(q.classes[class].now, q.classes[class].aged)
-	}
-	for _, w := range q.entries {
-		if w.aged {
-			w.tag = next[w.class]
-			next[w.class] += agedCost * w.tokens()
+	slices.SortFunc(q.entries, byLevel)
+	for i, w := range q.entries {
+		if !w.aged {
+			continue
+		}
+		if i == 0 || q.entries[i-1].class != w.class || q.entries[i-1].level() != w.level() {
+			tag = q.classes[w.class].agedTag(w.level())
 		}
+		w.tag = tag
+		tag += agedCost * w.tokens()
 	}
 	slices.SortFunc(q.entries, byTag)
 }
--- a/internal/request/scheduler/queue_test.go
+++ b/internal/request/scheduler/queue_test.go
@@ -1,14 +1,140 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/sardinetiller/sardinetiller/internal/request/admitter"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// prompt returns an entry whose prefill takes a time and has to be done within a limit.
+func prompt(account string, priority int, prefill, limit time.Duration) Entry {
+	return Entry{Account: account, Priority: priority, Reporter: "front-1", Tokens: int(prefill / (20 * time.Microsecond)), Prompt: admitter.Prompt{PrefillTime: prefill, Share: 1, Timeout: limit}}
+}
+
+// drain returns the accounts of the waiting entries in the order in which they are granted.
+func drain(q *Queue, now time.Time) (order []string) {
+	for ; q.Len() > 0; now = now.Add(time.Millisecond) {
+		granted, _, _ := q.Next(now)
+		for _, g := range granted {
+			order = append(order, g.Account)
+		}
+	}
+	return order
+}
+
+func ExampleQueue() {
+	var q Queue
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	offer := func(account string, priority int, limit time.Duration) {
+		answer, displaced := q.Offer(prompt(account, priority, 80*time.Millisecond, limit), now)
+		fmt.Println(account, answer.Decision, answer.Wait, answer.Retry, len(displaced))
+	}
+	offer("first", 1, time.Second)  // granted
+	offer("second", 1, time.Second) // granted: the runner may have a little work ahead
+	offer("third", 1, 200*time.Millisecond)
+	offer("fourth", 1, 250*time.Millisecond)
+	offer("late", 1, 120*time.Millisecond)   // refused, with the time until the others are prefilled
+	offer("urgent", 0, 200*time.Millisecond) // displaces the fourth
+	// Output:
+	// first 0 0s 0s 0
+	// second 0 0s 0s 0
+	// third 1 60ms 0s 0
+	// fourth 1 140ms 0s 0
+	// late 2 60ms 320ms 0
+	// urgent 1 60ms 0s 1
+}
+
+// An account has sent ten prompts and another one joins. Guards against the first account being
+// served for all of its prompts before the second one.
+func TestAccountsTakeTurns(t *testing.T) {
+	q := Queue{}
+	q.Offer(prompt("busy", 0, 200*time.Millisecond, time.Minute), start)
+	for range 4 {
+		q.Offer(prompt("busy", 0, 20*time.Millisecond, time.Minute), start)
+	}
+	for range 3 {
+		q.Offer(prompt("quiet", 0, 20*time.Millisecond, time.Minute), start)
+	}
+	q.Offer(prompt("urgent", -1, 20*time.Millisecond, time.Second), start)
+	if diff := cmp.Diff([]string{"urgent", "quiet", "quiet", "quiet", "busy", "busy", "busy", "busy"}, drain(&q, start)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A prompt that takes longer to prefill than its limit comes to an idle runner, and then to one
+// that is busy for a while and one that is busy for long. Guards against prompts that are
+// refused whenever they are sent.
+func TestLongPromptIsJudgedByItsStart(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		busy time.Duration
+		want Decision
+	}{{"idle", 0, Granted}, {"busy for a while", 200 * time.Millisecond, Queued}, {"busy for long", 300 * time.Millisecond, Refused}} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := Queue{}
+			q.Offer(prompt("a", 0, tc.busy, time.Minute), start)
+			answer, _ := q.Offer(prompt("b", 0, 600*time.Millisecond, 450*time.Millisecond), start)
+			if answer.Decision != tc.want {
+				t.Errorf("got %+v, want decision %d", answer, tc.want)
+			}
+		})
+	}
+}
+
+// All 16 slots of a runner are in use according to reports that are up to 300 ms old. Guards
+// against more grants between two reports than slots become free.
+func TestGrantsCountUntilTheyAreReported(t *testing.T) {
+	q := Queue{Slots: Slots{Reported: 12, RunTime: 600 * time.Millisecond, Total: 16}}
+	grants := func(now time.Time) int {
+		n := 0
+		for ; n < 20; n++ {
+			if answer, _ := q.Offer(prompt("a", 0, time.Millisecond, 30*time.Millisecond), now); answer.Decision != Granted {
+				break
+			}
+		}
+		q.Clear(now)
+		return n
+	}
+	at := start
+	got := []int{grants(at)}
+	at = at.Add(250 * time.Millisecond)
+	got = append(got, grants(at))
+	q.Reported("front-1", at.Add(10*time.Millisecond)) // includes the first ones
+	q.Slots.Reported = 15
+	got = append(got, grants(at))
+	at = at.Add(301 * time.Millisecond) // the reports are older than any grant
+	got = append(got, grants(at))
+	if diff := cmp.Diff([]int{5, 0, 2, 2}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A refused caller returns after the time that it was told. Guards against a return before the
+// backlog of its priority has drained, and against one that counts less urgent prompts.
+func TestRetryIsWhenTheBacklogOfThePriorityDrains(t *testing.T) {
+	fill := func() *Queue {
+		q := &Queue{}
+		q.Offer(prompt("a", 0, 200*time.Millisecond, time.Minute), start)
+		for _, priority := range []int{0, 0, 1, 1, 1, 2} {
+			q.Offer(prompt("a", priority, 50*time.Millisecond, time.Minute), start)
+		}
+		return q
+	}
+	for priority, want := range []time.Duration{300 * time.Millisecond, 450 * time.Millisecond, 500 * time.Millisecond} {
+		q := fill()
+		answer, displaced := q.Offer(prompt("b", priority, 50*time.Millisecond, 40*time.Millisecond), start)
+		if diff := cmp.Diff(want, answer.Retry.Round(time.Millisecond)); answer.Decision != Refused || diff != "" || len(displaced) > 0 {
+			t.Errorf("priority %d: %+v, %d displaced: %s", priority, answer, len(displaced), diff)
+		}
+	}
+}
+
 // A request that finds room must not cost more than the question itself.
 func BenchmarkOfferWithRoom(b *testing.B) {
 	q := Queue{Slots: Slots{Reported: 4, RunTime: 600 * time.Millisecond, Total: 16, ReportAge: 75 * time.Millisecond}}
--- a/internal/request/scheduler/turns.go
+++ b/internal/request/scheduler/turns.go
@@ -6,17 +6,19 @@
 // no claim to turns that it did not use. The zero value is ready.
 type turns struct {
 	accounts map[string]float64 // tag of the next prompt of each account that is ahead of now
-	aged     float64            // the same of the prompts of the next less urgent priority
+	aged     [Levels]float64    // the same of the prompts of each less urgent priority
 	now      float64            // highest tag that was served
 }
 
 const (
-	// agedCost is how many times its tokens an entry costs in the priority above its own. All
-	// such entries together take turns with the accounts there as if they were one account:
-	// with one account there, they get a fifth of the tokens. If each took the turns of its own
-	// account, a backlog of less urgent requests, of which half are past half of their limit,
-	// would take half of the tokens from the more urgent ones.
-	agedCost = 4
+	// agedCost is how many times its tokens an entry costs in a priority above its own. All such
+	// entries of a priority together take turns with the accounts there as if they were one
+	// account: with one account there, they get a ninth of the tokens. If each took the turns of
+	// its own account, a backlog of less urgent requests, of which half are past half of their
+	// limit, would take half of the tokens from the more urgent ones. In the load test with a
+	// quarter of the runners gone, 0.929 of the urgent requests were in time with 4, 0.961 with 8
+	// and 0.978 with 16; of the others, 0.74, 0.70 and 0.68.
+	agedCost = 8
 	// maxAccounts limits the accounts whose tags are kept.
 	maxAccounts = 1024
 )
@@ -36,10 +38,13 @@
 	t.accounts[account] = tag + tokens
 }
 
-// serveAged records that an entry of the next less urgent priority was served.
-func (t *turns) serveAged(tag, tokens float64) {
+// agedTag returns the tag of the next entry of a less urgent priority.
+func (t *turns) agedTag(level int) float64 { return max(t.now, t.aged[level]) }
+
+// serveAged records that an entry of a less urgent priority was served.
+func (t *turns) serveAged(level int, tag, tokens float64) {
 	t.now = max(t.now, tag)
-	t.aged = tag + agedCost*tokens
+	t.aged[level] = tag + agedCost*tokens
 }
 
 // forget drops the accounts that are not ahead, or all if each is.
