--- a/internal/instance/gatekeeper/simulation_test.go
+++ b/internal/instance/gatekeeper/simulation_test.go
@@ -14,6 +14,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/member/elector"
 	"github.com/sardinetiller/sardinetiller/internal/member/heartbeater"
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
 	"github.com/sardinetiller/sardinetiller/internal/wire/pooler"
@@ -28,6 +29,7 @@
 	domains []string
 	store   *feedStore
 	log     *simLog
+	load    configurer.Load // settings of instances that start
 
 	mu            sync.Mutex
 	instances     []*member
@@ -174,6 +176,7 @@
 	g.Store, g.Decoder, g.Peers = m.store, simDecoder{}, simPeers{m}
 	g.Recorder.Instance, g.Recorder.Out = m.id, m.sim.log
 	g.Config.Bounds.Quota = quotaWindow
+	g.Config.Load = m.sim.load
 	g.init()
 	g.setViews()
 	ctx, stop := context.WithCancel(context.Background())
