--- a/internal/instance/gatekeeper/admission.go
+++ b/internal/instance/gatekeeper/admission.go
@@ -1,7 +1,6 @@
 package gatekeeper
 
 import (
-	"cmp"
 	"fmt"
 	"sync"
 	"time"
@@ -129,9 +128,9 @@
 
 // refuse refuses an entry that was removed from the queue.
 func (a *admissionQueue) refuse(o queueOwner, r *scheduler.Removal, decision string) {
-	o.gatekeeper.logAdmission(o.runner, decision, &r.Entry, r.Wait, r.Waited, r.Backlog)
-	refused := judge.Refuse(judge.ReasonQueue, "more urgent prompts go first there, for %s", cmp.Or(r.Wait, r.Backlog).Round(time.Millisecond))
-	a.answer(r.ID, admission{err: refused.WithRetryAfter(r.Backlog)})
+	o.gatekeeper.logAdmission(o.runner, decision, &r.Entry, r.Wait, r.Waited, r.Retry)
+	refused := judge.Refuse(judge.ReasonQueue, "after %s the turn of a prompt there comes in another %s", r.Waited.Round(time.Millisecond), r.Wait.Round(time.Millisecond))
+	a.answer(r.ID, admission{err: refused.WithRetryAfter(r.Retry)})
 }
 
 func (a *admissionQueue) answer(id scheduler.ID, result admission) {
--- a/internal/request/scheduler/queue.go
+++ b/internal/request/scheduler/queue.go
@@ -65,6 +65,7 @@
 	Backlog time.Duration // until the prompts that go before another one of the priority are prefilled
 	ID      ID
 	Late    bool          // its time limit passed; otherwise more urgent entries displaced it
+	Retry   time.Duration // of a refused one: time until the backlog of its priority has drained
 	Wait    time.Duration // expected until it would have started
 	Waited  time.Duration
 }
@@ -124,8 +125,7 @@
 func (q *Queue) Offer(e Entry, now time.Time) (Answer, []Removal) {
 	q.forgetGrants(now)
 	if e.startLimit() < 0 {
-		backlog := q.backlog(e.level(), now)
-		return Answer{Backlog: backlog, Decision: Refused, Retry: backlog}, nil
+		return Answer{Backlog: q.backlog(e.level(), now), Decision: Refused, Retry: q.drain(e.level(), now)}, nil
 	}
 	if len(q.entries) == 0 && q.delay(q.PrefillSchedule, e.paced(), 0, now) <= 0 {
 		level, tokens := e.level(), e.tokens()
@@ -220,7 +220,7 @@
 	answer := Answer{Wait: offered.wait}
 	switch {
 	case !offered.inTime:
-		answer.Decision, answer.Retry = Refused, q.backlog(offered.level(), now)
+		answer.Decision, answer.Retry = Refused, q.drain(offered.level(), now)
 	case offered.wait <= 0 && q.entries[0].id == id:
 		q.serve(offered)
 		q.send(&offered.Entry, now)
@@ -238,6 +238,12 @@
 	return max(schedule.Delay(p, now), schedule.Backlog(now)-sendAhead)
 }
 
+// drain returns how long it takes until the backlog of the priority has drained and a slot is
+// free.
+func (q *Queue) drain(priority int, now time.Time) time.Duration {
+	return max(q.backlog(priority, now), q.Slots.wait(q.Slots.occupied(len(q.granted))))
+}
+
 // forgetGrants drops the grants that all reports include.
 func (q *Queue) forgetGrants(now time.Time) {
 	old := 0
@@ -305,7 +311,8 @@
 
 func (q *Queue) setBacklogs(removed []Removal, now time.Time) {
 	for i := range removed {
-		removed[i].Backlog = q.backlog(removed[i].level(), now)
+		r := &removed[i]
+		r.Backlog, r.Retry = q.backlog(r.level(), now), q.drain(r.level(), now)
 	}
 }
 
--- a/internal/upstream/tracker/fleet_test.go
+++ b/internal/upstream/tracker/fleet_test.go
@@ -216,3 +216,31 @@
 		}
 	})
 }
+
+// The leader reports the backlog of a runner for one priority. Guards against more urgent
+// requests that avoid the runner because of it, and less urgent ones that do not.
+func TestPrefillBacklogByPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &tracker.Fleet{Domain: "a"}
+		f.Set(tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Slots: 8, Revision: 1})
+		backlogs := func() (waits []time.Duration) {
+			for priority := range 5 {
+				waits = append(waits, f.Candidates(tracker.Demand{Copy: placer.Copy{Model: "m"}, Ordered: true, Priority: priority, Service: "llm"}, time.Now())[0].Backlog)
+			}
+			return waits
+		}
+		const second = time.Second
+		f.SetPrefillBacklog("i-1", 1, 2*second)
+		if diff := cmp.Diff([]time.Duration{0, 2 * second, 2 * second, 2 * second, 2 * second}, backlogs()); diff != "" {
+			t.Error(diff)
+		}
+		f.SetPrefillBacklog("i-1", 7, 3*second) // counts as the least urgent one
+		if diff := cmp.Diff([]time.Duration{0, 2 * second, 2 * second, 3 * second, 3 * second}, backlogs()); diff != "" {
+			t.Error(diff)
+		}
+		f.SetPrefillBacklog("i-1", 2, second) // includes what is more urgent
+		if diff := cmp.Diff([]time.Duration{0, second, second, 3 * second, 3 * second}, backlogs()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
