--- a/internal/instance/gatekeeper/enqueue.go
+++ b/internal/instance/gatekeeper/enqueue.go
@@ -187,8 +187,11 @@
 			return judge.Refuse(judge.ReasonUpstream, "runner %s is not known here", id)
 		}
 		used := c.gatekeeper.Fleet.Occupancy(id)
-		others := c.aggregator.LoadExcept(c.gatekeeper.Config.ID, id)
-		state.prefillQueue.Slots = scheduler.Slots{Known: used.Own, Reported: others.Running, RunTime: used.RunTime, Total: used.Slots, ReportAge: meanReportAge}
+		others := c.aggregator.LoadExcept(c.gatekeeper.Config.ID, id).Running
+		if c.firstReportAt.IsZero() || time.Since(c.firstReportAt) < countSettleTime {
+			others = max(others, used.Others) // not all members have reported to the new leader
+		}
+		state.prefillQueue.Slots = scheduler.Slots{Known: used.Own, Reported: others, RunTime: used.RunTime, Total: used.Slots, ReportAge: meanReportAge}
 		return nil
 	}}
 }
