--- a/internal/instance/gatekeeper/enqueue_test.go
+++ b/internal/instance/gatekeeper/enqueue_test.go
@@ -321,3 +321,63 @@
 		}
 	})
 }
+
+// A request asks for its turn at a runner that no longer holds its copy, or that holds it. Guards
+// against a request that is sent to be refused there, and against a copy that is evicted before
+// its user has reported it.
+func TestEnqueueChecksAndKeepsTheCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGatekeeper()
+		r := tracker.Runner{ID: "i-1", Service: "llm", Domain: "a", Revision: 1}
+		g.setRunner(r, fromStore)
+		makeLeader(g, "a")
+		c := g.controllers["a"]
+		held, gone := placer.Copy{Model: "m", Adapter: "held", Version: 1}, placer.Copy{Model: "m", Adapter: "gone", Version: 1}
+		p := &placer.Placer{InUse: func(placer.Copy) bool { return false }, Model: "m", AdapterSlots: 2}
+		p.ApplyReport(placer.Report{Models: []string{"m"}, Resident: []placer.Copy{held}}, time.Now())
+		c.runners["i-1"].placer = p
+		for copied, want := range map[placer.Copy]int{held: 1, gone: 0} {
+			reserved, _, err := c.enqueue("front-1", relayer.Enqueue{Domain: "a", Runner: "i-1", Copy: copied, Timeout: time.Second})
+			if err != nil || reserved.Absent != (copied == gone) {
+				t.Errorf("%s: %+v, %v", copied.Adapter, reserved, err)
+			}
+			if uses := c.aggregator.Uses(keyOf("i-1", copied)); uses != want {
+				t.Errorf("%s has %d uses, want %d", copied.Adapter, uses, want)
+			}
+		}
+	})
+}
+
+// The slots of a runner are in use by requests that members have reported, and by those that
+// were granted since. Guards against grants beyond the slots between two reports, and against
+// grants that count twice once they are reported.
+func TestGrantsCountUntilTheMemberReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGatekeeper()
+		g.Config.Load.Order = configurer.On
+		g.setRunner(tracker.Runner{ID: "i-1", Service: "llm", Domain: "a", Slots: 4, Revision: 1}, fromStore)
+		makeLeader(g, "a")
+		c := g.controllers["a"]
+		grants := func(reporter string) (n int) {
+			for ; n < 20; n++ {
+				_, place, err := c.enqueue("front-1", relayer.Enqueue{Reporter: reporter, Domain: "a", Runner: "i-1", Timeout: 20 * time.Millisecond})
+				if place != nil || err != nil {
+					break
+				}
+			}
+			time.Sleep(50 * time.Millisecond) // those that wait are refused
+			return n
+		}
+		report := func(running int) {
+			c.applyDemand("front-1", relayer.Demand{Domain: "a", Loads: map[string]tracker.Load{"i-1": {Running: running}}})
+		}
+		got := []int{grants(""), grants("")}
+		report(4) // one has ended
+		got = append(got, grants("front-9"))
+		report(0) // all have ended; those through a relay are not included yet
+		got = append(got, grants(""))
+		if diff := cmp.Diff([]int{5, 0, 3, 2}, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/instance/gatekeeper/fallback.go
+++ b/internal/instance/gatekeeper/fallback.go
@@ -10,6 +10,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/request/scheduler"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 )
 
 // A fallbackQueues holds the queues that this instance keeps for itself while no leader answers.
@@ -35,12 +36,17 @@
 	g.countAdmission("fallback", request.Priority)
 	e := scheduler.Entry{
 		Account: request.Account, Instances: g.domainInstances(), Priority: request.Priority, Tokens: request.Tokens,
-		Prompt: admitter.Prompt{MaxGap: request.MaxGap, PrefillTime: g.Fleet.PrefillTime(runner.Service, request.Tokens), Timeout: left},
+		Prompt: admitter.Prompt{MaxGap: request.MaxGap, PrefillTime: g.Fleet.PrefillTime(runner.Service, request.Tokens), Share: fallbackShare, Timeout: left},
 	}
-	reserved, place, err := g.fallback.admit(g, request.Runner, e, now)
+	reserved, place, err := g.fallback.admit(g, runner, e, now)
 	return g.await(ctx, request, reserved, place, err)
 }
 
+// fallbackShare is the share of the time that a runner may spend on prefill while no leader
+// measures it. The share of one instance is small already: with the initial share of one half,
+// the second prompt for a runner within 0.8 s would be refused in a domain of 15 instances.
+const fallbackShare = 1
+
 // domainInstances returns the approximate number of instances of a failure domain.
 func (g *Gatekeeper) domainInstances() int {
 	domains := len(g.domains())
@@ -48,21 +54,25 @@
 }
 
 // admit offers an entry to the queue of a runner.
-func (f *fallbackQueues) admit(g *Gatekeeper, runner string, e scheduler.Entry, now time.Time) (relayer.Reserved, *ticket, error) {
+func (f *fallbackQueues) admit(g *Gatekeeper, runner tracker.Runner, e scheduler.Entry, now time.Time) (relayer.Reserved, *ticket, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	queue, ok := f.queues[runner]
+	queue, ok := f.queues[runner.ID]
 	if !ok {
 		f.prune(g)
 		queue = &admissionQueue{}
-		f.queues[runner] = queue
+		f.queues[runner.ID] = queue
 	}
-	o := queueOwner{gatekeeper: g, lock: &f.mu, runner: runner, refresh: func() error {
+	o := queueOwner{gatekeeper: g, lock: &f.mu, runner: runner.ID, refresh: func() error {
 		if g.StoppingSoon() {
 			return judge.Refuse(judge.ReasonStopping, "the instance ends before it is the turn of the request")
 		}
-		used := g.Fleet.Occupancy(runner)
-		queue.Slots = scheduler.Slots{Known: used.Own, Reported: used.Others, RunTime: used.RunTime, Total: used.Slots}
+		used := g.Fleet.Occupancy(runner.ID)
+		age := time.Duration(0) // of the loads of others
+		if l, ok := g.links[runner.Domain]; ok {
+			age = l.sinceUpdate()
+		}
+		queue.Slots = scheduler.Slots{Known: used.Own, Reported: used.Others, ReportAge: age, RunTime: used.RunTime, Total: used.Slots}
 		return nil
 	}}
 	if err := o.refresh(); err != nil {
