--- a/internal/request/scheduler/load_test.go
+++ b/internal/request/scheduler/load_test.go
@@ -90,6 +90,44 @@
 	checkShares(t, after, map[string]float64{"priority 0": 0.95, "priority 1": 0.6, "priority 2": 0.6}, nil)
 }
 
+// The leader is lost in the middle of each of the loads above, and there is none for four
+// seconds: the time until another one may have the lease and the members know it. Guards against
+// urgent requests that are refused because each instance has a small share of a runner only.
+// When all requests were sent at once, all urgent ones were in time in these three loads, as the
+// runners order what waits there; the gaps of the running requests are not simulated.
+func TestLossOfTheLeader(t *testing.T) {
+	const lost, back = 4 * time.Second, 8 * time.Second
+	for _, tc := range []struct {
+		name    string
+		sources []source
+		least   float64 // share of the urgent requests
+	}{
+		{"calm", accounts(0.6, func(_ int, usual float64) func(time.Duration) float64 { return steady(usual) }), 1},
+		{"burst of the least urgent route", []source{
+			{priority: 0, target: targets[0], rate: steady(0.5 * capacity)},
+			{priority: 2, target: targets[2], rate: between(0.4*capacity, 2.6, lost-time.Second, back)},
+		}, 0.9},
+		{"one busy account", accounts(0.85, func(account int, usual float64) func(time.Duration) float64 {
+			if account == 3 {
+				return between(usual, 6, lost-time.Second, back)
+			}
+			return steady(usual)
+		}), 0.97},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, after := compare(t, simRunners, tc.sources, 10*time.Second, lost, back, func(d *deployment) {
+				switch d.now {
+				case lost:
+					d.loseLeader()
+				case back:
+					d.lostAt = 0
+				}
+			}, byPriority)
+			checkShares(t, after, map[string]float64{"priority 0": tc.least}, nil)
+		})
+	}
+}
+
 // checkShares checks that shares are at least low and at most high.
 func checkShares(t *testing.T, shares, low, high map[string]float64) {
 	t.Helper()
--- a/internal/request/scheduler/simulation_test.go
+++ b/internal/request/scheduler/simulation_test.go
@@ -21,6 +21,8 @@
 	members []*simMember
 	sources []source
 	all     []*simRequest
+
+	lostAt time.Duration // since when there is no leader; zero if there is one
 }
 
 // A source is the traffic of one account with one priority.
@@ -59,14 +61,21 @@
 	running []*simRequest
 	reading time.Duration // until when it prefills
 
-	queue    scheduler.Queue
-	queued   map[scheduler.ID]*simRequest
+	simQueue
+	own      []*simQueue // by member, while there is no leader
 	delayed  []*simRequest
 	sampled  int // requests there, as the leader last computed; without order
 	schedule admitter.PrefillSchedule
 }
 
+// A simQueue is a queue of a runner, with the requests that wait in it.
+type simQueue struct {
+	queue  scheduler.Queue
+	queued map[scheduler.ID]*simRequest
+}
+
 const (
+	simMembers = 15
 	simSlots   = 16
 	simBase    = 30 * time.Millisecond
 	simDecode  = 550 * time.Millisecond
@@ -81,9 +90,13 @@
 func newDeployment(seed uint64, ordered bool, runners int, sources []source) *deployment {
 	d := &deployment{rng: rand.New(rand.NewPCG(seed, 1)), ordered: ordered, sources: sources}
 	for range runners {
-		d.runners = append(d.runners, &simRunner{queued: make(map[scheduler.ID]*simRequest)})
+		r := &simRunner{simQueue: simQueue{queued: make(map[scheduler.ID]*simRequest)}}
+		for range simMembers {
+			r.own = append(r.own, &simQueue{queued: make(map[scheduler.ID]*simRequest)})
+		}
+		d.runners = append(d.runners, r)
 	}
-	for range 15 {
+	for range simMembers {
 		d.members = append(d.members, &simMember{phase: time.Duration(d.rng.IntN(150)) * time.Millisecond, running: make(map[*simRunner]int), reported: make(map[*simRunner]int)})
 	}
 	return d
@@ -118,6 +131,9 @@
 
 // report sends the reports that are due.
 func (d *deployment) report() {
+	if d.lostAt > 0 {
+		return
+	}
 	for i, m := range d.members {
 		if (d.now+m.phase)%simReport != 0 {
 			continue
@@ -146,7 +162,7 @@
 func (d *deployment) ask(r *simRequest) {
 	choice := slices.Clone(d.runners)
 	d.rng.Shuffle(len(choice), func(i, j int) { choice[i], choice[j] = choice[j], choice[i] })
-	slices.SortStableFunc(choice, func(a, b *simRunner) int { return cmp.Compare(d.estimate(a), d.estimate(b)) })
+	slices.SortStableFunc(choice, func(a, b *simRunner) int { return cmp.Compare(d.estimate(a, r), d.estimate(b, r)) })
 	for _, runner := range choice {
 		if len(r.asked) >= 3 {
 			break
@@ -163,7 +179,11 @@
 }
 
 // estimate returns the load of a runner in steps, so that not all requests go to the same one.
-func (d *deployment) estimate(runner *simRunner) int {
+// Without a leader, an instance goes by its own requests: all others have the same old reports.
+func (d *deployment) estimate(runner *simRunner, r *simRequest) int {
+	if d.lostAt > 0 {
+		return d.members[r.member].running[runner] + runner.own[r.member].queue.Len()
+	}
 	return (d.reported(runner) + runner.queue.Len() + len(runner.delayed)) / 4
 }
 
@@ -176,38 +196,79 @@
 func (d *deployment) offer(runner *simRunner, r *simRequest) bool {
 	p := d.prompt(r)
 	if !d.ordered {
-		p.SlotWait = max(0, time.Duration(float64(runner.sampled-simSlots+1)/simSlots*float64(600*time.Millisecond)))
-		wait, ok := runner.schedule.Reserve(p, at(d.now))
-		if ok {
-			r.sendAt = d.now + wait
-			runner.delayed = append(runner.delayed, r)
-		}
-		return ok
+		return d.reserve(runner, r, p)
+	}
+	q, e := &runner.simQueue, scheduler.Entry{Account: r.account, Priority: r.priority, Prompt: p, Reporter: name(r.member), Tokens: r.tokens}
+	if d.lostAt > 0 {
+		q = runner.own[r.member]
+		e.Instances, e.Reporter = simMembers, ""
 	}
-	d.setSlots(runner)
-	answer, displaced := runner.queue.Offer(scheduler.Entry{Account: r.account, Priority: r.priority, Prompt: p, Reporter: name(r.member), Tokens: r.tokens}, at(d.now))
+	d.setSlots(runner, q, r.member)
+	answer, displaced := q.queue.Offer(e, at(d.now))
 	switch answer.Decision {
 	case scheduler.Granted:
 		d.send(runner, r)
 	case scheduler.Queued:
-		runner.queued[answer.ID] = r
+		q.queued[answer.ID] = r
 	case scheduler.Refused:
 	}
-	d.refuse(runner, displaced)
+	d.refuse(q, displaced)
 	return answer.Decision != scheduler.Refused
 }
 
-// refuse lets requests that left the queue of a runner ask others.
-func (d *deployment) refuse(runner *simRunner, removed []scheduler.Removal) {
+// reserve reserves capacity in the schedule of a runner. Without a leader, the request is sent.
+func (d *deployment) reserve(runner *simRunner, r *simRequest, p admitter.Prompt) bool {
+	if d.lostAt > 0 {
+		d.send(runner, r)
+		return true
+	}
+	p.SlotWait = max(0, time.Duration(float64(runner.sampled-simSlots+1)/simSlots*float64(600*time.Millisecond)))
+	wait, ok := runner.schedule.Reserve(p, at(d.now))
+	if ok {
+		r.sendAt = d.now + wait
+		runner.delayed = append(runner.delayed, r)
+	}
+	return ok
+}
+
+// refuse lets requests that left a queue ask other runners.
+func (d *deployment) refuse(q *simQueue, removed []scheduler.Removal) {
 	for _, e := range removed {
-		r := runner.queued[e.ID]
-		delete(runner.queued, e.ID)
+		r := q.queued[e.ID]
+		delete(q.queued, e.ID)
 		d.ask(r)
 	}
 }
 
-func (d *deployment) setSlots(runner *simRunner) {
-	runner.queue.Slots = scheduler.Slots{Reported: d.reported(runner), ReportAge: simReport / 2, RunTime: 600 * time.Millisecond, Total: simSlots}
+// setSlots sets what the keeper of a queue knows of the slots: the leader the last reports of the
+// members, a member without a leader its own requests, and the last reports of the others.
+func (d *deployment) setSlots(runner *simRunner, q *simQueue, member int) {
+	slots := scheduler.Slots{Reported: d.reported(runner), ReportAge: simReport / 2, RunTime: 600 * time.Millisecond, Total: simSlots}
+	if q != &runner.simQueue {
+		m := d.members[member]
+		slots.Known, slots.Reported, slots.ReportAge = m.running[runner], slots.Reported-m.reported[runner], d.now-d.lostAt
+	}
+	q.queue.Slots = slots
+}
+
+// loseLeader ends the leader. Those that wait in its queues ask again.
+func (d *deployment) loseLeader() {
+	d.lostAt = d.now
+	for _, runner := range d.runners {
+		for _, r := range d.clear(&runner.simQueue) {
+			r.asked = nil
+			d.ask(r)
+		}
+	}
+}
+
+// clear removes all requests from a queue.
+func (d *deployment) clear(q *simQueue) (again []*simRequest) {
+	for _, e := range q.queue.Clear(at(d.now)) {
+		again = append(again, q.queued[e.ID])
+		delete(q.queued, e.ID)
+	}
+	return again
 }
 
 // grant sends the requests whose time has come.
@@ -219,16 +280,26 @@
 		d.send(runner, r)
 		return true
 	})
-	if runner.queue.Len() == 0 || d.now%(10*time.Millisecond) != 0 {
+	if d.now%(10*time.Millisecond) != 0 {
+		return
+	}
+	d.grantFrom(runner, &runner.simQueue, 0)
+	for member, q := range runner.own {
+		d.grantFrom(runner, q, member)
+	}
+}
+
+func (d *deployment) grantFrom(runner *simRunner, q *simQueue, member int) {
+	if q.queue.Len() == 0 {
 		return
 	}
-	d.setSlots(runner)
-	granted, late, _ := runner.queue.Next(at(d.now))
+	d.setSlots(runner, q, member)
+	granted, late, _ := q.queue.Next(at(d.now))
 	for _, e := range granted {
-		d.send(runner, runner.queued[e.ID])
-		delete(runner.queued, e.ID)
+		d.send(runner, q.queued[e.ID])
+		delete(q.queued, e.ID)
 	}
-	d.refuse(runner, late)
+	d.refuse(q, late)
 }
 
 // send sends a request to a runner, which orders those that wait there by urgency.
@@ -274,10 +345,10 @@
 	for _, r := range runner.waiting {
 		d.members[r.member].running[runner]--
 	}
-	for _, e := range runner.queue.Clear(at(d.now)) {
-		again = append(again, runner.queued[e.ID])
+	for _, q := range append(runner.own, &runner.simQueue) {
+		again = append(again, d.clear(q)...)
 	}
-	runner.waiting, runner.running, runner.delayed, runner.queued, runner.reading = nil, nil, nil, make(map[scheduler.ID]*simRequest), 0
+	runner.waiting, runner.running, runner.delayed, runner.reading = nil, nil, nil, 0
 	for _, r := range again {
 		r.asked = nil
 		d.ask(r)
