--- a/internal/request/scheduler/load_test.go
+++ b/internal/request/scheduler/load_test.go
@@ -6,8 +6,6 @@
 	"time"
 )
 
-const simRunners = 12
-
 // capacity is how many requests a second all runners serve.
 const capacity = simRunners * simCapacity
 
@@ -30,12 +28,12 @@
 // schedule is full of less urgent ones with a longer time limit: first come first served, 0.235
 // of the urgent requests were in time.
 func TestBurstOfTheLeastUrgentRoute(t *testing.T) {
-	const from, to = 3 * time.Second, 8 * time.Second
+	const from, to = burstStart, 8 * time.Second
 	sources := []source{
 		{priority: 0, target: targets[0], rate: steady(0.5 * capacity)},
-		{priority: 2, target: targets[2], rate: between(0.4*capacity, 2.6, from, to)},
+		{priority: 2, target: targets[2], rate: burst(0.4*capacity, 2.6, to)},
 	}
-	before, after := compare(t, simRunners, sources, 10*time.Second, from, to, nil, byPriority)
+	before, after := compare(t, sources, 10*time.Second, from, to, nil, byPriority)
 	checkShares(t, before, map[string]float64{"priority 0": 0}, map[string]float64{"priority 0": 0.3})
 	checkShares(t, after, map[string]float64{"priority 0": 0.99, "priority 2": 0.5}, nil)
 }
@@ -44,10 +42,10 @@
 // Guards against accounts that lose their requests to the busy one: first come first served,
 // 0.866 of the urgent requests of the others were in time.
 func TestOneAccountAtSixTimesItsUsual(t *testing.T) {
-	const from, to = 3 * time.Second, 8 * time.Second
+	const from, to = burstStart, 8 * time.Second
 	sources := accounts(0.85, func(account int, usual float64) func(time.Duration) float64 {
 		if account == 3 {
-			return between(usual, 6, from, to)
+			return burst(usual, 6, to)
 		}
 		return steady(usual)
 	})
@@ -58,7 +56,7 @@
 		}
 		return who + " " + byPriority(r)
 	}
-	before, after := compare(t, simRunners, sources, 10*time.Second, from, to, nil, key)
+	before, after := compare(t, sources, 10*time.Second, from, to, nil, key)
 	checkShares(t, before, nil, map[string]float64{"others priority 0": 0.9})
 	checkShares(t, after, map[string]float64{"others priority 0": 0.99, "others priority 1": 0.95, "others priority 2": 0.9, "busy priority 0": 0.99, "busy priority 1": 0.9}, nil)
 }
@@ -69,9 +67,9 @@
 // Guards against urgent requests that are refused or late meanwhile: first come first served,
 // 0.555 of them were in time, and 281 of all requests were late.
 func TestQuarterOfTheRunnersGoneDuringABurstOfTheUrgentRoute(t *testing.T) {
-	const from, to, lost, back = 3 * time.Second, 9 * time.Second, 4 * time.Second, 6 * time.Second
+	const from, to, lost, back = burstStart, 9 * time.Second, 4 * time.Second, 6 * time.Second
 	sources := []source{
-		{priority: 0, target: targets[0], rate: between(0.35*capacity, 1.8, from, to)},
+		{priority: 0, target: targets[0], rate: burst(0.35*capacity, 1.8, to)},
 		{priority: 1, target: targets[1], rate: steady(0.25 * capacity)},
 		{priority: 2, target: targets[2], rate: steady(0.25 * capacity)},
 	}
@@ -85,7 +83,7 @@
 			}
 		}
 	}
-	before, after := compare(t, simRunners, sources, 10*time.Second, from, to, event, byPriority)
+	before, after := compare(t, sources, 10*time.Second, from, to, event, byPriority)
 	checkShares(t, before, nil, map[string]float64{"priority 0": 0.6})
 	checkShares(t, after, map[string]float64{"priority 0": 0.95, "priority 1": 0.6, "priority 2": 0.6}, nil)
 }
@@ -105,17 +103,17 @@
 		{"calm", accounts(0.6, func(_ int, usual float64) func(time.Duration) float64 { return steady(usual) }), 1},
 		{"burst of the least urgent route", []source{
 			{priority: 0, target: targets[0], rate: steady(0.5 * capacity)},
-			{priority: 2, target: targets[2], rate: between(0.4*capacity, 2.6, lost-time.Second, back)},
+			{priority: 2, target: targets[2], rate: burst(0.4*capacity, 2.6, back)},
 		}, 0.9},
 		{"one busy account", accounts(0.85, func(account int, usual float64) func(time.Duration) float64 {
 			if account == 3 {
-				return between(usual, 6, lost-time.Second, back)
+				return burst(usual, 6, back)
 			}
 			return steady(usual)
 		}), 0.97},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			_, after := compare(t, simRunners, tc.sources, 10*time.Second, lost, back, func(d *deployment) {
+			_, after := compare(t, tc.sources, 10*time.Second, lost, back, func(d *deployment) {
 				switch d.now {
 				case lost:
 					d.loseLeader()
--- a/internal/request/scheduler/simulation_test.go
+++ b/internal/request/scheduler/simulation_test.go
@@ -68,6 +68,9 @@
 	schedule admitter.PrefillSchedule
 }
 
+// burstStart is when the bursts begin.
+const burstStart = 3 * time.Second
+
 // A simQueue is a queue of a runner, with the requests that wait in it.
 type simQueue struct {
 	queue  scheduler.Queue
@@ -76,6 +79,7 @@
 
 const (
 	simMembers = 15
+	simRunners = 12
 	simSlots   = 16
 	simBase    = 30 * time.Millisecond
 	simDecode  = 550 * time.Millisecond
@@ -87,9 +91,9 @@
 	simCapacity = float64(simSlots) / (0.55 + 0.03 + 0.02)
 )
 
-func newDeployment(seed uint64, ordered bool, runners int, sources []source) *deployment {
-	d := &deployment{rng: rand.New(rand.NewPCG(seed, 1)), ordered: ordered, sources: sources}
-	for range runners {
+func newDeployment(ordered bool, sources []source) *deployment {
+	d := &deployment{rng: rand.New(rand.NewPCG(1, 1)), ordered: ordered, sources: sources}
+	for range simRunners {
 		r := &simRunner{simQueue: simQueue{queued: make(map[scheduler.ID]*simRequest)}}
 		for range simMembers {
 			r.own = append(r.own, &simQueue{queued: make(map[scheduler.ID]*simRequest)})
@@ -385,10 +389,10 @@
 
 func byPriority(r *simRequest) string { return "priority " + string(rune('0'+r.priority)) }
 
-// between returns rate, and factor times it within a span.
-func between(rate, factor float64, from, to time.Duration) func(time.Duration) float64 {
+// burst returns rate, and factor times it from burstStart on until a time.
+func burst(rate, factor float64, until time.Duration) func(time.Duration) float64 {
 	return func(now time.Duration) float64 {
-		if now >= from && now < to {
+		if now >= burstStart && now < until {
 			return rate * factor
 		}
 		return rate
@@ -412,10 +416,10 @@
 }
 
 // compare plays a load without and with order and returns the shares in time.
-func compare(t *testing.T, runners int, sources []source, span, from, to time.Duration, event func(d *deployment), key func(r *simRequest) string) (before, after map[string]float64) {
+func compare(t *testing.T, sources []source, span, from, to time.Duration, event func(d *deployment), key func(r *simRequest) string) (before, after map[string]float64) {
 	t.Helper()
 	for _, ordered := range []bool{false, true} {
-		d := newDeployment(1, ordered, runners, sources)
+		d := newDeployment(ordered, sources)
 		d.run(span, event)
 		shares := d.inTime(from, to, key)
 		late, refused := d.failures(from, to)
