Count the grants of one call of Next for the slots

Requests of the instance that keeps the queue count as running only once they are sent. All of them could be granted when one slot became free.

--- a/internal/request/scheduler/queue.go
+++ b/internal/request/scheduler/queue.go
@@ -102,16 +102,20 @@
 		late = append(late, removed)
 		return true
 	})
+	unknown := 0 // granted here and not in Slots until the caller has sent them
 	for len(q.entries) > 0 {
 		q.sort(now)
 		first := q.entries[0]
-		again = q.delay(q.PrefillSchedule, first.paced(), 0, now)
+		again = q.delay(q.PrefillSchedule, first.paced(), unknown, now)
 		if again > 0 {
 			break
 		}
 		removed := q.removal(first, now)
 		q.serve(first)
 		q.send(&removed.Entry, now)
+		if removed.Reporter == "" {
+			unknown++
+		}
 		q.entries = slices.Delete(q.entries, 0, 1)
 		granted = append(granted, removed)
 	}
--- a/internal/request/scheduler/queue_test.go
+++ b/internal/request/scheduler/queue_test.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// One slot of a runner becomes free while the instance that keeps the queue has five requests of
+// its own in it, which it counts as running only once they are sent. Guards against all five being
+// granted at once.
+func TestGrantsOfOneCallTakeASlotEach(t *testing.T) {
+	q := Queue{Slots: Slots{Known: 5, RunTime: 600 * time.Millisecond, Total: 4}}
+	for range 5 {
+		e := prompt("a", 0, time.Millisecond, time.Minute)
+		e.Reporter = ""
+		if answer, _ := q.Offer(e, start); answer.Decision != Queued {
+			t.Fatalf("got %+v, want it queued", answer)
+		}
+	}
+	q.Slots.Known = 4
+	if granted, _, again := q.Next(start); len(granted) != 1 || again <= 0 {
+		t.Errorf("%d granted, next call after %s; want 1, and a later call", len(granted), again)
+	}
+}
+
 // A refused caller returns after the time that it was told. Guards against a return before the
 // backlog of its priority has drained, and against one that counts less urgent prompts.
 func TestRetryIsWhenTheBacklogOfThePriorityDrains(t *testing.T) {
