A leader that stays silent does not reset the estimated backlog

A request whose turn did not come within its limit was refused without a Retry-After, and the runner's backlog was set to none at the instance.

--- a/internal/instance/gatekeeper/enqueue.go
+++ b/internal/instance/gatekeeper/enqueue.go
@@ -89,7 +89,7 @@
 		case ctx.Err() != nil:
 			return nil, judge.Refuse(judge.ReasonCancelled, "the request ended while it waited for its turn")
 		case left <= 0:
-			return nil, judge.Refuse(judge.ReasonQueue, "its turn did not come in time")
+			return nil, judge.Refuse(judge.ReasonDeadline, "the leader gave no answer within the time limit")
 		case g.StoppingSoon():
 			return nil, judge.Refuse(judge.ReasonStopping, "the instance ends before it is the turn of the request")
 		}
--- a/internal/instance/gatekeeper/enqueue_test.go
+++ b/internal/instance/gatekeeper/enqueue_test.go
@@ -221,6 +221,34 @@
 	}
 }
 
+// The leader is cut off while a request waits in its queue. Guards against a caller that is told
+// to return at once, and against an estimate of the runner's backlog that is reset by a leader
+// that said nothing: both send more requests to a queue that does not answer.
+func TestSilentLeaderTellsNothingOfTheBacklog(t *testing.T) {
+	const limit = 600 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		s := newOrderedSite(t, 3)
+		s.occupy(6)
+		fleet := s.instances[1].gatekeeper().Fleet
+		runner, _ := fleet.Get(s.runners[0].id)
+		fleet.SetPrefillBacklog(runner.ID, 0, time.Minute)
+		result := s.ask(t.Context(), s.instances[1], 0, limit)
+		time.Sleep(100 * time.Millisecond)
+		if s.instances[0].waiting() != 1 {
+			t.Fatal("the request does not wait; the test proves nothing")
+		}
+		s.instances[0].recordFault(&s.instances[0].partitionedUntil, time.Now().Add(2*time.Second))
+		r := <-result
+		if r.refused == nil || r.refused.Reason != judge.ReasonQueue || r.refused.RetryAfter != limit {
+			t.Errorf("got %+v, want a refusal with Retry-After %s", r.refused, limit)
+		}
+		if c := fleet.Candidates(tracker.Demand{Service: runner.Service, Ordered: true}, time.Now()); len(c) != 1 || c[0].Backlog < 50*time.Second {
+			t.Errorf("candidates %+v, want one with the backlog as the leader last stated it", c)
+		}
+		time.Sleep(3 * time.Second)
+	})
+}
+
 // The leader does not answer, and twenty requests come to an instance. Guards against all of
 // them being sent at once, which the instances of a domain together do to each runner.
 func TestFallbackSendsAShareOfTheRequests(t *testing.T) {
