Bound the queue of a runner to 64 entries; a full one keeps the first of each priority

An offer to a full queue of 256 entries took 0.35 ms under the lock of the controller, a tenth of a core at 300 offers a second; with 64 it takes 0.05 ms (go test -bench OfferToFullQueue).

--- a/internal/request/scheduler/queue.go
+++ b/internal/request/scheduler/queue.go
@@ -25,9 +25,11 @@
 	// Levels is the number of priorities that are distinguished. Less urgent requests count as
 	// the least urgent of these.
 	Levels = 4
-	// Capacity is the maximum number of waiting entries. A runner prefills about fifty prompts
-	// within the longest latency targets (2 s), so more would be refused for their time.
-	Capacity = 256
+	// Capacity is the maximum number of waiting entries. A runner serves about fifty prompts
+	// within the longest latency targets (2 s), so more would be refused for their time. An
+	// offer to a full queue takes 0.35 ms with 256 and 0.05 ms with 64, under the lock of all
+	// queues of a failure domain.
+	Capacity = 64
 	// grantLifetime is how long a grant may be missing in the reports on which Slots is
 	// based: members report each 150 ms, relayed reports take twice as long.
 	grantLifetime = 300 * time.Millisecond
@@ -217,8 +219,7 @@
 		})
 	}
 	if len(q.entries) > Capacity {
-		last := q.entries[len(q.entries)-1]
-		q.entries = q.entries[:len(q.entries)-1]
+		last := q.takeLast()
 		last.inTime = false
 		if last != offered {
 			displaced = append(displaced, q.removal(last, now))
@@ -370,3 +371,19 @@
 	}
 	slices.SortFunc(q.entries, byTag)
 }
+
+// takeLast removes and returns the last entry that is not the first one of its priority, which
+// a queue full of more urgent entries would otherwise never keep until it is as urgent as any.
+func (q *Queue) takeLast() *waiting {
+	last := len(q.entries) - 1
+	for i := last; i > 0; i-- {
+		level := q.entries[i].level()
+		if slices.ContainsFunc(q.entries[:i], func(w *waiting) bool { return w.level() == level }) {
+			last = i
+			break
+		}
+	}
+	w := q.entries[last]
+	q.entries = slices.Delete(q.entries, last, last+1)
+	return w
+}
--- a/internal/request/scheduler/queue_test.go
+++ b/internal/request/scheduler/queue_test.go
@@ -153,6 +153,25 @@
 	}
 }
 
+// The queue is full of urgent prompts, and more of them come. Guards against a less urgent prompt
+// that is displaced before it has become as urgent as any.
+func TestFullQueueKeepsTheFirstOfEachPriority(t *testing.T) {
+	q := &Queue{}
+	q.Offer(prompt("a", 0, 200*time.Millisecond, time.Minute), start)
+	for range Capacity {
+		q.Offer(prompt("a", 0, time.Millisecond, time.Minute), start)
+	}
+	if answer, displaced := q.Offer(prompt("b", 2, time.Millisecond, time.Minute), start); answer.Decision != Queued || len(displaced) != 1 || displaced[0].Priority != 0 {
+		t.Fatalf("got %+v and %+v, want it queued instead of an urgent one", answer, displaced)
+	}
+	if answer, displaced := q.Offer(prompt("b", 2, time.Millisecond, time.Minute), start); answer.Decision != Refused || len(displaced) != 0 {
+		t.Errorf("got %+v and %+v, want the second one refused", answer, displaced)
+	}
+	if answer, displaced := q.Offer(prompt("c", 0, time.Millisecond, time.Minute), start); answer.Decision != Queued || len(displaced) != 1 || displaced[0].Priority != 0 || q.Waiting(2) != 1 {
+		t.Errorf("got %+v and %+v, want another urgent one displaced", answer, displaced)
+	}
+}
+
 // An urgent prompt displaces prompts of two priorities. Guards against callers of the one priority
 // that are told when the backlog of the other one drains.
 func TestDisplacedOfEachPriorityAreToldTheirOwnBacklog(t *testing.T) {
--- a/internal/request/scheduler/random_test.go
+++ b/internal/request/scheduler/random_test.go
@@ -99,7 +99,7 @@
 	}
 	span := 6 * time.Second
 	if p.stretch > 1 {
-		span = 2500 * time.Millisecond // it takes 2 s to fill the queue
+		span = 2500 * time.Millisecond // the queue is full for most of it
 	}
 	for end := start.Add(span); p.now.Before(end) && p.fault == ""; p.now = p.now.Add(playStep) {
 		p.step()
@@ -111,6 +111,9 @@
 	p.report()
 	p.checkRunner()
 	granted, late, again := p.q.Next(p.now)
+	if p.q.Len() > 0 {
+		p.checkNext(again)
+	}
 	p.limitGrants()
 	for i := range late {
 		p.leave(late[i].ID)
@@ -118,9 +121,6 @@
 	for i := range granted {
 		p.checkGranted(&granted[i])
 	}
-	if p.q.Len() > 0 {
-		p.checkNext(again)
-	}
 	for id, e := range p.waiting {
 		if p.now.After(e.at.Add(e.startLimit() + playStep)) {
 			p.fail("entry %d is neither granted nor refused after its limit", id)
