--- a/internal/instance/gatekeeper/demand.go
+++ b/internal/instance/gatekeeper/demand.go
@@ -52,6 +52,7 @@
 		c.firstReportAt = now
 	}
 	c.aggregator.Report(from, summedReport(demand), now)
+	c.confirmGrants(from, now)
 	if from != c.gatekeeper.Config.ID && reportsResponse(demand) {
 		c.partition.respondedElsewhere = now
 	}
@@ -65,6 +66,9 @@
 	for _, u := range demand.Misses {
 		c.withPlacer(u.Runner, func(p *placer.Placer) { p.ObserveMiss(u.Copy, now) })
 	}
+	for _, u := range demand.Refused {
+		c.recordRefusals(u, now)
+	}
 	for _, u := range demand.Spare {
 		c.withPlacer(u.Runner, func(p *placer.Placer) { p.Request(u.Copy, placer.Spare, now) })
 	}
--- a/internal/instance/gatekeeper/pending_demand.go
+++ b/internal/instance/gatekeeper/pending_demand.go
@@ -18,6 +18,7 @@
 	shortGaps int                     // responses with only short gaps
 	longGaps  int                     // responses with a long gap
 	misses    map[aggregator.Key]bool // copies that requests did not find loaded
+	refused   map[aggregator.Key]int  // requests refused without asking the leader
 	spare     map[aggregator.Key]bool // further copies requested, for later requests
 	hits      map[aggregator.Key]hitCount
 	uses      map[aggregator.Key]int
@@ -161,6 +162,26 @@
 	p.hits[k] = hit
 }
 
+// ReportRefusal implements forwarder.Placement.
+func (g *Gatekeeper) ReportRefusal(runner string, c placer.Copy) {
+	r, known := g.Fleet.Get(runner)
+	l, ok := g.linkOf(runner)
+	if !known || !ok || !g.aheadFor(r.Service) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pendingDemand.recordRefusals(keyOf(runner, c), 1)
+}
+
+// recordRefusals records requests that were refused without asking the leader.
+func (p *pendingDemand) recordRefusals(k aggregator.Key, requests int) {
+	if p.refused == nil {
+		p.refused = make(map[aggregator.Key]int)
+	}
+	p.refused[k] += requests
+}
+
 // AcquireCopy implements forwarder.Placement. The end of a use is reported at once if other copies
 // wait for a slot: the next periodic report would come up to one interval later, a large
 // part of the time for which a short run occupies its slot.
--- a/internal/instance/gatekeeper/relay.go
+++ b/internal/instance/gatekeeper/relay.go
@@ -125,6 +125,9 @@
 	for _, u := range demand.Hits {
 		l.pendingDemand.recordHits(keyOf(u.Runner, u.Copy), hitCount{requests: u.Requests, sent: now.Add(-u.Age)})
 	}
+	for _, u := range demand.Refused {
+		l.pendingDemand.recordRefusals(keyOf(u.Runner, u.Copy), u.Requests)
+	}
 	for _, u := range demand.Spare {
 		l.pendingDemand.spare = mark(l.pendingDemand.spare, keyOf(u.Runner, u.Copy))
 	}
--- a/internal/instance/gatekeeper/report.go
+++ b/internal/instance/gatekeeper/report.go
@@ -73,11 +73,15 @@
 	for k, hit := range l.pendingDemand.hits {
 		demand.Hits = append(demand.Hits, relayer.CopyUse{Runner: k.Runner, Copy: k.Copy, Requests: hit.requests, Age: now.Sub(hit.sent)})
 	}
+	for k, requests := range l.pendingDemand.refused {
+		demand.Refused = append(demand.Refused, relayer.CopyUse{Runner: k.Runner, Copy: k.Copy, Requests: requests})
+	}
 	for k := range l.pendingDemand.spare {
 		demand.Spare = append(demand.Spare, relayer.CopyUse{Runner: k.Runner, Copy: k.Copy})
 	}
 	demand.Paces = l.pendingDemand.takePaces(now)
 	l.pendingDemand.misses, l.pendingDemand.spare, l.pendingDemand.hits = nil, nil, nil
+	l.pendingDemand.refused = nil
 	l.pendingDemand.shortGaps, l.pendingDemand.longGaps = 0, 0
 	for k, at := range l.urgentAt {
 		if now.Sub(at) > urgentInterval {
--- a/internal/member/relayer/leader.go
+++ b/internal/member/relayer/leader.go
@@ -24,6 +24,7 @@
 	LongGaps       int                     `cbor:"9,keyasint,omitempty"`  // responses with a long gap
 	Misses         []CopyUse               `cbor:"2,keyasint,omitempty"`  // copies for lack of which a runner refused requests
 	Hits           []CopyUse               `cbor:"6,keyasint,omitempty"`  // copies that requests found resident
+	Refused        []CopyUse               `cbor:"13,keyasint,omitempty"` // copies for which requests were refused without asking the leader; only where copies are loaded ahead of demand
 	Spare          []CopyUse               `cbor:"7,keyasint,omitempty"`  // copies that would help later requests; none waits for them
 	Paces          []Pace                  `cbor:"12,keyasint,omitempty"` // stated by runners since the last report
 	Uses           []CopyUse               `cbor:"3,keyasint,omitempty"`  // all copies that requests use now
@@ -139,7 +140,7 @@
 // Empty reports whether the sender neither needs nor uses anything, and has no statements to
 // pass on.
 func (d Demand) Empty() bool {
-	return len(d.Loads)+len(d.Misses)+len(d.Hits)+len(d.Spare)+len(d.Uses)+len(d.Waits)+len(d.Paces)+d.ShortGaps+d.LongGaps == 0
+	return len(d.Loads)+len(d.Misses)+len(d.Hits)+len(d.Spare)+len(d.Uses)+len(d.Waits)+len(d.Paces)+len(d.Refused)+d.ShortGaps+d.LongGaps == 0
 }
 
 // A Wait counts the requests that wait for a copy at a runner.
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -44,6 +44,7 @@
 	acquireSlot      func(runner string, within time.Duration) (forwarder.RequestSlot, *judge.Error, bool)
 	reserve          func(request forwarder.ReserveRequest) (forwarder.Reservation, *judge.Error, bool)
 	requestSpareCopy func(runner string)
+	reportRefusal    func(runner string, c placer.Copy)
 	takeToken        func(runner string) bool
 }
 
@@ -68,6 +69,12 @@
 func (placement) ReportHit(string, placer.Copy, time.Time)       {}
 func (placement) ReportGap(string, time.Duration, time.Duration) {}
 func (placement) ReportMiss(string, placer.Copy)                 {}
+func (p placement) ReportRefusal(runner string, c placer.Copy) {
+	if p.reportRefusal != nil {
+		p.reportRefusal(runner, c)
+	}
+}
+
 func (p placement) Reserve(_ context.Context, request forwarder.ReserveRequest) (forwarder.Reservation, *judge.Error, bool) {
 	if p.reserve == nil {
 		return forwarder.Reservation{}, nil, false
--- a/internal/upstream/tracker/pace_simulation_test.go
+++ b/internal/upstream/tracker/pace_simulation_test.go
@@ -181,7 +181,7 @@
 			delay, ok := r.schedule.Reserve(admitter.Prompt{
 				MaxGap: paceMaxGap, SlotWait: s.leader.RequestSlotWait(r.id), PrefillTime: s.leader.PrefillTimeAt(runner, tokens, now), Share: s.share.Value(), Timeout: paceFirst * 9 / 10,
 			}, now)
-			f.SetPrefillBacklog(r.id, r.schedule.Backlog(now))
+			f.SetPrefillBacklog(r.id, 0, r.schedule.Backlog(now))
 			if !ok {
 				full[r.id] = true
 				continue
--- a/internal/upstream/tracker/pace_test.go
+++ b/internal/upstream/tracker/pace_test.go
@@ -182,7 +182,7 @@
 				f.Begin(fmt.Sprint("r", n), 400, now)
 			}
 		}
-		f.SetPrefillBacklog("r0", 235*time.Millisecond)
+		f.SetPrefillBacklog("r0", 0, 235*time.Millisecond)
 		candidates := f.Candidates(tracker.Demand{Copy: paceCopy, MaxGap: paceMaxGap, MaxPrefill: 225 * time.Millisecond, Service: "llm", Tokens: 1000}, now)
 		slices.SortFunc(candidates, func(a, b router.Candidate) int { return cmp.Compare(a.Runner, b.Runner) })
 		common := router.Candidate{Batch: 8, Running: 8, Resident: true}
--- a/internal/upstream/tracker/without_pace_test.go
+++ b/internal/upstream/tracker/without_pace_test.go
@@ -45,7 +45,7 @@
 				run.First(now.Add(time.Duration(rng.IntN(400)) * time.Millisecond))
 				run.End(tracker.End(rng.IntN(4)), now.Add(time.Duration(rng.IntN(2000))*time.Millisecond))
 			}
-			f.SetPrefillBacklog(ids[rng.IntN(len(ids))], time.Duration(rng.IntN(200))*time.Millisecond)
+			f.SetPrefillBacklog(ids[rng.IntN(len(ids))], 0, time.Duration(rng.IntN(200))*time.Millisecond)
 			d := tracker.Demand{Service: "records", Tokens: tokens, MaxPrefill: 225 * time.Millisecond, LoadTime: 300 * time.Millisecond, ReloadTime: 30 * time.Millisecond}
 			if rng.IntN(3) > 0 {
 				d.Service, d.Copy = "llm", placer.Copy{Model: "m", Adapter: []string{"held", "absent"}[rng.IntN(2)], Version: 1}
