--- a/internal/account/limiter/load_failure_test.go
+++ b/internal/account/limiter/load_failure_test.go
@@ -30,6 +30,7 @@
 // levels that are starved, and urgent requests that lose their precedence for longer than the
 // failure.
 func TestLoadWithFailures(t *testing.T) {
+	t.Parallel()
 	for _, pattern := range []struct {
 		name   string
 		mix    [urgencies]float64
--- a/internal/account/limiter/load_test.go
+++ b/internal/account/limiter/load_test.go
@@ -33,6 +33,7 @@
 // their usual load. Guards against urgent requests that are refused for less urgent ones, and
 // against levels or other accounts that get nothing.
 func TestLoadOfOneAccountAtSixTimesItsUsual(t *testing.T) {
+	t.Parallel()
 	var urgent [2]float64
 	for n, byUrgency := range []bool{false, true} {
 		tr := newCalmTraffic(accountsOfLoad, byUrgency, mixed)
--- a/internal/instance/gatekeeper/ahead_load_test.go
+++ b/internal/instance/gatekeeper/ahead_load_test.go
@@ -87,6 +87,7 @@
 // the other, when requests queue already: the most popular adapter would not have enough copies
 // before the next one is popular, and a quarter of its requests would be late.
 func TestPopularAdapterHasEnoughCopiesSoon(t *testing.T) {
+	t.Parallel()
 	before, after := playChangingLoads(t, configurer.Off), playChangingLoads(t, configurer.On)
 	t.Logf("without copies ahead of demand: %+v", before)
 	t.Logf("with them: %+v", after)
@@ -115,6 +116,7 @@
 // Demand for all adapters rises by half. Guards against copies that are loaded and evicted in
 // turn, and against more of them than the demand needs.
 func TestCopiesFollowRisingDemandWithoutOscillation(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		rng := rand.New(rand.NewPCG(2, 1))
 		s := newLoadSimulation(t, configurer.On)
@@ -144,6 +146,7 @@
 // A new version of the most popular adapter is named every two seconds. Guards against requests
 // that wait for the first copy of each version, or queue at it.
 func TestNewVersionsInSuccessionAreLoadedAhead(t *testing.T) {
+	t.Parallel()
 	play := func(ahead configurer.Switch) (fraction float64, loads loadCounts) {
 		synctest.Test(t, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(3, 1))
@@ -171,6 +174,7 @@
 // A quarter of the runners is lost, and returns without adapters two seconds later. Guards against
 // popular adapters that are left with fewer copies than they need.
 func TestCopiesOfLostRunnersAreReplaced(t *testing.T) {
+	t.Parallel()
 	play := func(ahead configurer.Switch) (fraction float64, copies int, loads loadCounts) {
 		synctest.Test(t, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(4, 1))
@@ -209,6 +213,7 @@
 // Another instance begins to lead while the popular adapters change. Guards against orders without
 // the lease, and against a new leader that takes long to learn what is popular.
 func TestNewLeaderLearnsWithinASecond(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		rng := rand.New(rand.NewPCG(5, 1))
 		s := newLoadSimulation(t, configurer.On)
@@ -236,6 +241,7 @@
 // Guards against copies ahead of demand, or records of requests that nobody reads, where load.ahead
 // is off.
 func TestNothingIsRecordedOrRequestedWithCopiesAheadOff(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name  string
 		ahead configurer.Switch
@@ -265,6 +271,7 @@
 
 // Guards against copies ahead of demand that are loaded where the setting does not ask for them.
 func TestCopiesAheadAreOffByDefault(t *testing.T) {
+	t.Parallel()
 	g := newTestGatekeeper()
 	for _, tc := range []struct {
 		name  string
@@ -283,6 +290,7 @@
 // Guards against a domain in which nobody requests further copies: the leader does where copies are
 // loaded ahead of demand, and members where it does not or there is no leader.
 func TestMembersRequestSpareCopiesWhereTheLeaderDoesNot(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name   string
 		ahead  configurer.Switch
