--- a/internal/instance/gatekeeper/enqueue_random_test.go
+++ b/internal/instance/gatekeeper/enqueue_random_test.go
@@ -30,11 +30,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				rng := rand.New(rand.NewPCG(seed, seed))
-				s := newSimulation(t, rng, 1, 2+rng.IntN(5))
-				s.load.Order = configurer.On
-				for _, m := range s.instances {
-					m.gatekeeper().Config.Load = s.load
-				}
+				s := newSimulationWithLoad(t, rng, 1, 2+rng.IntN(5), configurer.Load{Order: configurer.On})
 				s.addRunner("a")
 				p := &turnPlay{sim: s}
 				p.run(seed%4 != 0)
--- a/internal/instance/gatekeeper/enqueue_test.go
+++ b/internal/instance/gatekeeper/enqueue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -38,10 +39,9 @@
 }
 
 func newOrderedSite(t *testing.T, instances int) *orderedSite {
-	s, _ := newSettledSimulation(t, instances)
-	s.load.Order = configurer.On
+	s := newSimulationWithLoad(t, rand.New(rand.NewPCG(1, 1)), 1, instances, configurer.Load{Order: configurer.On})
+	s.settle()
 	for _, m := range s.instances {
-		m.gatekeeper().Config.Load = s.load
 		m.gatekeeper().headcount.observe(instances, time.Now())
 	}
 	return &orderedSite{simulation: s}
--- a/internal/instance/gatekeeper/quota_urgent_test.go
+++ b/internal/instance/gatekeeper/quota_urgent_test.go
@@ -19,11 +19,8 @@
 // newUrgentSimulation returns a deployment as newQuotaSimulation does, whose instances have the
 // given setting of load.quota.
 func newUrgentSimulation(t *testing.T, quota configurer.Switch) *simulation {
-	s := newSimulation(t, rand.New(rand.NewPCG(1, 1)), 2, 6)
+	s := newSimulationWithLoad(t, rand.New(rand.NewPCG(1, 1)), 2, 6, configurer.Load{Quota: quota})
 	for _, m := range s.instances {
-		g, _ := m.running()
-		g.Config.Load.Quota = quota
-		g.quotas.init(g)
 		s.settleQuotas(t, m)
 	}
 	s.advance(3*time.Second, newChecker(s))
--- a/internal/instance/gatekeeper/simulation_test.go
+++ b/internal/instance/gatekeeper/simulation_test.go
@@ -77,7 +77,13 @@
 // newSimulation returns a deployment that has just started, with the first instance of each
 // domain as its leader.
 func newSimulation(t *testing.T, rng *rand.Rand, domains, instances int) *simulation {
-	s := &simulation{t: t, rng: rng, store: newFeedStore(), log: &simLog{}, fences: make(map[string]uint64), began: time.Now()}
+	return newSimulationWithLoad(t, rng, domains, instances, configurer.Load{})
+}
+
+// newSimulationWithLoad is newSimulation with instances that have these settings from their start:
+// their loops read them.
+func newSimulationWithLoad(t *testing.T, rng *rand.Rand, domains, instances int, load configurer.Load) *simulation {
+	s := &simulation{t: t, rng: rng, store: newFeedStore(), log: &simLog{}, fences: make(map[string]uint64), load: load, began: time.Now()}
 	s.store.configure(1)
 	for n := range domains {
 		s.domains = append(s.domains, string(rune('a'+n)))
@@ -122,10 +128,15 @@
 // instances have known for a while.
 func newSettledSimulation(t *testing.T, instances int) (*simulation, *checker) {
 	s := newSimulation(t, rand.New(rand.NewPCG(1, 1)), 1, instances)
+	return s, s.settle()
+}
+
+// settle adds a runner and waits until all instances know it.
+func (s *simulation) settle() *checker {
 	s.addRunner("a")
 	c := newChecker(s)
 	s.advance(5*time.Second, c)
-	return s, c
+	return c
 }
 
 // giveLease makes an instance the leader of a domain.
