A log kind of its own for copies that are requested ahead of demand

In an overload a leader requested tens of copies a second, each with a line of the kind that also has changes of leaders, which is limited to 50 a second.

--- a/internal/instance/gatekeeper/ahead.go
+++ b/internal/instance/gatekeeper/ahead.go
@@ -289,7 +289,7 @@
 	r := c.ahead.requests[f.Copy]
 	r.Held += len(chosen)
 	c.ahead.requests[f.Copy] = r
-	c.gatekeeper.Recorder.Log(recorder.View, "msg", "ahead", "domain", c.domain, "adapter", f.Copy, "rate", oneDecimal(f.Rate), "expected", oneDecimal(f.Expected),
+	c.gatekeeper.Recorder.Log(recorder.Ahead, "msg", "copies requested", "domain", c.domain, "adapter", f.Copy, "rate", oneDecimal(f.Rate), "expected", oneDecimal(f.Expected),
 		"needed", f.Needed, "held", f.Held, "requested", len(chosen))
 }
 
--- a/internal/wire/recorder/recorder.go
+++ b/internal/wire/recorder/recorder.go
@@ -18,6 +18,7 @@
 // The kinds.
 const (
 	Admission Kind = "admission" // a prompt that was refused or displaced in the queue of a runner
+	Ahead     Kind = "ahead"     // copies of an adapter that are requested ahead of demand
 	Completed Kind = "answered"  // a request that received its complete response
 	View      Kind = "belief"    // a change in this process's view of the system
 	Config    Kind = "config"    // a configuration version that was put in force
@@ -29,9 +30,9 @@
 )
 
 // rateLimits limits the lines per second of each kind. At about 250 bytes a line
-// their sum stays below 100 KB/s, while up to 100 failures a second are logged.
+// their sum stays below 125 KB/s, while up to 100 failures a second are logged.
 var rateLimits = map[Kind]float64{
-	Admission: 30, Completed: 20, View: 50, Config: 20, Failed: 100, Lifecycle: 50, Order: 100, Retry: 50, Suspect: 50,
+	Admission: 30, Ahead: 20, Completed: 20, View: 50, Config: 20, Failed: 100, Lifecycle: 50, Order: 100, Retry: 50, Suspect: 50,
 }
 
 // queueSize is how many lines are buffered while the log reader is slow.
