--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -213,13 +213,6 @@
 	return time.Duration(f.latency(service).base * float64(time.Second))
 }
 
-// PrefillTime returns the estimated prefill time of a prompt on an idle runner.
-func (f *Fleet) PrefillTime(service string, tokens int) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.latency(service).prefillTime(tokens)
-}
-
 func (s *runnerState) currentFailureRate(now time.Time) float64 {
 	if s.failureRate == 0 {
 		return 0
