Let ledgers that begin apart accrue only their part of a quota

Cause: a ledger reserves shares for ledgers that it knows and does not hear. One that has just begun knows nobody and accrued the whole rate, so the quota was granted once in each part of the partition. No message is added.

TestLedgerThatBeginsApartGrantsItsShare failed before. TestAccountWithinItsQuotaIsNotRefused and TestUrgentAccountWithinItsQuotaIsNotRefused pass.

--- a/internal/account/limiter/ledger.go
+++ b/internal/account/limiter/ledger.go
@@ -16,11 +16,13 @@
 type Ledger struct {
 	InitialTokens func(l Limit) float64 // tokens of an account that are left at Begin; nil for none
 	Limits        func(account string) (Limit, bool)
+	Others        func() int    // returns the number of Ledgers of other failure domains; nil for none
 	Window        time.Duration // over which quotas are enforced; overspending is forgotten after it
 
 	mu           sync.Mutex
 	startedAt    time.Time // zero: the ledger settles nothing
 	adopted      bool      // it has balances from before it began
+	met          int       // largest number of other Ledgers that have reported at the same time
 	accounts     map[string]*tally
 	reporters    map[string]*reporter // by instance
 	leaders      []string             // reporters that are Ledgers themselves
@@ -67,7 +69,7 @@
 func (l *Ledger) Begin(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.startedAt, l.adopted = now, false
+	l.startedAt, l.adopted, l.met = now, false, 0
 	l.accounts = make(map[string]*tally)
 	l.reporters = make(map[string]*reporter)
 	l.leaders, l.unresponsive = nil, nil
@@ -226,10 +228,21 @@
 		t = &tally{lastSettled: now, bucket: bucket{level: l.initialLevel(limit), at: l.emptyAt()}, entries: make(map[string]*entry)}
 		l.accounts[account] = t
 	}
-	t.fill(limit.Rate, limit.Burst, now)
+	t.fill(l.accrualShare(now)*limit.Rate, limit.Burst, now)
 	return t
 }
 
+// accrualShare returns the fraction of the tokens of a quota that accrue here. A Ledger that began
+// without balances has no share reserved for other Ledgers that have not reported to it yet: if
+// each of them took all tokens, the quota would be spent once for each part of a partition.
+func (l *Ledger) accrualShare(now time.Time) float64 {
+	if l.Others == nil || l.adopted || now.Sub(l.startedAt) > maxDisconnected {
+		return 1
+	}
+	others := l.Others()
+	return float64(1+min(l.met, others)) / float64(1+others)
+}
+
 // emptyAt returns the time from which tokens accrue for an account that has no balance yet.
 // After Adopt such an account is full, as it has spent nothing for a window.
 func (l *Ledger) emptyAt() time.Time {
@@ -324,6 +337,7 @@
 		l.reporters[from.Instance] = known
 		if from.isLedger() {
 			l.leaders = append(l.leaders, from.Instance)
+			l.met = max(l.met, len(l.leaders))
 		}
 	}
 	known.Reporter, known.lastSeen = from, now
--- a/internal/account/limiter/ledger_test.go
+++ b/internal/account/limiter/ledger_test.go
@@ -1,6 +1,7 @@
 package limiter_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -209,3 +210,33 @@
 		})
 	}
 }
+
+// Guards against Ledgers that begin at the same time on different sides of a partition and each
+// grant the whole quota.
+func TestLedgerThatBeginsApartGrantsItsShare(t *testing.T) {
+	const others = 3
+	for _, tc := range []struct {
+		name    string
+		reports int           // Ledgers that report to it
+		after   time.Duration // since it began
+		want    int64         // tokens left
+	}{
+		{"alone", 0, 2 * time.Second, 500},
+		{"with one other", 1, 2 * time.Second, 1000},
+		{"with all others", others, 2 * time.Second, 2000},
+		{"alone for longer than a partition lasts", 0, time.Minute, 4000},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newLedger(limiter.Limit{Rate: 1000, Burst: 4000})
+			l.Others = func() int { return others }
+			l.Begin(start)
+			for n := range tc.reports {
+				from := limiter.Reporter{Instance: fmt.Sprint("ledger-", n), Incarnation: 1, Domain: fmt.Sprint("d", n)}
+				settle(t, l, from, spent(0, 0), start)
+			}
+			if got := settle(t, l, one, spent(0, 0), start.Add(tc.after)).Left; got != tc.want {
+				t.Errorf("%d tokens left, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/account/limiter/property_test.go
+++ b/internal/account/limiter/property_test.go
@@ -71,7 +71,7 @@
 // Seeds with which TestQuotasAreKept once failed: the tokens saved up by unresponsive instances
 // were spent twice, or several ledgers admitted the same tokens.
 func TestQuotasOfSeedsThatFailed(t *testing.T) {
-	for _, seed := range []uint64{58, 106, 176, 750, 818, 1514, 1747, 2358, 2528, 3460, 3480} {
+	for _, seed := range []uint64{58, 106, 176, 750, 818, 1514, 1747, 2358, 2528, 3460, 3480, 4318, 6630, 6954, 7704} {
 		runQuotaSimulation(t, seed)
 	}
 }
--- a/internal/account/limiter/simulation_test.go
+++ b/internal/account/limiter/simulation_test.go
@@ -186,7 +186,7 @@
 	}
 	for d := range domains {
 		st.leaders = append(st.leaders, sim.instances[d])
-		ledger := &limiter.Ledger{Limits: func(string) (limiter.Limit, bool) { return sim.limit, true }, Window: window, InitialTokens: func(l limiter.Limit) float64 {
+		ledger := &limiter.Ledger{Limits: func(string) (limiter.Limit, bool) { return sim.limit, true }, Window: window, Others: func() int { return domains - 1 }, InitialTokens: func(l limiter.Limit) float64 {
 			return (excessFraction*(l.Rate*window.Seconds()+l.Burst) + excessTokens) * 0.7 / domains
 		}}
 		ledger.Begin(sim.now)
--- a/internal/instance/gatekeeper/quota.go
+++ b/internal/instance/gatekeeper/quota.go
@@ -46,6 +46,7 @@
 	q.spender.Instances = g.Members
 	q.spender.ByUrgency = g.Config.Load.Quota == configurer.On
 	q.ledger.Limits = g.limitOf
+	q.ledger.Others = func() int { return len(g.otherLeaders()) }
 	q.ledger.Window = g.Config.Bounds.Quota
 	q.ledger.InitialTokens = g.initialTokens
 }
