Read the share of the retries when a retry is due

Cause: the budget of a service got the instance's share of the retries with each new request. In the run that was traced, the number of members became known at 49.419, no request for the service arrived until the crash at 49.500, and the budget still had the share of one of 400 instances.

The budget now reads the share whenever it is asked for a retry, so the share cannot be older than the retry. The number of retries is unchanged: the budget test at 64 instances passes as it was.

--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -114,10 +114,9 @@
 	}
 	b, ok := f.budgets[service]
 	if !ok {
-		b = &retrier.Budget{PerRequest: f.RetriesPerRequest, Window: f.RetryWindow}
+		b = &retrier.Budget{PerRequest: f.RetriesPerRequest, Share: f.RetryBurst, Window: f.RetryWindow}
 		f.budgets[service] = b
 	}
-	b.SetBurst(f.RetryBurst())
 	return b
 }
 
--- a/internal/request/retrier/budget.go
+++ b/internal/request/retrier/budget.go
@@ -25,9 +25,10 @@
 // dozens of instances, and many were refused only because the first runner no longer held
 // their adapter.
 type Budget struct {
-	Burst      float64       // retries in a window beyond PerRequest; 0 means defaultBurst
-	PerRequest float64       // retries that one request contributes; 0 means defaultPerRequest
-	Window     time.Duration // 0: only requests refill the budget
+	Burst      float64        // retries in a window beyond PerRequest; 0 means defaultBurst
+	PerRequest float64        // retries that one request contributes; 0 means defaultPerRequest
+	Share      func() float64 // current value of Burst, where it changes; nil if it does not
+	Window     time.Duration  // 0: only requests refill the budget
 
 	mu         sync.Mutex
 	started    bool
@@ -72,15 +73,10 @@
 	return true
 }
 
-// SetBurst changes the share of the burst when the number of instances that split it has
-// changed.
-func (b *Budget) SetBurst(burst float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.Burst = burst
-}
-
 func (b *Budget) burst() float64 {
+	if b.Share != nil {
+		return b.Share()
+	}
 	if b.Burst == 0 {
 		return defaultBurst
 	}
