Resume streams that break off before the members are counted

Cause: until the members are counted, 0.2 to 0.9 s after a start, an instance assumes that 400 share the retries. Its share is less than one and its budget starts empty, so each retry was refused at once, though it was allowed a moment later. Evidence: these streams end before "msg=members" without a "kind=retry" line.

A stream that has started now waits for its retry, for as long as its caller is expected to wait for the next event, and ahead of all other requests. A request that no runner has run waits while it is on time and the count is unknown.

This works because the budget itself is unchanged and the wait ends with the count. TestWaitingRetriesKeepTheLimit keeps more streams waiting than there are retries, at 30, 195 and 332 instances that all start at once and start again twice within a window.

TestRetriesWaitUntilInstancesAreCounted and TestStartedStreamsAreRetriedFirst failed before: "cut (may_have_run)" after event 2. The line of a retry shows how long it waited.

--- a/internal/instance/gatekeeper/ahead_simulation_test.go
+++ b/internal/instance/gatekeeper/ahead_simulation_test.go
@@ -100,7 +100,7 @@
 		"llm": {Name: "llm", Engine: &matcher.Engine{AdapterSlots: loadAdapterSlots, Models: []matcher.Model{{Name: "m"}}}},
 	}})
 	g.Forwarder = &forwarder.Forwarder{
-		Instances: func() int { return 1 }, RetryBurst: func() float64 { return 20 }, StoppingSoon: func() bool { return false }, Fleet: g.Fleet, LoadTime: g.LoadTime, ReloadTime: g.ReloadTime,
+		Instances: func() int { return 1 }, InstancesKnown: func() bool { return true }, RetryBurst: func() float64 { return 20 }, StoppingSoon: func() bool { return false }, Fleet: g.Fleet, LoadTime: g.LoadTime, ReloadTime: g.ReloadTime,
 		NewestVersion: g.NewestVersion, RetriesPerRequest: 0.2, Placement: g, Quarantine: noQuarantine{}, Recorder: &recorder.Recorder{Metrics: metrics.NewSet(), Out: io.Discard},
 		OnRetry: func(*judge.Error) {}, Upstream: s, RetryWindow: 10 * time.Second,
 	}
--- a/internal/instance/gatekeeper/detour_peer.go
+++ b/internal/instance/gatekeeper/detour_peer.go
@@ -106,6 +106,9 @@
 			LatencyTarget: m.Route.LatencyTarget, Resumable: m.Route.Resumable, Timeout: m.Route.Timeout, Priority: m.Priority,
 		},
 	}
+	if r.Resumed {
+		r.LastEventAt = now.Add(-m.Idle)
+	}
 	if r.Copy.Adapter != "" {
 		r.Copy.Version = max(r.Copy.Version, g.NewestVersion(r.Copy.Model, r.Copy.Adapter))
 	}
--- a/internal/instance/gatekeeper/link.go
+++ b/internal/instance/gatekeeper/link.go
@@ -112,3 +112,6 @@
 
 // Members returns the number of instances, as far as known.
 func (g *Gatekeeper) Members() int { return g.headcount.get() }
+
+// MembersKnown reports whether the number of instances has been reported.
+func (g *Gatekeeper) MembersKnown() bool { return g.headcount.reported() > 0 }
--- a/internal/member/relayer/detour.go
+++ b/internal/member/relayer/detour.go
@@ -41,6 +41,7 @@
 	Waited      time.Duration `cbor:"13,keyasint"` // since the request arrived
 	Left        time.Duration `cbor:"14,keyasint"` // until its caller stops waiting
 	Route       DetourRoute   `cbor:"15,keyasint"`
+	Idle        time.Duration `cbor:"16,keyasint,omitempty"` // since the caller received the last event
 }
 
 // A DetourRoute holds what the sender's configuration says of the request. MaxExecutions is
--- a/internal/request/forwarder/detour.go
+++ b/internal/request/forwarder/detour.go
@@ -65,7 +65,7 @@
 	x.abandonSlot()
 	x.releaseCopy()
 	r := *x.request
-	r.LastEventID, r.Resumed = x.lastEventID, x.headSent
+	r.LastEventID, r.Resumed, r.LastEventAt = x.lastEventID, x.headSent, x.lastEventAt
 	var outcome DetourOutcome
 	reply, failed := x.Detours.Detour(ctx, DetourRequest{
 		Request: &r, Excluded: maps.Clone(x.failedPeers), ExecutionsLeft: max(1, r.Route.MaxExecutions-x.executions),
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 // it is safe for concurrent use.
 type Forwarder struct {
 	Instances         func() int     // number of instances
+	InstancesKnown    func() bool    // the number of instances has been reported; until then it is assumed to be large
 	RetryBurst        func() float64 // this instance's share of the retries allowed beyond RetriesPerRequest
 	StoppingSoon      func() bool    // this instance stops too soon for waiting requests to be served
 	Detours           Detours        // nil for none
@@ -77,6 +78,7 @@
 	token        token              // to send one request to a runner
 	denied       []string           // runners for which there was no token
 	retryPaid    atomic.Bool        // the next retry has already been withdrawn from the budget
+	retryWait    time.Duration      // spent waiting for the last retry to be allowed
 	executions   int                // delivered attempts that may have run
 	sentAt       time.Time          // of the last attempt
 	splitter     streamer.Splitter
@@ -133,7 +135,7 @@
 		x.useNewestVersion()
 		x.OnRetry(failed)
 		x.Recorder.Log(recorder.Retry, "request", x.request.ID, "digest", x.digest(), "copy", x.request.Copy, "runner", x.lastRunner, "peer", x.peer, "reason", failed.Reason,
-			"verdict", failed.Verdict, "after", x.lastEventID, "arrivals", x.delivered)
+			"verdict", failed.Verdict, "after", x.lastEventID, "arrivals", x.delivered, "wait", x.retryWait)
 	}
 }
 
@@ -170,18 +172,6 @@
 	}
 }
 
-// mayRetry reports whether the request may be retried.
-func (x *exchange) mayRetry(ctx context.Context, failed *judge.Error) bool {
-	switch {
-	case ctx.Err() != nil, errors.Is(failed, errCallerGone):
-		return false
-	case failed.Verdict == judge.NotRun:
-	case !x.request.Route.Repeatable(), x.executions >= x.request.Route.MaxExecutions:
-		return false
-	}
-	return x.delivered == 0 || x.retryPaid.Swap(false) || x.budget.Withdraw()
-}
-
 // finalError returns the error with a verdict that covers all attempts: a refusal of the
 // last attempt says nothing about the earlier ones.
 func (x *exchange) finalError(err *judge.Error) *judge.Error {
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -149,7 +149,7 @@
 		fleet.Set(tracker.Runner{ID: fmt.Sprint("i-", n), Service: "llm", Domain: "a", Slots: 8, Models: []string{"m"}, Revision: 1})
 	}
 	return &forwarder.Forwarder{
-		Instances: func() int { return 1 }, RetryBurst: func() float64 { return 20 }, StoppingSoon: func() bool { return false }, Fleet: fleet, LoadTime: func() time.Duration { return time.Second },
+		Instances: func() int { return 1 }, InstancesKnown: func() bool { return true }, RetryBurst: func() float64 { return 20 }, StoppingSoon: func() bool { return false }, Fleet: fleet, LoadTime: func() time.Duration { return time.Second },
 		NewestVersion: func(string, string) int { return 2 }, RetriesPerRequest: 0.2, Placement: p, Quarantine: &quarantine{}, Recorder: &recorder.Recorder{Metrics: metrics.NewSet(), Out: io.Discard}, OnRetry: func(*judge.Error) {},
 		ReloadTime: func() time.Duration { return time.Second }, Upstream: u, RetryWindow: 10 * time.Second,
 	}
--- a/internal/request/forwarder/limits.go
+++ b/internal/request/forwarder/limits.go
@@ -26,10 +26,10 @@
 	// popular adapter has several copies and may get one more.
 	maxFullRunners = 2
 	// minCallerTimeout, callerTimeoutTargets and callerTimeoutGaps estimate when callers of
-	// streams that have received nothing disconnect: after the longest of the minimum, that
-	// many latency targets, and that many maximum gaps. streamWaitFraction is the fraction
-	// of this time after which a request that still waits is refused with a Retry-After
-	// instead.
+	// streams that receive nothing disconnect, before the first event or after any other: after
+	// the longest of the minimum, that many latency targets, and that many maximum gaps.
+	// streamWaitFraction is the fraction of this time for which a request may wait before it is
+	// sent to a runner.
 	minCallerTimeout     = 2 * time.Second
 	callerTimeoutTargets = 4
 	callerTimeoutGaps    = 8
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -33,9 +33,10 @@
 	Service     string
 	Tokens      int // of the prompt; 0 if unknown
 
-	Via     string               // peer that sent it over a detour; empty for none
-	Resumed bool                 // its caller has received a part of the response from another instance
-	OnRetry func(executions int) // called before it may be executed again, with the number of executions; nil for none
+	Via         string               // peer that sent it over a detour; empty for none
+	Resumed     bool                 // its caller has received a part of the response from another instance
+	LastEventAt time.Time            // when its caller received the last event from another instance; zero if it has not
+	OnRetry     func(executions int) // called before it may be executed again, with the number of executions; nil for none
 
 	Arrivals   int // set at the end: times that it reached a runner
 	Executions int // set at the end: times that it may have been executed
--- a/internal/request/forwarder/retry_test.go
+++ b/internal/request/forwarder/retry_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,13 +14,90 @@
 
 	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
 )
 
 // errReset is the error of a connection that was reset.
 var errReset = errors.New("connection reset")
 
+// breakAfter answers a first attempt with the events up to last, after which the connection breaks,
+// and any other with the rest of four events.
+func breakAfter(last int) func(context.Context, int, forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+	return func(ctx context.Context, n int, a forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+		switch {
+		case n > 1:
+			return streamReply(&body{ctx: ctx, from: a.LastEventID + 1, to: 4, end: io.EOF}), nil
+		case last == 0:
+			return nil, judge.Broken{Written: 9, Err: errReset}
+		default:
+			return streamReply(&body{ctx: ctx, from: 1, to: last, end: errReset}), nil
+		}
+	}
+}
+
+// rejectFirst answers a first attempt with a rejection, and any other with four events.
+func rejectFirst(ctx context.Context, n int, _ forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+	if n == 1 {
+		return &forwarder.Reply{Status: 503, NotRun: true, Body: strings.NewReader(""), Close: func(bool) {}}, nil
+	}
+	return streamReply(&body{ctx: ctx, from: 1, to: 4, end: io.EOF}), nil
+}
+
+// countAfter makes a forwarder learn after a time that it is one of a few instances. Until then,
+// its share of the retries is less than one.
+func countAfter(f *forwarder.Forwarder, d time.Duration) {
+	began := time.Now()
+	f.InstancesKnown = func() bool { return time.Since(began) >= d }
+	f.RetryBurst = func() float64 {
+		if f.InstancesKnown() {
+			return 20
+		}
+		return 0.9
+	}
+}
+
 const wholeStream = "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n"
 
+// An instance has just started and does not know how many instances share the retries. Guards
+// against streams that are cut and rejected requests that fail although a retry is allowed a moment
+// later, and against waits that are of no use to the caller or let a request that crashes its
+// runner crash another one.
+func TestRetriesWaitUntilInstancesAreCounted(t *testing.T) {
+	once := resumableRoute()
+	once.Resumable, once.MaxExecutions = false, 1
+	for _, tc := range []struct {
+		name    string
+		route   *matcher.Route
+		answer  func(context.Context, int, forwarder.Attempt) (*forwarder.Reply, judge.Observation)
+		counted time.Duration // when the number of instances becomes known
+		want    string
+		within  time.Duration
+	}{
+		{"stream that has started", resumableRoute(), breakAfter(2), 600 * time.Millisecond, wholeStream, 650 * time.Millisecond},
+		{"rejected request", once, rejectFirst, 600 * time.Millisecond, wholeStream, 650 * time.Millisecond},
+		{"request that may have crashed its runner", resumableRoute(), breakAfter(0), 600 * time.Millisecond, "", 0},
+		{"count that comes too late for the caller of a stream", resumableRoute(), breakAfter(2), time.Hour, event(1) + event(2), 4 * time.Second},
+		{"count that comes too late to be on time", resumableRoute(), rejectFirst, time.Hour, "", 1100 * time.Millisecond},
+		{"stream that may not be resumed", once, breakAfter(2), 600 * time.Millisecond, event(1) + event(2), 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newForwarder(&upstream{answer: tc.answer}, placement{}, 2)
+				countAfter(f, tc.counted)
+				began := time.Now()
+				var got sink
+				err := f.Forward(t.Context(), newRequest(tc.route), &got)
+				if diff := cmp.Diff(tc.want, got.got); diff != "" || (err == nil) != (tc.want == wholeStream) {
+					t.Error(err, diff)
+				}
+				if took := time.Since(began); took > tc.within {
+					t.Errorf("took %s, want at most %s", took, tc.within)
+				}
+			})
+		})
+	}
+}
+
 // An instance learns how many instances share the retries while a stream is in progress, and no
 // other request arrives before the stream breaks off. Guards against cutting the stream as of the
 // share that was known when the last request arrived.
@@ -49,3 +128,39 @@
 		}
 	})
 }
+
+// Guards against a scarce retry that goes to a request that its caller may repeat itself, while a
+// stream that its caller is reading is cut.
+func TestStartedStreamsAreRetriedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{answer: func(ctx context.Context, _ int, a forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+			switch {
+			case a.Request.ID == "other":
+				return nil, judge.Broken{Written: 9, Err: errReset}
+			case a.LastEventID > 0:
+				return streamReply(&body{ctx: ctx, from: a.LastEventID + 1, to: 4, end: io.EOF}), nil
+			default:
+				return streamReply(&body{ctx: ctx, from: 1, to: 2, end: errReset}), nil
+			}
+		}}
+		f := newForwarder(u, placement{}, 2)
+		f.RetryBurst = func() float64 { return 0.9 } // accumulates one retry with the sixth request
+		var got sink
+		var requests sync.WaitGroup
+		requests.Go(func() {
+			if err := f.Forward(t.Context(), newRequest(resumableRoute()), &got); err != nil {
+				t.Error(err)
+			}
+		})
+		for range 6 {
+			synctest.Wait()
+			r := newRequest(resumableRoute())
+			r.ID = "other"
+			_ = f.Forward(t.Context(), r, &sink{}) // fails
+		}
+		requests.Wait()
+		if diff := cmp.Diff(wholeStream, got.got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/request/retrier/budget.go
+++ b/internal/request/retrier/budget.go
@@ -2,11 +2,13 @@
 package retrier
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/sardinetiller/sardinetiller/internal/clock/pacer"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 )
 
@@ -34,6 +36,7 @@
 	started    bool
 	lastRefill time.Time
 	debt       float64 // retries taken and not yet refilled
+	waiting    int     // callers of Await that have no retry yet
 }
 
 const (
@@ -43,6 +46,8 @@
 	// of Burst is less than one retry. The rest covers the accumulated retry of each
 	// instance.
 	accumulationFactor = 0.85
+	// awaitInterval is how often Await checks for a retry.
+	awaitInterval = 10 * time.Millisecond
 )
 
 // Deposit counts one request.
@@ -60,13 +65,49 @@
 	b.debt = max(0, b.debt-ratio)
 }
 
-// Withdraw takes one retry, or returns false if the budget is exhausted.
+// Await takes one retry as soon as the budget allows it, and before any that Withdraw takes. It
+// returns false if ctx ends before.
+func (b *Budget) Await(ctx context.Context) bool {
+	b.mu.Lock()
+	b.waiting++
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.waiting--
+	}()
+	if b.takeAwaited() {
+		return true
+	}
+	ticker := pacer.NewTicker(awaitInterval)
+	defer ticker.Stop()
+	for ticker.Wait(ctx, nil) {
+		if b.takeAwaited() {
+			return true
+		}
+	}
+	return false
+}
+
+// Withdraw takes one retry, or returns false if the budget is exhausted, apart from the retries
+// that others wait for.
 func (b *Budget) Withdraw() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.take(b.waiting)
+}
+
+func (b *Budget) takeAwaited() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.take(0)
+}
+
+// take takes one retry if that leaves the given number of further ones.
+func (b *Budget) take(left int) bool {
 	b.start()
 	b.refill(time.Now())
-	if b.debt+1 > b.capacity() {
+	if b.debt+1+float64(left) > b.capacity() {
 		return false
 	}
 	b.debt++
--- a/internal/request/retrier/budget_test.go
+++ b/internal/request/retrier/budget_test.go
@@ -1,6 +1,9 @@
 package retrier_test
 
 import (
+	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,3 +101,118 @@
 		}
 	})
 }
+
+// All instances start at once, do not know for a while how many they are, and each has more streams
+// to resume than retries; then all restart, twice. Guards against retries beyond the limit by those
+// that wait for their share.
+func TestWaitingRetriesKeepTheLimit(t *testing.T) {
+	const (
+		perRequest = 0.2
+		window     = 10 * time.Second
+		perSecond  = 8 // requests of one instance
+		tick       = time.Second / perSecond
+		ticks      = int(20 * time.Second / tick)
+		waiting    = 2 // streams of one instance
+		assumed    = 400
+		counted    = 600 * time.Millisecond
+	)
+	for _, tc := range []struct {
+		instances int
+		burst     float64 // that all share
+	}{{30, 58}, {195, 430}, {332, 430}} {
+		t.Run(fmt.Sprint(tc.instances, " instances"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var mu sync.Mutex
+				var taken [ticks + 1]int
+				began := time.Now()
+				count := func(retried bool) {
+					if !retried {
+						return
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					taken[int(time.Since(began)/tick)]++
+				}
+				start := func(ctx context.Context) *retrier.Budget {
+					started := time.Now()
+					b := &retrier.Budget{PerRequest: perRequest, Window: window, Share: func() float64 {
+						if time.Since(started) < counted {
+							return 0.7 * tc.burst / assumed
+						}
+						return 0.7 * tc.burst / float64(tc.instances)
+					}}
+					for range waiting {
+						go func() {
+							for ctx.Err() == nil {
+								count(b.Await(ctx))
+							}
+						}()
+					}
+					return b
+				}
+				var budgets []*retrier.Budget
+				stop := func() {}
+				for n := range ticks {
+					if n%(ticks/10) == 0 && n <= ticks/5 {
+						stop()
+						var ctx context.Context
+						ctx, stop = context.WithCancel(t.Context())
+						budgets = budgets[:0]
+						for range tc.instances {
+							budgets = append(budgets, start(ctx))
+						}
+					}
+					for _, b := range budgets {
+						b.Deposit()
+						count(b.Withdraw())
+					}
+					time.Sleep(tick)
+				}
+				stop()
+				synctest.Wait()
+				perWindow := int(window / tick)
+				bound := int(perRequest*float64(tc.instances*perWindow) + tc.burst)
+				for from := 0; from+perWindow <= ticks; from++ {
+					sum := 0
+					for _, n := range taken[from : from+perWindow] {
+						sum += n
+					}
+					if sum > bound || sum == 0 {
+						t.Fatalf("%d retries in the window from %s, allowed are 1 to %d", sum, time.Duration(from)*tick, bound)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a retry that goes to another request while a stream waits for it, and against
+// requests that get none although there are enough for both.
+func TestAwaitedRetriesComeFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := retrier.Budget{Burst: 1, PerRequest: 1} // accumulates its first retry
+		served := make(chan bool, 1)
+		go func() { served <- b.Await(t.Context()) }()
+		synctest.Wait()
+		for range 2 {
+			b.Deposit()
+		}
+		if b.Withdraw() {
+			t.Error("the retry was taken that another request waits for")
+		}
+		if !<-served {
+			t.Error("no retry for the one that waits")
+		}
+		for range 2 {
+			b.Deposit()
+		}
+		if !b.Withdraw() {
+			t.Error("no retry while nobody waits")
+		}
+		short, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if b.Await(short) {
+			t.Error("a retry beyond the limit")
+		}
+	})
+}
