Do not send a detour to the runner that broke off

Cause: a detour carried the peers to leave out, not the runners. The peer learns of a crash 0.16 s later at the earliest.

The runners whose connections broke under a request now travel with its detour. The peer leaves them out while another runner can serve the request in time, and uses them otherwise, as a broken connection may also be the sender's partition. Runners that were silent or refused a connection are not named, so real partitions lose no runner.

TestDetourAvoidsRunnersThatBrokeOff and TestRequestOverADetourAvoidsRunners failed before, at either end of the hop.

--- a/internal/member/relayer/detour.go
+++ b/internal/member/relayer/detour.go
@@ -42,6 +42,7 @@
 	Left        time.Duration `cbor:"14,keyasint"` // until its caller stops waiting
 	Route       DetourRoute   `cbor:"15,keyasint"`
 	Idle        time.Duration `cbor:"16,keyasint,omitempty"` // since the caller received the last event
+	Avoid       []string      `cbor:"17,keyasint,omitempty"` // runners whose connections broke under the request
 }
 
 // A DetourRoute holds what the sender's configuration says of the request. MaxExecutions is
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -94,6 +94,9 @@
 	stall := time.Duration(best.Stall * float64(time.Second))
 	waited := now.Sub(x.request.Arrived)
 	if waited+stall > x.adapterWaitLimit() {
+		if x.stopAvoiding() {
+			return nil
+		}
 		return judge.Refuse(judge.ReasonLoad, "the adapter comes in %s", stall.Round(time.Millisecond)).WithRetryAfter(retryAfter(stall))
 	}
 	x.loadRunner = best.Runner
@@ -202,7 +205,10 @@
 func (x *exchange) rankRunners(now time.Time) ([]router.Terms, *judge.Error) {
 	r := x.request
 	candidates := x.Fleet.Candidates(x.demand(x.tried), now)
-	if len(candidates) == 0 && len(x.tried) > 0 && x.lastEventID > r.LastEventID {
+	if len(candidates) == 0 && x.stopAvoiding() {
+		candidates = x.Fleet.Candidates(x.demand(x.tried), now)
+	}
+	if len(candidates) == 0 && len(x.tried) > 0 && x.streamStarted() {
 		clear(x.tried) // a stream that has started is retried on any runner
 		candidates = x.Fleet.Candidates(x.demand(x.tried), now)
 	}
--- a/internal/request/forwarder/detour_test.go
+++ b/internal/request/forwarder/detour_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
@@ -217,3 +218,63 @@
 		})
 	}
 }
+
+// A stream takes a detour as its runner has crashed beside others, which looks like a partition.
+// Guards against peers that send it to that runner again and so use up its executions.
+func TestDetourAvoidsRunnersThatBrokeOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{answer: breakAfter(2)}
+		f := newForwarder(u, placement{}, 2)
+		d := &detours{answer: func(ctx context.Context, _ int, r forwarder.DetourRequest, o *forwarder.DetourOutcome) (*forwarder.Reply, *judge.Error) {
+			*o = forwarder.DetourOutcome{Peer: "front-2", Arrivals: 1, Executions: 1}
+			return streamReply(&body{ctx: ctx, from: r.LastEventID + 1, to: 4, end: io.EOF}), nil
+		}}
+		f.Detours = d
+		f.OnRetry = func(*judge.Error) { partition(f, "i-0", "i-1") }
+		var got sink
+		err := f.Forward(t.Context(), newRequest(resumableRoute()), &got)
+		if diff := cmp.Diff(wholeStream, got.got); err != nil || diff != "" {
+			t.Fatal(err, diff)
+		}
+		if diff := cmp.Diff([]string{u.attempts[0].Runner.ID}, d.requests[0].Avoid); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// The other side of the hop. A runner that is to be avoided is still used where no other one can
+// serve the request, as it may be alive and the links of the sender may have failed.
+func TestRequestOverADetourAvoidsRunners(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		runners int
+		held    []string // runners that hold the adapter
+		want    string
+	}{
+		{"another runner can serve it", 2, []string{"i-0", "i-1"}, "i-1"},
+		{"there is no other runner", 1, []string{"i-0"}, "i-0"},
+		{"the adapter comes too late at the other runner", 2, []string{"i-0"}, "i-0"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &upstream{answer: func(ctx context.Context, _ int, a forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+					return streamReply(&body{ctx: ctx, from: a.LastEventID + 1, to: 4, end: io.EOF}), nil
+				}}
+				f := newForwarder(u, placement{}, tc.runners)
+				r := newRequest(resumableRoute())
+				r.Via, r.Avoid = "front-2", []string{"i-0"}
+				r.Copy = placer.Copy{Model: "m", Adapter: "a", Version: 2}
+				f.Fleet.SetAdapterSlotWaits(map[string]time.Duration{"i-1": 20 * time.Second})
+				for _, id := range tc.held {
+					f.Fleet.SetHeld(id, map[placer.Copy]time.Time{r.Copy: {}})
+				}
+				if err := f.Forward(t.Context(), r, &sink{}); err != nil {
+					t.Fatal(err)
+				}
+				if diff := cmp.Diff(tc.want, u.attempts[0].Runner.ID); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -34,6 +34,7 @@
 	Tokens      int // of the prompt; 0 if unknown
 
 	Via         string               // peer that sent it over a detour; empty for none
+	Avoid       []string             // runners whose connections broke under it at another instance
 	Resumed     bool                 // its caller has received a part of the response from another instance
 	LastEventAt time.Time            // when its caller received the last event from another instance; zero if it has not
 	OnRetry     func(executions int) // called before it may be executed again, with the number of executions; nil for none
