Do not refuse a started stream like a new request

The Retry-After of 3.6 s that the instance meant to send cannot be received in the middle of a stream.

Cause: a started stream was held to the limits of a new request, whose wait for an adapter counts from its arrival, and was refused at once where no runner or no peer takes it. Evidence: "after=3 reason=load retry=3.6s"; in a trial also "after=4 reason=load" 2.1 s after arrival.

A stream that has started now waits for its adapter, a runner or a peer for as long as its caller is expected to wait for the next event and its deadline allows. One that cannot be served by then still ends at once, and a new request is refused as before.

TestStartedStreamsWaitForARunner failed before.

--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -21,7 +21,10 @@
 		case x.takesDetour():
 			return tracker.Runner{}, errDetour
 		case x.Fleet.Detector.Partitioned(x.request.Service):
-			return tracker.Runner{}, x.noRunner(time.Now())
+			if refused := x.noRunner(time.Now()); !x.awaitRunner(ctx, refused) {
+				return tracker.Runner{}, refused
+			}
+			continue
 		}
 		x.abandonSlot()
 		if runner, refused, decided := x.chooseWithSlot(ctx); decided {
@@ -36,6 +39,9 @@
 		now := time.Now()
 		terms, refused := x.rankRunners(now)
 		if refused != nil {
+			if x.awaitRunner(ctx, refused) {
+				continue
+			}
 			return tracker.Runner{}, refused
 		}
 		best := terms[0]
@@ -86,14 +92,14 @@
 }
 
 // awaitAdapter requests the adapter at a runner and waits for the next poll. It refuses the
-// request if the adapter is expected too late.
+// request if the adapter is expected too late for its caller.
 func (x *exchange) awaitAdapter(ctx context.Context, best router.Terms, now time.Time) *judge.Error {
 	if x.StoppingSoon() {
 		return judge.Refuse(judge.ReasonStopping, "the instance ends before the adapter is there").WithRetryAfter(retryAfter(0))
 	}
 	stall := time.Duration(best.Stall * float64(time.Second))
 	waited := now.Sub(x.request.Arrived)
-	if waited+stall > x.adapterWaitLimit() {
+	if stall > x.adapterWaitLeft(ctx, now) {
 		if x.stopAvoiding() {
 			return nil
 		}
@@ -180,8 +186,11 @@
 }
 
 // waitForPoll waits for the next poll. It returns false if ctx has ended.
-func (x *exchange) waitForPoll(ctx context.Context) bool {
-	wait := time.NewTimer(pollInterval)
+func (x *exchange) waitForPoll(ctx context.Context) bool { return x.waitFor(ctx, pollInterval) }
+
+// waitFor waits for a time. It returns false if ctx has ended.
+func (x *exchange) waitFor(ctx context.Context, d time.Duration) bool {
+	wait := time.NewTimer(d)
 	defer wait.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -144,18 +144,27 @@
 
 // attempt makes one attempt at a runner, or over a detour.
 func (x *exchange) attempt(ctx context.Context) (failed *judge.Error, mayRetry bool) {
-	if !x.takesDetour() {
-		runner, refused := x.choose(ctx)
+	for {
+		if !x.takesDetour() {
+			runner, refused := x.choose(ctx)
+			switch {
+			case refused == nil:
+				failed = x.try(ctx, runner)
+				return failed, failed != nil && x.mayRetry(ctx, failed)
+			case !errors.Is(refused, errDetour):
+				return refused, false
+			}
+		}
+		failed = x.detour(ctx)
 		switch {
-		case refused == nil:
-			failed = x.try(ctx, runner)
-			return failed, failed != nil && x.mayRetry(ctx, failed)
-		case !errors.Is(refused, errDetour):
-			return refused, false
+		case failed == nil:
+			return nil, false
+		case x.retriesDetour(ctx, failed):
+			return failed, true
+		case x.peer != "" || !x.awaitRunner(ctx, failed):
+			return failed, false
 		}
 	}
-	failed = x.detour(ctx)
-	return failed, failed != nil && x.retriesDetour(ctx, failed)
 }
 
 // announceRetry announces that the request may be executed once more.
--- a/internal/request/forwarder/retry.go
+++ b/internal/request/forwarder/retry.go
@@ -43,6 +43,24 @@
 	return true
 }
 
+// runnerPollInterval is how often a stream that has started checks for a runner that takes it.
+const runnerPollInterval = 50 * time.Millisecond
+
+// awaitRunner makes a stream that has started, and that no runner takes now, wait until it is time
+// to look again. It returns false if the stream is to be refused: a runner is not expected in time,
+// or it is any other request, whose caller is told when to come back.
+func (x *exchange) awaitRunner(ctx context.Context, refused *judge.Error) bool {
+	switch refused.Reason {
+	case judge.ReasonLimit, judge.ReasonLoad, judge.ReasonQueue, judge.ReasonRest, judge.ReasonUpstream:
+	default:
+		return false
+	}
+	if !x.streamStarted() || x.eventWaitLimit() < refused.RetryAfter/2 { // half of it is random
+		return false
+	}
+	return x.waitFor(ctx, runnerPollInterval)
+}
+
 // streamStarted reports whether the caller has received a part of the response, which a failure
 // would cut off.
 func (x *exchange) streamStarted() bool { return x.headSent || x.request.Resumed }
--- a/internal/request/forwarder/retry_test.go
+++ b/internal/request/forwarder/retry_test.go
@@ -12,9 +12,11 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 )
 
 // errReset is the error of a connection that was reset.
@@ -164,3 +166,67 @@
 		}
 	})
 }
+
+// The runner of a stream that has started is lost, and no other one can take the stream now. Guards
+// against refusing it like a new request: its caller would receive half a response, and no
+// Retry-After.
+func TestStartedStreamsWaitForARunner(t *testing.T) {
+	model, adapter := placer.Copy{Model: "m"}, placer.Copy{Model: "m", Adapter: "a", Version: 2}
+	const (
+		lostAt = 2 * time.Second // by then a new request would have waited for long enough
+		never  = time.Hour
+	)
+	for _, tc := range []struct {
+		name     string
+		copy     placer.Copy
+		slotWait time.Duration // expected wait for an adapter slot at the other runner; 0: there is none
+		after    time.Duration // how long after the loss a runner takes the stream
+		want     string
+		within   time.Duration // of the loss
+	}{
+		{"a runner comes", model, 0, 700 * time.Millisecond, wholeStream, 800 * time.Millisecond},
+		{"no runner comes", model, 0, never, event(1) + event(2), 4 * time.Second},
+		{"the adapter comes in time for the caller", adapter, 1500 * time.Millisecond, 600 * time.Millisecond, wholeStream, 700 * time.Millisecond},
+		{"the adapter comes too late", adapter, 4 * time.Second, never, event(1) + event(2), 10 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &upstream{answer: func(ctx context.Context, n int, a forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+					if n > 1 {
+						return streamReply(&body{ctx: ctx, from: a.LastEventID + 1, to: 4, end: io.EOF}), nil
+					}
+					return streamReply(&body{ctx: ctx, from: 1, to: 2, delays: map[int]time.Duration{2: lostAt}, end: errReset}), nil
+				}}
+				f := newForwarder(u, placement{}, 1)
+				other := tracker.Runner{ID: "i-1", Service: "llm", Domain: "a", Slots: 8, Models: []string{"m"}, Revision: 1}
+				r := newRequest(resumableRoute())
+				r.Copy = tc.copy
+				if tc.copy == adapter {
+					f.Fleet.SetHeldCopy("i-0", adapter, time.Time{}, true)
+				}
+				time.AfterFunc(lostAt-time.Millisecond, func() {
+					f.Fleet.Remove("i-0", 0)
+					if tc.slotWait > 0 {
+						f.Fleet.Set(other)
+						f.Fleet.SetAdapterSlotWaits(map[string]time.Duration{other.ID: tc.slotWait})
+					}
+				})
+				time.AfterFunc(lostAt+tc.after, func() {
+					f.Fleet.Set(other)
+					if tc.copy == adapter {
+						f.Fleet.SetHeldCopy(other.ID, adapter, time.Time{}, true)
+					}
+				})
+				began := time.Now()
+				var got sink
+				err := f.Forward(t.Context(), r, &got)
+				if diff := cmp.Diff(tc.want, got.got); diff != "" || (err == nil) != (tc.want == wholeStream) {
+					t.Error(err, diff)
+				}
+				if waited := time.Since(began) - lostAt; waited > tc.within {
+					t.Errorf("waited %s, want at most %s", waited, tc.within)
+				}
+			})
+		})
+	}
+}
