--- a/internal/instance/gatekeeper/view.go
+++ b/internal/instance/gatekeeper/view.go
@@ -32,6 +32,7 @@
 	othersNewest   uint64                 // newest version known to another instance
 	othersNewestAt time.Time              // when that was first reported
 
+	tableReadAt time.Time               // when the whole table was last read
 	lastWatchAt time.Time               // when the last watch call was sent
 	watchSentAt time.Time               // the same; zero if it has ended
 	cancel      context.CancelCauseFunc // cancels it
@@ -248,6 +249,24 @@
 	v.known = false
 }
 
+// recordTableRead records when the whole table was read.
+func (v *view) recordTableRead(at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.tableReadAt = at
+}
+
+// untilTableRead returns how long to wait before the whole table is read again; 0 if it need not be
+// read, or was not read recently.
+func (v *view) untilTableRead(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.known {
+		return 0
+	}
+	return max(0, tableReadInterval-now.Sub(v.tableReadAt))
+}
+
 // applyAll applies all rows of the table as of a version.
 func (v *view) applyAll(rows []tabler.Row, version uint64) {
 	if v.applyTable != nil {
--- a/internal/instance/gatekeeper/view_refresh.go
+++ b/internal/instance/gatekeeper/view_refresh.go
@@ -38,6 +38,9 @@
 	// maxAgeLeases is the same for the leases, which are known to be current while updates of
 	// all leaders are received. Half of a lease's duration is enough, as no request waits for one.
 	maxAgeLeases = leaseDuration / 2
+	// tableReadInterval is the minimum time between two reads of a whole table. A store that has
+	// no changes after any version would be read without end.
+	tableReadInterval = time.Second
 	// deliveryTime is how long a row that another instance knows may take to arrive here. Rows
 	// reach all instances within some 50 ms; a configuration of 64 KB takes as long on a link
 	// of 10 Mbit/s.
@@ -139,6 +142,7 @@
 }
 
 func (g *Gatekeeper) fetch(ctx context.Context, v *view, wait time.Duration, cancel context.CancelCauseFunc) error {
+	pause(ctx, v.untilTableRead(time.Now()))
 	sentAt := time.Now()
 	after, known := v.watchBegan(sentAt, cancel)
 	if !known {
@@ -146,6 +150,7 @@
 		if err != nil {
 			return err
 		}
+		v.recordTableRead(sentAt)
 		v.applyAll(rows, version)
 		v.recordCall(rows, version, sentAt)
 		return nil
--- a/internal/instance/gatekeeper/watch_test.go
+++ b/internal/instance/gatekeeper/watch_test.go
@@ -52,6 +52,43 @@
 	})
 }
 
+// A forgetfulStore has no changes after any version.
+type forgetfulStore struct {
+	tabler.Feed
+
+	scans *int
+}
+
+func (s forgetfulStore) Scan(ctx context.Context, _ string) ([]tabler.Row, uint64, error) {
+	*s.scans++
+	pause(ctx, 4*time.Millisecond)
+	return nil, 1, ctx.Err()
+}
+
+func (forgetfulStore) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]tabler.Row, uint64, error) {
+	pause(ctx, 4*time.Millisecond)
+	return nil, 0, tabler.ErrCompacted
+}
+
+// Guards against whole tables that are read without end from a store that never has the changes that
+// it is asked for.
+func TestWholeTablesAreReadAtIntervals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGatekeeper()
+		scans := 0
+		g.Store, g.Decoder = forgetfulStore{scans: &scans}, staticDecoder{}
+		ctx, cancel := context.WithCancel(t.Context())
+		go g.watchOperator(ctx)
+		const span = 10 * time.Second
+		time.Sleep(span)
+		cancel()
+		synctest.Wait()
+		if most := int(span/tableReadInterval) + 1; scans == 0 || scans > most {
+			t.Errorf("the table was read %d times in %s, want 1 to %d", scans, span, most)
+		}
+	})
+}
+
 // makeLeader makes an instance the leader of a domain.
 func makeLeader(g *Gatekeeper, domain string) {
 	d := g.controllers[domain]
