Do not suspect requests of crashes that came before them

Cause: a request that is sent to a runner which is already down ends at once and was suspected of the crash, unless its own instance had seen the runner break off before. Evidence: two of the three crashes were told 0.09 s and 0.11 s before the suspected requests were sent, which ran for 0.5 ms. Among requests with equally many crashes the one that ran for the shortest time is taken for the culprit, so the innocent one was.

An incarnation crashes once, so a request sent after another instance saw the crash is no longer suspected. Reports now state when the response broke off instead of when the check of the runner ended. They spread before the checks of other instances end, and delay makes a crash look later, which errs towards suspicion.

TestRequestSentAfterACrashIsNotSuspected failed before.

--- a/internal/instance/gatekeeper/crash.go
+++ b/internal/instance/gatekeeper/crash.go
@@ -42,9 +42,15 @@
 
 // A crashCheck finds out whether a runner has crashed.
 type crashCheck struct {
-	started  time.Time                            // when the first response broke off there
-	crashed  bool                                 // the runner has crashed; requests that break off there later are suspected at once
-	requests map[quarantiner.Digest]time.Duration // how long each had run
+	started  time.Time                        // when the first response broke off there
+	crashed  bool                             // the runner has crashed; requests that break off there later are suspected at once
+	requests map[quarantiner.Digest]brokenRun // that broke off there
+}
+
+// A brokenRun is the run of a request whose response broke off.
+type brokenRun struct {
+	sent time.Time
+	ran  time.Duration
 }
 
 // add records that the response to a request sent at the given time broke off at a runner.
@@ -62,21 +68,21 @@
 	}
 	check, ok := c.byRunner[runner]
 	if !ok {
-		check = &crashCheck{started: now, requests: make(map[quarantiner.Digest]time.Duration)}
+		check = &crashCheck{started: now, requests: make(map[quarantiner.Digest]brokenRun)}
 		c.byRunner[runner] = check
 	}
 	if sent.After(check.started) {
 		return false, false
 	}
 	if len(check.requests) < maxCheckRequests {
-		check.requests[d] = now.Sub(sent)
+		check.requests[d] = brokenRun{sent, now.Sub(sent)}
 	}
 	return !ok, check.crashed
 }
 
 // end ends a check and returns the requests that waited for it. A check that showed a crash
 // is kept for requests that break off late.
-func (c *crashChecks) end(runner string, crashed bool) map[quarantiner.Digest]time.Duration {
+func (c *crashChecks) end(runner string, crashed bool) map[quarantiner.Digest]brokenRun {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	check := c.byRunner[runner]
@@ -103,7 +109,7 @@
 	begin, crashed := g.crashes.add(runner.ID, d, sent)
 	switch {
 	case crashed:
-		g.suspect(runner.ID, map[quarantiner.Digest]time.Duration{d: time.Since(sent)})
+		g.suspect(runner.ID, map[quarantiner.Digest]brokenRun{d: {sent, time.Since(sent)}})
 	case begin:
 		go g.checkRunner(runner)
 	}
--- a/internal/instance/gatekeeper/crash_test.go
+++ b/internal/instance/gatekeeper/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -108,3 +109,48 @@
 		time.Sleep(crashRetention) // lets the timer run out
 	})
 }
+
+// broken returns the run of a request that has just broken off.
+func broken(d quarantiner.Digest, ran time.Duration) map[quarantiner.Digest]brokenRun {
+	return map[quarantiner.Digest]brokenRun{d: {sent: time.Now().Add(-ran), ran: ran}}
+}
+
+// Guards against requests that are quarantined as they were sent to runners that had crashed before:
+// their instance had not noticed, but another one had.
+func TestRequestSentAfterACrashIsNotSuspected(t *testing.T) {
+	const (
+		crashed = time.Second // after the start, as another instance saw it
+		told    = 1200 * time.Millisecond
+	)
+	for _, tc := range []struct {
+		name   string
+		sent   time.Duration
+		broken time.Duration
+		want   bool
+	}{
+		{"sent before the crash", 900 * time.Millisecond, crashed, true},
+		{"sent after the crash", 1100 * time.Millisecond, 1101 * time.Millisecond, false},
+		{"sent long after the crash, to a runner that was alive after all", crashRetention + 2*time.Second, crashRetention + 3*time.Second, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				g := newDomainGatekeeper("a-1", "a")
+				g.Engine = &scriptedEngine{results: []tracker.ProbeResult{tracker.Refuses}}
+				r := tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 1}
+				g.setRunner(r, fromStore)
+				time.AfterFunc(told, func() {
+					g.applyCrashReports([]quarantiner.CrashReport{{Digest: "culprit", Runner: r.ID, Age: told - crashed}}, "front-2")
+				})
+				time.Sleep(tc.broken)
+				g.ReportBroken("d", r, began.Add(tc.sent))
+				time.Sleep(time.Second)
+				suspected := slices.ContainsFunc(g.quarantine.ledger.Cases(), func(c quarantiner.Case) bool { return c.Digest == "d" })
+				if diff := cmp.Diff(tc.want, suspected); diff != "" {
+					t.Error(diff)
+				}
+				time.Sleep(crashRetention) // lets the timer run out
+			})
+		})
+	}
+}
--- a/internal/instance/gatekeeper/quarantine.go
+++ b/internal/instance/gatekeeper/quarantine.go
@@ -62,14 +62,21 @@
 	g.recordOwn(reports)
 }
 
-// suspect records that a runner crashed while it ran the given requests, with how long each had
-// run.
-func (g *Gatekeeper) suspect(runner string, requests map[quarantiner.Digest]time.Duration) {
+// suspect records that a runner crashed while it ran the given requests. Those that were sent after
+// another instance saw it crash are not suspected: the runner was down.
+func (g *Gatekeeper) suspect(runner string, requests map[quarantiner.Digest]brokenRun) {
+	now := time.Now()
+	crashedAt, known := g.quarantine.ledger.CrashedAt(runner)
+	known = known && now.Sub(crashedAt) < crashRetention
 	reports := make([]quarantiner.CrashReport, 0, len(requests))
-	for d, ran := range requests {
-		reports = append(reports, quarantiner.CrashReport{Digest: d, Runner: runner, RunTime: ran})
+	for d, run := range requests {
+		if known && run.sent.After(crashedAt) {
+			g.Recorder.Log(recorder.Suspect, "msg", "sent to a crashed runner; not suspected", "digest", d, "runner", runner, "late", run.sent.Sub(crashedAt))
+			continue
+		}
+		reports = append(reports, quarantiner.CrashReport{Digest: d, Runner: runner, Age: now.Sub(run.sent.Add(run.ran)), RunTime: run.ran})
 	}
-	added := g.quarantine.ledger.Apply(reports, time.Now())
+	added := g.quarantine.ledger.Apply(reports, now)
 	for _, r := range added {
 		g.Metrics.GetOrCreateCounter("sardinetiller_suspected_total").Inc()
 		g.logCrash(r, "self")
--- a/internal/instance/gatekeeper/quarantine_simulation_test.go
+++ b/internal/instance/gatekeeper/quarantine_simulation_test.go
@@ -140,7 +140,7 @@
 			continue
 		}
 		for _, f := range m.pending {
-			m.g.suspect(f.runner, map[quarantiner.Digest]time.Duration{f.digest: f.ran})
+			m.g.suspect(f.runner, broken(f.digest, f.ran))
 		}
 		m.pending = nil
 		if s.leads(m) {
--- a/internal/instance/gatekeeper/quarantine_test.go
+++ b/internal/instance/gatekeeper/quarantine_test.go
@@ -22,7 +22,7 @@
 		first, second := source{"a-1", "a-1"}, source{"b-1", "b-1"}
 		unacknowledged := func(to source) int { return len(g.quarantine.unacknowledged(to, time.Now())) }
 		crash := quarantiner.CrashReport{Digest: "d", Runner: "i-1"}
-		g.suspect(crash.Runner, map[quarantiner.Digest]time.Duration{crash.Digest: 0})
+		g.suspect(crash.Runner, broken(crash.Digest, 0))
 		got := []int{unacknowledged(first), unacknowledged(first)}
 		g.quarantine.acknowledge(first, []quarantiner.CrashReport{crash})
 		got = append(got, unacknowledged(first), unacknowledged(second))
@@ -66,13 +66,13 @@
 		do   func(g *Gatekeeper)
 		want tabler.Txn
 	}{
-		{"first crash", func(g *Gatekeeper) { g.suspect("i-1", map[quarantiner.Digest]time.Duration{"d": 0}) }, tabler.Txn{}},
+		{"first crash", func(g *Gatekeeper) { g.suspect("i-1", broken("d", 0)) }, tabler.Txn{}},
 		{"second crash here", func(g *Gatekeeper) {
-			g.suspect("i-1", map[quarantiner.Digest]time.Duration{"d": 0})
-			g.suspect("i-2", map[quarantiner.Digest]time.Duration{"d": 0})
+			g.suspect("i-1", broken("d", 0))
+			g.suspect("i-2", broken("d", 0))
 		}, tabler.Txn{Puts: []tabler.Put{{Key: "holder/crash/d/i-1"}, {Key: "holder/crash/d/i-2"}}}},
 		{"second crash elsewhere", func(g *Gatekeeper) {
-			g.suspect("i-1", map[quarantiner.Digest]time.Duration{"d": 0})
+			g.suspect("i-1", broken("d", 0))
 			g.applyCrashReports([]quarantiner.CrashReport{{Digest: "d", Runner: "i-2"}}, "a-1")
 		}, tabler.Txn{Puts: []tabler.Put{{Key: "holder/crash/d/i-1"}, {Key: "holder/crash/d/i-2"}}}},
 		{"both elsewhere: their observer stores them", func(g *Gatekeeper) {
@@ -80,16 +80,16 @@
 		}, tabler.Txn{}},
 		{"first crash, without updates from a leader", func(g *Gatekeeper) {
 			setLastUpdates(g, time.Now().Add(-time.Second))
-			g.suspect("i-1", map[quarantiner.Digest]time.Duration{"d": 0})
+			g.suspect("i-1", broken("d", 0))
 		}, tabler.Txn{Puts: []tabler.Put{{Key: "holder/crash/d/i-1"}}}},
 		{"first crash, with updates from a leader ending later", func(g *Gatekeeper) {
-			g.suspect("i-1", map[quarantiner.Digest]time.Duration{"d": 0})
+			g.suspect("i-1", broken("d", 0))
 			setLastUpdates(g, time.Now().Add(-time.Second))
 			g.storeOwnCrashes()
 		}, tabler.Txn{Puts: []tabler.Put{{Key: "holder/crash/d/i-1"}}}},
 		{"cleared before it was written", func(g *Gatekeeper) {
-			g.suspect("i-1", map[quarantiner.Digest]time.Duration{"d": 0})
-			g.suspect("i-2", map[quarantiner.Digest]time.Duration{"d": 0})
+			g.suspect("i-1", broken("d", 0))
+			g.suspect("i-2", broken("d", 0))
 			g.ReportCompleted("d")
 		}, tabler.Txn{Deletes: []string{"holder/crash/d/i-1", "holder/crash/d/i-2"}}},
 		{"row read after it was cleared elsewhere", func(g *Gatekeeper) {
--- a/internal/request/quarantiner/ledger.go
+++ b/internal/request/quarantiner/ledger.go
@@ -177,6 +177,18 @@
 	return CrashReport{Digest: d, Runner: runner, Age: now.Sub(e.at).Round(time.Millisecond), RunTime: e.runTime, Cleared: e.cleared}
 }
 
+// CrashedAt returns when a runner crashed, by the earliest report; ok is false if there is none.
+func (l *Ledger) CrashedAt(runner string) (at time.Time, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.suspects {
+		if e, crashed := s.crashes[runner]; crashed && (!ok || e.at.Before(at)) {
+			at, ok = e.at, true
+		}
+	}
+	return at, ok
+}
+
 // Quarantined reports whether a request is in quarantine, and the time left.
 func (l *Ledger) Quarantined(d Digest, now time.Time) (left time.Duration, quarantined bool) {
 	if l.suspectCount.Load() == 0 {
