Ask for request slots again before runners are used that broke off

Where a peer has no runner left but those that broke off under a request, it sent the request there without asking for a request slot, as the choice by slots came before. It now chooses again from the start.

--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -39,7 +39,7 @@
 		now := time.Now()
 		terms, refused := x.rankRunners(now)
 		if refused != nil {
-			if x.awaitRunner(ctx, refused) {
+			if x.stopAvoiding() || x.awaitRunner(ctx, refused) {
 				continue
 			}
 			return tracker.Runner{}, refused
@@ -214,9 +214,6 @@
 func (x *exchange) rankRunners(now time.Time) ([]router.Terms, *judge.Error) {
 	r := x.request
 	candidates := x.Fleet.Candidates(x.demand(x.tried), now)
-	if len(candidates) == 0 && x.stopAvoiding() {
-		candidates = x.Fleet.Candidates(x.demand(x.tried), now)
-	}
 	if len(candidates) == 0 && len(x.tried) > 0 && x.streamStarted() {
 		clear(x.tried) // a stream that has started is retried on any runner
 		candidates = x.Fleet.Candidates(x.demand(x.tried), now)
