Rank started streams with requests that are on time when adapters load

Cause: the order of loads takes requests that are on time first, and a stream whose first event was due a second ago counts as late.

A stream that has started now counts among the requests that are in time. A new request that is refused for it learns when to come back; a stream that is cut is lost to its caller. The order is otherwise unchanged, so it waits behind adapters for which more requests wait, and behind more urgent ones.

TestStartedStreamsAreNotLastInTheLoadQueue failed before.

--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -107,8 +107,9 @@
 	}
 	x.loadRunner = best.Runner
 	x.releaseCopy()
+	inTime := x.streamStarted() || waited+stall < x.request.Route.LatencyTarget
 	x.Placement.ReportWaiting(Waiter{
-		Copy: x.request.Copy, InTime: waited+stall < x.request.Route.LatencyTarget, Priority: x.request.Priority, Request: x.request.Account + "/" + x.request.ID, Runner: best.Runner,
+		Copy: x.request.Copy, InTime: inTime, Priority: x.request.Priority, Request: x.request.Account + "/" + x.request.ID, Runner: best.Runner,
 	})
 	if !x.waitForPoll(ctx) {
 		return x.contextError(ctx)
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -45,10 +45,17 @@
 	reserve          func(request forwarder.ReserveRequest) (forwarder.Reservation, *judge.Error, bool)
 	requestSpareCopy func(runner string)
 	reportRefusal    func(runner string, c placer.Copy)
+	reportWaiting    func(w forwarder.Waiter)
 	takeToken        func(runner string) bool
 }
 
-func (p placement) ReportWaiting(w forwarder.Waiter) { p.RequestSpareCopy(w.Runner, w.Copy) }
+func (p placement) ReportWaiting(w forwarder.Waiter) {
+	if p.reportWaiting != nil {
+		p.reportWaiting(w)
+	}
+	p.RequestSpareCopy(w.Runner, w.Copy)
+}
+
 func (p placement) RequestSpareCopy(runner string, _ placer.Copy) {
 	if p.requestSpareCopy != nil {
 		p.requestSpareCopy(runner)
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -174,7 +174,7 @@
 // A Waiter is a request that waits for a copy.
 type Waiter struct {
 	Copy     placer.Copy
-	InTime   bool // the response is still on time if the copy is loaded next
+	InTime   bool // the response is still on time if the copy is loaded next, or would be cut off without it
 	Priority int
 	Request  string
 	Runner   string
--- a/internal/request/forwarder/retry_test.go
+++ b/internal/request/forwarder/retry_test.go
@@ -167,6 +167,45 @@
 	})
 }
 
+// A stream that has started waits for its adapter beside new requests for others. Guards against
+// loading theirs first until the stream is cut off, as its first event was due long ago.
+func TestStartedStreamsAreNotLastInTheLoadQueue(t *testing.T) {
+	const lostAt = 2 * time.Second // later than the target for the first event
+	for _, tc := range []struct {
+		name    string
+		started bool
+		want    bool // counted among the requests that are in time
+	}{{"stream that has started", true, true}, {"new request that is late", false, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &upstream{answer: func(ctx context.Context, n int, a forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+					return streamReply(&body{ctx: ctx, from: a.LastEventID + 1, to: 4, end: io.EOF}), nil
+				}}
+				var waiters []forwarder.Waiter
+				f := newForwarder(u, placement{reportWaiting: func(w forwarder.Waiter) { waiters = append(waiters, w) }}, 1)
+				r := newRequest(resumableRoute())
+				r.Copy = placer.Copy{Model: "m", Adapter: "a", Version: 2}
+				if tc.started {
+					r.Via, r.Resumed, r.LastEventID, r.LastEventAt = "front-2", true, 2, time.Now().Add(lostAt)
+				}
+				time.Sleep(lostAt)
+				time.AfterFunc(100*time.Millisecond, func() { f.Fleet.SetHeldCopy("i-0", r.Copy, time.Time{}, true) })
+				if err := f.Forward(t.Context(), r, &sink{}); err != nil {
+					t.Fatal(err)
+				}
+				for _, w := range waiters {
+					if w.InTime != tc.want {
+						t.Fatalf("reported %+v", w)
+					}
+				}
+				if len(waiters) == 0 {
+					t.Error("the adapter was not requested")
+				}
+			})
+		})
+	}
+}
+
 // The runner of a stream that has started is lost, and no other one can take the stream now. Guards
 // against refusing it like a new request: its caller would receive half a response, and no
 // Retry-After.
