--- a/internal/instance/gatekeeper/crash_test.go
+++ b/internal/instance/gatekeeper/crash_test.go
@@ -119,8 +119,8 @@
 // their instance had not noticed, but another one had.
 func TestRequestSentAfterACrashIsNotSuspected(t *testing.T) {
 	const (
-		crashed = time.Second // after the start, as another instance saw it
-		told    = 1200 * time.Millisecond
+		crashed  = time.Second // after the start, as another instance saw it
+		reported = 1200 * time.Millisecond
 	)
 	for _, tc := range []struct {
 		name   string
@@ -139,8 +139,8 @@
 				g.Engine = &scriptedEngine{results: []tracker.ProbeResult{tracker.Refuses}}
 				r := tracker.Runner{ID: "i-1", Domain: "a", Service: "llm", Revision: 1}
 				g.setRunner(r, fromStore)
-				time.AfterFunc(told, func() {
-					g.applyCrashReports([]quarantiner.CrashReport{{Digest: "culprit", Runner: r.ID, Age: told - crashed}}, "front-2")
+				time.AfterFunc(reported, func() {
+					g.applyCrashReports([]quarantiner.CrashReport{{Digest: "culprit", Runner: r.ID, Age: reported - crashed}}, "front-2")
 				})
 				time.Sleep(tc.broken)
 				g.ReportBroken("d", r, began.Add(tc.sent))
--- a/internal/instance/gatekeeper/detour_test.go
+++ b/internal/instance/gatekeeper/detour_test.go
@@ -14,7 +14,7 @@
 
 // Guards against a stream that a peer handles like a new request: it would send the stream to the
 // runner that has just broken off, or wait for longer than its caller does.
-func TestDetourTellsWhatHappenedToTheStream(t *testing.T) {
+func TestDetourCarriesTheStateOfTheStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newTestGatekeeper()
 		g.init()
@@ -29,16 +29,16 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		type told struct {
+		type state struct {
 			LastEventID          int
 			Resumed              bool
 			Arrived, LastEventAt time.Time
 			Avoid                []string
 		}
-		tell := func(r *forwarder.Request) told {
-			return told{r.LastEventID, r.Resumed, r.Arrived, r.LastEventAt, r.Avoid}
+		stateOf := func(r *forwarder.Request) state {
+			return state{r.LastEventID, r.Resumed, r.Arrived, r.LastEventAt, r.Avoid}
 		}
-		if diff := cmp.Diff(tell(&sent), tell(got)); diff != "" {
+		if diff := cmp.Diff(stateOf(&sent), stateOf(got)); diff != "" {
 			t.Error(diff)
 		}
 	})
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -151,14 +151,10 @@
 	}
 	x.queueWait = reservation.Delay
 	x.requestSpareCopy(terms, reservation.Delay)
-	delay := time.NewTimer(reservation.Delay)
-	defer delay.Stop()
-	select {
-	case <-ctx.Done():
+	if !x.waitFor(ctx, reservation.Delay) {
 		return true, x.contextError(ctx)
-	case <-delay.C:
-		return true, nil
 	}
+	return true, nil
 }
 
 // prefillTimeout returns the time within which the prompt has to be prefilled for the
--- a/internal/request/forwarder/detour_test.go
+++ b/internal/request/forwarder/detour_test.go
@@ -223,7 +223,7 @@
 // Guards against peers that send it to that runner again and so use up its executions.
 func TestDetourAvoidsRunnersThatBrokeOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		u := &upstream{answer: breakAfter(2)}
+		u := &upstream{answer: breakAfter(2, 0)}
 		f := newForwarder(u, placement{}, 2)
 		d := &detours{answer: func(ctx context.Context, _ int, r forwarder.DetourRequest, o *forwarder.DetourOutcome) (*forwarder.Reply, *judge.Error) {
 			*o = forwarder.DetourOutcome{Peer: "front-2", Arrivals: 1, Executions: 1}
--- a/internal/request/forwarder/retry_test.go
+++ b/internal/request/forwarder/retry_test.go
@@ -22,9 +22,9 @@
 // errReset is the error of a connection that was reset.
 var errReset = errors.New("connection reset")
 
-// breakAfter answers a first attempt with the events up to last, after which the connection breaks,
-// and any other with the rest of four events.
-func breakAfter(last int) func(context.Context, int, forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+// breakAfter answers a first attempt with the events up to last, which comes after a delay and after
+// which the connection breaks, and any other with the rest of four events.
+func breakAfter(last int, delay time.Duration) func(context.Context, int, forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
 	return func(ctx context.Context, n int, a forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
 		switch {
 		case n > 1:
@@ -32,7 +32,7 @@
 		case last == 0:
 			return nil, judge.Broken{Written: 9, Err: errReset}
 		default:
-			return streamReply(&body{ctx: ctx, from: 1, to: last, end: errReset}), nil
+			return streamReply(&body{ctx: ctx, from: 1, to: last, delays: map[int]time.Duration{last: delay}, end: errReset}), nil
 		}
 	}
 }
@@ -75,12 +75,12 @@
 		want    string
 		within  time.Duration
 	}{
-		{"stream that has started", resumableRoute(), breakAfter(2), 600 * time.Millisecond, wholeStream, 650 * time.Millisecond},
+		{"stream that has started", resumableRoute(), breakAfter(2, 0), 600 * time.Millisecond, wholeStream, 650 * time.Millisecond},
 		{"rejected request", once, rejectFirst, 600 * time.Millisecond, wholeStream, 650 * time.Millisecond},
-		{"request that may have crashed its runner", resumableRoute(), breakAfter(0), 600 * time.Millisecond, "", 0},
-		{"count that comes too late for the caller of a stream", resumableRoute(), breakAfter(2), time.Hour, event(1) + event(2), 4 * time.Second},
+		{"request that may have crashed its runner", resumableRoute(), breakAfter(0, 0), 600 * time.Millisecond, "", 0},
+		{"count that comes too late for the caller of a stream", resumableRoute(), breakAfter(2, 0), time.Hour, event(1) + event(2), 4 * time.Second},
 		{"count that comes too late to be on time", resumableRoute(), rejectFirst, time.Hour, "", 1100 * time.Millisecond},
-		{"stream that may not be resumed", once, breakAfter(2), 600 * time.Millisecond, event(1) + event(2), 0},
+		{"stream that may not be resumed", once, breakAfter(2, 0), 600 * time.Millisecond, event(1) + event(2), 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -105,13 +105,7 @@
 // share that was known when the last request arrived.
 func TestRetryShareIsThatOfTheTimeOfTheRetry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		u := &upstream{answer: func(ctx context.Context, n int, a forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
-			if n > 1 {
-				return streamReply(&body{ctx: ctx, from: a.LastEventID + 1, to: 4, end: io.EOF}), nil
-			}
-			return streamReply(&body{ctx: ctx, from: 1, to: 2, delays: map[int]time.Duration{2: 200 * time.Millisecond}, end: errReset}), nil
-		}}
-		f := newForwarder(u, placement{}, 2)
+		f := newForwarder(&upstream{answer: breakAfter(2, 200*time.Millisecond)}, placement{}, 2)
 		counted := time.Now().Add(100 * time.Millisecond)
 		f.RetryBurst = func() float64 {
 			if time.Now().Before(counted) {
@@ -230,13 +224,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				u := &upstream{answer: func(ctx context.Context, n int, a forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
-					if n > 1 {
-						return streamReply(&body{ctx: ctx, from: a.LastEventID + 1, to: 4, end: io.EOF}), nil
-					}
-					return streamReply(&body{ctx: ctx, from: 1, to: 2, delays: map[int]time.Duration{2: lostAt}, end: errReset}), nil
-				}}
-				f := newForwarder(u, placement{}, 1)
+				f := newForwarder(&upstream{answer: breakAfter(2, lostAt)}, placement{}, 1)
 				other := tracker.Runner{ID: "i-1", Service: "llm", Domain: "a", Slots: 8, Models: []string{"m"}, Revision: 1}
 				r := newRequest(resumableRoute())
 				r.Copy = tc.copy
