Log the software version of runners and what a stream resumes

The row of a runner is decoded with its version, and the lines of requests name both. No decision reads them yet.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -31,7 +31,7 @@
 	now := time.Now()
 	deadline, _ := ctx.Deadline()
 	run := x.Fleet.Begin(runner.ID, x.request.Tokens, now)
-	x.lastRunner, x.lastRun, x.sentAt, x.token = runner.ID, run, now, token{}
+	x.lastRunner, x.lastVersion, x.lastRun, x.sentAt, x.token = runner.ID, runner.Version, run, now, token{}
 	connected, stop := x.awaitConnection(run)
 	defer stop()
 	x.acquireCopy(runner.ID)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -63,6 +63,7 @@
 	avoided       []string           // whose connections broke under the request at another instance
 	staysLocal    bool               // no peer has accepted it
 	lastRunner    string             // of the last attempt
+	lastVersion   string             // software version of that runner
 	lastRun       *tracker.Run       // of the last attempt
 	queueWait     time.Duration      // estimated wait at that runner
 	queued        time.Duration      // spent waiting for a turn at runners
@@ -137,7 +138,7 @@
 		x.announceRetry()
 		x.useNewestVersion()
 		x.OnRetry(failed)
-		x.Recorder.Log(recorder.Retry, "request", x.request.ID, "digest", x.digest(), "copy", x.request.Copy, "runner", x.lastRunner, "peer", x.peer, "reason", failed.Reason,
+		x.Recorder.Log(recorder.Retry, "request", x.request.ID, "digest", x.digest(), "copy", x.request.Copy, "runner", x.lastRunner, "version", x.lastVersion, "peer", x.peer, "reason", failed.Reason,
 			"verdict", failed.Verdict, "after", x.lastEventID, "arrivals", x.delivered, "wait", x.retryWait)
 	}
 }
@@ -211,7 +212,7 @@
 func (x *exchange) log(err *judge.Error) {
 	r := x.request
 	fields := []any{
-		"request", r.ID, "account", r.Account, "route", r.Route.Name, "service", r.Service, "copy", r.Copy, "via", r.Via, "peer", x.peer, "runner", x.lastRunner, "tokens", r.Tokens,
+		"request", r.ID, "account", r.Account, "route", r.Route.Name, "service", r.Service, "copy", r.Copy, "via", r.Via, "peer", x.peer, "runner", x.lastRunner, "version", x.lastVersion, "resumes", r.Resumes, "tokens", r.Tokens,
 		"queue", x.queueWait, "denied", strings.Join(x.denied, ","), "arrivals", x.delivered, "runs", x.executions, "after", x.lastEventID, "waited", x.adapterWait, "connecting", x.connecting, "first", x.timeToFirst, "pause", x.longestGap, "took", time.Since(r.Arrived),
 	}
 	if err == nil {
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -24,6 +24,7 @@
 	Arrived     time.Time
 	Deadline    time.Time // when the caller stops waiting
 	LastEventID int       // ID of the last event that the caller has received; 0 for none
+	Resumes     string    // ID of the attempt that brought the caller the first event of the stream; empty for a new request
 	Copy        placer.Copy
 	Engine      *matcher.Engine // of the service; nil for a plain one
 	Message     Message
--- a/internal/upstream/tracker/runner.go
+++ b/internal/upstream/tracker/runner.go
@@ -23,8 +23,9 @@
 	Slots    int           `cbor:"5,keyasint"` // concurrent requests
 	Leaving  bool          `cbor:"6,keyasint"`
 	Models   []string      `cbor:"7,keyasint,omitempty"`
-	Adapters []placer.Copy `cbor:"8,keyasint,omitempty"` // held at its last report
-	Revision uint64        `cbor:"9,keyasint"`           // of this description; increases
+	Adapters []placer.Copy `cbor:"8,keyasint,omitempty"`  // held at its last report
+	Revision uint64        `cbor:"9,keyasint"`            // of this description; increases
+	Version  string        `cbor:"11,keyasint,omitempty"` // of its software
 }
 
 // Incarnation returns the ID of the incarnation of a runner that started at the
