Say in one type which runners may take a request

An eligibility holds them, restricts the demand of every choice, and each last resort names the reason that it gives up. No change of behaviour; the tests of internal/request pass.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -129,7 +129,7 @@
 		x.connecting += time.Since(x.sentAt)
 		x.Recorder.Log(recorder.View, "msg", "no connection to runner", "request", x.request.ID, "runner", runner.ID, "unreached", x.Fleet.Unreached(), "took", time.Since(x.sentAt), "err", err.Message)
 	}
-	x.tried[runner.ID] = true
+	x.eligible.fail(runner.ID)
 	if _, broken := observation.(judge.Broken); broken {
 		x.reportBroken(ctx, runner, err)
 	}
@@ -148,7 +148,7 @@
 		x.Fleet.MarkMissing(runner.ID, x.request.Copy)
 		x.Placement.ReportMiss(runner.ID, x.request.Copy)
 	default:
-		x.tried[runner.ID] = true
+		x.eligible.fail(runner.ID)
 		x.Fleet.RecordRejection(runner.ID, x.Instances(), time.Now())
 	}
 	return judge.Judge(judge.Refused{Status: reply.Status})
@@ -159,7 +159,7 @@
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBodySize))
 	reply.Close(err == nil)
 	if err != nil {
-		x.tried[runner.ID] = true
+		x.eligible.fail(runner.ID)
 		return x.brokenError(ctx, runner, reply, err)
 	}
 	x.reportCompleted()
@@ -167,7 +167,7 @@
 		return judge.Judge(judge.Failed{Status: reply.Status})
 	}
 	if reply.Status >= 500 && x.request.Route.Repeatable() && x.executions < x.request.Route.MaxExecutions && x.budget.Withdraw() {
-		x.tried[runner.ID] = true
+		x.eligible.fail(runner.ID)
 		x.OnRetry(judge.Judge(judge.Failed{Status: reply.Status}))
 		return x.retryFailed(ctx, reply, body)
 	}
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -39,7 +39,7 @@
 		now := time.Now()
 		terms, refused := x.rankRunners(now)
 		if refused != nil {
-			if x.stopAvoiding() || x.awaitRunner(ctx, refused) {
+			if x.eligible.stopAvoiding() || x.awaitRunner(ctx, refused) {
 				continue
 			}
 			return tracker.Runner{}, refused
@@ -83,10 +83,10 @@
 			return runner, refused
 		}
 		refused = x.soonestFull(refused)
-		if len(x.fullRunners) >= maxFullRunners {
+		if len(x.eligible.full) >= maxFullRunners {
 			return runner, refused
 		}
-		x.fullRunners[runner.ID] = true
+		x.eligible.full[runner.ID] = true
 		x.lastFull = refused
 	}
 }
@@ -100,7 +100,7 @@
 	stall := time.Duration(best.Stall * float64(time.Second))
 	waited := now.Sub(x.request.Arrived)
 	if stall > x.adapterWaitLeft(ctx, now) {
-		if x.stopAvoiding() {
+		if x.eligible.stopAvoiding() {
 			return nil
 		}
 		return judge.Refuse(judge.ReasonLoad, "the adapter comes in %s", stall.Round(time.Millisecond)).WithRetryAfter(retryAfter(stall))
@@ -198,22 +198,23 @@
 }
 
 // demand returns the inputs for the choice of a runner.
-func (x *exchange) demand(tried map[string]bool) tracker.Demand {
+func (x *exchange) demand() tracker.Demand {
 	r := x.request
-	return tracker.Demand{
-		LoadingRunner: x.loadRunner, Copy: r.Copy, MaxGap: r.Route.MaxGap, MaxPrefill: x.prefillLimit(), Refused: x.fullRunners, LoadTime: x.LoadTime(), ReloadTime: x.ReloadTime(), Service: r.Service, Tokens: r.Tokens,
-		Excluded: tried, Ordered: x.Ordered, Priority: r.Priority,
+	d := tracker.Demand{
+		LoadingRunner: x.loadRunner, Copy: r.Copy, MaxGap: r.Route.MaxGap, MaxPrefill: x.prefillLimit(), LoadTime: x.LoadTime(), ReloadTime: x.ReloadTime(), Service: r.Service, Tokens: r.Tokens,
+		Ordered: x.Ordered, Priority: r.Priority,
 	}
+	x.eligible.restrict(&d)
+	return d
 }
 
 // rankRunners returns the runners ordered by the expected time of their response. It
 // refuses the request if even the first would respond too late.
 func (x *exchange) rankRunners(now time.Time) ([]router.Terms, *judge.Error) {
 	r := x.request
-	candidates := x.Fleet.Candidates(x.demand(x.tried), now)
-	if len(candidates) == 0 && len(x.tried) > 0 && x.streamStarted() {
-		clear(x.tried) // a stream that has started is retried on any runner
-		candidates = x.Fleet.Candidates(x.demand(x.tried), now)
+	candidates := x.Fleet.Candidates(x.demand(), now)
+	if len(candidates) == 0 && x.streamStarted() && x.eligible.retryTried() {
+		candidates = x.Fleet.Candidates(x.demand(), now)
 	}
 	if len(candidates) == 0 {
 		return nil, x.noRunner(now)
@@ -221,7 +222,7 @@
 	choice := router.Router{Policy: router.FirstToken{CrossDomain: crossDomainCost}}
 	terms := choice.Choose(router.Request{Adapter: r.Copy.Adapter, TimeLeft: r.Deadline.Sub(now)}, candidates)
 	best := terms[0]
-	if x.fullRunners[best.Runner] {
+	if x.eligible.full[best.Runner] {
 		return nil, x.lastFull // and no other runner ranks better
 	}
 	if limit := x.queueLimit(); best.Queue > limit.Seconds() && x.delivered == 0 && !r.Resumed {
@@ -241,10 +242,10 @@
 	if x.Fleet.Detector.Partitioned(x.request.Service) {
 		return judge.Refuse(judge.ReasonUpstream, "this instance reaches no runner of service %s", x.request.Service).WithRetryAfter(retryAfter(partitionRetryAfter))
 	}
-	if x.request.Copy.Adapter != "" && x.Fleet.AnyEligible(x.demand(x.tried), now) {
+	if x.request.Copy.Adapter != "" && x.Fleet.AnyEligible(x.demand(), now) {
 		return judge.Refuse(judge.ReasonLoad, "nobody gives orders to the runners now").WithRetryAfter(retryAfter(noRunnerRetryAfter))
 	}
-	if pause, ok := x.Fleet.ShortestPause(x.demand(x.tried), now); ok {
+	if pause, ok := x.Fleet.ShortestPause(x.demand(), now); ok {
 		reason, why := judge.ReasonRest, "ask for rest"
 		if pause.Limit {
 			reason, why = judge.ReasonLimit, "limit their request rate"
--- a/internal/request/forwarder/detour.go
+++ b/internal/request/forwarder/detour.go
@@ -65,7 +65,7 @@
 	x.abandonSlot()
 	x.releaseCopy()
 	r := *x.request
-	r.LastEventID, r.Resumed, r.LastEventAt, r.Avoid = x.lastEventID, x.headSent, x.lastEventAt, x.brokenRunners
+	r.LastEventID, r.Resumed, r.LastEventAt, r.Avoid = x.lastEventID, x.headSent, x.lastEventAt, x.eligible.broken
 	var outcome DetourOutcome
 	reply, failed := x.Detours.Detour(ctx, DetourRequest{
 		Request: &r, Excluded: maps.Clone(x.failedPeers), ExecutionsLeft: max(1, r.Route.MaxExecutions-x.executions),
@@ -129,24 +129,3 @@
 	x.staysLocal = x.peer == "" && ctx.Err() == nil && x.Fleet.Detector.State(x.request.Service) == detector.Impaired
 	return x.staysLocal
 }
-
-// avoid makes the runners ineligible whose connections broke under the request at the instance that
-// sent it over a detour: they may have crashed.
-func (x *exchange) avoid() {
-	x.avoided = x.request.Avoid
-	for _, runner := range x.avoided {
-		x.tried[runner] = true
-	}
-}
-
-// stopAvoiding makes these runners eligible again, and reports whether there are any. It is called
-// when no other runner can serve the request: the links of that instance may have failed rather
-// than the runners.
-func (x *exchange) stopAvoiding() bool {
-	for _, runner := range x.avoided {
-		delete(x.tried, runner)
-	}
-	avoided := len(x.avoided) > 0
-	x.avoided = nil
-	return avoided
-}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -56,38 +56,35 @@
 	budget  *retrier.Budget
 	ref     copyRef // to the copy in use
 
-	loadRunner    string             // where the adapter load was requested
-	peer          string             // that served the request over a detour
-	failedPeers   map[string]bool    // that failed while they served the request
-	brokenRunners []string           // whose connections broke under the request
-	avoided       []string           // whose connections broke under the request at another instance
-	staysLocal    bool               // no peer has accepted it
-	lastRunner    string             // of the last attempt
-	lastVersion   string             // software version of that runner
-	lastRun       *tracker.Run       // of the last attempt
-	queueWait     time.Duration      // estimated wait at that runner
-	queued        time.Duration      // spent waiting for a turn at runners
-	connecting    time.Duration      // spent waiting for connections to runners
-	lastEventID   int                // of the last event passed to the caller
-	headSent      bool               // the caller has received a response head
-	delivered     int                // attempts that reached a runner
-	fullRunners   map[string]bool    // runners that refused it for lack of capacity
-	lastFull      *judge.Error       // the last of these refusals
-	cachedDigest  quarantiner.Digest // empty until digest is called
-	timeToFirst   time.Duration      // from arrival to the first event of the response
-	lastEventAt   time.Time          // when the last event was passed on
-	longestGap    time.Duration      // between two events
-	slot          RequestSlot        // held at a runner of a plain service
-	token         token              // to send one request to a runner
-	denied        []string           // runners for which there was no token
-	retryPaid     atomic.Bool        // the next retry has already been withdrawn from the budget
-	retryWait     time.Duration      // spent waiting for the last retry to be allowed
-	executions    int                // delivered attempts that may have run
-	sentAt        time.Time          // of the last attempt
-	splitter      streamer.Splitter
-	status        int // of the response passed to the caller; 0 if none
-	tried         map[string]bool
-	adapterWait   time.Duration // from the start of each choice of a runner to its end, mostly waiting for the adapter
+	loadRunner   string          // where the adapter load was requested
+	peer         string          // that served the request over a detour
+	failedPeers  map[string]bool // that failed while they served the request
+	eligible     eligibility
+	staysLocal   bool               // no peer has accepted it
+	lastRunner   string             // of the last attempt
+	lastVersion  string             // software version of that runner
+	lastRun      *tracker.Run       // of the last attempt
+	queueWait    time.Duration      // estimated wait at that runner
+	queued       time.Duration      // spent waiting for a turn at runners
+	connecting   time.Duration      // spent waiting for connections to runners
+	lastEventID  int                // of the last event passed to the caller
+	headSent     bool               // the caller has received a response head
+	delivered    int                // attempts that reached a runner
+	lastFull     *judge.Error       // the last refusal of a runner for lack of capacity
+	cachedDigest quarantiner.Digest // empty until digest is called
+	timeToFirst  time.Duration      // from arrival to the first event of the response
+	lastEventAt  time.Time          // when the last event was passed on
+	longestGap   time.Duration      // between two events
+	slot         RequestSlot        // held at a runner of a plain service
+	token        token              // to send one request to a runner
+	denied       []string           // runners for which there was no token
+	retryPaid    atomic.Bool        // the next retry has already been withdrawn from the budget
+	retryWait    time.Duration      // spent waiting for the last retry to be allowed
+	executions   int                // delivered attempts that may have run
+	sentAt       time.Time          // of the last attempt
+	splitter     streamer.Splitter
+	status       int           // of the response passed to the caller; 0 if none
+	adapterWait  time.Duration // from the start of each choice of a runner to its end, mostly waiting for the adapter
 }
 
 // Forward serves a request. It returns nil after a complete response, otherwise an error
@@ -99,8 +96,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	x := &exchange{Forwarder: f, request: r, sink: sink, budget: f.budget(r.Service), lastEventID: r.LastEventID, failedPeers: make(map[string]bool), fullRunners: make(map[string]bool), tried: make(map[string]bool)}
-	x.avoid()
+	x := &exchange{Forwarder: f, request: r, sink: sink, budget: f.budget(r.Service), lastEventID: r.LastEventID, failedPeers: make(map[string]bool), eligible: newEligibility(r)}
 	if r.Via == "" {
 		x.budget.Deposit() // for a detour, the instance that received the request has done so
 	}
--- a/internal/request/forwarder/quarantine.go
+++ b/internal/request/forwarder/quarantine.go
@@ -52,7 +52,7 @@
 		return
 	}
 	x.lastRun.Broken(time.Now())
-	x.brokenRunners = append(x.brokenRunners, runner.ID)
+	x.eligible.breakOff(runner.ID)
 	if err.Verdict != judge.NotRun {
 		x.Quarantine.ReportBroken(x.digest(), runner, x.sentAt)
 	}
--- a/internal/request/forwarder/retry.go
+++ b/internal/request/forwarder/retry.go
@@ -58,7 +58,7 @@
 	if !x.streamStarted() || x.eventWaitLimit() < refused.RetryAfter/2 { // half of it is random
 		return false
 	}
-	clear(x.fullRunners) // they may have capacity by then
+	x.eligible.retryFull() // they may have capacity by then
 	return x.waitFor(ctx, runnerPollInterval)
 }
 
--- a/internal/request/forwarder/slot.go
+++ b/internal/request/forwarder/slot.go
@@ -37,7 +37,7 @@
 	}
 	now := time.Now()
 	choice := router.Router{Policy: router.Spread{CrossDomain: crossDomainCost, Draw: rand.Float64}}
-	terms := choice.Choose(router.Request{}, x.Fleet.Candidates(x.demand(x.tried), now))
+	terms := choice.Choose(router.Request{}, x.Fleet.Candidates(x.demand(), now))
 	var best runnerSlot
 	unanswered := 0
 	for n, t := range terms[:min(len(terms), maxSlotProbes)] {
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -25,10 +25,10 @@
 	reply.Close(failed == nil && err == nil)
 	switch {
 	case failed != nil:
-		x.tried[runner.ID] = true
+		x.eligible.fail(runner.ID)
 		return failed
 	case err != nil:
-		x.tried[runner.ID] = true
+		x.eligible.fail(runner.ID)
 		return x.brokenError(ctx, runner, reply, err)
 	}
 	x.reportCompleted()
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -43,9 +43,9 @@
 
 // newWatchdog starts the watchdog of an attempt at a runner.
 func (x *exchange) newWatchdog(runner string, cancel context.CancelCauseFunc) *watchdog {
-	tried := maps.Clone(x.tried)
-	tried[runner] = true
-	w := &watchdog{exchange: x, cancel: cancel, demand: x.demand(tried), lastSign: time.Now(), timeout: x.firstByteTimeout()}
+	demand := x.demand()
+	demand.Excluded = x.eligible.triedWith(runner)
+	w := &watchdog{exchange: x, cancel: cancel, demand: demand, lastSign: time.Now(), timeout: x.firstByteTimeout()}
 	if !x.request.Route.Repeatable() || x.executions+1 >= x.request.Route.MaxExecutions {
 		return w
 	}
