Keep the software version of a stream within one response

Callers got events of two software versions in one response: a retry, a last resort or a detour took any runner of the service.

Cause: nothing read the version of a runner's row. A demand now has a pin, which the eligibility sets with the first event that is passed on, from the row as it was when the request was sent. Every choice is restricted by it, the last resorts too; a detour carries it, and its head says at which version the peer began. Where only runners of other versions are left the stream ends at once, as nobody can go on with it; where a service has no runner at all it waits as before.

--- a/internal/instance/gatekeeper/detour_peer.go
+++ b/internal/instance/gatekeeper/detour_peer.go
@@ -100,7 +100,7 @@
 	r := &forwarder.Request{
 		ID: m.ID, Account: m.Account, Arrived: now.Add(-m.Waited), Deadline: now.Add(m.Left), LastEventID: m.LastEventID, Copy: m.Copy,
 		Engine: service.Engine, Message: forwarder.Message{Body: m.Body, Head: m.Head, Method: m.Method, Target: m.Target},
-		Priority: m.Priority, Service: m.Service, Tokens: m.Tokens, Via: from.ID, Resumed: m.Resumed, Avoid: m.Avoid,
+		Priority: m.Priority, Service: m.Service, Tokens: m.Tokens, Via: from.ID, Resumed: m.Resumed, Avoid: m.Avoid, Pin: m.Pin,
 		Route: &matcher.Route{
 			Name: m.Route.Name, Host: m.Route.Host, Kind: m.Route.Kind, MaxExecutions: m.Route.MaxExecutions, MaxGap: m.Route.MaxGap,
 			LatencyTarget: m.Route.LatencyTarget, Resumable: m.Route.Resumable, Timeout: m.Route.Timeout, Priority: m.Priority,
@@ -134,7 +134,7 @@
 
 // Head implements forwarder.Sink.
 func (s *detourSink) Head(r *forwarder.Reply) error {
-	return s.reply.Send(relayer.DetourHead{Status: r.Status, Header: s.codec.EncodeHeader(r.Head)})
+	return s.reply.Send(relayer.DetourHead{Status: r.Status, Header: s.codec.EncodeHeader(r.Head), Version: r.Version})
 }
 
 // Event implements forwarder.Sink.
--- a/internal/member/relayer/detour.go
+++ b/internal/member/relayer/detour.go
@@ -5,6 +5,7 @@
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 )
 
 // A Watch asks a peer for its Status, now and at intervals until the conversation ends.
@@ -26,23 +27,24 @@
 // Data, with a Progress before each further execution, and a Done at the end. The peer runs
 // nothing before the Begin.
 type Detour struct {
-	ID          string        `cbor:"1,keyasint"`
-	Account     string        `cbor:"2,keyasint,omitempty"`
-	Service     string        `cbor:"3,keyasint"`
-	Copy        placer.Copy   `cbor:"4,keyasint"`
-	LastEventID int           `cbor:"5,keyasint,omitempty"`
-	Resumed     bool          `cbor:"6,keyasint,omitempty"` // the caller has received a part of the response
-	Method      string        `cbor:"7,keyasint"`
-	Target      string        `cbor:"8,keyasint"`
-	Head        []byte        `cbor:"9,keyasint,omitempty"`
-	Body        []byte        `cbor:"10,keyasint,omitempty"`
-	Priority    int           `cbor:"11,keyasint,omitempty"`
-	Tokens      int           `cbor:"12,keyasint,omitempty"`
-	Waited      time.Duration `cbor:"13,keyasint"` // since the request arrived
-	Left        time.Duration `cbor:"14,keyasint"` // until its caller stops waiting
-	Route       DetourRoute   `cbor:"15,keyasint"`
-	Idle        time.Duration `cbor:"16,keyasint,omitempty"` // since the caller received the last event
-	Avoid       []string      `cbor:"17,keyasint,omitempty"` // runners whose connections broke under the request
+	ID          string             `cbor:"1,keyasint"`
+	Account     string             `cbor:"2,keyasint,omitempty"`
+	Service     string             `cbor:"3,keyasint"`
+	Copy        placer.Copy        `cbor:"4,keyasint"`
+	LastEventID int                `cbor:"5,keyasint,omitempty"`
+	Resumed     bool               `cbor:"6,keyasint,omitempty"` // the caller has received a part of the response
+	Method      string             `cbor:"7,keyasint"`
+	Target      string             `cbor:"8,keyasint"`
+	Head        []byte             `cbor:"9,keyasint,omitempty"`
+	Body        []byte             `cbor:"10,keyasint,omitempty"`
+	Priority    int                `cbor:"11,keyasint,omitempty"`
+	Tokens      int                `cbor:"12,keyasint,omitempty"`
+	Waited      time.Duration      `cbor:"13,keyasint"` // since the request arrived
+	Left        time.Duration      `cbor:"14,keyasint"` // until its caller stops waiting
+	Route       DetourRoute        `cbor:"15,keyasint"`
+	Idle        time.Duration      `cbor:"16,keyasint,omitempty"` // since the caller received the last event
+	Avoid       []string           `cbor:"17,keyasint,omitempty"` // runners whose connections broke under the request
+	Pin         tracker.VersionPin `cbor:"18,keyasint,omitzero"`  // software version at which the stream began
 }
 
 // A DetourRoute holds what the sender's configuration says of the request. MaxExecutions is
@@ -67,9 +69,10 @@
 
 // A DetourHead begins the response of a runner.
 type DetourHead struct {
-	_      struct{} `cbor:",toarray"`
-	Status int
-	Header []string // names and values in turns
+	_       struct{} `cbor:",toarray"`
+	Status  int
+	Header  []string // names and values in turns
+	Version string   // software version of the runner
 }
 
 // A Progress states how many times the request may have been executed by now.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -37,7 +37,7 @@
 	x.acquireCopy(runner.ID)
 	defer x.releaseCopy()
 	defer x.abandonSlot()
-	wd := x.newWatchdog(runner.ID, cancel)
+	wd := x.newWatchdog(runner, cancel)
 	defer wd.stop()
 	reply, observation := x.Upstream.Send(ctx, Attempt{
 		Request: x.request, Runner: runner, LastEventID: x.lastEventID, Timeout: deadline.Sub(now),
@@ -50,6 +50,7 @@
 		return x.handleNoResponse(ctx, run, runner, observation)
 	}
 	x.delivered++
+	reply.Version = runner.Version
 	if reply.NotRun {
 		return x.handleRefusal(run, runner, reply)
 	}
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -31,7 +31,7 @@
 			if refused != nil {
 				return runner, refused.WithRetryAfter(retryAfter(refused.RetryAfter))
 			}
-			if !x.takeToken(ctx, runner.ID) || x.Fleet.Declines(runner.ID, time.Now()) {
+			if !x.takeToken(ctx, runner.ID) || !x.takes(runner) {
 				continue
 			}
 			return runner, nil
@@ -70,8 +70,8 @@
 		if refused == nil && !x.takeToken(ctx, runner.ID) {
 			continue // the token expired while the request was delayed
 		}
-		if runner, ok = x.Fleet.Get(runner.ID); refused == nil && (!ok || x.Fleet.Declines(runner.ID, time.Now())) {
-			continue // it was removed, or began to leave or rest, while the request was delayed
+		if runner, ok = x.Fleet.Get(runner.ID); refused == nil && (!ok || !x.takes(runner)) {
+			continue // it was removed, replaced, or began to leave or rest, while the request was delayed
 		}
 		if refused == nil {
 			refused = x.quarantined() // quarantined while the request was delayed
@@ -91,6 +91,11 @@
 	}
 }
 
+// takes reports whether a runner that was chosen still takes the request.
+func (x *exchange) takes(runner tracker.Runner) bool {
+	return x.eligible.pin.Allows(runner) && !x.Fleet.Declines(runner.ID, time.Now())
+}
+
 // awaitAdapter requests the adapter at a runner and waits for the next poll. It refuses the
 // request if the adapter is expected too late for its caller.
 func (x *exchange) awaitAdapter(ctx context.Context, best router.Terms, now time.Time) *judge.Error {
@@ -242,6 +247,9 @@
 	if x.Fleet.Detector.Partitioned(x.request.Service) {
 		return judge.Refuse(judge.ReasonUpstream, "this instance reaches no runner of service %s", x.request.Service).WithRetryAfter(retryAfter(partitionRetryAfter))
 	}
+	if pin := x.eligible.pin; !x.Fleet.HasVersion(x.request.Service, pin) && x.Fleet.HasVersion(x.request.Service, tracker.VersionPin{}) {
+		return judge.Refuse(judge.ReasonVersion, "only runners of other software versions than %q, at which the stream began, are left", pin.Version).WithRetryAfter(retryAfter(noRunnerRetryAfter))
+	}
 	if x.request.Copy.Adapter != "" && x.Fleet.AnyEligible(x.demand(), now) {
 		return judge.Refuse(judge.ReasonLoad, "nobody gives orders to the runners now").WithRetryAfter(retryAfter(noRunnerRetryAfter))
 	}
--- a/internal/request/forwarder/detour.go
+++ b/internal/request/forwarder/detour.go
@@ -66,11 +66,13 @@
 	x.releaseCopy()
 	r := *x.request
 	r.LastEventID, r.Resumed, r.LastEventAt, r.Avoid = x.lastEventID, x.headSent, x.lastEventAt, x.eligible.broken
+	r.Pin = x.eligible.pin
 	var outcome DetourOutcome
 	reply, failed := x.Detours.Detour(ctx, DetourRequest{
 		Request: &r, Excluded: maps.Clone(x.failedPeers), ExecutionsLeft: max(1, r.Route.MaxExecutions-x.executions),
 	}, &outcome)
 	if failed == nil {
+		x.lastVersion = reply.Version
 		failed = x.relayDetour(reply)
 	}
 	x.peer = outcome.Peer
--- a/internal/request/forwarder/eligibility.go
+++ b/internal/request/forwarder/eligibility.go
@@ -13,11 +13,15 @@
 	broken  []string        // runners whose connections broke under it at this instance
 	full    map[string]bool // runners that refused it for lack of capacity
 	tried   map[string]bool // runners that failed under it, and avoided ones
+
+	// Software version of the runner that brought the first event of a stream: what runners of two
+	// versions write does not fit together, and they do not check it. No last resort gives it up.
+	pin tracker.VersionPin
 }
 
 // newEligibility returns the eligibility of a new request.
 func newEligibility(r *Request) eligibility {
-	e := eligibility{avoided: r.Avoid, full: make(map[string]bool), tried: make(map[string]bool)}
+	e := eligibility{avoided: r.Avoid, full: make(map[string]bool), pin: r.Pin, tried: make(map[string]bool)}
 	for _, runner := range r.Avoid {
 		e.tried[runner] = true
 	}
@@ -25,7 +29,16 @@
 }
 
 // restrict restricts a demand to the eligible runners.
-func (e *eligibility) restrict(d *tracker.Demand) { d.Excluded, d.Refused = e.tried, e.full }
+func (e *eligibility) restrict(d *tracker.Demand) {
+	d.Excluded, d.Pin, d.Refused = e.tried, e.pin, e.full
+}
+
+// begin records that the first event of a stream came from a runner of a software version.
+func (e *eligibility) begin(version string) {
+	if !e.pin.Pinned {
+		e.pin = tracker.PinTo(version)
+	}
+}
 
 // fail records that a runner failed under the request.
 func (e *eligibility) fail(runner string) { e.tried[runner] = true }
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -35,6 +35,7 @@
 	Tokens      int // of the prompt; 0 if unknown
 
 	Via         string               // peer that sent it over a detour; empty for none
+	Pin         tracker.VersionPin   // software version at which the stream began
 	Avoid       []string             // runners whose connections broke under it at another instance
 	Resumed     bool                 // its caller has received a part of the response from another instance
 	LastEventAt time.Time            // when its caller received the last event from another instance; zero if it has not
@@ -75,6 +76,7 @@
 	Status      int
 	Head        any    // specific to the Upstream; for the Sink
 	Instance    string // the runner that responded, if stated
+	Version     string // software version of that runner; set by the forwarder, and by Detours
 	NotRun      bool   // the runner states that the request did not run
 	Misdirected bool   // the runner is another one or does not hold the adapter
 	Body        io.Reader
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -33,19 +33,20 @@
 type watchdog struct {
 	exchange *exchange
 	cancel   context.CancelCauseFunc
-	demand   tracker.Demand
+	runner   tracker.Runner
 
 	mu       sync.Mutex
-	lastSign time.Time // when the request was sent, or something was last received
+	demand   tracker.Demand // for another runner
+	lastSign time.Time      // when the request was sent, or something was last received
 	timeout  time.Duration
 	timer    *time.Timer // nil once stopped
 }
 
 // newWatchdog starts the watchdog of an attempt at a runner.
-func (x *exchange) newWatchdog(runner string, cancel context.CancelCauseFunc) *watchdog {
+func (x *exchange) newWatchdog(runner tracker.Runner, cancel context.CancelCauseFunc) *watchdog {
 	demand := x.demand()
-	demand.Excluded = x.eligible.triedWith(runner)
-	w := &watchdog{exchange: x, cancel: cancel, demand: demand, lastSign: time.Now(), timeout: x.firstByteTimeout()}
+	demand.Excluded = x.eligible.triedWith(runner.ID)
+	w := &watchdog{exchange: x, cancel: cancel, runner: runner, demand: demand, lastSign: time.Now(), timeout: x.firstByteTimeout()}
 	if !x.request.Route.Repeatable() || x.executions+1 >= x.request.Route.MaxExecutions {
 		return w
 	}
@@ -67,6 +68,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lastSign = time.Now()
+	w.demand.Pin = tracker.PinTo(w.runner.Version) // the stream has begun there
 	if w.timer != nil {
 		w.timeout = w.exchange.idleTimeout()
 		w.timer.Reset(w.timeout)
--- a/internal/request/judge/verdict.go
+++ b/internal/request/judge/verdict.go
@@ -41,6 +41,7 @@
 	ReasonStarting   Reason = "starting"   // this instance has no settings yet
 	ReasonStopping   Reason = "stopping"   // the instance is shutting down
 	ReasonUpstream   Reason = "upstream"   // no upstream of the service can serve the request
+	ReasonVersion    Reason = "version"    // no upstream has the software version at which the stream began, or that version is not known
 	ReasonWritten    Reason = "written"    // the connection failed after request bytes were sent
 )
 
@@ -50,5 +51,5 @@
 	ReasonCut, ReasonDeadline, ReasonDial, ReasonDuplicate, ReasonHeader,
 	ReasonLimit, ReasonLoad, ReasonMismatch, ReasonOwner, ReasonPeer, ReasonQuarantine, ReasonQueue, ReasonQuota,
 	ReasonRefused, ReasonRest, ReasonShare, ReasonStarting, ReasonStopping,
-	ReasonUpstream, ReasonWritten,
+	ReasonUpstream, ReasonVersion, ReasonWritten,
 }
--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -22,6 +22,7 @@
 	Service       string
 	Tokens        int             // length of the prompt
 	Excluded      map[string]bool // runners that are excluded
+	Pin           VersionPin      // software version of the runner
 }
 
 // eligible reports whether the runner is eligible for the request at all.
@@ -32,7 +33,7 @@
 // available reports whether the runner is eligible for the request, apart from the times at
 // which it wants none from this instance.
 func (s *runnerState) available(id string, d Demand, now time.Time) bool {
-	return s.Service == d.Service && !s.Leaving && !s.stated.leaving && !d.Excluded[id] && !now.Before(s.suspendedUntil)
+	return s.Service == d.Service && d.Pin.Allows(s.Runner) && !s.Leaving && !s.stated.leaving && !d.Excluded[id] && !now.Before(s.suspendedUntil)
 }
 
 // AnyEligible reports whether any runner is eligible for a request, whatever adapters it
