Keep the software version of a stream wherever its caller takes it up

Cause: the version at which a stream began was known to one instance only, in its memory, while the caller may come back elsewhere. The instance that passes the first event on now sends a record of the stream to three others, which follow from a hash of account, service and Request-Id, one of each failure domain in turns. Whoever takes the stream up asks them. Nothing is sent while a service has one version; rows in the table of the leaders, one for each version of a service, say so after a restart of all instances too. If nobody knows the version it is refused with 503 (version), never guessed.

Open: a restart of all instances while two versions serve refuses the streams in progress.

--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -114,6 +114,8 @@
 	heldSlots  heldSlots
 	detourer   detourer.Detourer
 	directory  directory
+	streams    streams
+	versions   versionRows
 
 	servedDetours atomic.Int64 // requests of other instances in progress
 	fallback      fallbackQueues
@@ -145,7 +147,7 @@
 		g.unlessPublished(g.watchLeaders, g.leaders.isPublished),
 		g.unlessPublished(g.watchOperator, g.operator.isPublished),
 		g.unlessPublished(g.watchRunners, func(time.Time) bool { return g.runnersPublished() }),
-		g.detectPartitions, g.expireRemovals, g.closeIdle, g.logEstimates, g.logAges, g.reportCrashes, g.writeCrashRows, g.watchQuarantine, g.settleQuotas,
+		g.detectPartitions, g.expireRemovals, g.closeIdle, g.logEstimates, g.logAges, g.reportCrashes, g.writeCrashRows, g.watchQuarantine, g.settleQuotas, g.tellStreams, g.maintainVersionRows,
 	} {
 		loops.Go(func() { loop(work) })
 	}
@@ -170,7 +172,11 @@
 	g.quarantine.init()
 	g.quotas.init(g)
 	g.detourer.Domain, g.detourer.Self = g.Config.Domain, g.Config.ID
-	g.directory.onChange = g.detourer.SetPeers
+	g.streams.init()
+	g.directory.onChange = func(all []detourer.Peer) {
+		g.detourer.SetPeers(all)
+		g.streams.setMembers(all, g.Config.ID)
+	}
 	g.adapterVersions = make(map[adapterKey]int)
 	g.controllers = make(map[string]*controller)
 	g.links = make(map[string]*link)
--- a/internal/instance/gatekeeper/lease.go
+++ b/internal/instance/gatekeeper/lease.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
@@ -270,6 +271,10 @@
 		g.applyCrashRow(c, r)
 		return
 	}
+	if strings.HasPrefix(r.Key, tableLeaders+"/"+versionKeyPrefix) {
+		g.applyVersionRow(r)
+		return
+	}
 	var lease elector.Lease
 	if err := encoder.Unmarshal(r.Value, &lease); err != nil {
 		g.Recorder.Log(recorder.View, "msg", "malformed lease row", "row", r.Key, "err", err)
--- a/internal/instance/gatekeeper/publish.go
+++ b/internal/instance/gatekeeper/publish.go
@@ -89,6 +89,9 @@
 		return reply.Finish(taken)
 	case relayer.Detour:
 		return g.serveDetour(ctx, from, m, reply)
+	case relayer.FindStream:
+		version, known := g.streams.ledger.Find(m.Key, time.Now())
+		return reply.Finish(relayer.FoundStream{Known: known, Version: version})
 	case relayer.Watch:
 		return g.sendStatuses(ctx, reply)
 	case relayer.Settle:
--- /dev/null
+++ b/internal/instance/gatekeeper/streams.go
@@ -0,0 +1,281 @@
+package gatekeeper
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
+	"github.com/sardinetiller/sardinetiller/internal/member/relayer"
+	"github.com/sardinetiller/sardinetiller/internal/request/detourer"
+	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
+	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/request/resumer"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
+)
+
+const (
+	// recordBatchTime is how long the record of a stream waits for others.
+	recordBatchTime = 3 * time.Millisecond
+	// recordInterval is how often an instance checks whether records must be sent that did not
+	// have to be when their streams began.
+	recordInterval = 100 * time.Millisecond
+	// takeUpMargin is added to the time for which a stream is remembered.
+	takeUpMargin = 5 * time.Second
+	// maxPendingRecords bounds the records that wait for the link to a holder.
+	maxPendingRecords = 4096
+	// findTimeout bounds one round of questions for a stream, and findLimit all of them: its
+	// caller waits.
+	findTimeout = 120 * time.Millisecond
+	findLimit   = 600 * time.Millisecond
+	// recordSendTimeout bounds sending records, which mostly means establishing a link.
+	recordSendTimeout = time.Second
+)
+
+// streams is what one instance knows of the software versions at which streams began.
+type streams struct {
+	ledger resumer.Ledger // streams that began here, and those that it holds for others
+	wake   chan struct{}  // wakes the loop that sends records
+
+	mu      sync.Mutex
+	members []resumer.Member // other instances
+	changes int              // of the members
+	own     map[resumer.Key]*ownStream
+	pending map[string][]resumer.Record // by address of the holder
+	sending map[string]bool             // by address: a goroutine sends to it
+}
+
+// An ownStream is a stream that began at this instance, or was taken up here.
+type ownStream struct {
+	service string
+	version string
+	until   time.Time // when its caller has given up
+	sentTo  []string  // addresses of the holders
+	changes int       // of the members, as of when it was sent
+}
+
+func (s *streams) init() {
+	s.wake = make(chan struct{}, 1)
+	s.own = make(map[resumer.Key]*ownStream)
+	s.pending = make(map[string][]resumer.Record)
+	s.sending = make(map[string]bool)
+}
+
+// setMembers sets the instances that may hold records.
+func (s *streams) setMembers(all []detourer.Peer, self string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members = s.members[:0:0]
+	for _, p := range all {
+		if p.ID != self {
+			s.members = append(s.members, resumer.Member(p))
+		}
+	}
+	s.changes++
+}
+
+// keyOfStream returns the key of the stream to which a request belongs.
+func keyOfStream(r *forwarder.Request) resumer.Key {
+	attempt := r.Resumes
+	if attempt == "" {
+		attempt = r.ID
+	}
+	return resumer.KeyOf(r.Account, r.Service, attempt)
+}
+
+// Began implements forwarder.Streams.
+func (g *Gatekeeper) Began(r *forwarder.Request, version string) {
+	now := time.Now()
+	key, left := keyOfStream(r), min(time.Until(r.Deadline)+takeUpMargin, resumer.MaxLeft)
+	g.streams.ledger.Add([]resumer.Record{{Key: key, Version: version, Left: left}}, now)
+	s := &g.streams
+	s.mu.Lock()
+	if len(s.own) < maxPendingRecords {
+		s.own[key] = &ownStream{service: r.Service, version: version, until: now.Add(left)}
+	}
+	s.mu.Unlock()
+	if _, only := g.onlyVersion(r.Service, now); !only {
+		signal(s.wake)
+	}
+}
+
+// tellStreams sends the records of streams to their holders until ctx ends. As long as the runners
+// of a service have one version there is nothing to tell.
+func (g *Gatekeeper) tellStreams(ctx context.Context) {
+	g.Metrics.GetOrCreateGauge("sardinetiller_streams_remembered", func() float64 { return float64(g.streams.ledger.Len()) })
+	repeater.Every(ctx, recordInterval, g.streams.wake, func() {
+		pause(ctx, recordBatchTime)
+		for address, records := range g.streams.due(time.Now(), g.onlyVersion) {
+			g.sendRecords(ctx, address, records)
+		}
+	})
+}
+
+// due returns the records that their holders do not have, by address.
+func (s *streams) due(now time.Time, onlyVersion func(service string, now time.Time) (string, bool)) map[string][]resumer.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	one := make(map[string]bool) // services whose runners have one version
+	due := make(map[string][]resumer.Record)
+	for key, own := range s.own {
+		if !now.Before(own.until) {
+			delete(s.own, key)
+			continue
+		}
+		if _, known := one[own.service]; !known {
+			_, one[own.service] = onlyVersion(own.service, now)
+		}
+		if one[own.service] || own.changes == s.changes && own.sentTo != nil {
+			continue
+		}
+		holders := resumer.Holders(key, s.members)
+		before := own.sentTo
+		own.sentTo, own.changes = nil, s.changes
+		for _, h := range holders[:min(len(holders), resumer.Copies)] {
+			own.sentTo = append(own.sentTo, h.Address)
+			if !slices.Contains(before, h.Address) {
+				due[h.Address] = append(due[h.Address], resumer.Record{Key: key, Version: own.version, Left: own.until.Sub(now)})
+			}
+		}
+	}
+	return due
+}
+
+// sendRecords sends records to a holder without waiting for it.
+func (g *Gatekeeper) sendRecords(ctx context.Context, address string, records []resumer.Record) {
+	g.Metrics.GetOrCreateCounter("sardinetiller_stream_records_sent_total").Add(len(records))
+	s := &g.streams
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.pending[address])+len(records) <= maxPendingRecords {
+		s.pending[address] = append(s.pending[address], records...)
+	}
+	if s.sending[address] {
+		return
+	}
+	s.sending[address] = true
+	go func() {
+		for ctx.Err() == nil {
+			records, ok := s.takePending(address)
+			if !ok {
+				return
+			}
+			bounded, cancel := context.WithTimeout(ctx, recordSendTimeout)
+			_ = g.Peers.Send(bounded, address, relayer.Streams{Records: records}) // the other holders have them
+			cancel()
+		}
+	}()
+}
+
+// takePending returns the records that wait for a holder; ok is false if there are none.
+func (s *streams) takePending(address string) (records []resumer.Record, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records = s.pending[address]
+	delete(s.pending, address)
+	if len(records) == 0 {
+		delete(s.sending, address)
+	}
+	return records, len(records) > 0
+}
+
+// HandleStreams implements relayer.StreamHandler.
+func (g *Gatekeeper) HandleStreams(m relayer.Streams) {
+	g.streams.ledger.Add(m.Records, time.Now())
+}
+
+// Find implements forwarder.Streams. Where neither this instance nor a holder knows the stream, and
+// its service may have had runners of two versions since it began, it cannot go on: at a wrong
+// version its caller would get a response that does not fit together.
+func (g *Gatekeeper) Find(ctx context.Context, r *forwarder.Request) (tracker.VersionPin, *judge.Error) {
+	key, began := keyOfStream(r), time.Now()
+	version, source := g.findStream(ctx, key, r.Service)
+	g.Metrics.GetOrCreateCounter(fmt.Sprintf(`sardinetiller_streams_resumed_total{version=%q}`, source)).Inc()
+	g.Recorder.Log(recorder.Resumed, "request", r.ID, "resumes", r.Resumes, "after", r.LastEventID, "service", r.Service, "version", version, "from", source, "took", time.Since(began))
+	if source == fromNobody {
+		return tracker.VersionPin{}, judge.Refuse(judge.ReasonVersion, "the software version at which stream %q began is not known", r.Resumes).WithRetryAfter(time.Second)
+	}
+	return tracker.PinTo(version), nil
+}
+
+// How the software version of a stream was found.
+const (
+	fromSelf    = "self"    // the stream was here before
+	fromHolder  = "holder"  // another instance holds its record
+	fromService = "service" // the runners of the service have had no other one
+	fromNobody  = "nobody"
+)
+
+func (g *Gatekeeper) findStream(ctx context.Context, key resumer.Key, service string) (version, source string) {
+	end := time.Now().Add(findLimit)
+	for {
+		now := time.Now()
+		if version, ok := g.streams.ledger.Find(key, now); ok {
+			return version, fromSelf
+		}
+		only, isOnly := g.onlyVersion(service, now)
+		if isOnly && g.runnersCurrent() {
+			return only, fromService
+		}
+		version, known, answered := g.askHolders(ctx, key)
+		switch {
+		case known:
+			return version, fromHolder
+		case isOnly:
+			return only, fromService
+		case answered, ctx.Err() != nil, time.Now().After(end):
+			return "", fromNobody
+		}
+		pause(ctx, recordInterval/2)
+	}
+}
+
+// runnersCurrent reports whether the runners are known here as they were in the store a moment ago.
+func (g *Gatekeeper) runnersCurrent() bool {
+	if g.runnersFresh() {
+		return true
+	}
+	at, ok := g.runners.othersAsOf()
+	return ok && time.Since(at) < freshFor
+}
+
+// askHolders asks the holders of the record of a stream. answered reports that all of them are
+// known and have answered.
+func (g *Gatekeeper) askHolders(ctx context.Context, key resumer.Key) (version string, known, answered bool) {
+	g.streams.mu.Lock()
+	members := len(g.streams.members)
+	holders := resumer.Holders(key, g.streams.members)
+	g.streams.mu.Unlock()
+	holders = holders[:min(len(holders), resumer.MaxAsked)]
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	type result struct {
+		found relayer.FoundStream
+		ok    bool
+	}
+	results := make(chan result, len(holders))
+	for _, h := range holders {
+		go func() {
+			conversation, message, err := g.askPeer(ctx, h.Address, relayer.FindStream{Key: key}, findTimeout)
+			if err != nil {
+				results <- result{}
+				return
+			}
+			conversation.Close()
+			found, ok := message.(relayer.FoundStream)
+			results <- result{found, ok}
+		}()
+	}
+	answered = g.MembersKnown() && members >= g.Members()-1
+	for range holders {
+		r := <-results
+		if r.ok && r.found.Known {
+			return r.found.Version, true, true
+		}
+		answered = answered && r.ok
+	}
+	return "", false, answered
+}
--- a/internal/member/relayer/conversation.go
+++ b/internal/member/relayer/conversation.go
@@ -107,7 +107,7 @@
 // isLast reports whether m ends a response.
 func isLast(m Message) bool {
 	switch m.(type) {
-	case Done, End, Reserved, Settled:
+	case Done, End, FoundStream, Reserved, Settled:
 		return true
 	default:
 		return false
--- a/internal/member/relayer/detour.go
+++ b/internal/member/relayer/detour.go
@@ -6,6 +6,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
 )
 
 // A Watch asks a peer for its Status, now and at intervals until the conversation ends.
@@ -69,12 +70,25 @@
 
 // A DetourHead begins the response of a runner.
 type DetourHead struct {
-	_       struct{} `cbor:",toarray"`
 	Status  int
 	Header  []string // names and values in turns
 	Version string   // software version of the runner
 }
 
+// MarshalCBOR implements cbor.Marshaler. The version is an optional last element.
+func (h DetourHead) MarshalCBOR() ([]byte, error) {
+	elements := []any{h.Status, h.Header}
+	if h.Version != "" {
+		elements = append(elements, h.Version)
+	}
+	return encoder.Marshal(elements)
+}
+
+// UnmarshalCBOR implements cbor.Unmarshaler.
+func (h *DetourHead) UnmarshalCBOR(data []byte) error {
+	return decodeElements(data, 2, &h.Status, &h.Header, &h.Version)
+}
+
 // A Progress states how many times the request may have been executed by now.
 type Progress struct {
 	_          struct{} `cbor:",toarray"`
--- a/internal/member/relayer/incoming.go
+++ b/internal/member/relayer/incoming.go
@@ -35,6 +35,10 @@
 		if h, ok := s.mesh.Handler.(CrashHandler); ok {
 			h.HandleCrashReports(s.from, message)
 		}
+	case Streams:
+		if h, ok := s.mesh.Handler.(StreamHandler); ok {
+			h.HandleStreams(message)
+		}
 	case Alive:
 	case Begin:
 		if r := s.reply(f.Conversation); r != nil {
--- a/internal/member/relayer/mesh.go
+++ b/internal/member/relayer/mesh.go
@@ -40,6 +40,12 @@
 	HandleCrashReports(from heartbeater.Instance, c Crashes)
 }
 
+// A StreamHandler is a Handler that also holds the records of streams that began at peers.
+type StreamHandler interface {
+	// HandleStreams handles Streams.
+	HandleStreams(s Streams)
+}
+
 // A Mesh holds the links of one instance. Its exported fields are set before use.
 type Mesh struct {
 	Handler Handler
--- a/internal/member/relayer/message.go
+++ b/internal/member/relayer/message.go
@@ -191,6 +191,7 @@
 	8: Grant{}, 9: Head{}, 10: Hello{}, 11: Inquire{}, 12: Surrendered{}, 13: Told{}, 14: Yield{},
 	15: Commit{}, 16: Committed{}, 17: Permit{}, 18: Granted{}, 19: Preload{}, 20: Demand{}, 21: News{}, 22: Subscribe{}, 23: Reserve{}, 24: Reserved{}, 25: Crashes{}, 26: Settle{}, 27: Settled{}, 28: Place{}, 29: Placed{}, 30: Take{}, 31: Taken{}, 32: Notice{}, 33: Noticed{}, 34: Enqueue{}, 35: Queued{},
 	36: Watch{}, 37: Status{}, 38: Alive{}, 39: Detour{}, 40: Accepted{}, 41: Begin{}, 42: DetourHead{}, 43: Progress{}, 44: Done{},
+	45: Streams{}, 46: FindStream{}, 47: FoundStream{},
 }
 
 // kindNumbers is the inverse of kinds.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -33,6 +33,7 @@
 	Placement         Placement
 	Quarantine        Quarantine
 	Recorder          *recorder.Recorder
+	Streams           Streams                // nil: streams are not remembered
 	ReloadTime        func() time.Duration   // expected load time of an adapter that the runner held before
 	OnRetry           func(err *judge.Error) // called with the error that caused a retry
 	Upstream          Upstream
@@ -79,6 +80,7 @@
 	token        token              // to send one request to a runner
 	denied       []string           // runners for which there was no token
 	retryPaid    atomic.Bool        // the next retry has already been withdrawn from the budget
+	recorded     bool               // the software version of the stream has been recorded
 	retryWait    time.Duration      // spent waiting for the last retry to be allowed
 	executions   int                // delivered attempts that may have run
 	sentAt       time.Time          // of the last attempt
@@ -123,6 +125,9 @@
 }
 
 func (x *exchange) run(ctx context.Context) *judge.Error {
+	if refused := x.findVersion(ctx); refused != nil {
+		return x.finalError(refused)
+	}
 	for {
 		failed, mayRetry := x.attempt(ctx)
 		if failed == nil {
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -86,7 +86,7 @@
 		if err := x.startStream(reply); err != nil {
 			return err
 		}
-		x.eligible.begin(reply.Version)
+		x.recordVersion(reply.Version)
 		if x.sink.Event(e.Data) != nil {
 			return errCallerGone
 		}
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -30,6 +30,8 @@
 	rejections    map[string]RateLimit     // that its runners can make, by service
 	paced         bool                     // some runner has stated a pace
 	servicePaces  map[string]servicePace   // by service
+
+	goneVersions map[serviceVersion]time.Time // when a runner of the version was last removed
 }
 
 // LoadTimes are the load times of adapters.
@@ -95,6 +97,9 @@
 		s = &runnerState{stated: f.statementsOf(r.ID), held: make(map[placer.Copy]time.Time), evicted: warmer.RecentSet[placer.Copy]{Limit: warmer.HostMemoryCopies}}
 		f.runners[r.ID] = s
 	}
+	if known && s.Version != r.Version {
+		f.recordGone(s.Runner, time.Now())
+	}
 	r.Leaving = r.Leaving || s.Leaving // draining is final for an incarnation
 	s.Runner = r
 	if !s.heldReported {
@@ -160,6 +165,7 @@
 func (f *Fleet) remove(id string, revision uint64) {
 	if s, ok := f.runners[id]; ok {
 		revision = max(revision, s.Revision)
+		f.recordGone(s.Runner, time.Now())
 		if f.idByName[s.Name()] == id {
 			delete(f.idByName, s.Name())
 		}
--- a/internal/upstream/tracker/version.go
+++ b/internal/upstream/tracker/version.go
@@ -1,5 +1,7 @@
 package tracker
 
+import "time"
+
 // A VersionPin restricts a choice to the runners of one software version. Its zero value allows any.
 type VersionPin struct {
 	_       struct{} `cbor:",toarray"`
@@ -25,3 +27,33 @@
 	}
 	return false
 }
+
+// Versions returns the software versions of the runners of a service, those included whose last
+// runner was removed within a time.
+func (f *Fleet) Versions(service string, within time.Duration, now time.Time) map[string]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	versions := make(map[string]bool)
+	for _, s := range f.runners {
+		if s.Service == service {
+			versions[s.Version] = true
+		}
+	}
+	for v, at := range f.goneVersions {
+		if v.service == service && now.Sub(at) < within {
+			versions[v.version] = true
+		}
+	}
+	return versions
+}
+
+// A serviceVersion is a software version of the runners of a service.
+type serviceVersion struct{ service, version string }
+
+// recordGone records that a runner is removed, whose version may have no other runner.
+func (f *Fleet) recordGone(r Runner, now time.Time) {
+	if f.goneVersions == nil {
+		f.goneVersions = make(map[serviceVersion]time.Time)
+	}
+	f.goneVersions[serviceVersion{r.Service, r.Version}] = now
+}
