--- a/internal/instance/gatekeeper/streams.go
+++ b/internal/instance/gatekeeper/streams.go
@@ -79,11 +79,7 @@
 
 // keyOfStream returns the key of the stream to which a request belongs.
 func keyOfStream(r *forwarder.Request) resumer.Key {
-	attempt := r.Resumes
-	if attempt == "" {
-		attempt = r.ID
-	}
-	return resumer.KeyOf(r.Account, r.Service, attempt)
+	return resumer.KeyOf(r.Account, r.Service, r.FirstAttempt())
 }
 
 // Began implements forwarder.Streams.
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -45,6 +45,15 @@
 	Executions int // set at the end: times that it may have been executed
 }
 
+// FirstAttempt returns the ID of the attempt that brought the first event of the stream that the
+// request resumes, or its own. What is decided for a whole stream depends on it.
+func (r *Request) FirstAttempt() string {
+	if r.Resumes != "" {
+		return r.Resumes
+	}
+	return r.ID
+}
+
 // quarantineScope distinguishes equal requests of different accounts in the digest. A host
 // contains no slash.
 func (r *Request) quarantineScope() string {
