Quarantine parts of prompts under which runners crash

Cause: crashes are counted by a digest of the whole request, and no two of these requests are alike. A run is now a set of suspects: its digest, and that of each part of its prompt but the last one. Sound requests share the other parts, so that the first part is in all crashes: a run that has ended whole, or written its response for 0.5 s, shows its parts to be sound, at the instance that saw it and, told, at all others. Where two parts were in the same crashes and neither was ever sound, one instance tries a request that has only the one that is held. Parts are looked up wherever whole requests are, on a peer's behalf too, and are told and kept as they are.

--- a/internal/instance/gatekeeper/ahead_simulation_test.go
+++ b/internal/instance/gatekeeper/ahead_simulation_test.go
@@ -339,6 +339,8 @@
 func (noQuarantine) Quarantined(quarantiner.Digest) (time.Duration, bool)       { return 0, false }
 func (noQuarantine) ReportBroken(quarantiner.Digest, tracker.Runner, time.Time) {}
 func (noQuarantine) ReportCompleted(quarantiner.Digest)                         {}
+func (noQuarantine) Trial(quarantiner.Digest, []quarantiner.Digest) bool        { return false }
+func (noQuarantine) ReportSound([]quarantiner.Digest)                           {}
 func (noQuarantine) Suspects() bool                                             { return false }
 
 // A lockedWriter writes the log of a simulation.
--- a/internal/instance/gatekeeper/crash.go
+++ b/internal/instance/gatekeeper/crash.go
@@ -30,8 +30,8 @@
 	// later than others because of packet loss.
 	crashRetention = 10 * time.Second
 	// maxCheckRequests bounds the requests that wait for the result of one check. A runner runs up
-	// to 64 at once.
-	maxCheckRequests = 256
+	// to 64 at once, each of which counts with the parts of its prompt.
+	maxCheckRequests = 512
 )
 
 // crashChecks finds out which runners have crashed. Its zero value is ready to use.
--- a/internal/instance/gatekeeper/crashreport.go
+++ b/internal/instance/gatekeeper/crashreport.go
@@ -45,6 +45,7 @@
 		if g.quarantine.ledger.Empty() {
 			return
 		}
+		g.clearSound()
 		g.storeOwnCrashes()
 		for _, to := range g.crashSources() {
 			if reports := g.quarantine.unacknowledged(to, time.Now()); len(reports) > 0 {
--- a/internal/instance/gatekeeper/detour_peer.go
+++ b/internal/instance/gatekeeper/detour_peer.go
@@ -100,7 +100,7 @@
 	r := &forwarder.Request{
 		ID: m.ID, Account: m.Account, Arrived: now.Add(-m.Waited), Deadline: now.Add(m.Left), LastEventID: m.LastEventID, Copy: m.Copy,
 		Engine: service.Engine, Message: forwarder.Message{Body: m.Body, Head: m.Head, Method: m.Method, Target: m.Target},
-		Priority: m.Priority, Service: m.Service, Tokens: m.Tokens, Via: from.ID, Resumed: m.Resumed, Avoid: m.Avoid, Pin: m.Pin,
+		Priority: m.Priority, Service: m.Service, Tokens: m.Tokens, Via: from.ID, Resumed: m.Resumed, Avoid: m.Avoid, Pin: m.Pin, Parts: m.Parts,
 		Route: &matcher.Route{
 			Name: m.Route.Name, Host: m.Route.Host, Kind: m.Route.Kind, MaxExecutions: m.Route.MaxExecutions, MaxGap: m.Route.MaxGap,
 			LatencyTarget: m.Route.LatencyTarget, Resumable: m.Route.Resumable, Timeout: m.Route.Timeout, Priority: m.Priority,
--- a/internal/instance/gatekeeper/quarantine.go
+++ b/internal/instance/gatekeeper/quarantine.go
@@ -1,10 +1,12 @@
 package gatekeeper
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
+	"github.com/sardinetiller/sardinetiller/internal/request/resumer"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
@@ -23,15 +25,17 @@
 // A quarantine is what one instance knows of requests that crash runners, and which of its
 // observations it has yet to report.
 type quarantine struct {
-	ledger quarantiner.Ledger
+	ledger    quarantiner.Ledger
+	soundness quarantiner.Soundness // of parts of prompts, as this instance has seen it
 
 	mu           sync.Mutex
-	lastReport   time.Time                       // when a new crash report was last recorded
-	ownReports   map[quarantiner.Crash]ownReport // crashes and clearances observed by this instance
-	logged       map[quarantiner.Digest]bool     // requests in quarantine, as last logged
-	rowStates    map[quarantiner.Crash]rowState  // desired states of the store's rows
-	wakeWriter   chan struct{}                   // wakes the loop that writes rows
-	wakeReporter chan struct{}                   // wakes the loop that reports crashes
+	lastReport   time.Time                        // when a new crash report was last recorded
+	ownReports   map[quarantiner.Crash]ownReport  // crashes and clearances observed by this instance
+	logged       map[quarantiner.Digest]bool      // requests in quarantine, as last logged
+	trials       map[quarantiner.Digest]time.Time // last trials of parts of prompts
+	rowStates    map[quarantiner.Crash]rowState   // desired states of the store's rows
+	wakeWriter   chan struct{}                    // wakes the loop that writes rows
+	wakeReporter chan struct{}                    // wakes the loop that reports crashes
 }
 
 func (q *quarantine) init() {
@@ -53,6 +57,57 @@
 
 // ReportCompleted implements forwarder.Quarantine.
 func (g *Gatekeeper) ReportCompleted(d quarantiner.Digest) {
+	g.clear(d)
+}
+
+// trialInterval is the interval between trials of a quarantined part of a prompt.
+const trialInterval = 5 * time.Second
+
+// Trial implements forwarder.Quarantine. Of all instances only the first holder of the part tries it,
+// one request at a time.
+func (g *Gatekeeper) Trial(quarantined quarantiner.Digest, parts []quarantiner.Digest) bool {
+	rivals := g.quarantine.ledger.Rivals(quarantined)
+	if len(rivals) == 0 || slices.ContainsFunc(rivals, func(d quarantiner.Digest) bool { return slices.Contains(parts, d) }) {
+		return false
+	}
+	if !g.streams.isFirstHolder(resumer.KeyOf("", "", string(quarantined)), resumer.Member{ID: g.Config.ID, Domain: g.Config.Domain}) {
+		return false
+	}
+	now := time.Now()
+	q := &g.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if now.Sub(q.trials[quarantined]) < trialInterval {
+		return false
+	}
+	if q.trials == nil {
+		q.trials = make(map[quarantiner.Digest]time.Time)
+	}
+	q.trials[quarantined] = now
+	g.Recorder.Log(recorder.Suspect, "msg", "trial of a quarantined part", "digest", quarantined, "rivals", len(rivals))
+	return true
+}
+
+// ReportSound implements forwarder.Quarantine.
+func (g *Gatekeeper) ReportSound(parts []quarantiner.Digest) {
+	g.quarantine.soundness.Observe(parts, time.Now())
+	for _, d := range parts {
+		g.clear(d)
+	}
+}
+
+// clearSound clears the parts of prompts that this instance has seen to be sound: another one has
+// reported that runners crashed under them.
+func (g *Gatekeeper) clearSound() {
+	for _, c := range g.quarantine.ledger.Cases() {
+		if c.Digest.IsPart() && g.quarantine.soundness.Sound(c.Digest, c.Last) {
+			g.clear(c.Digest)
+		}
+	}
+}
+
+// clear clears a request or a part of a prompt of its crashes so far.
+func (g *Gatekeeper) clear(d quarantiner.Digest) {
 	reports := g.quarantine.ledger.Clear(d, time.Now())
 	if len(reports) == 0 {
 		return
@@ -74,6 +129,9 @@
 			g.Recorder.Log(recorder.Suspect, "msg", "sent to a crashed runner; not suspected", "digest", d, "runner", runner, "late", run.sent.Sub(crashedAt))
 			continue
 		}
+		if d.IsPart() && g.quarantine.soundness.Sound(d, now) {
+			continue
+		}
 		reports = append(reports, quarantiner.CrashReport{Digest: d, Runner: runner, Age: now.Sub(run.sent.Add(run.ran)), RunTime: run.ran})
 	}
 	added := g.quarantine.ledger.Apply(reports, now)
--- a/internal/instance/gatekeeper/streams.go
+++ b/internal/instance/gatekeeper/streams.go
@@ -77,6 +77,13 @@
 	s.changes++
 }
 
+// isFirstHolder reports whether this instance is the first holder of a key among all.
+func (s *streams) isFirstHolder(k resumer.Key, self resumer.Member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return resumer.Holders(k, append(slices.Clone(s.members), self))[0].ID == self.ID
+}
+
 // keyOfStream returns the key of the stream to which a request belongs.
 func keyOfStream(r *forwarder.Request) resumer.Key {
 	return resumer.KeyOf(r.Account, r.Service, r.FirstAttempt())
--- a/internal/member/relayer/detour.go
+++ b/internal/member/relayer/detour.go
@@ -46,6 +46,7 @@
 	Idle        time.Duration      `cbor:"16,keyasint,omitempty"` // since the caller received the last event
 	Avoid       []string           `cbor:"17,keyasint,omitempty"` // runners whose connections broke under the request
 	Pin         tracker.VersionPin `cbor:"18,keyasint,omitzero"`  // software version at which the stream began
+	Parts       []string           `cbor:"19,keyasint,omitempty"` // of the prompt, that other requests may share
 }
 
 // A DetourRoute holds what the sender's configuration says of the request. MaxExecutions is
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -32,6 +32,7 @@
 	deadline, _ := ctx.Deadline()
 	run := x.Fleet.Begin(runner.ID, x.request.Tokens, now)
 	x.lastRunner, x.lastVersion, x.lastRun, x.sentAt, x.token = runner.ID, runner.Version, run, now, token{}
+	x.writesSince = time.Time{}
 	connected, stop := x.awaitConnection(run)
 	defer stop()
 	x.acquireCopy(runner.ID)
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -94,17 +94,31 @@
 	quarantined func() bool
 	broken      []string // runners
 	completed   int
+
+	badPart     quarantiner.Digest // quarantined part of prompts; empty for none
+	allowsTrial bool
+	brokenParts []quarantiner.Digest
+	sound       []quarantiner.Digest
 }
 
 func (*quarantine) Suspects() bool { return true }
-func (q *quarantine) Quarantined(quarantiner.Digest) (time.Duration, bool) {
+func (q *quarantine) Quarantined(d quarantiner.Digest) (time.Duration, bool) {
+	if d.IsPart() {
+		return time.Minute, d == q.badPart
+	}
 	return time.Minute, q.quarantined != nil && q.quarantined()
 }
 
-func (q *quarantine) ReportBroken(_ quarantiner.Digest, r tracker.Runner, _ time.Time) {
+func (q *quarantine) ReportBroken(d quarantiner.Digest, r tracker.Runner, _ time.Time) {
+	if d.IsPart() {
+		q.brokenParts = append(q.brokenParts, d)
+		return
+	}
 	q.broken = append(q.broken, r.ID)
 }
-func (q *quarantine) ReportCompleted(quarantiner.Digest) { q.completed++ }
+func (q *quarantine) ReportCompleted(quarantiner.Digest)                  { q.completed++ }
+func (q *quarantine) Trial(quarantiner.Digest, []quarantiner.Digest) bool { return q.allowsTrial }
+func (q *quarantine) ReportSound(parts []quarantiner.Digest)              { q.sound = append(q.sound, parts...) }
 
 // A sink records the body that the caller receives.
 type sink struct{ got string }
--- a/internal/request/forwarder/quarantine.go
+++ b/internal/request/forwarder/quarantine.go
@@ -15,25 +15,39 @@
 	Suspects() bool
 	// Quarantined reports whether a request is quarantined, and for how much longer.
 	Quarantined(d quarantiner.Digest) (left time.Duration, quarantined bool)
+	// Trial reports whether a request with the given parts may run although one of them is quarantined:
+	// the crashes do not tell that part from others, which this request does not have.
+	Trial(quarantined quarantiner.Digest, parts []quarantiner.Digest) bool
 	// ReportBroken reports that a connection broke on which a request had been sent to a
 	// runner, and when it was sent. The Quarantine determines whether the runner crashed.
 	ReportBroken(d quarantiner.Digest, runner tracker.Runner, sent time.Time)
 	// ReportCompleted reports that a runner completed a request.
 	ReportCompleted(d quarantiner.Digest)
+	// ReportSound reports that a run has written its response for so long that no part of its prompt
+	// crashes runners.
+	ReportSound(parts []quarantiner.Digest)
 }
 
-// quarantined refuses a request that crashes runners. It is called at every poll and right
-// before each attempt: a copy of the request that arrived before the verdict may have
-// waited for its adapter for more than a second.
+// quarantined refuses a request that crashes runners, or whose prompt has a part that does. It is
+// called at every poll and right before each attempt: a request that arrived before the verdict may
+// have waited for its adapter for more than a second.
 func (x *exchange) quarantined() *judge.Error {
 	if !x.Quarantine.Suspects() {
 		return nil
 	}
-	left, quarantined := x.Quarantine.Quarantined(x.digest())
-	if !quarantined {
-		return nil
+	if left, quarantined := x.Quarantine.Quarantined(x.digest()); quarantined {
+		return judge.Refuse(judge.ReasonQuarantine, "the runners that ran this request crashed").WithRetryAfter(left)
+	}
+	for _, part := range x.parts() {
+		left, quarantined := x.Quarantine.Quarantined(part)
+		if quarantined && part != x.trialOf && x.Quarantine.Trial(part, x.parts()) {
+			x.trialOf = part
+		}
+		if quarantined && part != x.trialOf {
+			return judge.Refuse(judge.ReasonQuarantine, "the runners that ran requests with %s of the prompt crashed", part).WithRetryAfter(left)
+		}
 	}
-	return judge.Refuse(judge.ReasonQuarantine, "the runners that ran this request crashed").WithRetryAfter(left)
+	return nil
 }
 
 // digest returns the digest of the request. It is computed once.
@@ -45,6 +59,17 @@
 	return x.cachedDigest
 }
 
+// parts returns the digests of the parts of the prompt that other requests may share. They are
+// computed once.
+func (x *exchange) parts() []quarantiner.Digest {
+	if x.cachedParts == nil && len(x.request.Parts) > 0 {
+		for _, part := range x.request.Parts {
+			x.cachedParts = append(x.cachedParts, quarantiner.DigestOfPart(x.request.Service, part))
+		}
+	}
+	return x.cachedParts
+}
+
 // reportBroken reports that the connection to a runner broke, and whether the runner may have
 // been running the request, unless this instance ended the connection.
 func (x *exchange) reportBroken(ctx context.Context, runner tracker.Runner, err *judge.Error) {
@@ -52,9 +77,16 @@
 		return
 	}
 	x.lastRun.Broken(time.Now())
+	x.trialOf = "" // another runner would crash
 	x.eligible.breakOff(runner.ID)
-	if err.Verdict != judge.NotRun {
-		x.Quarantine.ReportBroken(x.digest(), runner, x.sentAt)
+	if err.Verdict == judge.NotRun {
+		return
+	}
+	x.Quarantine.ReportBroken(x.digest(), runner, x.sentAt)
+	if x.writesSince.IsZero() || time.Since(x.writesSince) < quarantiner.SoundAfter {
+		for _, part := range x.parts() {
+			x.Quarantine.ReportBroken(part, runner, x.sentAt)
+		}
 	}
 }
 
@@ -63,4 +95,23 @@
 	if x.Quarantine.Suspects() {
 		x.Quarantine.ReportCompleted(x.digest())
 	}
+	x.reportSound()
+}
+
+// recordWriting records that something was received of the response of the current attempt.
+func (x *exchange) recordWriting(now time.Time) {
+	switch {
+	case x.writesSince.IsZero():
+		x.writesSince = now
+	case now.Sub(x.writesSince) >= quarantiner.SoundAfter:
+		x.reportSound()
+	}
+}
+
+// reportSound reports once that the parts of the prompt are sound.
+func (x *exchange) reportSound() {
+	if !x.sound && len(x.request.Parts) > 0 {
+		x.sound = true
+		x.Quarantine.ReportSound(x.parts())
+	}
 }
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -28,7 +28,8 @@
 	Copy        placer.Copy
 	Engine      *matcher.Engine // of the service; nil for a plain one
 	Message     Message
-	Priority    int // 0 is the most urgent
+	Parts       []string // IDs of the parts of the prompt that other requests may share
+	Priority    int      // 0 is the most urgent
 	Quota       limiter.Request
 	Route       *matcher.Route
 	Service     string
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -19,8 +19,10 @@
 // complete events, each once and in order, even if they come from two executions.
 func (x *exchange) relayStream(ctx context.Context, runner tracker.Runner, reply *Reply, wd *watchdog) *judge.Error {
 	failed, err := x.copyEvents(reply, func() {
+		now := time.Now()
 		wd.reset()
-		x.lastRun.Heard(time.Now())
+		x.lastRun.Heard(now)
+		x.recordWriting(now)
 	})
 	reply.Close(failed == nil && err == nil)
 	switch {
--- a/internal/request/quarantiner/evaluate.go
+++ b/internal/request/quarantiner/evaluate.go
@@ -24,6 +24,10 @@
 // first: a culprit crashes a runner as soon as it starts there, and the requests beside it
 // started at any earlier time. If this picks the wrong request, the next crash of the culprit
 // gives it the most crashes, and the other request is released.
+//
+// Parts of prompts are evaluated in the same way. Among equally many crashes, a request comes before
+// the parts that it shares with others, and of two parts the one whose runs had run for the longest
+// time: the shortest time counts for each, and a part that more runs share has a shorter one.
 func (l *Ledger) evaluate() {
 	l.quarantined = make(map[Digest]time.Time)
 	l.suspectCount.Store(int64(len(l.suspects)))
@@ -50,12 +54,27 @@
 			candidates = append(candidates, candidate{d, crashes, s.runTime()})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.runTime, b.runTime), cmp.Compare(a.digest, b.digest))
-	})
+	slices.SortFunc(candidates, candidate.compare)
 	return candidates
 }
 
+// compare returns a negative number if a is to be evaluated before b.
+func (a candidate) compare(b candidate) int {
+	byRunTime := cmp.Compare(a.runTime, b.runTime)
+	if a.digest.IsPart() && b.digest.IsPart() {
+		byRunTime = -byRunTime
+	}
+	return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.kind(), b.kind()), byRunTime, cmp.Compare(a.digest, b.digest))
+}
+
+// kind orders whole requests before parts of prompts.
+func (a candidate) kind() int {
+	if a.digest.IsPart() {
+		return 1
+	}
+	return 0
+}
+
 // quarantineTime returns how long a request is quarantined after the last of its crashes.
 func quarantineTime(crashes int) time.Duration {
 	trials := crashes - crashThreshold
--- a/internal/request/quarantiner/ledger.go
+++ b/internal/request/quarantiner/ledger.go
@@ -200,6 +200,33 @@
 	return end.Sub(now), quarantined && now.Before(end)
 }
 
+// Rivals returns the other parts of prompts that were in runs at all crashes of a part: the crashes do
+// not tell which of them is the cause.
+func (l *Ledger) Rivals(d Digest) (rivals []Digest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.suspects[d]
+	if !ok {
+		return nil
+	}
+	for other, t := range l.suspects {
+		if other != d && other.IsPart() && s.isCoveredBy(t) {
+			rivals = append(rivals, other)
+		}
+	}
+	return rivals
+}
+
+// isCoveredBy reports whether all crashes of a suspect that are not cleared are such of another one.
+func (s *suspect) isCoveredBy(other *suspect) bool {
+	for runner, e := range s.crashes {
+		if o, ok := other.crashes[runner]; !e.cleared && (!ok || o.cleared) {
+			return false
+		}
+	}
+	return true
+}
+
 // Empty reports whether there are no suspects.
 func (l *Ledger) Empty() bool { return l.suspectCount.Load() == 0 }
 
@@ -253,6 +280,7 @@
 type Case struct {
 	Digest  Digest
 	Crashes int       // crashes that are not cleared
+	Last    time.Time // the last of them
 	Until   time.Time // end of its quarantine; zero if it is not in quarantine
 }
 
@@ -262,8 +290,8 @@
 	defer l.mu.Unlock()
 	var cases []Case
 	for d, s := range l.suspects {
-		if crashes, _ := s.uncleared(nil); crashes > 0 {
-			cases = append(cases, Case{Digest: d, Crashes: crashes, Until: l.quarantined[d]})
+		if crashes, last := s.uncleared(nil); crashes > 0 {
+			cases = append(cases, Case{Digest: d, Crashes: crashes, Last: last, Until: l.quarantined[d]})
 		}
 	}
 	return cases
