Do not send a started stream to the runner that crashed under it

A runner that is found alive takes it at once. TestStartedStreamWaitsWhileItsRunnerIsDown failed before in two of its three cases: the stream was sent to the runner 0 s after the loss.

--- a/internal/instance/gatekeeper/ahead_simulation_test.go
+++ b/internal/instance/gatekeeper/ahead_simulation_test.go
@@ -339,6 +339,7 @@
 func (noQuarantine) Quarantined(quarantiner.Digest) (time.Duration, bool)       { return 0, false }
 func (noQuarantine) ReportBroken(quarantiner.Digest, tracker.Runner, time.Time) {}
 func (noQuarantine) ReportCompleted(quarantiner.Digest)                         {}
+func (noQuarantine) Down(string) bool                                           { return false }
 func (noQuarantine) Trial(quarantiner.Digest, []quarantiner.Digest) bool        { return false }
 func (noQuarantine) ReportSound([]quarantiner.Digest)                           {}
 func (noQuarantine) Suspects() bool                                             { return false }
--- a/internal/instance/gatekeeper/crash.go
+++ b/internal/instance/gatekeeper/crash.go
@@ -95,12 +95,23 @@
 	return maps.Clone(check.requests)
 }
 
+// down reports whether a runner has crashed or is being checked.
+func (c *crashChecks) down(runner string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, checked := c.byRunner[runner]
+	return checked
+}
+
 func (c *crashChecks) forget(runner string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.byRunner, runner)
 }
 
+// Down implements forwarder.Quarantine.
+func (g *Gatekeeper) Down(runner string) bool { return g.crashes.down(runner) }
+
 // ReportBroken implements forwarder.Quarantine.
 func (g *Gatekeeper) ReportBroken(d quarantiner.Digest, runner tracker.Runner, sent time.Time) {
 	if g.stopsGracefully(runner) {
--- a/internal/request/forwarder/eligibility.go
+++ b/internal/request/forwarder/eligibility.go
@@ -46,12 +46,12 @@
 // breakOff records that the connection to a runner broke under the request.
 func (e *eligibility) breakOff(runner string) { e.broken = append(e.broken, runner) }
 
-// retryTried makes the runners eligible again that failed under the request, and reports whether
-// there are any.
-func (e *eligibility) retryTried() bool {
-	retried := len(e.tried) > 0
-	clear(e.tried)
-	return retried
+// retryTried makes the runners eligible again that failed under the request, except those that are
+// down, and reports whether there are any.
+func (e *eligibility) retryTried(down func(runner string) bool) bool {
+	before := len(e.tried)
+	maps.DeleteFunc(e.tried, func(runner string, _ bool) bool { return !down(runner) })
+	return len(e.tried) < before
 }
 
 // retryFull makes the runners eligible again that refused the request for lack of capacity.
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -94,6 +94,7 @@
 	quarantined func() bool
 	broken      []string // runners
 	completed   int
+	down        func(runner string) bool // nil: none is
 
 	badPart     quarantiner.Digest // quarantined part of prompts; empty for none
 	allowsTrial bool
@@ -117,6 +118,7 @@
 	q.broken = append(q.broken, r.ID)
 }
 func (q *quarantine) ReportCompleted(quarantiner.Digest)                  { q.completed++ }
+func (q *quarantine) Down(runner string) bool                             { return q.down != nil && q.down(runner) }
 func (q *quarantine) Trial(quarantiner.Digest, []quarantiner.Digest) bool { return q.allowsTrial }
 func (q *quarantine) ReportSound(parts []quarantiner.Digest)              { q.sound = append(q.sound, parts...) }
 
--- a/internal/request/forwarder/quarantine.go
+++ b/internal/request/forwarder/quarantine.go
@@ -18,6 +18,8 @@
 	// Trial reports whether a request with the given parts may run although one of them is quarantined:
 	// the crashes do not tell that part from others, which this request does not have.
 	Trial(quarantined quarantiner.Digest, parts []quarantiner.Digest) bool
+	// Down reports whether a runner has crashed, or is checked for that as connections to it broke.
+	Down(runner string) bool
 	// ReportBroken reports that a connection broke on which a request had been sent to a
 	// runner, and when it was sent. The Quarantine determines whether the runner crashed.
 	ReportBroken(d quarantiner.Digest, runner tracker.Runner, sent time.Time)
--- a/internal/request/forwarder/retry_test.go
+++ b/internal/request/forwarder/retry_test.go
@@ -257,3 +257,43 @@
 		})
 	}
 }
+
+// Guards against a started stream that is sent again to the runner that crashed under it, as no other
+// one takes it, and uses up its executions there.
+func TestStartedStreamWaitsWhileItsRunnerIsDown(t *testing.T) {
+	const lostAt = 500 * time.Millisecond
+	for _, tc := range []struct {
+		name    string
+		down    time.Duration // how long the runner is down, or checked
+		other   time.Duration // after which another runner comes
+		runner  string        // of the second attempt
+		atLeast time.Duration // from the loss to it
+	}{
+		{"it is alive", 0, time.Hour, "i-0", 0},
+		{"it is found alive", 160 * time.Millisecond, time.Hour, "i-0", 160 * time.Millisecond},
+		{"it has crashed", time.Hour, 700 * time.Millisecond, "i-1", 700 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				var sent []time.Duration
+				u := &upstream{answer: func(ctx context.Context, n int, a forwarder.Attempt) (*forwarder.Reply, judge.Observation) {
+					sent = append(sent, time.Since(began))
+					return breakAfter(2, lostAt)(ctx, n, a)
+				}}
+				f := newForwarder(u, placement{}, 1)
+				f.Quarantine = &quarantine{down: func(runner string) bool { return runner == "i-0" && time.Since(began) < lostAt+tc.down }}
+				time.AfterFunc(lostAt+tc.other, func() {
+					f.Fleet.Set(tracker.Runner{ID: "i-1", Service: "llm", Domain: "a", Slots: 8, Models: []string{"m"}, Revision: 1})
+				})
+				var got sink
+				if err := f.Forward(t.Context(), newRequest(resumableRoute()), &got); err != nil || got.got != wholeStream {
+					t.Fatal(err, got.got)
+				}
+				if last := u.attempts[1]; last.Runner.ID != tc.runner || sent[1]-lostAt < tc.atLeast {
+					t.Errorf("sent to %s %s after the loss, want %s after %s", last.Runner.ID, sent[1]-lostAt, tc.runner, tc.atLeast)
+				}
+			})
+		})
+	}
+}
