Do not wake for streams while each service has one version

The loop that sends the records of streams looked every 100 ms and paused before it knew whether there was anything to send.

--- a/internal/instance/gatekeeper/streams.go
+++ b/internal/instance/gatekeeper/streams.go
@@ -22,7 +22,7 @@
 	recordBatchTime = 3 * time.Millisecond
 	// recordInterval is how often an instance checks whether records must be sent that did not
 	// have to be when their streams began.
-	recordInterval = 100 * time.Millisecond
+	recordInterval = 500 * time.Millisecond
 	// takeUpMargin is added to the time for which a stream is remembered.
 	takeUpMargin = 5 * time.Second
 	// maxPendingRecords bounds the records that wait for the link to a holder.
@@ -30,6 +30,7 @@
 	// findTimeout bounds one round of questions for a stream, and findLimit all of them: its
 	// caller waits.
 	findTimeout = 120 * time.Millisecond
+	findPause   = 50 * time.Millisecond // between two rounds
 	findLimit   = 600 * time.Millisecond
 	// recordSendTimeout bounds sending records, which mostly means establishing a link.
 	recordSendTimeout = time.Second
@@ -110,6 +111,9 @@
 func (g *Gatekeeper) tellStreams(ctx context.Context) {
 	g.Metrics.GetOrCreateGauge("sardinetiller_streams_remembered", func() float64 { return float64(g.streams.ledger.Len()) })
 	repeater.Every(ctx, recordInterval, g.streams.wake, func() {
+		if !g.streams.mustTell(time.Now(), g.onlyVersion) {
+			return
+		}
 		pause(ctx, recordBatchTime)
 		for address, records := range g.streams.due(time.Now(), g.onlyVersion) {
 			g.sendRecords(ctx, address, records)
@@ -117,17 +121,34 @@
 	})
 }
 
-// due returns the records that their holders do not have, by address.
-func (s *streams) due(now time.Time, onlyVersion func(service string, now time.Time) (string, bool)) map[string][]resumer.Record {
+// mustTell reports whether the runners of any service with streams have several versions. It forgets
+// streams whose callers have given up.
+func (s *streams) mustTell(now time.Time, onlyVersion func(service string, now time.Time) (string, bool)) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	one := make(map[string]bool) // services whose runners have one version
-	due := make(map[string][]resumer.Record)
+	services := make(map[string]bool)
 	for key, own := range s.own {
 		if !now.Before(own.until) {
 			delete(s.own, key)
 			continue
 		}
+		services[own.service] = true
+	}
+	for service := range services {
+		if _, only := onlyVersion(service, now); !only {
+			return true
+		}
+	}
+	return false
+}
+
+// due returns the records that their holders do not have, by address.
+func (s *streams) due(now time.Time, onlyVersion func(service string, now time.Time) (string, bool)) map[string][]resumer.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	one := make(map[string]bool) // services whose runners have one version
+	due := make(map[string][]resumer.Record)
+	for key, own := range s.own {
 		if _, known := one[own.service]; !known {
 			_, one[own.service] = onlyVersion(own.service, now)
 		}
@@ -232,7 +253,7 @@
 		case answered, ctx.Err() != nil, time.Now().After(end):
 			return "", fromNobody
 		}
-		pause(ctx, recordInterval/2)
+		pause(ctx, findPause)
 	}
 }
 
