--- a/internal/instance/gatekeeper/streams.go
+++ b/internal/instance/gatekeeper/streams.go
@@ -234,8 +234,10 @@
 )
 
 func (g *Gatekeeper) findStream(ctx context.Context, key resumer.Key, service string) (version, source string) {
+	// The record of a stream that has just begun may be on its way during the first round.
+	const minRounds = 2
 	end := time.Now().Add(findLimit)
-	for {
+	for round := 1; ; round++ {
 		now := time.Now()
 		if version, ok := g.streams.ledger.Find(key, now); ok {
 			return version, fromSelf
@@ -250,7 +252,7 @@
 			return version, fromHolder
 		case isOnly:
 			return only, fromService
-		case answered, ctx.Err() != nil, time.Now().After(end):
+		case answered && round >= minRounds, ctx.Err() != nil, time.Now().After(end):
 			return "", fromNobody
 		}
 		pause(ctx, findPause)
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -86,7 +86,7 @@
 		if len(x.eligible.full) >= maxFullRunners {
 			return runner, refused
 		}
-		x.eligible.full[runner.ID] = true
+		x.eligible.fill(runner.ID)
 		x.lastFull = refused
 	}
 }
--- a/internal/request/forwarder/eligibility.go
+++ b/internal/request/forwarder/eligibility.go
@@ -9,10 +9,10 @@
 // An eligibility says which runners may take a request, and why others may not. Every choice of a
 // runner is restricted by it. Each last resort names the reason that it gives up.
 type eligibility struct {
-	avoided []string        // runners whose connections broke under it at another instance
-	broken  []string        // runners whose connections broke under it at this instance
-	full    map[string]bool // runners that refused it for lack of capacity
-	tried   map[string]bool // runners that failed under it, and avoided ones
+	avoided []string        // runners whose connections broke under the request at another instance
+	broken  []string        // runners whose connections broke under the request at this instance
+	full    map[string]bool // runners that refused the request for lack of capacity
+	tried   map[string]bool // runners that failed under the request, and avoided ones
 
 	// Software version of the runner that brought the first event of a stream: what runners of two
 	// versions write does not fit together, and they do not check it. No last resort gives it up.
@@ -54,6 +54,9 @@
 	return len(e.tried) < before
 }
 
+// fill records that a runner refused the request for lack of capacity.
+func (e *eligibility) fill(runner string) { e.full[runner] = true }
+
 // retryFull makes the runners eligible again that refused the request for lack of capacity.
 func (e *eligibility) retryFull() { clear(e.full) }
 
