--- a/internal/instance/gatekeeper/version_rows.go
+++ b/internal/instance/gatekeeper/version_rows.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"encoding/hex"
 	"slices"
 	"sync"
@@ -10,6 +9,7 @@
 
 	"github.com/sardinetiller/sardinetiller/internal/clock/repeater"
 	"github.com/sardinetiller/sardinetiller/internal/platform/tabler"
+	"github.com/sardinetiller/sardinetiller/internal/request/hasher"
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
 	"github.com/sardinetiller/sardinetiller/internal/request/resumer"
 	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
@@ -42,8 +42,8 @@
 }
 
 func (r versionRow) key() string {
-	sum := sha256.Sum256([]byte(r.Service + "\x00" + r.Version))
-	return tableLeaders + "/" + versionKeyPrefix + hex.EncodeToString(sum[:16])
+	sum := hasher.Of(r.Service, r.Version)
+	return tableLeaders + "/" + versionKeyPrefix + hex.EncodeToString(sum[:])
 }
 
 // versionRows is what one instance knows of the rows.
