Decide once for each batch of stream records which services have several versions

The loop that sends records asked twice for each service whether its runners have one version, once to know whether to pause and once for each batch; a question for a stream was bounded twice by the same time. Each is done once now; behaviour is as it was (TestStreamsAreRememberedDespiteFaults, TestUnknownStreamGoesOnAtTheOnlyVersion).

--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -147,7 +147,7 @@
 		g.unlessPublished(g.watchLeaders, g.leaders.isPublished),
 		g.unlessPublished(g.watchOperator, g.operator.isPublished),
 		g.unlessPublished(g.watchRunners, func(time.Time) bool { return g.runnersPublished() }),
-		g.detectPartitions, g.expireRemovals, g.closeIdle, g.logEstimates, g.logAges, g.reportCrashes, g.writeCrashRows, g.watchQuarantine, g.settleQuotas, g.tellStreams, g.maintainVersionRows,
+		g.detectPartitions, g.expireRemovals, g.closeIdle, g.logEstimates, g.logAges, g.reportCrashes, g.writeCrashRows, g.watchQuarantine, g.settleQuotas, g.sendStreamRecords, g.maintainVersionRows,
 	} {
 		loops.Go(func() { loop(work) })
 	}
--- a/internal/instance/gatekeeper/streams.go
+++ b/internal/instance/gatekeeper/streams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -25,7 +26,8 @@
 	recordInterval = 500 * time.Millisecond
 	// takeUpMargin is added to the time for which a stream is remembered.
 	takeUpMargin = 5 * time.Second
-	// maxPendingRecords bounds the records that wait for the link to a holder.
+	// maxPendingRecords bounds the streams whose records this instance sends, and the records that
+	// wait for the link to a holder.
 	maxPendingRecords = 4096
 	// findTimeout bounds one round of questions for a stream, and findLimit all of them: its
 	// caller waits.
@@ -106,24 +108,36 @@
 	}
 }
 
-// tellStreams sends the records of streams to their holders until ctx ends. As long as the runners
+// sendStreamRecords sends the records of streams to their holders until ctx ends. As long as the runners
 // of a service have one version there is nothing to tell.
-func (g *Gatekeeper) tellStreams(ctx context.Context) {
+func (g *Gatekeeper) sendStreamRecords(ctx context.Context) {
 	g.Metrics.GetOrCreateGauge("sardinetiller_streams_remembered", func() float64 { return float64(g.streams.ledger.Len()) })
 	repeater.Every(ctx, recordInterval, g.streams.wake, func() {
-		if !g.streams.mustTell(time.Now(), g.onlyVersion) {
+		mixed := g.mixedServices(time.Now())
+		if len(mixed) == 0 {
 			return
 		}
 		pause(ctx, recordBatchTime)
-		for address, records := range g.streams.due(time.Now(), g.onlyVersion) {
+		for address, records := range g.streams.due(mixed, time.Now()) {
 			g.sendRecords(ctx, address, records)
 		}
 	})
 }
 
-// mustTell reports whether the runners of any service with streams have several versions. It forgets
-// streams whose callers have given up.
-func (s *streams) mustTell(now time.Time, onlyVersion func(service string, now time.Time) (string, bool)) bool {
+// mixedServices returns the services with streams of this instance whose runners have several
+// versions.
+func (g *Gatekeeper) mixedServices(now time.Time) map[string]bool {
+	mixed := g.streams.services(now)
+	maps.DeleteFunc(mixed, func(service string, _ bool) bool {
+		_, only := g.onlyVersion(service, now)
+		return only
+	})
+	return mixed
+}
+
+// services returns the services of the streams of this instance, and forgets those whose callers have
+// given up.
+func (s *streams) services(now time.Time) map[string]bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	services := make(map[string]bool)
@@ -134,25 +148,16 @@
 		}
 		services[own.service] = true
 	}
-	for service := range services {
-		if _, only := onlyVersion(service, now); !only {
-			return true
-		}
-	}
-	return false
+	return services
 }
 
-// due returns the records that their holders do not have, by address.
-func (s *streams) due(now time.Time, onlyVersion func(service string, now time.Time) (string, bool)) map[string][]resumer.Record {
+// due returns the records of streams of some services that their holders do not have, by address.
+func (s *streams) due(services map[string]bool, now time.Time) map[string][]resumer.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	one := make(map[string]bool) // services whose runners have one version
 	due := make(map[string][]resumer.Record)
 	for key, own := range s.own {
-		if _, known := one[own.service]; !known {
-			_, one[own.service] = onlyVersion(own.service, now)
-		}
-		if one[own.service] || own.changes == s.changes && own.sentTo != nil {
+		if !services[own.service] || own.changes == s.changes && own.sentTo != nil {
 			continue
 		}
 		holders := resumer.Holders(key, s.members)
@@ -276,7 +281,7 @@
 	holders := resumer.Holders(key, g.streams.members)
 	g.streams.mu.Unlock()
 	holders = holders[:min(len(holders), resumer.MaxAsked)]
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	ctx, cancel := context.WithCancel(ctx) // ends the other questions once one is answered
 	defer cancel()
 	type result struct {
 		found relayer.FoundStream
--- a/internal/instance/gatekeeper/streams_random_test.go
+++ b/internal/instance/gatekeeper/streams_random_test.go
@@ -142,7 +142,7 @@
 	s.net.mu.Unlock()
 	ctx, stop := context.WithCancel(s.ctx)
 	s.stops[id] = stop
-	go g.tellStreams(ctx)
+	go g.sendStreamRecords(ctx)
 }
 
 // kill kills instances at the same moment and starts them again after a time.
