--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -46,7 +46,7 @@
 		}
 	}
 	for n := range 3 {
-		if _, err := p.addFront(fmt.Sprintf("front-%d", n+1), zones[n%2]); err != nil {
+		if err := p.addFront(fmt.Sprintf("front-%d", n+1), zones[n%2]); err != nil {
 			return false, err
 		}
 	}
@@ -74,10 +74,10 @@
 			continue
 		}
 		ends++
-		if err := f.start(); err != nil { // as the platform does
+		if err := f.restart(); err != nil { // as the platform does
 			return false, err
 		}
-		if err := await(f.name+" is ready again", 20*time.Second, f.isReady); err != nil {
+		if err := await(f.name+" is ready again", f.isReady); err != nil {
 			return false, err
 		}
 		time.Sleep(stableTime)
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -122,20 +122,25 @@
 	d.store.put("servers", r.id, r.row())
 }
 
-// addFront starts a gateway process.
-func (d *deployment) addFront(name, zone string) (*front, error) {
+// addFront starts a gateway process, when the deployment starts for the first time.
+func (d *deployment) addFront(name, zone string) error { return d.startFront(name, zone, true) }
+
+// addLateFront starts a gateway process in a deployment that has started before.
+func (d *deployment) addLateFront(name, zone string) error { return d.startFront(name, zone, false) }
+
+func (d *deployment) startFront(name, zone string, first bool) error {
 	ports, err := freePorts(4)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	f := &front{name: name, zone: zone, rec: d.rec, outbound: fmt.Sprintf("127.0.3.%d", len(d.fronts)+1)}
 	f.caller, f.ready, f.peer = ports[0], ports[1], ports[2]
 	if f.links, err = newProxy(f.peer); err != nil {
-		return nil, err
+		return err
 	}
 	f.links.identify = senderOfLink
 	if f.storage, err = newProxy(d.store.address); err != nil {
-		return nil, err
+		return err
 	}
 	f.settings = filepath.Join(d.dir, name+".yaml")
 	// As the platform fills in deploy/gateway.yaml, and two addresses more: the IP address of the machine,
@@ -143,16 +148,16 @@
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "id: %s\ndomain: %s\ncaller: %q\nready: %q\npeer: %q\nmetrics: %q\nplatform: %q\n", name, zone, f.caller, f.ready, f.peer, ports[3], f.storage.address)
 	fmt.Fprintf(&b, "advertise: %q\noutbound: %q\n", f.links.address, f.outbound)
-	fmt.Fprintf(&b, "domains:\n  - %s\nfirst: true\nlink: 1000\ncontracts:\n", strings.Join(zones, "\n  - "))
+	fmt.Fprintf(&b, "domains:\n  - %s\nfirst: %t\nlink: 1000\ncontracts:\n", strings.Join(zones, "\n  - "), first)
 	for _, c := range []string{"base", "drain", "config", "cost", "retry", "recover", "fleet", "stream", "engine", "platform"} {
 		fmt.Fprintf(&b, "  - %s\n", c)
 	}
 	b.WriteString("bounds:\n  grace: 8s\n  part: 0.2\n  quiet: 3000ms\n  slack: 58\n  window: 10s\n")
 	if err := os.WriteFile(f.settings, b.Bytes(), 0o600); err != nil {
-		return nil, err
+		return err
 	}
 	d.fronts = append(d.fronts, f)
-	return f, f.start()
+	return f.start()
 }
 
 // senderOfLink returns the name of the instance that dialed a link to another one. Its first message after
@@ -239,6 +244,19 @@
 	return nil
 }
 
+// restart starts the process again. The deployment no longer starts for the first time.
+func (f *front) restart() error {
+	settings, err := os.ReadFile(f.settings)
+	if err != nil {
+		return err
+	}
+	settings = bytes.Replace(settings, []byte("first: true"), []byte("first: false"), 1)
+	if err := os.WriteFile(f.settings, settings, 0o600); err != nil {
+		return err
+	}
+	return f.start()
+}
+
 // kill kills the process and waits for its end.
 func (f *front) kill() {
 	f.mu.Lock()
@@ -259,9 +277,6 @@
 	return f.how
 }
 
-// said reports whether the process has logged a text.
-func (f *front) said(text string) bool { return f.output.contains(text) }
-
 // isReady asks as the platform does.
 func (f *front) isReady() bool {
 	client := http.Client{Timeout: time.Second}
@@ -276,7 +291,7 @@
 // awaitReady waits until all instances are ready, and a moment more until they know each other.
 func (d *deployment) awaitReady() error {
 	for _, f := range d.fronts {
-		if err := await(f.name+" is ready", 20*time.Second, f.isReady); err != nil {
+		if err := await(f.name+" is ready", f.isReady); err != nil {
 			return err
 		}
 	}
@@ -284,13 +299,16 @@
 	return nil
 }
 
-func await(what string, limit time.Duration, condition func() bool) error {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+// awaitLimit is how long a case waits for what it needs to begin.
+const awaitLimit = 20 * time.Second
+
+func await(what string, condition func() bool) error {
+	for end := time.Now().Add(awaitLimit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if condition() {
 			return nil
 		}
 	}
-	return fmt.Errorf("timed out after %s: %s", limit, what)
+	return fmt.Errorf("timed out after %s: %s", awaitLimit, what)
 }
 
 // A tail is the output of a process.
@@ -306,12 +324,6 @@
 	return len(p), nil
 }
 
-func (t *tail) contains(text string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return bytes.Contains(t.data, []byte(text))
-}
-
 // end returns the last lines, from a panic on if there is one.
 func (t *tail) end() string {
 	t.mu.Lock()
--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -37,7 +37,7 @@
 		p.register(r)
 	}
 	for n := range 2 {
-		if _, err := p.addFront(fmt.Sprintf("front-%d", n+1), zones[n]); err != nil {
+		if err := p.addFront(fmt.Sprintf("front-%d", n+1), zones[n]); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,6 +11,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -30,10 +32,13 @@
 	trouble bool
 }
 
-// cases maps the name of each case to its function. It reports whether the rule was broken.
+// cases maps the name of each case to its function, which reports whether the rule was broken. Those
+// without a folder of their own are named in review/REPORT.md.
 var cases = map[string]func(p *play) (broken bool, err error){
 	"crash": playCrash,
+	"drill": playDrill,
 	"extra": playExtra,
+	"long":  playLong,
 	"order": playOrder,
 	"twice": playTwice,
 }
@@ -66,6 +71,8 @@
 	done := make(chan result, 1)
 	p := &play{deployment: d, trouble: os.Getenv("TROUBLE") != "0"}
 	rec.log("case %s, trouble %t", name, p.trouble)
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
 	go func() {
 		broken, err := cases[name](p)
 		done <- result{broken, err}
@@ -82,6 +89,9 @@
 		}
 		rec.log("the rule held")
 		return exitHeld
+	case s := <-stopped:
+		rec.log("cannot run: %v", s)
+		return exitFailed
 	case <-time.After(maxDuration):
 		rec.log("cannot run: it took more than %s", maxDuration)
 		return exitFailed
--- a/review/standin/order.go
+++ b/review/standin/order.go
@@ -39,14 +39,14 @@
 		p.register(r)
 	}
 	for n, zone := range []string{zones[0], zones[0], zones[1]} {
-		if _, err := p.addFront(fmt.Sprintf("front-%d", n+1), zone); err != nil {
+		if err := p.addFront(fmt.Sprintf("front-%d", n+1), zone); err != nil {
 			return false, err
 		}
 	}
 	if err := p.awaitReady(); err != nil {
 		return false, err
 	}
-	if err := await("the software version is stored", 20*time.Second, func() bool { return p.store.count("holder", "version/") == 1 }); err != nil {
+	if err := await("the software version is stored", func() bool { return p.store.count("holder", "version/") == 1 }); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -5,11 +5,13 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -39,6 +41,7 @@
 	version  string // of its software
 	engine   bool
 	work     time.Duration // of a request to a plain service
+	size     int           // of the body of its answers, in bytes; 0 for a few
 	events   int           // of a stream
 	pause    time.Duration // before each of them
 	address  string        // where it listens
@@ -62,6 +65,7 @@
 	runs       map[string]int // by Request-Id
 	ended      map[string]string
 	orderCount int
+	onOrder    func(r *runner, holder string, fence uint64) // nil for none
 }
 
 func newRunner(rec *record, loads *storeLoads, id, service, zone, version string, engine bool) (*runner, error) {
@@ -277,7 +281,11 @@
 		}
 		r.note(id, "200")
 		gone.stop()
-		return r.respond(c, "HTTP/1.1 200 OK\r\n"+stamp+fmt.Sprintf("Content-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(id)+8, "record: "+id))
+		body := "record: " + id
+		if r.size > len(body) {
+			body += strings.Repeat(".", r.size-len(body))
+		}
+		return r.respond(c, "HTTP/1.1 200 OK\r\n"+stamp+fmt.Sprintf("Content-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
 	}
 	return r.stream(c, request, stamp, gone)
 }
@@ -347,7 +355,7 @@
 	go func() {
 		defer close(w.done)
 		if _, err := reader.Peek(1); err != nil {
-			if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
 				return
 			}
 			close(w.closed)
@@ -428,6 +436,9 @@
 		status = http.StatusBadRequest
 	}
 	r.orderCount++
+	if r.onOrder != nil {
+		r.onOrder(r, o.Holder, o.Fence)
+	}
 	r.rec.log("%s gets the order %s by %s and answers %d", r.id, body, o.Holder, status)
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), r.id)
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -24,9 +25,50 @@
 	mu      sync.Mutex
 	rows    map[rowKey]row
 	version uint64
+	era     int
+	down    bool          // all calls are answered 503
 	changed chan struct{} // closed at each change
 }
 
+// A storeCopy is a copy of a store.
+type storeCopy struct {
+	rows    map[rowKey]row
+	version uint64
+}
+
+// copy returns a copy of the store as it is now.
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{maps.Clone(s.rows), s.version}
+}
+
+// setDown makes the store answer all calls with 503, or ends that.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// returnFrom makes the store come back from a copy: what was written since is gone.
+func (s *store) returnFrom(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version, s.down = maps.Clone(c.rows), c.version, false
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// state returns the era of the store, and whether it is down.
+func (s *store) state() (era int, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era, s.down
+}
+
 type rowKey struct{ table, part, key string }
 
 type row struct {
@@ -53,7 +95,12 @@
 	s.address = l.Addr().String()
 	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(storeDelay)
-		w.Header().Set("Store-Era", "0")
+		era, down := s.state()
+		w.Header().Set("Store-Era", strconv.Itoa(era))
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		mux.ServeHTTP(w, r)
 	})}
 	go func() { _ = s.server.Serve(l) }()
@@ -141,6 +188,13 @@
 	for late := false; ; {
 		s.mu.Lock()
 		rows, changed := s.rowsAfter(q.Get("table"), q.Get("part"), after), s.changed
+		if s.down || after > s.version {
+			// The store went away, or it came back without the version that is asked for.
+			w.Header().Set("Store-Era", strconv.Itoa(s.era))
+			w.WriteHeader(http.StatusGone)
+			s.mu.Unlock()
+			return
+		}
 		if len(rows) > 0 || late {
 			s.reply(w, rows, nil)
 			s.mu.Unlock()
--- a/review/standin/twice.go
+++ b/review/standin/twice.go
@@ -38,7 +38,7 @@
 		p.register(r)
 	}
 	for n := range instances {
-		if _, err := p.addFront(fmt.Sprintf("front-%d", n+1), zones[n%2]); err != nil {
+		if err := p.addFront(fmt.Sprintf("front-%d", n+1), zones[n%2]); err != nil {
 			return false, err
 		}
 	}
