--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -186,7 +186,7 @@
 			time.Sleep(200 * time.Millisecond)
 			continue
 		}
-		a := c.ask(fmt.Sprintf("live-%d-%d", n, k), http.MethodPost, "/live/x", 12000, "Model: "+modelName, "Token-Usage: 826,290", "Prompt-Prefix: 5c1e07a2:119,91bd3f06:79,e4402b7d:628")
+		a := c.ask(fmt.Sprintf("live-%d-%d", n, k), http.MethodPost, "/live/x", 12000, "Model: "+modelName, names.Tokens+": 826,290", names.Prompt+": 5c1e07a2:119,91bd3f06:79,e4402b7d:628")
 		c.close()
 		if a.status != http.StatusOK {
 			time.Sleep(300 * time.Millisecond)
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -83,8 +83,8 @@
 	d.version += 3
 	route := func(prefix, kind, service string, resume bool, attempts, timeout, goal, gap int) map[string]any {
 		return map[string]any{
-			"name": "r" + strings.Trim(prefix, "/"), "host": "desk.example", "prefix": prefix, "kind": kind, "timeout_ms": timeout, "goal_ms": goal,
-			"priority": 1, "service": service, "max_attempts": attempts, "can_resume": resume, "gap_aim_ms": gap, "sticky": kind == "streaming",
+			"name": "r" + strings.Trim(prefix, "/"), "host": "desk.example", "prefix": prefix, "kind": kind, "timeout_ms": timeout, names.Goal: goal,
+			"priority": 1, "service": service, "max_attempts": attempts, names.Resume: resume, names.Gap: gap, "sticky": kind == "streaming",
 		}
 	}
 	d.store.put("op", "config", map[string]any{
@@ -97,7 +97,7 @@
 		},
 		"services": []any{
 			map[string]any{"name": "exit-llm", "health_path": "/healthz", "max_conns": 370, "engine": map[string]any{
-				"mb": 45600, "adapter_slots": 31, "loads_per_s": 2.7,
+				"mb": 45600, names.Slots: 31, "loads_per_s": 2.7,
 				"models": []any{map[string]any{"name": modelName, "mb": 42700, "load_s": 1.7, "adapters": 3000, "adapter_mb": 66}},
 			}},
 			map[string]any{"name": "survey-records", "health_path": "/healthz", "max_conns": 110},
--- a/review/standin/order.go
+++ b/review/standin/order.go
@@ -90,7 +90,7 @@
 	var versions []string
 	for try := range takeUpTries + 1 {
 		at, attempt := second, id
-		header := []string{"Model: " + modelName, "Token-Usage: 826,290", "Prompt-Prefix: 5c1e07a2:119,91bd3f06:79,e4402b7d:628"}
+		header := []string{"Model: " + modelName, names.Tokens + ": 826,290", names.Prompt + ": 5c1e07a2:119,91bd3f06:79,e4402b7d:628"}
 		if try > 0 {
 			at, attempt = first, fmt.Sprintf("%s-again-%d", id, try)
 		}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -85,9 +85,9 @@
 func newStore() (*store, error) {
 	s := &store{rows: make(map[rowKey]row), changed: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /rows-tx", s.commit)
-	mux.HandleFunc("GET /rows-get", s.get)
-	mux.HandleFunc("GET /rows-feed", s.feed)
+	mux.HandleFunc("POST /"+names.Commit, s.commit)
+	mux.HandleFunc("GET /"+names.Get, s.get)
+	mux.HandleFunc("GET /"+names.Feed, s.feed)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/review/standin/twice.go
+++ b/review/standin/twice.go
@@ -95,7 +95,7 @@
 			}
 		}
 		id := fmt.Sprintf("review-%d-%d", n, k)
-		a := c.ask(id, http.MethodPost, "/review/x", 12000, fmt.Sprintf("Model: %s/a%d", modelName, 1+rand.IntN(adapters)), "Token-Usage: 826,25", "Prompt-Prefix: 5c1e07a2:119,91bd3f06:79,e4402b7d:628")
+		a := c.ask(id, http.MethodPost, "/review/x", 12000, fmt.Sprintf("Model: %s/a%d", modelName, 1+rand.IntN(adapters)), names.Tokens+": 826,25", names.Prompt+": 5c1e07a2:119,91bd3f06:79,e4402b7d:628")
 		runs := 0
 		for _, r := range p.runners {
 			runs += r.ran(id)
