Lateness of the process in log and metrics

Whether an instance waits for the processor could not be told from peers that are silent: both show as timeouts.

--- a/internal/instance/gatekeeper/partition.go
+++ b/internal/instance/gatekeeper/partition.go
@@ -17,7 +17,9 @@
 // detectPartitions probes runners while there are signs of a partition from them, until ctx
 // ends.
 func (g *Gatekeeper) detectPartitions(ctx context.Context) {
+	lateness := latenessMeter{period: partitionInterval}
 	repeater.Every(ctx, partitionInterval, nil, func() {
+		g.recordLateness(lateness.observe(time.Now()))
 		if g.Fleet.Detector.Suspected(time.Now()) {
 			g.probeRunners(ctx)
 		}
