A caller that has sent bytes ahead of its next request is still watched

Cause: the watch read once. What it got was kept for the next request, and with that the watch ended; a connection with such bytes was not watched at all for its next request.

The watch now peeks. What the client sends ahead stays in the kernel, which bounds it, and the end of the connection behind it shows as a hang-up. It also looks once before it returns, so that a client that has left already is known to have.

--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -6,7 +6,10 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // A Conn is a connection that can detect a disconnect of the client while its
@@ -25,7 +28,6 @@
 	request   string        // ID of the request that is handled
 	ending    bool          // Drain closes the connection: no further request is read
 	watchDone chan struct{} // closed when the running watch ends; nil if none runs
-	lookahead []byte        // read by the watch: the start of the next request
 }
 
 // A phase is what a connection is used for at a time.
@@ -38,10 +40,6 @@
 	idle                   // nothing was received since the last response
 )
 
-// lookaheadSize is how much of a pipelined request a watch reads at most, in
-// bytes. The rest stays in the kernel's receive buffer.
-const lookaheadSize = 512
-
 // A CloseReason is the reason for which a connection ends.
 type CloseReason string
 
@@ -142,14 +140,20 @@
 	return n, err
 }
 
-// WatchDisconnect calls onDisconnect if the client closes the connection before StopWatch.
+// WatchDisconnect calls onDisconnect if the client closes the connection before StopWatch, and at once
+// if it has closed it already.
 func (c *Conn) WatchDisconnect(onDisconnect func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.watchDone != nil || len(c.lookahead) > 0 {
+	if c.watchDone != nil {
 		return
 	}
-	if c.Conn.SetReadDeadline(time.Time{}) != nil {
+	raw, err := c.rawConn()
+	if err != nil {
+		return // it is no network connection, whose end cannot be watched
+	}
+	if c.Conn.SetReadDeadline(time.Time{}) != nil || c.ClientLeft() {
+		c.noteLocked(ClosedByCaller)
 		onDisconnect()
 		return
 	}
@@ -157,18 +161,52 @@
 	c.watchDone = done
 	go func() {
 		defer close(done)
-		buffer := make([]byte, lookaheadSize)
-		n, err := c.Conn.Read(buffer)
-		c.mu.Lock()
-		c.lookahead = buffer[:n]
-		c.mu.Unlock()
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		if err := raw.Read(hasLeft); !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.note(ClosedByCaller)
 			onDisconnect()
 		}
 	}()
 }
 
+// ClientLeft reports whether the client has closed the connection, as far as the kernel knows. It neither
+// waits nor reads, and may be called while a watch runs.
+func (c *Conn) ClientLeft() bool {
+	raw, err := c.rawConn()
+	if err != nil {
+		return false
+	}
+	left := false
+	if err := raw.Control(func(fd uintptr) { left = hasLeft(fd) }); err != nil {
+		return true // closed by this process
+	}
+	return left
+}
+
+func (c *Conn) rawConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return conn.SyscallConn()
+}
+
+// hasLeft reports whether the peer of a socket has closed the connection. What the peer sent before
+// stays in the receive buffer.
+func hasLeft(fd uintptr) bool {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+		return false
+	case err != nil, n == 0:
+		return true
+	}
+	// The bytes come before the end of the connection, which a read would not show.
+	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	ready, err := unix.Poll(poll, 0)
+	return err == nil && ready > 0
+}
+
 // StopWatch ends the watch. The connection can be read again afterwards.
 func (c *Conn) StopWatch() {
 	c.mu.Lock()
@@ -187,18 +225,6 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
-	c.mu.Lock()
-	if len(c.lookahead) > 0 {
-		defer c.mu.Unlock()
-		if c.ending {
-			return 0, io.EOF
-		}
-		n := copy(p, c.lookahead)
-		c.lookahead = c.lookahead[n:]
-		c.received()
-		return n, nil
-	}
-	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
