Requests of callers that have left are not sent to runners

Cause: the watch of a connection and the forwarding of its request began as two goroutines, and nobody asked first whether the caller was still there. Where the process is late, the one that forwards runs first, and later attempts did not ask either.

It is now asked at one place, after the connection to the runner is there and before the first byte is written: for first attempts, retries and streams that go on, and before a peer may run a request. A request that is withdrawn keeps its verdict: not run, if nothing was sent before. Its connection stays in the pool.

--- a/internal/instance/gatekeeper/detour.go
+++ b/internal/instance/gatekeeper/detour.go
@@ -110,7 +110,7 @@
 			break
 		}
 		reply, failed := g.detourTo(ctx, choice, r, outcome)
-		if failed == nil || outcome.Peer != "" {
+		if failed == nil || outcome.Peer != "" || failed.Reason == judge.ReasonCancelled {
 			return reply, failed
 		}
 		excluded[choice.ID] = true
@@ -152,7 +152,7 @@
 	done := sync.OnceFunc(func() { g.detourer.Done(choice.ID) })
 	conversation, _, err := g.askPeer(ctx, choice.Address, detourMessage(r, time.Now()), acceptTimeout)
 	if err == nil {
-		if err = conversation.Begin(); err != nil {
+		if err = beginDetour(ctx, conversation, r); err != nil {
 			conversation.Close()
 		}
 	}
@@ -187,6 +187,14 @@
 	}, nil
 }
 
+// beginDetour lets a peer run a request, unless the caller has left while the peer was asked.
+func beginDetour(ctx context.Context, conversation Conversation, r forwarder.DetourRequest) error {
+	if r.Withdrawn(ctx) {
+		return judge.Judge(judge.Withdrawn{})
+	}
+	return conversation.Begin()
+}
+
 // detourMessage returns the message that asks a peer to serve a request.
 func detourMessage(r forwarder.DetourRequest, now time.Time) relayer.Detour {
 	route, engine := r.Route, r.Engine != nil
--- a/internal/instance/gatekeeper/serve.go
+++ b/internal/instance/gatekeeper/serve.go
@@ -74,6 +74,11 @@
 		g.Rejected(r.ID, err)
 		return err
 	}
+	if r.Withdrawn(ctx) {
+		err := judge.Judge(judge.Withdrawn{})
+		g.Rejected(r.ID, err)
+		return err
+	}
 	if err := g.Admit(ctx, r.Quota); err != nil {
 		g.Rejected(r.ID, err)
 		return err
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -117,7 +117,8 @@
 func (x *exchange) handleNoResponse(ctx context.Context, run *tracker.Run, runner tracker.Runner, observation judge.Observation) *judge.Error {
 	err := judge.Judge(observation)
 	_, unreachable := observation.(judge.DialFailed)
-	if !unreachable {
+	_, withdrawn := observation.(judge.Withdrawn)
+	if !unreachable && !withdrawn {
 		x.delivered++
 	}
 	if err.Verdict != judge.NotRun {
@@ -125,6 +126,8 @@
 	}
 	end := tracker.Failed
 	switch {
+	case withdrawn && (ctx.Err() == nil || errors.Is(context.Cause(ctx), context.Canceled)):
+		end = tracker.CallerLeft
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		end = tracker.CallerLeft
 		err = errCallerGone
@@ -209,7 +212,7 @@
 	if runner, err := x.choose(ctx); err == nil {
 		x.announceRetry()
 		failed := x.try(ctx, runner)
-		if failed == nil || x.response.started() || errors.Is(failed, errCallerGone) {
+		if failed == nil || x.response.started() || failed.Reason == judge.ReasonCancelled {
 			return failed
 		}
 	}
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -35,6 +35,7 @@
 	Service     string
 	Tokens      int // of the prompt; 0 if unknown
 
+	CallerLeft  func() bool          // reports whether the caller has closed its connection; nil if that is not known
 	Via         string               // peer that sent it over a detour; empty for none
 	Pin         tracker.VersionPin   // software version at which the stream began
 	Avoid       []string             // runners whose connections broke under it at another instance
@@ -46,6 +47,12 @@
 	Executions int // set at the end: times that it may have been executed
 }
 
+// Withdrawn reports whether nobody waits for the response any more. It is asked right before the request is
+// sent: the end of ctx follows the end of the caller's connection with a delay.
+func (r *Request) Withdrawn(ctx context.Context) bool {
+	return ctx.Err() != nil || r.CallerLeft != nil && r.CallerLeft()
+}
+
 // FirstAttempt returns the ID of the attempt that brought the first event of the stream that the
 // request resumes, or its own. What is decided for a whole stream depends on it.
 func (r *Request) FirstAttempt() string {
--- a/internal/request/forwarder/retry.go
+++ b/internal/request/forwarder/retry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
@@ -12,7 +11,7 @@
 func (x *exchange) mayRetry(ctx context.Context, failed *judge.Error) bool {
 	x.retryWait = 0
 	switch {
-	case ctx.Err() != nil, errors.Is(failed, errCallerGone):
+	case ctx.Err() != nil, failed.Reason == judge.ReasonCancelled:
 		return false
 	case failed.Verdict == judge.NotRun:
 	case !x.request.Route.Repeatable(), x.executions >= x.request.Route.MaxExecutions:
--- a/internal/request/judge/judge_test.go
+++ b/internal/request/judge/judge_test.go
@@ -30,6 +30,7 @@
 		{"reset in the response", judge.Broken{Written: 9, Head: true, Err: reset}, judge.MayHaveRun, judge.ReasonCut},
 		{"explicit refusal", judge.Refused{Status: 409}, judge.NotRun, judge.ReasonRefused},
 		{"failure while running", judge.Failed{Status: 500}, judge.MayHaveRun, judge.ReasonCut},
+		{"withdrawn", judge.Withdrawn{}, judge.NotRun, judge.ReasonCancelled},
 		{"other adapter", judge.Mismatched{Want: "a@1", Got: "a@2"}, judge.MayHaveRun, judge.ReasonMismatch},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/request/judge/observation.go
+++ b/internal/request/judge/observation.go
@@ -29,11 +29,15 @@
 // A Mismatched observation is a response from another adapter.
 type Mismatched struct{ Want, Got string }
 
+// A Withdrawn observation is a request that was not sent, as nobody waits for its response any more.
+type Withdrawn struct{}
+
 func (Broken) observation()     {}
 func (DialFailed) observation() {}
 func (Failed) observation()     {}
 func (Mismatched) observation() {}
 func (Refused) observation()    {}
+func (Withdrawn) observation()  {}
 
 // Judge returns the verdict on an observation. The rules are in docs/design/verdicts.md.
 func Judge(o Observation) *Error {
@@ -46,6 +50,8 @@
 		return Refuse(ReasonRefused, "upstream refused with status %d", o.Status)
 	case Failed:
 		return &Error{Verdict: MayHaveRun, Reason: ReasonCut, Message: fmt.Sprintf("upstream failed with status %d", o.Status)}
+	case Withdrawn:
+		return Refuse(ReasonCancelled, "the caller went away before the request was sent")
 	case Mismatched:
 		return &Error{Verdict: MayHaveRun, Reason: ReasonMismatch, Message: fmt.Sprintf("asked for %s, answered by %s", o.Want, o.Got)}
 	default:
--- a/internal/wire/pooler/exchange.go
+++ b/internal/wire/pooler/exchange.go
@@ -26,6 +26,10 @@
 	// for none.
 	OnConnected func()
 
+	// Withdrawn is asked right before the request is written, and reports whether nobody waits for the
+	// response any more: the request is not sent then. Nil: it is asked of the context only.
+	Withdrawn func() bool
+
 	// IDOf returns the ID of the request that a response states, empty for none. Nil if the peer never sends
 	// a response again, so that each is the response to the last request.
 	IDOf func(header *fasthttp.ResponseHeader) string
@@ -74,6 +78,10 @@
 	if call.OnConnected != nil {
 		call.OnConnected()
 	}
+	if ctx.Err() != nil || call.Withdrawn != nil && call.Withdrawn() {
+		p.keep(call.PeerKey, c)
+		return nil, judge.Withdrawn{}
+	}
 	c.carry(call)
 	detach := context.AfterFunc(ctx, c.abort)
 	response, err := c.exchange(call)
--- a/internal/wire/pooler/pool.go
+++ b/internal/wire/pooler/pool.go
@@ -190,8 +190,14 @@
 	return nil
 }
 
+// put adds a connection to the pool after a response.
 func (p *Pool) put(key string, c *conn) {
 	c.lastUsed = time.Now()
+	p.keep(key, c)
+}
+
+// keep adds a connection to the pool.
+func (p *Pool) keep(key string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
@@ -223,7 +229,7 @@
 		return nil, err
 	}
 	p.dialed.Add(1)
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, bufferSize), idleTimeout: p.IdleTimeout}, nil
+	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, bufferSize), lastUsed: time.Now(), idleTimeout: p.IdleTimeout}, nil
 }
 
 // reusable reports whether the connection is open and no data has arrived since
