Peers are not taken for silent by a process that reads late

The log has 276 reports that failed with a timeout at runners that nothing disturbed, 18 times "partitioned from the runners", and 7,574 requests refused for that.

Cause: Go runs a timer before it sees what the kernel has received, so that the timeout of a connection, of an order, a report or a probe passed while the answer lay in the kernel. The instance's own lateness was taken for the silence of others. Besides, a connection was given up with the caller that it was dialed for: 4,230 times, while callers left sooner than the process saw that it was established, so that none was ever kept after a common start.

A wait for a runner or the store now ends only where the kernel has nothing from the peer either, at most nine times the limit for one that sends a part and no more. A connection whose caller has left is completed, and kept if there is no other one to that runner.

Alone it does not bring service back: what was refused by mistake now crowds the processor.

--- a/internal/wire/pooler/exchange.go
+++ b/internal/wire/pooler/exchange.go
@@ -20,7 +20,12 @@
 	Message []byte // header and body
 	NoBody  bool   // the response has no body whatever its header says, as for HEAD
 	NewConn bool   // the request is sent on a new connection
-	ID      string // the ID in the response to it; empty if that has none. Used with IDOf
+
+	// Timeout ends the call if the peer sends nothing for so long, from the start of the call to the end of the
+	// response. Zero for none.
+	Timeout time.Duration
+
+	ID string // the ID in the response to it; empty if that has none. Used with IDOf
 
 	// OnConnected is called when there is a connection, before the request is written. Nil
 	// for none.
@@ -45,6 +50,7 @@
 	conn   *conn
 	key    string
 	detach func() bool
+	wait   *patience
 	closed bool
 }
 
@@ -65,13 +71,22 @@
 // cancelled when ctx ends. If there is no response, the observation says how far
 // the request got.
 func (p *Pool) Do(ctx context.Context, call Call) (*Response, judge.Observation) {
+	ctx, wait := withPatience(ctx, call.Timeout)
+	response, observation := p.do(ctx, call, wait)
+	if observation != nil {
+		wait.stop()
+	}
+	return response, observation
+}
+
+func (p *Pool) do(ctx context.Context, call Call, wait *patience) (*Response, judge.Observation) {
 	var c *conn
 	if !call.NewConn {
 		c = p.get(call, time.Now())
 	}
 	if c == nil {
 		var err error
-		if c, err = p.dial(ctx, call.Address); err != nil {
+		if c, err = p.connect(ctx, call, wait); err != nil {
 			return nil, judge.DialFailed{Err: err}
 		}
 	}
@@ -82,6 +97,7 @@
 		p.keep(call.PeerKey, c)
 		return nil, judge.Withdrawn{}
 	}
+	wait.awaitInput(c)
 	c.carry(call)
 	detach := context.AfterFunc(ctx, c.abort)
 	response, err := c.exchange(call)
@@ -90,7 +106,7 @@
 		_ = c.Close()
 		return nil, judge.Broken{Written: c.bytesWritten(), Err: err}
 	}
-	response.pool, response.conn, response.key, response.detach = p, c, call.PeerKey, detach
+	response.pool, response.conn, response.key, response.detach, response.wait = p, c, call.PeerKey, detach, wait
 	return response, nil
 }
 
@@ -141,6 +157,7 @@
 	}
 	r.closed = true
 	detached := r.detach()
+	r.wait.stop()
 	if !complete || !detached || !r.leavesConnUsable() {
 		_ = r.conn.Close()
 		return
--- a/internal/wire/pooler/pool.go
+++ b/internal/wire/pooler/pool.go
@@ -206,11 +206,53 @@
 	p.idle[key] = append(p.idle[key], c)
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+// connect connects to a peer. If ctx ends meanwhile, the connection is completed for other requests to the
+// peer. Were it given up, a process in which connecting takes longer than its callers wait would never have
+// one.
+func (p *Pool) connect(ctx context.Context, call Call, wait *patience) (*conn, error) {
+	type result struct {
+		conn *conn
+		err  error
+	}
+	dialed := make(chan result, 1)
+	go func() {
+		c, err := p.dial(context.WithoutCancel(ctx), call.Address, wait)
+		dialed <- result{c, err}
+	}()
+	select {
+	case r := <-dialed:
+		return r.conn, r.err
+	case <-ctx.Done():
+		go func() {
+			if r := <-dialed; r.err == nil {
+				p.keepSpare(call.PeerKey, r.conn)
+			}
+		}()
+		return nil, context.Cause(ctx)
+	}
+}
+
+// keepSpare adds a connection that no request waits for to the pool, unless there is another one to the peer.
+func (p *Pool) keepSpare(key string, c *conn) {
+	p.mu.Lock()
+	spare := len(p.idle[key]) > 0
+	p.mu.Unlock()
+	if spare {
+		_ = c.Close()
+		return
+	}
+	p.keep(key, c)
+}
+
+// dial connects to a peer within DialTimeout. wait is also told of the socket.
+func (p *Pool) dial(ctx context.Context, address string, wait *patience) (*conn, error) {
+	ctx, own := withPatience(ctx, p.DialTimeout)
+	defer own.stop()
 	dialer := net.Dialer{
-		Timeout:         p.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: int((userTimeout - keepAliveIdle) / keepAliveInterval)},
 		Control: func(_, _ string, raw syscall.RawConn) error {
+			own.awaitConnected(raw)
+			wait.awaitConnected(raw)
 			var sockErr error
 			err := raw.Control(func(fd uintptr) {
 				sockErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
