An instance without processor time refuses requests at once

Cause: nothing bounded what an instance took on by its processor. The queue of goroutines that were ready grew to 2.4 s, all requests were late, their callers gave up and came again, and the work for those who had left came before that for those who waited.

An instance now measures how long a goroutine that gives way to all others waits, and refuses requests that it reads while that is over 50 ms, before it decodes them: 503 overload, not run, with Retry-After.

--- a/internal/instance/gatekeeper/detour_peer.go
+++ b/internal/instance/gatekeeper/detour_peer.go
@@ -52,6 +52,9 @@
 		return judge.Refuse(judge.ReasonQueue, "%d requests of other instances are in progress", maxServedDetours)
 	}
 	defer g.servedDetours.Add(-1)
+	if refused := g.Overloaded(); refused != nil {
+		return refused
+	}
 	arrived := time.Now()
 	request, err := g.detouredRequest(from, m, arrived)
 	if err != nil {
--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -24,6 +24,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/request/detourer"
 	"github.com/sardinetiller/sardinetiller/internal/request/forwarder"
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
+	"github.com/sardinetiller/sardinetiller/internal/request/shedder"
 	"github.com/sardinetiller/sardinetiller/internal/setting/configurer"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 	"github.com/sardinetiller/sardinetiller/internal/wire/listener"
@@ -115,6 +116,7 @@
 	heldSlots  heldSlots
 	detourer   detourer.Detourer
 	directory  directory
+	shedder    shedder.Shedder
 	streams    streams
 	versions   versionRows
 
@@ -183,6 +185,7 @@
 	g.adapterVersions = make(map[adapterKey]int)
 	g.controllers = make(map[string]*controller)
 	g.links = make(map[string]*link)
+	g.shedder.Limit = overloadLimit
 	g.loadTime.set(initialLoadTime)
 	g.reloadTime.set(initialReloadTime)
 	g.sourceDomains = g.orderSourceDomains()
--- a/internal/instance/gatekeeper/serve.go
+++ b/internal/instance/gatekeeper/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -95,6 +96,24 @@
 	return err
 }
 
+const (
+	// overloadLimit is the wait for the processor from which requests are refused. A request gives way to others
+	// several times before it is answered.
+	overloadLimit = 50 * time.Millisecond
+	// overloadRetryAfter is the minimum Retry-After of a refusal for want of processor time.
+	overloadRetryAfter = 500 * time.Millisecond
+)
+
+// Overloaded returns the refusal of a request that has just been read, or nil if this instance has the
+// processor time to handle it.
+func (g *Gatekeeper) Overloaded() *judge.Error {
+	wait, overloaded := g.shedder.Overloaded(time.Now())
+	if !overloaded {
+		return nil
+	}
+	return judge.Refuse(judge.ReasonOverload, "requests wait for the processor for %s", wait.Round(time.Millisecond)).WithRetryAfter(overloadRetryAfter + rand.N(overloadRetryAfter))
+}
+
 // recordResult counts a request and records its duration.
 func (g *Gatekeeper) recordResult(r *forwarder.Request, err *judge.Error) {
 	label := fmt.Sprintf(`{service=%q}`, r.Service)
--- a/internal/request/judge/verdict.go
+++ b/internal/request/judge/verdict.go
@@ -31,6 +31,7 @@
 	ReasonLimit      Reason = "limit"      // the runners limit their request rate
 	ReasonLoad       Reason = "load"       // the adapter could not be loaded
 	ReasonMismatch   Reason = "mismatch"   // another adapter responded
+	ReasonOverload   Reason = "overload"   // the instance is short of processor time
 	ReasonOwner      Reason = "owner"      // this instance does not own the runner
 	ReasonPeer       Reason = "peer"       // the link to the owning instance failed
 	ReasonQuarantine Reason = "quarantine" // the request is quarantined because runners that ran it crashed
@@ -50,7 +51,7 @@
 var Reasons = []Reason{
 	ReasonAdapter, ReasonAuth, ReasonBody, ReasonCancelled, ReasonClaim,
 	ReasonCut, ReasonDeadline, ReasonDial, ReasonDuplicate, ReasonHeader,
-	ReasonInternal, ReasonLimit, ReasonLoad, ReasonMismatch, ReasonOwner, ReasonPeer, ReasonQuarantine, ReasonQueue, ReasonQuota,
+	ReasonInternal, ReasonLimit, ReasonLoad, ReasonMismatch, ReasonOverload, ReasonOwner, ReasonPeer, ReasonQuarantine, ReasonQueue, ReasonQuota,
 	ReasonRefused, ReasonRest, ReasonShare, ReasonStarting, ReasonStopping,
 	ReasonUpstream, ReasonVersion, ReasonWritten,
 }
