Resident adapters are served while nobody may give orders

Callers saw requests refused for 12 s and more after all instances were killed while the store returned from a copy: "nobody gives orders to the runners now", also for adapters that runners held.

Cause: a leader asked its runners what they hold only once it might give them orders, a lease of 8 s and a quiet period of 3.5 s after it first saw the store's era. Until then nobody knew of any adapter. What may not be changed was taken for what may not be known.

A leader now reads the reports of its runners in that time, every 2 s, and publishes what they hold. A request for a resident adapter needs no order; a runner refuses one whose adapter or version it has lost since. Orders are given no sooner than before.

--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -28,6 +28,7 @@
 	mu            sync.Mutex
 	elector       elector.Elector
 	orderingFence uint64        // fencing token for which the placers were created; 0 for none
+	observedFence uint64        // fencing token with which the runners were last observed before orders may be given
 	retryAt       time.Duration // earliest time of the next store call, after a failed one
 	nextPoll      time.Duration // earliest time of the next poll of the lease row
 	callInFlight  bool          // a store call for the lease is in flight
@@ -54,6 +55,7 @@
 type runnerState struct {
 	runner          tracker.Runner
 	placer          *placer.Placer // nil while this instance sends no orders, and for a plain service
+	reported        bool           // the placer has been told what the runner holds
 	callInFlight    bool           // an order or a report request is in flight
 	reportRequested time.Time      // when the last report was requested
 	prefillQueue    admissionQueue
@@ -134,6 +136,9 @@
 	fence, ok := c.elector.MaySendOrders(uptime())
 	if !ok {
 		c.stopOrdering()
+		if c.elector.IsLeader(uptime()) {
+			c.observeRunners(ctx, now)
+		}
 		return
 	}
 	if c.orderingFence != fence {
@@ -153,7 +158,7 @@
 	for _, id := range c.runnersByWaiting() {
 		state := c.runners[id]
 		if state.placer == nil {
-			state.placer = c.newPlacer(catalog, state.runner)
+			state.placer, state.reported = c.newPlacer(catalog, state.runner), false
 		}
 		if state.placer == nil || state.callInFlight {
 			continue
@@ -189,7 +194,9 @@
 	c.clearAhead()
 	for _, state := range c.runners {
 		state.placer = nil
-		state.published = nil
+		if c.observedFence != fence {
+			state.published = nil
+		}
 	}
 	c.gatekeeper.Recorder.Log(recorder.View, "msg", "giving orders", "domain", c.domain, "fence", fence, "runners", len(c.runners))
 }
@@ -282,8 +289,14 @@
 
 // publishCopies publishes which copies a runner has gained or lost since the last call.
 func (c *controller) publishCopies(state *runnerState) {
-	held := state.placer.Held()
-	now := time.Now()
+	state.reported = state.reported || state.placer.Known()
+	if state.reported {
+		c.publishHeld(state, state.placer.Held(), time.Now())
+	}
+}
+
+// publishHeld publishes which copies a runner has gained or lost since the last call.
+func (c *controller) publishHeld(state *runnerState, held map[placer.Copy]time.Time, now time.Time) {
 	for copied, at := range held {
 		before, ok := state.published[copied]
 		if !ok || !before.Equal(at) && (at.After(now) || before.After(now)) { // a load that completes as expected is no change for members
@@ -295,8 +308,6 @@
 			c.changes.add(event{copyChange: &copyEvent{runner: state.runner.ID, copy: copied}})
 		}
 	}
-	if state.placer.Known() || state.published != nil {
-		state.published = held
-		c.gatekeeper.Fleet.SetHeld(state.runner.ID, held)
-	}
+	state.published = held
+	c.gatekeeper.Fleet.SetHeld(state.runner.ID, held)
 }
