One probe that was held up is no overload

By reading, before anyone saw it: a process that is paused, or has used up its share of the processor for the rest of a tenth of a second, while a probe is in progress would refuse what it reads in the next 50 ms, although no queue is left.

It now takes two long probes in a row to begin with, and one within a second after an overload. TestPauseIsNoOverload refuses requests with the code before.

--- a/internal/request/shedder/shedder.go
+++ b/internal/request/shedder/shedder.go
@@ -16,10 +16,12 @@
 	Limit time.Duration // wait from which the process is overloaded
 	Yield func()        // gives way to all goroutines that are ready; nil: runtime.Gosched
 
-	mu    sync.Mutex
-	began time.Time     // of the probe in progress; zero if there is none
-	ended time.Time     // of the last probe
-	wait  time.Duration // that it measured
+	mu       sync.Mutex
+	began    time.Time     // of the probe in progress; zero if there is none
+	ended    time.Time     // of the last probe
+	last     time.Duration // wait that it measured
+	previous time.Duration // wait that the probe before it measured; 0 if that is outdated
+	overload time.Time     // when the process was last found to be overloaded
 }
 
 const (
@@ -27,24 +29,37 @@
 	probeInterval = 5 * time.Millisecond
 	// validity is how long the result of a probe is used.
 	validity = 50 * time.Millisecond
+	// confirmation is how long one long probe is enough after an overload. Before, it takes two in a row: one
+	// may have been held up with the whole process, which was paused or has used up its share of the
+	// processor for now.
+	confirmation = time.Second
 )
 
-// Overloaded reports whether goroutines wait for the processor for longer than the limit, and for how long at
-// least. It starts a probe if none is in progress: a process without requests makes none.
+// Overloaded reports whether goroutines wait for the processor for longer than the limit, and for how long. It
+// starts a probe if none is in progress, so that a process without requests makes none.
 func (s *Shedder) Overloaded(now time.Time) (wait time.Duration, overloaded bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(s.ended) < validity {
-		wait = s.wait
-	}
+	current := time.Duration(0) // measured by the probe in progress so far
 	switch {
 	case !s.began.IsZero():
-		wait = max(wait, now.Sub(s.began))
+		current = now.Sub(s.began)
+	case now.Sub(s.ended) >= validity:
+		s.last, s.previous = 0, 0
+		fallthrough
 	case now.Sub(s.ended) >= probeInterval:
 		s.began = now
 		go s.probe()
 	}
-	return wait, wait > s.Limit
+	if now.Sub(s.ended) < validity {
+		wait = s.last
+	}
+	wait = max(wait, current)
+	overloaded = wait > s.Limit && (now.Sub(s.overload) < confirmation || min(s.last, max(s.previous, current)) > s.Limit)
+	if overloaded {
+		s.overload = now
+	}
+	return wait, overloaded
 }
 
 // probe measures the time until all goroutines that are ready now have run.
@@ -57,5 +72,6 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ended, s.wait, s.began = now, now.Sub(s.began), time.Time{}
+	s.previous, s.last = s.last, now.Sub(s.began)
+	s.ended, s.began = now, time.Time{}
 }
--- a/internal/request/shedder/shedder_test.go
+++ b/internal/request/shedder/shedder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,30 +98,51 @@
 func TestOverloadIsThatOfNow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const limit = 50 * time.Millisecond
-		delay := 300 * time.Millisecond
-		s := shedder.Shedder{Limit: limit, Yield: func() { time.Sleep(delay) }}
+		const long = 300 * time.Millisecond
+		var delay atomic.Int64
+		delay.Store(int64(long))
+		s := shedder.Shedder{Limit: limit, Yield: func() { time.Sleep(time.Duration(delay.Load())) }}
 		var got []bool
-		ask := func() {
+		ask := func(after time.Duration) {
+			time.Sleep(after)
+			synctest.Wait()
 			_, overloaded := s.Overloaded(time.Now())
 			got = append(got, overloaded)
 		}
-		ask() // starts a probe
-		time.Sleep(limit)
-		ask()
-		time.Sleep(time.Millisecond)
-		ask() // the probe is still in progress
-		time.Sleep(delay - limit)
-		synctest.Wait()
-		ask() // it has just ended
-		delay = 0
-		synctest.Wait()
-		time.Sleep(delay + 400*time.Millisecond)
-		ask() // the result is old
-		synctest.Wait()
-		time.Sleep(10 * time.Millisecond)
-		ask()
-		if diff := cmp.Diff([]bool{false, false, true, true, false, false}, got); diff != "" {
+		ask(0)                      // starts the first probe
+		ask(long)                   // it has just ended
+		ask(10 * time.Millisecond)  // starts the second one
+		ask(limit)                  // in progress for as long as the limit
+		ask(time.Millisecond)       // for longer
+		ask(long - limit)           // it has just ended
+		ask(10 * time.Millisecond)  // starts the third one
+		ask(time.Millisecond)       // in progress
+		delay.Store(0)              // of the one after that
+		ask(300 * time.Millisecond) // the third one has ended
+		ask(10 * time.Millisecond)  // starts the fourth one
+		ask(time.Millisecond)       // it has ended
+		ask(10 * time.Second)       // the results are outdated
+		if diff := cmp.Diff([]bool{false, false, false, false, true, true, true, true, true, true, false, false}, got); diff != "" {
 			t.Error(diff)
 		}
 	})
 }
+
+// Guards against requests that are refused after a pause of the whole process, which leaves no queue.
+func TestPauseIsNoOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var delay atomic.Int64
+		s := shedder.Shedder{Limit: 50 * time.Millisecond, Yield: func() { time.Sleep(time.Duration(delay.Load())) }}
+		for n := range 300 {
+			delay.Store(0)
+			if n%30 == 0 {
+				delay.Store(int64(90 * time.Millisecond))
+			}
+			if wait, overloaded := s.Overloaded(time.Now()); overloaded {
+				t.Fatalf("request %d is refused, %s", n, wait)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second) // for the last probe to end
+	})
+}
