--- a/internal/instance/gatekeeper/observe.go
+++ b/internal/instance/gatekeeper/observe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
@@ -29,19 +30,19 @@
 			continue // it holds no adapters
 		}
 		state.reportRequested, state.callInFlight = now, true
-		go c.observeRunner(ctx, state)
+		go c.observeRunner(ctx, state, state.runner)
 	}
 }
 
 // observeRunner publishes which adapters a runner holds.
-func (c *controller) observeRunner(ctx context.Context, state *runnerState) {
-	report, err := c.gatekeeper.Engine.Report(ctx, state.runner)
+func (c *controller) observeRunner(ctx context.Context, state *runnerState, runner tracker.Runner) {
+	report, err := c.gatekeeper.Engine.Report(ctx, runner)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state.callInFlight = false
 	switch {
 	case err != nil:
-		c.gatekeeper.Recorder.Log(recorder.View, "msg", "runner report failed", "runner", state.runner.ID, "err", err)
+		c.gatekeeper.Recorder.Log(recorder.View, "msg", "runner report failed", "runner", runner.ID, "err", err)
 	case c.orderingFence == 0 && c.elector.IsLeader(uptime()):
 		held := make(map[placer.Copy]time.Time, len(report.Models)+len(report.Resident))
 		for _, model := range report.Models {
--- a/internal/wire/pooler/patience.go
+++ b/internal/wire/pooler/patience.go
@@ -74,6 +74,7 @@
 func (p *patience) stop() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.extensions = 0
 	if p.timer != nil {
 		p.timer.Stop()
 	}
