--- a/internal/wire/pooler/pool.go
+++ b/internal/wire/pooler/pool.go
@@ -200,6 +200,11 @@
 func (p *Pool) keep(key string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.keepLocked(key, c)
+}
+
+// keepLocked is keep for callers that hold mu.
+func (p *Pool) keepLocked(key string, c *conn) {
 	if p.idle == nil {
 		p.idle = make(map[string][]*conn)
 	}
@@ -235,13 +240,12 @@
 // keepSpare adds a connection that no request waits for to the pool, unless there is another one to the peer.
 func (p *Pool) keepSpare(key string, c *conn) {
 	p.mu.Lock()
-	spare := len(p.idle[key]) > 0
-	p.mu.Unlock()
-	if spare {
+	defer p.mu.Unlock()
+	if len(p.idle[key]) > 0 {
 		_ = c.Close()
 		return
 	}
-	p.keep(key, c)
+	p.keepLocked(key, c)
 }
 
 // dial connects to a peer within DialTimeout. wait is also told of the socket.
