Requests without a timeout of their own carry no wait for the peer

Each request to a runner paid for a context, a wait and a look at its socket that end nothing, as only orders, reports and probes have such a limit. There is no wait without a limit now.

The same behaviour.

--- a/internal/wire/pooler/patience.go
+++ b/internal/wire/pooler/patience.go
@@ -11,7 +11,7 @@
 
 // A patience bounds the wait for a peer. A process that waits for the processor runs its timers before it
 // sees what has arrived, so that a timeout alone says nothing of the peer: it counts only while the kernel
-// has nothing from the peer either.
+// has nothing from the peer either. A nil patience has no limit.
 type patience struct {
 	cancel context.CancelCauseFunc
 	limit  time.Duration
@@ -28,15 +28,16 @@
 const maxExtensions = 8
 
 // withPatience returns a context that ends once the peer has sent nothing for limit, with the cause
-// context.DeadlineExceeded, or upon stop. Zero means no limit.
+// context.DeadlineExceeded, or upon stop. Zero means no limit: the context is ctx.
 func withPatience(ctx context.Context, limit time.Duration) (bounded context.Context, p *patience) {
+	if limit <= 0 {
+		return ctx, nil
+	}
 	bounded, cancel := context.WithCancelCause(ctx)
 	p = &patience{cancel: cancel, limit: limit, extensions: maxExtensions}
-	if limit > 0 {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.timer = time.AfterFunc(limit, p.check)
-	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.timer = time.AfterFunc(limit, p.check)
 	return bounded, p
 }
 
@@ -45,6 +46,9 @@
 
 // awaitInput makes the wait be for something to be received.
 func (p *patience) awaitInput(c *conn) {
+	if p == nil {
+		return
+	}
 	if s, ok := c.Conn.(syscall.Conn); ok {
 		if socket, err := s.SyscallConn(); err == nil {
 			p.await(socket, unix.POLLIN)
@@ -53,6 +57,9 @@
 }
 
 func (p *patience) await(socket syscall.RawConn, events int16) {
+	if p == nil {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.socket, p.events = socket, events
@@ -72,12 +79,13 @@
 
 // stop ends the wait.
 func (p *patience) stop() {
+	if p == nil {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.extensions = 0
-	if p.timer != nil {
-		p.timer.Stop()
-	}
+	p.timer.Stop()
 	p.cancel(context.Canceled)
 }
 
--- a/internal/wire/pooler/silence_test.go
+++ b/internal/wire/pooler/silence_test.go
@@ -18,7 +18,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = l.Close() }()
-	c, err := (&Pool{DialTimeout: time.Second}).dial(t.Context(), l.Addr().String(), &patience{})
+	c, err := (&Pool{DialTimeout: time.Second}).dial(t.Context(), l.Addr().String(), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
