Do not listen while no connection is admitted

Cause: a connection was accepted before it was turned away, and its caller had sent the request by then. Beside hundreds of such requests a second on a link of 10 Mbit/s, connections to runners, store and peers time out.

Change: the listening socket is closed while no connection is admitted, so that the kernel refuses connections.

--- a/internal/wire/listener/acceptor.go
+++ b/internal/wire/listener/acceptor.go
@@ -12,11 +12,12 @@
 
 // An acceptor accepts connections of type *Conn.
 type acceptor struct {
-	net.Listener
 	server    *Server
 	acceptNow func(l net.Listener) (net.Conn, error)
+	admitted  bool // the next connection is served; it is used by Accept alone
 
 	mu       sync.Mutex
+	listener net.Listener
 	stopping bool
 	closed   chan struct{} // closed when it no longer listens
 }
@@ -28,6 +29,8 @@
 	maxAcceptDelay = 200 * time.Millisecond
 	// stopTimeout bounds the time until Accept has taken the connections that are queued.
 	stopTimeout = 100 * time.Millisecond
+	// admitInterval is how often it is asked whether connections are admitted again.
+	admitInterval = 50 * time.Millisecond
 )
 
 // Accept implements net.Listener. It fails only if the listener is closed: any other error passes, as the
@@ -37,12 +40,13 @@
 		if a.isStopping() {
 			return a.acceptQueued()
 		}
-		c, err := a.Listener.Accept()
+		c, err := a.current().Accept()
 		switch {
+		case err == nil && a.admits():
+			return a.server.track(c), nil
 		case err == nil:
-			if c = a.admit(c); c != nil {
-				return a.server.track(c), nil
-			}
+			a.refuse(c)
+			a.shut()
 			delay = minAcceptDelay
 			continue
 		case a.isStopping():
@@ -50,25 +54,46 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil, err
 		}
-		if a.server.OnAcceptFailure != nil {
-			a.server.OnAcceptFailure(err)
-		}
+		a.failed(err)
 		time.Sleep(delay)
 		delay = min(2*delay, maxAcceptDelay)
 	}
 }
 
-// admit returns the connection if it is served. Otherwise it refuses it and those that are queued, up to the first one that is
-// served, which it returns; nil if there is none.
-func (a *acceptor) admit(c net.Conn) net.Conn {
-	if a.server.admits() {
-		return c
+// Addr implements net.Listener.
+func (a *acceptor) Addr() net.Addr { return a.current().Addr() }
+
+// Close implements net.Listener.
+func (a *acceptor) Close() error {
+	a.mu.Lock()
+	a.stopping = true
+	a.mu.Unlock()
+	a.close()
+	return nil
+}
+
+func (a *acceptor) current() net.Listener {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.listener
+}
+
+func (a *acceptor) failed(err error) {
+	if a.server.OnAcceptFailure != nil {
+		a.server.OnAcceptFailure(err)
 	}
-	a.refuse(c)
-	return a.refuseQueued()
 }
 
 // admits reports whether a connection that was accepted is served.
+func (a *acceptor) admits() bool {
+	if a.admitted {
+		a.admitted = false
+		return true
+	}
+	return a.server.admits()
+}
+
+// admits reports whether a connection is served now.
 func (s *Server) admits() bool { return s.Admit == nil || s.Admit() }
 
 // refuse closes a connection unread. The client learns at once that its request was not read, and may go
@@ -78,34 +103,50 @@
 		_ = tcp.SetLinger(0) // fails only on a closed connection
 	}
 	_ = c.Close()
-	a.refused()
-}
-
-func (a *acceptor) refused() {
 	if a.server.OnRefuse != nil {
 		a.server.OnRefuse()
 	}
 }
 
-// refuseQueued refuses the connections that are queued, at the cost of few system calls each, up to the first one that is
-// admitted, which it returns. It returns nil if there is none.
-func (a *acceptor) refuseQueued() net.Conn {
-	for {
-		fd, err := acceptDescriptor(a.Listener)
-		if err != nil {
-			return nil // the next Accept reports an error that lasts
+// shut does not listen until a connection is admitted. The kernel refuses connections meanwhile, which takes neither time of
+// this process nor, as no client sends its request, bandwidth. It resets those that are queued.
+func (a *acceptor) shut() {
+	l, ok := a.current().(*net.TCPListener)
+	if !ok {
+		return
+	}
+	address := l.Addr()
+	_ = l.Close() // fails only if it is closed
+	for !a.server.admits() {
+		if a.isStopping() {
+			return
 		}
-		if a.server.admits() {
-			c, err := toConn(fd)
-			if err != nil {
-				return nil
-			}
-			return c
+		time.Sleep(admitInterval)
+	}
+	a.admitted = true
+	for delay := minAcceptDelay; !a.isStopping(); delay = min(2*delay, maxAcceptDelay) {
+		err := a.reopen(address)
+		if err == nil {
+			return
 		}
-		_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1}) // without it the connection is closed, not reset
-		_ = syscall.Close(fd)
-		a.refused()
+		a.failed(err) // another process may use the port for a moment
+		time.Sleep(delay)
+	}
+}
+
+// reopen listens again, unless the acceptor is stopping.
+func (a *acceptor) reopen(address net.Addr) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stopping {
+		return nil
+	}
+	l, err := net.Listen(address.Network(), address.String())
+	if err != nil {
+		return err
 	}
+	a.listener = l
+	return nil
 }
 
 // acceptQueued accepts a connection that is queued. If there is none, it closes the listener: the kernel
@@ -113,11 +154,11 @@
 // descriptors, does not mean that there is none.
 func (a *acceptor) acceptQueued() (net.Conn, error) {
 	for !a.isClosed() {
-		c, err := a.acceptNow(a.Listener)
+		c, err := a.acceptNow(a.current())
 		switch {
 		case err == nil:
 			return a.server.track(c), nil
-		case errors.Is(err, syscall.EAGAIN), errors.Is(err, errors.ErrUnsupported):
+		case errors.Is(err, syscall.EAGAIN), errors.Is(err, errors.ErrUnsupported), errors.Is(err, net.ErrClosed):
 			a.close()
 		default:
 			time.Sleep(minAcceptDelay)
@@ -128,35 +169,24 @@
 
 // acceptNow accepts a connection without waiting for one.
 func acceptNow(l net.Listener) (net.Conn, error) {
-	fd, err := acceptDescriptor(l)
-	if err != nil {
-		return nil, err
-	}
-	return toConn(fd)
-}
-
-// acceptDescriptor accepts a connection without waiting for one.
-func acceptDescriptor(l net.Listener) (fd int, err error) {
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
-		return -1, errors.ErrUnsupported
+		return nil, errors.ErrUnsupported
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return -1, err
+		return nil, err
 	}
-	fd = -1
+	fd := -1
 	var acceptErr error
 	if err := raw.Control(func(listening uintptr) {
 		fd, _, acceptErr = syscall.Accept4(int(listening), syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK)
 	}); err != nil {
-		return -1, err
+		return nil, err
+	}
+	if acceptErr != nil {
+		return nil, acceptErr
 	}
-	return fd, acceptErr
-}
-
-// toConn returns the connection of a descriptor, which it takes over.
-func toConn(fd int) (net.Conn, error) {
 	f := os.NewFile(uintptr(fd), "connection")
 	defer func() { _ = f.Close() }() // FileConn duplicates it
 	return net.FileConn(f)
@@ -169,7 +199,7 @@
 	select {
 	case <-a.closed:
 	default:
-		_ = a.Listener.Close()
+		_ = a.listener.Close()
 		close(a.closed)
 	}
 }
@@ -178,7 +208,7 @@
 func (a *acceptor) stop() {
 	a.mu.Lock()
 	a.stopping = true
-	if l, ok := a.Listener.(*net.TCPListener); ok {
+	if l, ok := a.listener.(*net.TCPListener); ok {
 		_ = l.SetDeadline(time.Unix(1, 0)) // wakes Accept
 	}
 	a.mu.Unlock()
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -79,7 +79,7 @@
 
 func (s *Server) init() {
 	s.once.Do(func() {
-		s.acceptor = &acceptor{Listener: s.Listener, server: s, acceptNow: acceptNow, closed: make(chan struct{})}
+		s.acceptor = &acceptor{listener: s.Listener, server: s, acceptNow: acceptNow, closed: make(chan struct{})}
 	})
 }
 
