Requests to runners count for the link

The reckoning of the link left out what is written to runners, a third of the bytes where prompts are long, so that connections were taken on a link that was full. What arrives is as much as what leaves: requests and events pass in both directions.

--- a/internal/instance/gatekeeper/resources.go
+++ b/internal/instance/gatekeeper/resources.go
@@ -76,7 +76,7 @@
 	var reading shedder.Reading
 	reading.Processor = r.processor.Take(now)
 	reading.Probe = r.processor.Fastest()
-	reading.Link = r.link.Observe(g.callers.Sent(), now)
+	reading.Link = r.link.Observe(g.callers.Sent()+g.Pool.Sent(), now)
 	if r.descriptors > 0 {
 		reading.Descriptors = float64(g.callers.Open()+g.Pool.Open()) / float64(r.descriptors)
 	}
--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -140,7 +140,7 @@
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.server.sent.Add(int64(n) + packetHeader)
+	c.server.sent.Add(n)
 	c.mu.Lock()
 	c.responded = c.responded || n > 0
 	c.mu.Unlock()
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/sardinetiller/sardinetiller/internal/wire/counter"
 )
 
 // A Server is an HTTP server with size limits and timeouts. Its fields are set
@@ -33,15 +35,12 @@
 
 	once     sync.Once
 	acceptor *acceptor
-	sent     atomic.Int64 // bytes and headers of packets, see Sent
+	sent     counter.Traffic
 	busy     atomic.Int64 // connections that are not idle
 	mu       sync.Mutex
 	conns    map[*Conn]struct{} // open ones
 }
 
-// packetHeader is the size of the headers of a packet in bytes: IP, and TCP with timestamps.
-const packetHeader = 52
-
 // Busy returns the number of connections on which a request is expected, read or handled: all but those that are
 // idle after a response.
 func (s *Server) Busy() int { return int(s.busy.Load()) }
@@ -61,7 +60,7 @@
 }
 
 // Sent returns how many bytes were written to all connections so far, with the header of one packet for each write.
-func (s *Server) Sent() int64 { return s.sent.Load() }
+func (s *Server) Sent() int64 { return s.sent.Bytes() }
 
 const (
 	bodyLimit    = 8 << 20
--- a/internal/wire/pooler/pool.go
+++ b/internal/wire/pooler/pool.go
@@ -20,6 +20,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/sardinetiller/sardinetiller/internal/wire/counter"
 )
 
 // A Pool keeps idle connections by key. The key identifies the peer and not only
@@ -34,6 +36,7 @@
 	idle   map[string][]*conn
 	dialed atomic.Int64
 	open   atomic.Int64
+	sent   counter.Traffic
 }
 
 // A peer that is partitioned or has lost power acknowledges nothing; without limits the kernel waits
@@ -69,9 +72,10 @@
 	reader      *bufio.Reader
 	lastUsed    time.Time
 	idleTimeout time.Duration
-	written     int      // bytes of the current request
-	carried     []uint64 // hashes of the IDs of the requests that were sent on it, the empty one included
-	carriedHead bool     // one of them was a HEAD
+	sent        *counter.Traffic // of the pool
+	written     int              // bytes of the current request
+	carried     []uint64         // hashes of the IDs of the requests that were sent on it, the empty one included
+	carriedHead bool             // one of them was a HEAD
 	mu          sync.Mutex
 	onClose     func() // called once
 }
@@ -101,6 +105,7 @@
 // Write implements net.Conn and counts the bytes that the kernel accepted.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
+	c.sent.Add(n)
 	c.mu.Lock()
 	c.written += n
 	c.mu.Unlock()
@@ -134,6 +139,9 @@
 // Open returns how many connections are open, idle ones and those in use.
 func (p *Pool) Open() int { return int(p.open.Load()) }
 
+// Sent returns how many bytes were written to all connections so far, with the header of one packet for each write.
+func (p *Pool) Sent() int64 { return p.sent.Bytes() }
+
 // ClosePeer closes the idle connections to a peer that was removed.
 func (p *Pool) ClosePeer(key string) {
 	p.mu.Lock()
@@ -289,7 +297,7 @@
 	p.open.Add(1)
 	return &conn{
 		Conn: c, address: address, reader: bufio.NewReaderSize(c, bufferSize), lastUsed: time.Now(), idleTimeout: p.IdleTimeout,
-		onClose: sync.OnceFunc(func() { p.open.Add(-1) }),
+		sent: &p.sent, onClose: sync.OnceFunc(func() { p.open.Add(-1) }),
 	}, nil
 }
 
