An instance that reaches neither runners nor other instances takes no connections

Cause: nothing is short at an instance that refuses at once, so that no bound holds back what comes, and the fastest instance attracts most.

TestIsolatedInstanceTakesNoConnections failed before in its first case: a connection is taken.

--- a/internal/instance/gatekeeper/resources.go
+++ b/internal/instance/gatekeeper/resources.go
@@ -73,7 +73,7 @@
 
 // readResources reads the use of the resources since the last call.
 func (g *Gatekeeper) readResources(r *resources, now time.Time) shedder.Reading {
-	var reading shedder.Reading
+	reading := shedder.Reading{Isolated: g.Fleet.Detector.Isolated() && g.detourer.Alone(now)}
 	reading.Processor = r.processor.Take(now)
 	reading.Probe = r.processor.Fastest()
 	reading.Link = r.link.Observe(g.callers.Sent()+g.Pool.Sent(), now)
--- a/internal/request/detourer/detourer.go
+++ b/internal/request/detourer/detourer.go
@@ -30,6 +30,8 @@
 	// lostPause how long one whose link failed is not.
 	unusablePause = 300 * time.Millisecond
 	lostPause     = 200 * time.Millisecond
+	// aloneFor is for how long peers that did not answer show that none does, where no further one is asked.
+	aloneFor = 2 * time.Second
 	// otherDomainCost is how much busier a peer in this instance's own failure domain must be
 	// for one in another domain to be chosen: traffic between domains is billed.
 	otherDomainCost = 2
@@ -55,8 +57,10 @@
 	Domain string // failure domain of this instance
 	Self   string // ID of this instance
 
-	mu    sync.Mutex
-	peers map[string]*peer // by ID
+	mu     sync.Mutex
+	peers  map[string]*peer // by ID
+	lost   int              // peers that did not answer since one did
+	lostAt time.Time        // when the last of them did not
 }
 
 // A peer is the state of one peer.
@@ -164,6 +168,7 @@
 		return false
 	}
 	p.status, p.statusAt = s, now
+	d.lost = 0
 	if s.Stopping || !servesAny(s, services) {
 		p.unwatch(now.Add(unusablePause))
 		return false
@@ -186,10 +191,20 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if p, ok := d.peers[id]; ok {
+		d.lost++
+		d.lostAt = now
 		p.unwatch(now.Add(lostPause))
 	}
 }
 
+// Alone reports whether no peer answers: of those that were asked last, none has, as many as are watched at a time. It is false
+// where there are none.
+func (d *Detourer) Alone(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.peers) > 0 && d.lost >= min(len(d.peers), targetPeers) && now.Sub(d.lostAt) < aloneFor
+}
+
 // Unwatched records that a peer is no longer watched, as there is no partition, and reports whether the
 // watch is to end: a request may have been sent there at that moment.
 func (d *Detourer) Unwatched(id string) bool {
--- a/internal/request/shedder/bound.go
+++ b/internal/request/shedder/bound.go
@@ -13,6 +13,7 @@
 type Bound struct {
 	mu         sync.Mutex
 	admittedAt time.Time // when a connection was last admitted
+	isolated   bool      // as of the last reading
 	limit      int       // requests at a time; 0 for none
 	short      Resource  // as of the last reading
 	shortAt    time.Time // when a resource was last short
@@ -42,7 +43,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	short, before := r.Short(), b.short
-	b.short = short
+	b.short, b.isolated = short, r.Isolated
 	switch {
 	case short != None:
 		b.shortAt = now
@@ -64,7 +65,8 @@
 func (b *Bound) Admits(requests int, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.limit > 0 && requests >= b.limit && (now.Sub(b.admittedAt) < maxShut || requests >= refusedExcess*b.limit) {
+	full := b.limit > 0 && requests >= b.limit
+	if (full || b.isolated) && now.Sub(b.admittedAt) < maxShut || full && requests >= refusedExcess*b.limit {
 		return false
 	}
 	b.admittedAt = now
@@ -72,11 +74,11 @@
 }
 
 // Releases reports whether connections are closed after the response, so that their callers' next requests may reach other
-// instances: something is short, or there are as many requests in progress as the instance bears.
+// instances: something is short, there are as many requests in progress as the instance bears, or it can serve none.
 func (b *Bound) Releases(requests int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.limit > 0 && (b.short != None || requests >= b.limit)
+	return b.isolated || b.limit > 0 && (b.short != None || requests >= b.limit)
 }
 
 // Bears reports whether a request that has been read is handled. It is counted among those in progress.
@@ -90,5 +92,8 @@
 func (b *Bound) Limit() (requests int, short Resource) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.isolated {
+		return b.limit, Reach
+	}
 	return b.limit, b.short
 }
--- a/internal/request/shedder/reading.go
+++ b/internal/request/shedder/reading.go
@@ -12,6 +12,7 @@
 	Link        Resource = "link"
 	Descriptors Resource = "descriptors"
 	Memory      Resource = "memory"
+	Reach       Resource = "reach" // of runners, and of other instances
 )
 
 // A Reading is how far the resources of an instance were used within a time.
@@ -21,6 +22,7 @@
 	Link        time.Duration // for which bytes wait before the link
 	Descriptors float64       // fraction in use
 	Memory      float64       // fraction in use
+	Isolated    bool          // neither runners nor other instances are reached, so that no request can be served
 }
 
 const (
--- a/internal/upstream/detector/detector.go
+++ b/internal/upstream/detector/detector.go
@@ -171,6 +171,18 @@
 // Partitioned reports whether this instance is partitioned from the runners of a service.
 func (d *Detector) Partitioned(service string) bool { return d.State(service) == Partitioned }
 
+// Isolated reports whether this instance is partitioned from the runners of all services that it has tried.
+func (d *Detector) Isolated() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.services {
+		if s.state != Partitioned {
+			return false
+		}
+	}
+	return len(d.services) > 0
+}
+
 // Suspected reports whether runners of any service are, or may have to be, probed now.
 func (d *Detector) Suspected(now time.Time) bool {
 	d.mu.Lock()
