What is received counts for the link

Cause: what waits before the link of this instance on its way to it is seen by nobody here; only what is written was reckoned, and that never exceeds the bandwidth where the requests come in no faster.

Change: a link of which nine tenths are used by what is received is short.

--- a/internal/instance/gatekeeper/resources.go
+++ b/internal/instance/gatekeeper/resources.go
@@ -29,14 +29,16 @@
 type resources struct {
 	descriptors int // that the process may have open; 0 if unknown
 	link        shedder.LinkQueue
+	linkUse     shedder.LinkUse
 	loggedAt    time.Time
 	processor   prober.Prober
 }
 
 // watchResources reads the use of the resources until ctx ends.
 func (g *Gatekeeper) watchResources(ctx context.Context) {
+	bandwidth := g.Config.Link.BytesPerSecond()
 	r := resources{
-		descriptors: descriptorLimit(), link: shedder.LinkQueue{Bandwidth: g.Config.Link.BytesPerSecond()},
+		descriptors: descriptorLimit(), link: shedder.LinkQueue{Bandwidth: bandwidth}, linkUse: shedder.LinkUse{Bandwidth: bandwidth},
 		processor: prober.Prober{Interval: probeInterval, Needed: func() bool { return g.requestCount() > 0 }},
 	}
 	var probes sync.WaitGroup
@@ -67,7 +69,7 @@
 		return
 	}
 	r.loggedAt = now
-	g.Recorder.Log(recorder.Lifecycle, "msg", "short of a resource", "resource", short, "processor", reading.Processor, "probe", reading.Probe, "link", reading.Link,
+	g.Recorder.Log(recorder.Lifecycle, "msg", "short of a resource", "resource", short, "processor", reading.Processor, "probe", reading.Probe, "link", reading.Link, "linkuse", reading.LinkUse,
 		"descriptors", reading.Descriptors, "memory", reading.Memory, "requests", requests, "limit", limit, "connections", g.callers.Open())
 }
 
@@ -77,6 +79,7 @@
 	reading.Processor = r.processor.Take(now)
 	reading.Probe = r.processor.Fastest()
 	reading.Link = r.link.Observe(g.callers.Sent()+g.Pool.Sent(), now)
+	reading.LinkUse = r.linkUse.Observe(g.callers.Received()+g.Pool.Received(), now)
 	if r.descriptors > 0 {
 		reading.Descriptors = float64(g.callers.Open()+g.Pool.Open()) / float64(r.descriptors)
 	}
--- a/internal/instance/gatekeeper/resources_test.go
+++ b/internal/instance/gatekeeper/resources_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -12,8 +13,10 @@
 	"github.com/sardinetiller/sardinetiller/internal/wire/pooler"
 )
 
-// Guards against an instance that takes requests on while its link is full of their bodies on the way to runners.
-func TestBytesToRunnersCountForTheLink(t *testing.T) {
+// Guards against an instance that takes requests on while its link is full of their bodies on the way to runners, or of the
+// responses of runners.
+func TestBytesOfRunnersCountForTheLink(t *testing.T) {
+	const size = 1 << 17
 	l, err := listener.ListenLoopback()
 	if err != nil {
 		t.Fatal(err)
@@ -27,22 +30,30 @@
 		defer func() { _ = c.Close() }()
 		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 			_ = r.Body.Close()
-			fmt.Fprint(c, "HTTP/1.1 204 No Content\r\n\r\n")
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, make([]byte, size))
 		}
 	}()
 	g := newTestGatekeeper()
 	g.callers = &listener.Server{Listener: l}
 	g.Pool = &pooler.Pool{DialTimeout: time.Second}
 	g.Config.Link = 1
-	r := resources{link: shedder.LinkQueue{Bandwidth: g.Config.Link.BytesPerSecond()}}
-	before := g.readResources(&r, time.Now())
-	body := make([]byte, 1<<17)
-	message := append(fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", len(body)), body...)
-	if _, failed := g.Pool.Do(t.Context(), pooler.Call{Address: l.Addr().String(), PeerKey: "a", Message: message}); failed != nil {
+	bandwidth := g.Config.Link.BytesPerSecond()
+	r := resources{link: shedder.LinkQueue{Bandwidth: bandwidth}, linkUse: shedder.LinkUse{Bandwidth: bandwidth}}
+	start := time.Now()
+	before := g.readResources(&r, start)
+	message := fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, make([]byte, size))
+	response, failed := g.Pool.Do(t.Context(), pooler.Call{Address: l.Addr().String(), PeerKey: "a", Message: message})
+	if failed != nil {
 		t.Fatal(failed)
 	}
-	after := g.readResources(&r, time.Now())
-	if before.Link != 0 || after.Short() != shedder.Link {
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	after := g.readResources(&r, start.Add(readingInterval))
+	if before.Link != 0 || (shedder.Reading{Link: after.Link}).Short() != shedder.Link {
 		t.Errorf("bytes wait for %s before and %s after the request", before.Link, after.Link)
 	}
+	if before.LinkUse != 0 || (shedder.Reading{LinkUse: after.LinkUse}).Short() != shedder.Link {
+		t.Errorf("%g of the link is used before and %g after the response", before.LinkUse, after.LinkUse)
+	}
 }
--- a/internal/request/shedder/link.go
+++ b/internal/request/shedder/link.go
@@ -25,3 +25,25 @@
 	q.last, q.sent = now, sent
 	return time.Duration(q.waiting / q.Bandwidth * float64(time.Second))
 }
+
+// A LinkUse measures which part of the bandwidth of a link was used by what was received. That is no queue of this process: what
+// the link does not carry waits before it, and all else that is received with it. The zero value is ready; it is not safe for
+// concurrent use.
+type LinkUse struct {
+	Bandwidth float64 // in bytes a second; 0 if unknown
+
+	last     time.Time
+	received int64
+}
+
+// Observe takes the number of bytes that were received so far and returns the fraction of the bandwidth that they used since the
+// last call. It is 0 if the bandwidth is unknown.
+func (u *LinkUse) Observe(received int64, now time.Time) float64 {
+	elapsed, bytes := now.Sub(u.last).Seconds(), received-u.received
+	first := u.last.IsZero()
+	u.last, u.received = now, received
+	if first || u.Bandwidth <= 0 || elapsed <= 0 {
+		return 0
+	}
+	return float64(bytes) / elapsed / u.Bandwidth
+}
--- a/internal/request/shedder/link_test.go
+++ b/internal/request/shedder/link_test.go
@@ -26,3 +26,22 @@
 		t.Errorf("a wait of %s before a link of unknown bandwidth", wait)
 	}
 }
+
+// Guards against a link that counts as full after a burst, and against one that is full of what is received and does not
+// count as such.
+func TestUseOfTheLinkByWhatIsReceived(t *testing.T) {
+	start := time.Now()
+	u := shedder.LinkUse{Bandwidth: 1000}
+	var got []shedder.Resource
+	for second, received := range []int64{5000, 5500, 6500, 6600} {
+		got = append(got, shedder.Reading{LinkUse: u.Observe(received, start.Add(time.Duration(second)*time.Second))}.Short())
+	}
+	if diff := cmp.Diff([]shedder.Resource{shedder.None, shedder.None, shedder.Link, shedder.None}, got); diff != "" {
+		t.Error(diff)
+	}
+	var unknown shedder.LinkUse
+	unknown.Observe(0, start)
+	if use := unknown.Observe(1<<30, start.Add(time.Second)); use != 0 {
+		t.Errorf("%g of a link of unknown bandwidth is used", use)
+	}
+}
--- a/internal/request/shedder/reading.go
+++ b/internal/request/shedder/reading.go
@@ -20,6 +20,7 @@
 	Processor   time.Duration // for which work that was ready waited
 	Probe       time.Duration // that a small piece of work takes while nothing waits; 0 if unknown
 	Link        time.Duration // for which bytes wait before the link
+	LinkUse     float64       // fraction of the link that was in use for what was received
 	Descriptors float64       // fraction in use
 	Memory      float64       // fraction in use
 	Isolated    bool          // neither runners nor other instances are reached, so that no request can be served
@@ -33,6 +34,8 @@
 	// none waited.
 	maxProbes   = 400
 	maxSlowWait = 200 * time.Millisecond
+	// maxLinkUse is the fraction of the link in use from which it is short.
+	maxLinkUse = 0.9
 	// maxUse is the fraction in use from which a resource is short that ends requests, or the process, when it
 	// is used up.
 	maxUse = 0.75
@@ -47,7 +50,7 @@
 		return Descriptors
 	case r.Processor > r.maxProcessorWait():
 		return Processor
-	case r.Link > maxWait:
+	case r.Link > maxWait, r.LinkUse > maxLinkUse:
 		return Link
 	}
 	return None
@@ -63,6 +66,6 @@
 
 // kept returns the fraction of its requests that an instance with this reading keeps. It is the smaller the more it is short.
 func (r Reading) kept() float64 {
-	excess := max(float64(r.Processor)/float64(r.maxProcessorWait()), float64(r.Link)/float64(maxWait), r.Descriptors/maxUse, r.Memory/maxUse)
+	excess := max(float64(r.Processor)/float64(r.maxProcessorWait()), float64(r.Link)/float64(maxWait), r.LinkUse/maxLinkUse, r.Descriptors/maxUse, r.Memory/maxUse)
 	return min(maxKept, max(minKept, 1/excess))
 }
--- a/internal/request/shedder/skew_test.go
+++ b/internal/request/shedder/skew_test.go
@@ -14,6 +14,10 @@
 	maxDelay = 2 * time.Second         // of a request at its instance, after which its caller gives up
 )
 
+// received is the link as far as it carries what the instance receives. What it does not carry waits where the instance cannot
+// see it.
+const received shedder.Resource = "received"
+
 // A modelInstance is an instance that bears so many requests at a time of each resource. Processor and link queue what is over;
 // descriptors and memory end requests, as they are used up.
 type modelInstance struct {
@@ -32,7 +36,7 @@
 		}
 	}
 	m.ends = left
-	for _, queued := range []shedder.Resource{shedder.Processor, shedder.Link} {
+	for _, queued := range []shedder.Resource{shedder.Processor, shedder.Link, received} {
 		if bears := m.bears[queued]; bears > 0 {
 			use := float64(len(m.ends)) / float64(bears)
 			m.backlog[queued] = max(0, m.backlog[queued]+time.Duration((use-1)*float64(tick)))
@@ -49,15 +53,19 @@
 }
 
 func (m *modelInstance) observe(now time.Time) {
+	linkUse := min(1, m.use(received))
+	if m.backlog[received] > 0 {
+		linkUse = 1
+	}
 	m.bound.Observe(shedder.Reading{
-		Processor: m.backlog[shedder.Processor], Link: m.backlog[shedder.Link],
+		LinkUse: linkUse, Processor: m.backlog[shedder.Processor], Link: m.backlog[shedder.Link],
 		Descriptors: m.use(shedder.Descriptors), Memory: m.use(shedder.Memory),
 	}, len(m.ends), now)
 }
 
 // serve takes a request on and reports whether it is served. The queue before it is part of its time.
 func (m *modelInstance) serve(now time.Time) bool {
-	delay := m.backlog[shedder.Processor] + m.backlog[shedder.Link]
+	delay := m.backlog[shedder.Processor] + m.backlog[shedder.Link] + m.backlog[received]
 	m.ends = append(m.ends, now.Add(runTime+delay))
 	return delay < maxDelay && m.use(shedder.Descriptors) <= 1 && m.use(shedder.Memory) <= 1
 }
@@ -66,7 +74,7 @@
 // of many, which is short of one thing or another.
 func TestRequestsThatAreReadAreServedWhereMostConnectionsReachOneInstance(t *testing.T) {
 	for _, instances := range []int{6, 73} {
-		for _, scarce := range []shedder.Resource{shedder.Processor, shedder.Link, shedder.Descriptors, shedder.Memory} {
+		for _, scarce := range []shedder.Resource{shedder.Processor, shedder.Link, received, shedder.Descriptors, shedder.Memory} {
 			for _, excess := range []int{1, 3, 12} {
 				t.Run(fmt.Sprintf("%d instances, %s, %d times what one bears", instances, scarce, excess), func(t *testing.T) {
 					before, _ := playSkew(instances, scarce, excess, true)
--- a/internal/wire/counter/counter.go
+++ b/internal/wire/counter/counter.go
@@ -6,11 +6,11 @@
 // packetHeader is the size of the headers of a packet in bytes: IP, and TCP with timestamps.
 const packetHeader = 52
 
-// A Traffic counts what is written to connections. The zero value is ready; it is safe for concurrent use.
+// A Traffic counts what is written to connections, or read from them. The zero value is ready; it is safe for concurrent use.
 type Traffic struct{ bytes atomic.Int64 }
 
-// Add counts a write of n bytes.
+// Add counts a read or a write of n bytes.
 func (t *Traffic) Add(n int) { t.bytes.Add(int64(n) + packetHeader) }
 
-// Bytes returns how many bytes were written so far, with the header of one packet for each write.
+// Bytes returns how many bytes were read or written so far, with the header of one packet each time.
 func (t *Traffic) Bytes() int64 { return t.bytes.Load() }
--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -239,6 +239,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.server.received.Add(n)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ending {
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -35,6 +35,7 @@
 
 	once     sync.Once
 	acceptor *acceptor
+	received counter.Traffic
 	sent     counter.Traffic
 	busy     atomic.Int64 // connections that are not idle
 	mu       sync.Mutex
@@ -59,6 +60,9 @@
 	return len(s.conns)
 }
 
+// Received returns how many bytes were read from all connections so far, with the header of one packet for each read.
+func (s *Server) Received() int64 { return s.received.Bytes() }
+
 // Sent returns how many bytes were written to all connections so far, with the header of one packet for each write.
 func (s *Server) Sent() int64 { return s.sent.Bytes() }
 
--- a/internal/wire/pooler/pool.go
+++ b/internal/wire/pooler/pool.go
@@ -32,11 +32,12 @@
 	IdleTimeout time.Duration // idle timeout, unless the peer announces a shorter one
 	LocalIP     net.IP        // local address of connections; nil: chosen by the system
 
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	dialed atomic.Int64
-	open   atomic.Int64
-	sent   counter.Traffic
+	mu       sync.Mutex
+	idle     map[string][]*conn
+	dialed   atomic.Int64
+	open     atomic.Int64
+	received counter.Traffic
+	sent     counter.Traffic
 }
 
 // A peer that is partitioned or has lost power acknowledges nothing; without limits the kernel waits
@@ -72,10 +73,10 @@
 	reader      *bufio.Reader
 	lastUsed    time.Time
 	idleTimeout time.Duration
-	sent        *counter.Traffic // of the pool
-	written     int              // bytes of the current request
-	carried     []uint64         // hashes of the IDs of the requests that were sent on it, the empty one included
-	carriedHead bool             // one of them was a HEAD
+	pool        *Pool
+	written     int      // bytes of the current request
+	carried     []uint64 // hashes of the IDs of the requests that were sent on it, the empty one included
+	carriedHead bool     // one of them was a HEAD
 	mu          sync.Mutex
 	onClose     func() // called once
 }
@@ -102,10 +103,17 @@
 	}
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.pool.received.Add(n)
+	return n, err
+}
+
 // Write implements net.Conn and counts the bytes that the kernel accepted.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.sent.Add(n)
+	c.pool.sent.Add(n)
 	c.mu.Lock()
 	c.written += n
 	c.mu.Unlock()
@@ -139,6 +147,9 @@
 // Open returns how many connections are open, idle ones and those in use.
 func (p *Pool) Open() int { return int(p.open.Load()) }
 
+// Received returns how many bytes were read from all connections so far, with the header of one packet for each read.
+func (p *Pool) Received() int64 { return p.received.Bytes() }
+
 // Sent returns how many bytes were written to all connections so far, with the header of one packet for each write.
 func (p *Pool) Sent() int64 { return p.sent.Bytes() }
 
@@ -295,10 +306,12 @@
 	}
 	p.dialed.Add(1)
 	p.open.Add(1)
-	return &conn{
-		Conn: c, address: address, reader: bufio.NewReaderSize(c, bufferSize), lastUsed: time.Now(), idleTimeout: p.IdleTimeout,
-		sent: &p.sent, onClose: sync.OnceFunc(func() { p.open.Add(-1) }),
-	}, nil
+	established := &conn{
+		Conn: c, address: address, lastUsed: time.Now(), idleTimeout: p.IdleTimeout,
+		pool: p, onClose: sync.OnceFunc(func() { p.open.Add(-1) }),
+	}
+	established.reader = bufio.NewReaderSize(established, bufferSize)
+	return established, nil
 }
 
 // reusable reports whether the connection is open and no data has arrived since
