Connections are taken in batches where the bound is reached

Cause: with the listening socket opened for one request at a time, those who connect in the moments until it is closed again have sent their requests too: some 380 a second are reset at an instance that takes 150, on a link of 10 Mbit/s.

Change: once the bound is reached, no connection is admitted until a tenth of it is free. The expectation of TestSomeConnectionsAreAlwaysAdmitted follows: with 15 of 16 requests no connection is admitted any more, with 14 one is.

TestConnectionsAreTakenTogether failed before: connections are admitted with one request less than the limit.

--- a/internal/request/shedder/bound.go
+++ b/internal/request/shedder/bound.go
@@ -13,6 +13,7 @@
 type Bound struct {
 	mu         sync.Mutex
 	admittedAt time.Time // when a connection was last admitted
+	full       bool      // the limit was reached, and is until there is room for some requests
 	isolated   bool      // as of the last reading
 	limit      int       // requests at a time; 0 for none
 	short      Resource  // as of the last reading
@@ -29,6 +30,9 @@
 	increase = 0.05
 	// lastingShortage is how long the limit stays after the last shortage.
 	lastingShortage = 5 * time.Second
+	// room is the fraction of the limit down to which an instance that has reached it takes no connections: it takes the
+	// next ones together, as callers that connect meanwhile and are not served send their requests in vain.
+	room = 0.9
 	// maxShut is how long an instance turns away all connections at most, unless their requests would be refused. The
 	// requests in progress may wait for others, which is no reason to take none.
 	maxShut = 500 * time.Millisecond
@@ -65,8 +69,8 @@
 func (b *Bound) Admits(requests int, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	full := b.limit > 0 && requests >= b.limit
-	if (full || b.isolated) && now.Sub(b.admittedAt) < maxShut || full && requests >= refusedExcess*b.limit {
+	b.full = b.limit > 0 && (requests >= b.limit || b.full && requests > int(room*float64(b.limit)))
+	if (b.full || b.isolated) && now.Sub(b.admittedAt) < maxShut || b.full && requests >= refusedExcess*b.limit {
 		return false
 	}
 	b.admittedAt = now
