--- a/internal/request/shedder/reading.go
+++ b/internal/request/shedder/reading.go
@@ -32,8 +32,8 @@
 	// maxProbes is how many probes the wait for the processor may be in place of maxWait where that is more, up to
 	// maxSlowWait: on a slow processor the work of a single request takes longer than maxWait, and the processor would idle if
 	// none waited.
-	maxProbes   = 400
-	maxSlowWait = 200 * time.Millisecond
+	maxProbes   = 600
+	maxSlowWait = 250 * time.Millisecond
 	// maxLinkUse is the fraction of the link in use from which it is short.
 	maxLinkUse = 0.9
 	// maxUse is the fraction in use from which a resource is short that ends requests, or the process, when it
