--- a/internal/instance/gatekeeper/serve.go
+++ b/internal/instance/gatekeeper/serve.go
@@ -55,7 +55,7 @@
 func (g *Gatekeeper) newCallerServer() *listener.Server {
 	return &listener.Server{
 		Handler: g.Front, IdleTimeout: callerIdleTimeout, Listener: g.Listeners.Caller, NoDefaultHeaders: true, HandleError: g.HandleMalformed, DrainTimeout: time.Millisecond, OnClose: g.callerClosed,
-		Admit: g.admitConnection, OnRefuse: g.connectionRefused,
+		Admit: g.admitConnection, OnRefuse: g.connectionRefused, OnShut: g.listenerShut,
 	}
 }
 
@@ -128,7 +128,12 @@
 // admitConnection reports whether a new connection of a caller is served. Its caller meets another instance otherwise.
 func (g *Gatekeeper) admitConnection() bool { return g.bound.Admits(g.requestCount(), time.Now()) }
 
-// connectionRefused counts a connection that was turned away.
+// listenerShut counts the time in which the callers' connections were refused.
+func (g *Gatekeeper) listenerShut(d time.Duration) {
+	g.Metrics.GetOrCreateFloatCounter("sardinetiller_not_listening_seconds_total").Add(d.Seconds())
+}
+
+// connectionRefused counts a connection that was reset unread.
 func (g *Gatekeeper) connectionRefused() {
 	g.Metrics.GetOrCreateCounter("sardinetiller_connections_refused_total").Inc()
 }
--- a/internal/upstream/detector/detector.go
+++ b/internal/upstream/detector/detector.go
@@ -171,7 +171,7 @@
 // Partitioned reports whether this instance is partitioned from the runners of a service.
 func (d *Detector) Partitioned(service string) bool { return d.State(service) == Partitioned }
 
-// Isolated reports whether this instance is partitioned from the runners of all services that it has tried.
+// Isolated reports whether this instance is partitioned from the runners of all services.
 func (d *Detector) Isolated() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/wire/listener/acceptor.go
+++ b/internal/wire/listener/acceptor.go
@@ -78,6 +78,7 @@
 	return a.listener
 }
 
+// failed reports an error that may pass.
 func (a *acceptor) failed(err error) {
 	if a.server.OnAcceptFailure != nil {
 		a.server.OnAcceptFailure(err)
@@ -115,6 +116,10 @@
 	if !ok {
 		return
 	}
+	if a.server.OnShut != nil {
+		began := time.Now()
+		defer func() { a.server.OnShut(time.Since(began)) }()
+	}
 	address := l.Addr()
 	_ = l.Close() // fails only if it is closed
 	for !a.server.admits() {
--- a/internal/wire/listener/admit_test.go
+++ b/internal/wire/listener/admit_test.go
@@ -111,6 +111,48 @@
 	}
 }
 
+// Guards against a server that never listens again, as another process has taken its port meanwhile.
+func TestServerListensAgainWhereItsPortWasTaken(t *testing.T) {
+	var admits atomic.Bool
+	failed := make(chan error, 1)
+	d := newDrainTest(t, func(*fasthttp.RequestCtx) {}, func(s *Server) {
+		s.Admit = admits.Load
+		s.OnAcceptFailure = func(err error) {
+			select {
+			case failed <- err:
+			default:
+			}
+		}
+	})
+	var other net.Listener
+	d.until("the port is free", func() bool {
+		if c, err := net.Dial("tcp", d.address); err == nil {
+			_ = c.Close()
+		}
+		var err error
+		other, err = net.Listen("tcp", d.address)
+		return err == nil
+	})
+	admits.Store(true)
+	if err := <-failed; !errors.Is(err, syscall.EADDRINUSE) {
+		t.Error(err)
+	}
+	_ = other.Close()
+	d.until("a request is served", func() bool {
+		c, err := net.Dial("tcp", d.address)
+		if err != nil {
+			return false
+		}
+		defer func() { _ = c.Close() }()
+		fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return err == nil
+	})
+}
+
 // Guards against descriptors and memory that connections without a request hold, and against a request that is cut as
 // they are closed.
 func TestUnusedConnectionsAreClosed(t *testing.T) {
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -27,11 +27,12 @@
 	ReadTimeout      time.Duration                             // time for a client to send a complete request once it has begun; 0 means readTimeout
 	RequestWait      time.Duration                             // time for which Drain waits for the next request on a connection; 0 means requestWait
 	NoDefaultHeaders bool                                      // add no default Date and Content-Type header to responses
-	Admit            func() bool                               // asked for each new connection; it is reset unread if not; nil admits all
+	Admit            func() bool                               // asked for each new connection; if not, it is reset unread, and those that follow are refused; nil admits all
 	HandleError      func(ctx *fasthttp.RequestCtx, err error) // responds to a request that could not be read; nil for plain text
 	OnAcceptFailure  func(err error)                           // called when a connection could not be accepted; nil for none
 	OnClose          func(Closed)                              // called for each connection that ends; may be nil
-	OnRefuse         func()                                    // called for each connection that is not admitted; may be nil
+	OnRefuse         func()                                    // called for each connection that is reset unread; may be nil
+	OnShut           func(time.Duration)                       // called when it listens again, with how long it did not; may be nil
 
 	once     sync.Once
 	acceptor *acceptor
