Reject malformed responses before the HTTP library repairs them

What callers saw: a runner in trouble answered with status 000, and the caller got it as 200 with the runner's stamp. A runner sent a field whose name held a blank, and the caller got the line, or, where it was "Content Length" or "Transfer Encoding", a body that was not the runner's: up to the end of the connection, with the marks of the chunks in it.

Cause: fasthttp.ResponseHeader parses leniently. Its StatusCode is 200 for a stored 0, a name with a blank is kept, a blank before the colon is cut off, any control byte may stand in the reason, chunks of a version other than 1.1 are ignored, and trailer fields are read in the same way. What it has thrown away cannot be seen afterwards, and both readers of responses, pooler and requester, rely on it.

Change: wire/responsereader checks each line of a head against the grammar as it arrives, that of interim and of skipped responses too, before the library parses it, and reads chunks and trailer fields itself. It serves pooler (requests, orders, reports, probes, the store) and requester (serve, its store, its list of instances). docs/design/verdicts.md says how each doubtful case is taken, and why. A malformed response is an observation of its own: the request may have run, a request that may run twice gets another try, any other one 502 without a stamp and the reason "malformed". The connection is closed. It counts against the runner, but is no crash: it starts no check and fills no quarantine. The log line has the runner and at most 64 bytes, quoted, of what is malformed.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -219,7 +219,7 @@
 	return x.deliver(reply, body)
 }
 
-// brokenError derives the error of a response that broke off.
+// brokenError derives the error of a response that broke off. A runner whose response is malformed has not crashed.
 func (x *exchange) brokenError(ctx context.Context, runner tracker.Runner, reply *Reply, err error) *judge.Error {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, context.DeadlineExceeded):
@@ -231,8 +231,11 @@
 	case errors.Is(err, bodyreader.ErrTooLong):
 		return judge.Judge(reply.BodyError(err)) // the runner has not crashed: it counts against no request
 	default:
-		broken := judge.Judge(reply.BodyError(err))
-		x.reportBroken(ctx, runner, broken)
-		return broken
+		observation := reply.BodyError(err)
+		failed := judge.Judge(observation)
+		if _, broken := observation.(judge.Broken); broken {
+			x.reportBroken(ctx, runner, failed)
+		}
+		return failed
 	}
 }
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -144,7 +144,7 @@
 		x.announceRetry()
 		x.useNewestVersion()
 		x.OnRetry(failed)
-		x.Recorder.Log(recorder.Retry, "request", x.request.ID, "digest", x.digest(), "copy", x.request.Copy, "runner", x.lastRunner, "version", x.lastVersion, "peer", x.peer, "reason", failed.Reason,
+		x.Recorder.Log(recorder.Retry, "request", x.request.ID, "digest", x.digest(), "copy", x.request.Copy, "runner", x.lastRunner, "version", x.lastVersion, "peer", x.peer, "reason", failed.Reason, "err", failed.Message,
 			"verdict", failed.Verdict, "after", x.lastEventID, "arrivals", x.delivered, "wait", x.retryWait)
 	}
 }
--- a/internal/request/judge/judge_test.go
+++ b/internal/request/judge/judge_test.go
@@ -28,6 +28,7 @@
 		{"reset before a byte", judge.Broken{Err: reset}, judge.NotRun, judge.ReasonDial},
 		{"reset after one byte", judge.Broken{Written: 1, Err: reset}, judge.MayHaveRun, judge.ReasonWritten},
 		{"reset in the response", judge.Broken{Written: 9, Head: true, Err: reset}, judge.MayHaveRun, judge.ReasonCut},
+		{"malformed response", judge.Malformed{Err: reset}, judge.MayHaveRun, judge.ReasonMalformed},
 		{"explicit refusal", judge.Refused{Status: 409}, judge.NotRun, judge.ReasonRefused},
 		{"failure while running", judge.Failed{Status: 500}, judge.MayHaveRun, judge.ReasonCut},
 		{"withdrawn", judge.Withdrawn{}, judge.NotRun, judge.ReasonCancelled},
--- a/internal/request/judge/observation.go
+++ b/internal/request/judge/observation.go
@@ -19,6 +19,9 @@
 	Err     error
 }
 
+// A Malformed observation is a response that does not follow the protocol. The request may have run.
+type Malformed struct{ Err error }
+
 // A Refused observation is an explicit response that the upstream did not accept the
 // request: the adapter is not resident, the queue is full, or the upstream is draining.
 type Refused struct{ Status int }
@@ -35,6 +38,7 @@
 func (Broken) observation()     {}
 func (DialFailed) observation() {}
 func (Failed) observation()     {}
+func (Malformed) observation()  {}
 func (Mismatched) observation() {}
 func (Refused) observation()    {}
 func (Withdrawn) observation()  {}
@@ -46,6 +50,8 @@
 		return Refuse(ReasonDial, "connect: %v", o.Err)
 	case Broken:
 		return judgeBroken(o)
+	case Malformed:
+		return &Error{Verdict: MayHaveRun, Reason: ReasonMalformed, Message: fmt.Sprintf("the response has a %v", o.Err)}
 	case Refused:
 		return Refuse(ReasonRefused, "upstream refused with status %d", o.Status)
 	case Failed:
--- a/internal/request/judge/verdict.go
+++ b/internal/request/judge/verdict.go
@@ -30,6 +30,7 @@
 	ReasonInternal   Reason = "internal"   // a fault of this program ended the request
 	ReasonLimit      Reason = "limit"      // the runners limit their request rate
 	ReasonLoad       Reason = "load"       // the adapter could not be loaded
+	ReasonMalformed  Reason = "malformed"  // the response of the upstream is malformed
 	ReasonMismatch   Reason = "mismatch"   // another adapter responded
 	ReasonOverload   Reason = "overload"   // the instance is short of processor time
 	ReasonOwner      Reason = "owner"      // this instance does not own the runner
@@ -51,7 +52,7 @@
 var Reasons = []Reason{
 	ReasonAdapter, ReasonAuth, ReasonBody, ReasonCancelled, ReasonClaim,
 	ReasonCut, ReasonDeadline, ReasonDial, ReasonDuplicate, ReasonHeader,
-	ReasonInternal, ReasonLimit, ReasonLoad, ReasonMismatch, ReasonOverload, ReasonOwner, ReasonPeer, ReasonQuarantine, ReasonQueue, ReasonQuota,
+	ReasonInternal, ReasonLimit, ReasonLoad, ReasonMalformed, ReasonMismatch, ReasonOverload, ReasonOwner, ReasonPeer, ReasonQuarantine, ReasonQueue, ReasonQuota,
 	ReasonRefused, ReasonRest, ReasonShare, ReasonStarting, ReasonStopping,
 	ReasonUpstream, ReasonVersion, ReasonWritten,
 }
--- a/internal/wire/pooler/exchange.go
+++ b/internal/wire/pooler/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/wire/responsereader"
 )
 
 // A Call is one request, encoded for the wire.
@@ -104,7 +105,7 @@
 	if err != nil {
 		detach()
 		_ = c.Close()
-		return nil, judge.Broken{Written: c.bytesWritten(), Err: err}
+		return nil, responsereader.Observe(judge.Broken{Written: c.bytesWritten(), Err: err})
 	}
 	response.pool, response.conn, response.key, response.detach, response.wait = p, c, call.PeerKey, detach, wait
 	return response, nil
@@ -118,25 +119,17 @@
 		return nil, err
 	}
 	for range maxMismatched + 1 {
-		response := &fasthttp.Response{StreamBody: true, SkipBody: call.NoBody}
-		if err := response.ReadLimitBody(c.reader, 0); err != nil {
+		response, err := responsereader.Read(c.reader, call.NoBody)
+		if err != nil {
 			return nil, err
 		}
-		body := response.BodyStream()
-		length := response.Header.ContentLength()
-		switch {
-		case body == nil:
-			body = strings.NewReader("")
-		case length >= 0:
-			body = Exact(body, length)
-		}
-		if call.IDOf == nil || call.IDOf(&response.Header) == call.ID {
-			return &Response{Status: response.StatusCode(), Header: &response.Header, Body: body}, nil
+		if call.IDOf == nil || call.IDOf(response.Header) == call.ID {
+			return &Response{Status: response.Status, Header: response.Header, Body: response.Body}, nil
 		}
 		if c.carriedHead {
 			return nil, errUnknownLength
 		}
-		if _, err := io.Copy(io.Discard, body); err != nil {
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
 	}
@@ -145,7 +138,7 @@
 
 // BodyError returns the observation for a body that could not be read completely.
 func (r *Response) BodyError(err error) judge.Observation {
-	return judge.Broken{Written: r.conn.bytesWritten(), Head: true, Err: err}
+	return responsereader.Observe(judge.Broken{Written: r.conn.bytesWritten(), Head: true, Err: err})
 }
 
 // Close returns the connection to the pool if the body was read completely and the
--- a/internal/wire/requester/requester.go
+++ b/internal/wire/requester/requester.go
@@ -21,7 +21,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
 	"github.com/sardinetiller/sardinetiller/internal/wire/bodyreader"
 	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
-	"github.com/sardinetiller/sardinetiller/internal/wire/pooler"
+	"github.com/sardinetiller/sardinetiller/internal/wire/responsereader"
 )
 
 // A Requester sends requests. Its fields are set before use; the zero value
@@ -49,7 +49,7 @@
 
 // BodyError returns the observation for a body that could not be read completely.
 func (r *Response) BodyError(err error) judge.Observation {
-	return judge.Broken{Written: r.bytesWritten(), Head: true, Err: err}
+	return responsereader.Observe(judge.Broken{Written: r.bytesWritten(), Head: true, Err: err})
 }
 
 // Close closes the connection. It may be called more than once.
@@ -72,7 +72,7 @@
 	response, err := exchange(counting, request)
 	if err != nil {
 		closeAll()
-		return nil, judge.Broken{Written: counting.bytesWritten(), Err: err}
+		return nil, responsereader.Observe(judge.Broken{Written: counting.bytesWritten(), Err: err})
 	}
 	response.close = closeAll
 	response.bytesWritten = counting.bytesWritten
@@ -133,15 +133,11 @@
 	if err := writer.Flush(); err != nil {
 		return nil, err
 	}
-	response := &fasthttp.Response{StreamBody: true}
-	if err := response.ReadLimitBody(bufio.NewReaderSize(conn, bufferSize), 0); err != nil {
+	response, err := responsereader.Read(bufio.NewReaderSize(conn, bufferSize), request.Header.IsHead())
+	if err != nil {
 		return nil, err
 	}
-	body := response.BodyStream()
-	if length := response.Header.ContentLength(); length >= 0 {
-		body = pooler.Exact(body, length)
-	}
-	return &Response{Status: response.StatusCode(), Header: &response.Header, Body: body}, nil
+	return &Response{Status: response.Status, Header: response.Header, Body: response.Body}, nil
 }
 
 // A countingConn counts the bytes that the kernel accepted.
