--- a/internal/request/forwarder/quarantine_test.go
+++ b/internal/request/forwarder/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -70,7 +71,7 @@
 
 // A response that breaks off is reported to the quarantine, which determines whether the
 // runner crashed. Nothing is reported if this instance or the caller ended the connection,
-// or if the request was not sent.
+// if the request was not sent, or if the response is malformed.
 func TestBrokenResponsesAreReported(t *testing.T) {
 	cut := func(ctx context.Context) *forwarder.Reply {
 		return streamReply(&body{ctx: ctx, from: 1, to: 2, end: io.ErrUnexpectedEOF})
@@ -86,6 +87,14 @@
 			return nil, judge.Broken{Written: 9, Err: io.EOF}
 		}, 0, []string{"i-0"}, 0},
 		{"stream cut off", func(ctx context.Context) (*forwarder.Reply, judge.Observation) { return cut(ctx), nil }, 0, []string{"i-0"}, 0},
+		{"malformed response", func(context.Context) (*forwarder.Reply, judge.Observation) {
+			return nil, judge.Malformed{Err: errors.New("malformed status")}
+		}, 0, nil, 0},
+		{"malformed end of a stream", func(ctx context.Context) (*forwarder.Reply, judge.Observation) {
+			reply := cut(ctx)
+			reply.BodyError = func(err error) judge.Observation { return judge.Malformed{Err: err} }
+			return reply, nil
+		}, 0, nil, 0},
 		{"nothing was sent", func(context.Context) (*forwarder.Reply, judge.Observation) {
 			return nil, judge.Broken{Err: io.EOF}
 		}, 0, nil, 0},
