Close idle connections on which a peer sends something

What an operator reported: a faulty runner sends bytes without end, and the machine that called it keeps them.

Cause: what arrives on an idle connection was looked at only when the connection was to be used again.

Change: the check that runs each second closes idle connections on which something arrived or that the peer has closed, besides those that expired.

It costs one call of recv for each idle connection and second.

--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -258,7 +258,7 @@
 
 // closeIdle closes idle connections.
 func (g *Gatekeeper) closeIdle(ctx context.Context) {
-	repeater.Every(ctx, time.Second, nil, func() { g.Pool.CloseExpired(time.Now()) })
+	repeater.Every(ctx, time.Second, nil, func() { g.Pool.CloseUnusable(time.Now()) })
 }
 
 // signal wakes the receiver of a channel with a buffer of one.
--- a/internal/wire/pooler/pool.go
+++ b/internal/wire/pooler/pool.go
@@ -164,26 +164,27 @@
 	}
 }
 
-// CloseExpired closes the connections whose idle timeout has passed.
-func (p *Pool) CloseExpired(now time.Time) {
+// CloseUnusable closes the idle connections whose timeout has passed, that the peer has closed, or on which
+// something was received: it belongs to no request, and the kernel holds it in memory.
+func (p *Pool) CloseUnusable(now time.Time) {
 	p.mu.Lock()
-	var expired []*conn
+	var unusable []*conn
 	for key, conns := range p.idle {
-		fresh := conns[:0]
+		usable := conns[:0]
 		for _, c := range conns {
-			if now.Sub(c.lastUsed) < c.idleTimeout {
-				fresh = append(fresh, c)
+			if c.usable(now) {
+				usable = append(usable, c)
 			} else {
-				expired = append(expired, c)
+				unusable = append(unusable, c)
 			}
 		}
-		p.idle[key] = fresh
-		if len(fresh) == 0 {
+		p.idle[key] = usable
+		if len(usable) == 0 {
 			delete(p.idle, key)
 		}
 	}
 	p.mu.Unlock()
-	for _, c := range expired {
+	for _, c := range unusable {
 		_ = c.Close()
 	}
 }
@@ -197,7 +198,7 @@
 		if c == nil {
 			return nil
 		}
-		if c.address == call.Address && now.Sub(c.lastUsed) < c.idleTimeout && c.reusable() {
+		if c.address == call.Address && c.usable(now) {
 			c.written = 0
 			return c
 		}
@@ -314,9 +315,14 @@
 	return established, nil
 }
 
-// reusable reports whether the connection is open and no data has arrived since
+// usable reports whether the timeout of an idle connection has not passed, it is open, and no data has arrived since
 // its last response. Such data belongs to no request of this pool.
-func (c *conn) reusable() bool {
+func (c *conn) usable(now time.Time) bool {
+	return now.Sub(c.lastUsed) < c.idleTimeout && c.silent()
+}
+
+// silent reports whether the connection is open and no data has arrived on it that has not been read.
+func (c *conn) silent() bool {
 	if c.reader.Buffered() > 0 {
 		return false
 	}
