Bound the memory of all responses that are being read

What an operator reported: a faulty runner sent bytes that were no answer, without end, in a head or in a body; the machine that had called it kept them all and ran out of memory, and the requests of others ended with it.

Here a head ends at the buffer (8 KB), an event at 256 KB, a body at 16 MB, but nothing bounded the bodies of all requests together: ten requests to such a runner take more than an instance of 184 MB has.

Cause: the limit is one of a body, and the bound on requests by memory acts on new ones, after the memory is gone.

Change: bodyreader.Budget bounds what is held of bodies over 64 KB while they are read, at runners and over detours, at an eighth of the setting `memory` (64 MB if it is unknown), as a body is copied while it grows. Beyond that a response fails like one over its own limit: 502, may have run, not a crash. Shorter ones, which are all that we know of, are never refused for it.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -173,7 +173,7 @@
 
 // relayComplete reads the complete response before it passes it on.
 func (x *exchange) relayComplete(ctx context.Context, runner tracker.Runner, reply *Reply) *judge.Error {
-	body, err := bodyreader.ReadAll(reply.Body, maxBodySize)
+	body, err := x.Bodies.ReadAll(reply.Body, maxBodySize)
 	reply.Close(err == nil)
 	if err != nil {
 		x.eligible.fail(runner.ID)
--- a/internal/request/forwarder/detour.go
+++ b/internal/request/forwarder/detour.go
@@ -105,7 +105,7 @@
 		reply.Close(failed == nil)
 		return failed
 	}
-	body, err := bodyreader.ReadAll(reply.Body, maxBodySize)
+	body, err := x.Bodies.ReadAll(reply.Body, maxBodySize)
 	reply.Close(err == nil)
 	switch {
 	case errors.Is(err, bodyreader.ErrTooLong):
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -14,17 +14,19 @@
 	"github.com/sardinetiller/sardinetiller/internal/request/retrier"
 	"github.com/sardinetiller/sardinetiller/internal/request/streamer"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/bodyreader"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
 // A Forwarder serves requests by forwarding them to runners. Its fields are set before use;
 // it is safe for concurrent use.
 type Forwarder struct {
-	Instances         func() int     // number of instances
-	InstancesKnown    func() bool    // the number of instances has been reported; until then it is assumed to be large
-	RetryBurst        func() float64 // this instance's share of the retries allowed beyond RetriesPerRequest
-	StoppingSoon      func() bool    // this instance stops too soon for waiting requests to be served
-	Detours           Detours        // nil for none
+	Instances         func() int        // number of instances
+	InstancesKnown    func() bool       // the number of instances has been reported; until then it is assumed to be large
+	RetryBurst        func() float64    // this instance's share of the retries allowed beyond RetriesPerRequest
+	StoppingSoon      func() bool       // this instance stops too soon for waiting requests to be served
+	Bodies            bodyreader.Budget // of responses that are not streamed
+	Detours           Detours           // nil for none
 	Fleet             *tracker.Fleet
 	LoadTime          func() time.Duration            // expected time of an adapter load from the weight store
 	NewestVersion     func(model, adapter string) int // adapter version that new executions use
