A response to another request is skipped up to 16 MB

What an operator reported: bytes without end in a body, until the caller closes. Where a response names another request, its body was read to its end and dropped: a runner that never ended it kept the request reading until its deadline, with the processor and the link of the instance.

Change: the body that is skipped has a limit. Beyond it the connection is closed; the request was written and may have run.

--- a/internal/wire/pooler/exchange.go
+++ b/internal/wire/pooler/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinetiller/sardinetiller/internal/request/judge"
+	"github.com/sardinetiller/sardinetiller/internal/wire/bodyreader"
 	"github.com/sardinetiller/sardinetiller/internal/wire/responsereader"
 )
 
@@ -68,6 +69,9 @@
 // connection is closed. A peer that repeats a response sends one.
 const maxMismatched = 2
 
+// maxSkipped bounds the body of a response that is skipped, in bytes.
+const maxSkipped = 16 << 20
+
 // Do sends a request and reads the header of its response. The request is
 // cancelled when ctx ends. If there is no response, the observation says how far
 // the request got.
@@ -129,7 +133,7 @@
 		if c.carriedHead {
 			return nil, errUnknownLength
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := bodyreader.Discard(response.Body, maxSkipped); err != nil {
 			return nil, err
 		}
 	}
