Streams go on after a restart of all instances while two versions serve

Cause: the records of streams live in the memory of instances. Three others hold each of them, and a restart of all leaves nobody who knows.

Change: while a service has several versions, the first holder of a stream keeps its record in a row of the store too. A record may be missing, never wrong: where the store is away or has returned from an older copy, streams end as before.

--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -109,17 +109,19 @@
 	controllers     map[string]*controller // by failure domain
 	links           map[string]*link       // by failure domain
 	stopState
-	pending    pendingRemovals
-	storeUp    dependency
-	crashes    crashChecks
-	quarantine quarantine
-	quotas     quotas
-	heldSlots  heldSlots
-	detourer   detourer.Detourer
-	directory  directory
-	bound      shedder.Bound // of the requests in progress
-	streams    streams
-	versions   versionRows
+	pending       pendingRemovals
+	storeUp       dependency
+	crashes       crashChecks
+	quarantine    quarantine
+	quotas        quotas
+	heldSlots     heldSlots
+	detourer      detourer.Detourer
+	directory     directory
+	bound         shedder.Bound // of the requests in progress
+	streams       streams
+	streamRows    streamRowReader
+	storedStreams storedStreams
+	versions      versionRows
 
 	servedDetours atomic.Int64     // requests of other instances in progress
 	callers       *listener.Server // serves callers; set by Run
@@ -153,7 +155,7 @@
 		g.unlessPublished(g.watchLeaders, g.leaders.isPublished),
 		g.unlessPublished(g.watchOperator, g.operator.isPublished),
 		g.unlessPublished(g.watchRunners, func(time.Time) bool { return g.runnersPublished() }),
-		g.detectPartitions, g.watchResources, g.expireRemovals, g.closeIdle, g.logEstimates, g.logAges, g.reportCrashes, g.writeCrashRows, g.watchQuarantine, g.settleQuotas, g.sendStreamRecords, g.maintainVersionRows,
+		g.detectPartitions, g.watchResources, g.expireRemovals, g.closeIdle, g.logEstimates, g.logAges, g.reportCrashes, g.writeCrashRows, g.watchQuarantine, g.settleQuotas, g.sendStreamRecords, g.keepStreamRow, g.maintainVersionRows,
 	} {
 		loops.Go(func() { loop(work) })
 	}
@@ -182,7 +184,7 @@
 	g.streams.init()
 	g.directory.onChange = func(all []detourer.Peer) {
 		g.detourer.SetPeers(all)
-		g.streams.setMembers(all, g.Config.ID, time.Now())
+		g.streams.setMembers(all, g.Config.ID, g.Config.Domain, time.Now())
 	}
 	g.adapterVersions = make(map[adapterKey]int)
 	g.controllers = make(map[string]*controller)
--- a/internal/instance/gatekeeper/quarantine.go
+++ b/internal/instance/gatekeeper/quarantine.go
@@ -70,7 +70,7 @@
 	if len(rivals) == 0 || slices.ContainsFunc(rivals, func(d quarantiner.Digest) bool { return slices.Contains(parts, d) }) {
 		return false
 	}
-	if !g.streams.isFirstHolder(resumer.KeyOf("", "", string(quarantined)), resumer.Member{ID: g.Config.ID, Domain: g.Config.Domain}) {
+	if !g.streams.isFirstHolder(resumer.KeyOf("", "", string(quarantined)), g.Config.ID) {
 		return false
 	}
 	now := time.Now()
--- a/internal/instance/gatekeeper/streams.go
+++ b/internal/instance/gatekeeper/streams.go
@@ -45,6 +45,7 @@
 
 	mu       sync.Mutex
 	members  []resumer.Member             // other instances
+	holders  []resumer.Member             // instances that may hold records; this one may be among them
 	vanished map[resumer.Member]time.Time // those that are listed no longer, and since when
 	changes  int                          // of the members
 	own      map[resumer.Key]*ownStream
@@ -70,7 +71,7 @@
 }
 
 // setMembers sets the instances that may hold records.
-func (s *streams) setMembers(all []detourer.Peer, self string, now time.Time) {
+func (s *streams) setMembers(all []detourer.Peer, self, domain string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.members
@@ -80,6 +81,7 @@
 			s.members = append(s.members, resumer.Member(p))
 		}
 	}
+	s.holders = resumer.Candidates(append(slices.Clone(s.members), resumer.Member{ID: self, Domain: domain}))
 	s.recordVanished(before, now)
 	s.changes++
 }
@@ -110,10 +112,11 @@
 }
 
 // isFirstHolder reports whether this instance is the first holder of a key among all.
-func (s *streams) isFirstHolder(k resumer.Key, self resumer.Member) bool {
+func (s *streams) isFirstHolder(k resumer.Key, self string) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return resumer.Holders(k, append(slices.Clone(s.members), self))[0].ID == self.ID
+	holders := s.holders
+	s.mu.Unlock()
+	return len(holders) == 0 || resumer.Holders(k, holders)[0].ID == self
 }
 
 // keyOfStream returns the key of the stream to which a request belongs.
@@ -125,7 +128,9 @@
 func (g *Gatekeeper) Began(r *forwarder.Request, version string) {
 	now := time.Now()
 	key, left := keyOfStream(r), min(time.Until(r.Deadline)+takeUpMargin, resumer.MaxLeft)
-	g.streams.ledger.Add([]resumer.Record{{Key: key, Version: version, Left: left}}, now)
+	record := []resumer.Record{{Key: key, Version: version, Left: left}}
+	g.streams.ledger.Add(record, now)
+	g.storeStreams(record, now)
 	s := &g.streams
 	s.mu.Lock()
 	if len(s.own) < maxPendingRecords {
@@ -242,7 +247,9 @@
 
 // HandleStreams implements relayer.StreamHandler.
 func (g *Gatekeeper) HandleStreams(m relayer.Streams) {
-	g.streams.ledger.Add(m.Records, time.Now())
+	now := time.Now()
+	g.streams.ledger.Add(m.Records, now)
+	g.storeStreams(m.Records, now)
 }
 
 // Find implements forwarder.Streams. Where neither this instance nor a holder knows the stream, and
@@ -274,6 +281,7 @@
 	// The record of a stream that has just begun may be on its way during the first round.
 	const minRounds = 2
 	end := time.Now().Add(findLimit)
+	var stored <-chan struct{} // closed once the rows of streams have been read; nil until they are needed
 	for round := 1; ; round++ {
 		if version, ok := g.streams.ledger.Find(key, time.Now()); ok {
 			return version, fromSelf
@@ -293,13 +301,25 @@
 			return responses.version, fromHolder
 		case isOnly && responses.permit(only) && (current || responses.suffice()):
 			return only, fromService
-		case responses.complete() && round >= minRounds, ctx.Err() != nil, time.Now().After(end):
+		case stored == nil:
+			stored = g.readStreamRows(time.Now())
+		case responses.complete() && round >= minRounds && isClosed(stored), ctx.Err() != nil, time.Now().After(end):
 			return "", fromNobody
 		}
 		pause(ctx, findPause)
 	}
 }
 
+// isClosed reports whether a channel on which nothing is sent is closed.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // runnersCurrent reports whether the runners are known here as they were in the store a moment ago,
 // by calls of this instance or by what others publish.
 func (g *Gatekeeper) runnersCurrent() bool {
--- a/internal/instance/gatekeeper/streams_random_test.go
+++ b/internal/instance/gatekeeper/streams_random_test.go
@@ -119,6 +119,7 @@
 type streamSite struct {
 	ctx      context.Context
 	net      *streamNet
+	store    *feedStore
 	versions []string // of the runners, and in the rows
 	ids      []string
 	domains  map[string]string
@@ -127,7 +128,7 @@
 
 func newStreamSite(ctx context.Context, instances, domains int, versions ...string) *streamSite {
 	s := &streamSite{
-		ctx: ctx, net: &streamNet{running: make(map[string]*Gatekeeper), cutOff: make(map[string]bool)}, versions: versions,
+		ctx: ctx, net: &streamNet{running: make(map[string]*Gatekeeper), cutOff: make(map[string]bool)}, versions: versions, store: newFeedStore(),
 		domains: make(map[string]string), stops: make(map[string]context.CancelFunc),
 	}
 	for n := range instances {
@@ -144,7 +145,7 @@
 // start starts an instance that knows its peers and the runners.
 func (s *streamSite) start(id string) {
 	g := newDomainGatekeeper(id, s.domains[id])
-	g.Peers = streamPeers{net: s.net, from: id}
+	g.Peers, g.Store = streamPeers{net: s.net, from: id}, s.store
 	for _, version := range s.versions {
 		addStreamRunner(g, version)
 		row := versionRow{"llm", version}
@@ -159,6 +160,7 @@
 	ctx, stop := context.WithCancel(s.ctx)
 	s.stops[id] = stop
 	go g.sendStreamRecords(ctx)
+	go g.keepStreamRow(ctx)
 }
 
 func addStreamRunner(g *Gatekeeper, version string) {
--- a/internal/instance/gatekeeper/version_rows.go
+++ b/internal/instance/gatekeeper/version_rows.go
@@ -69,6 +69,20 @@
 	return versions
 }
 
+// several reports whether a service has rows of several versions.
+func (v *versionRows) several() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	versions := make(map[string]string) // by service
+	for _, r := range v.stored {
+		if other, known := versions[r.Service]; known && other != r.Version {
+			return true
+		}
+		versions[r.Service] = r.Version
+	}
+	return false
+}
+
 // applyVersionRow applies a row that was read from the store.
 func (g *Gatekeeper) applyVersionRow(r tabler.Row) {
 	v := &g.versions
--- a/internal/request/resumer/holder.go
+++ b/internal/request/resumer/holder.go
@@ -21,29 +21,23 @@
 	// MaxAsked is how many are asked for a record. The lists of the members may differ for a
 	// moment between the instance that sent the record and the one that looks for it.
 	MaxAsked = 6
-	// holdersPerDomain is how many instances of a failure domain hold records. It bounds the
+	// HoldersPerDomain is how many instances of a failure domain hold records. It bounds the
 	// links of an instance, however many there are.
-	holdersPerDomain = 3
+	HoldersPerDomain = 3
 )
 
 // Holders returns the instances that hold the record of a stream, the first ones first: one of each
 // failure domain in turns, in an order that depends on the key.
 func Holders(k Key, members []Member) []Member {
-	byDomain := make(map[string][]Member)
-	for _, m := range members {
-		byDomain[m.Domain] = append(byDomain[m.Domain], m)
-	}
+	byDomain := groupByDomain(Candidates(members))
 	var domains []string
 	for domain, of := range byDomain {
 		domains = append(domains, domain)
-		sortByHash(of, "", func(m Member) string { return m.ID })
-		of = of[:min(len(of), holdersPerDomain)]
 		sortByHash(of, string(k[:]), func(m Member) string { return m.ID })
-		byDomain[domain] = of
 	}
 	sortByHash(domains, string(k[:]), func(domain string) string { return domain })
 	var holders []Member
-	for n := range holdersPerDomain {
+	for n := range HoldersPerDomain {
 		for _, domain := range domains {
 			if of := byDomain[domain]; n < len(of) {
 				holders = append(holders, of[n])
@@ -53,6 +47,23 @@
 	return holders
 }
 
+// Candidates returns the instances among which the holders of all streams are.
+func Candidates(members []Member) (candidates []Member) {
+	for _, of := range groupByDomain(members) {
+		sortByHash(of, "", func(m Member) string { return m.ID })
+		candidates = append(candidates, of[:min(len(of), HoldersPerDomain)]...)
+	}
+	return candidates
+}
+
+func groupByDomain(members []Member) map[string][]Member {
+	byDomain := make(map[string][]Member)
+	for _, m := range members {
+		byDomain[m.Domain] = append(byDomain[m.Domain], m)
+	}
+	return byDomain
+}
+
 // sortByHash sorts by a hash of a key and a name (rendezvous hashing).
 func sortByHash[T any](all []T, key string, name func(T) string) {
 	hash := func(one T) uint64 { return xxhash.Sum64String(key + "/" + name(one)) }
