Only instances that know most others keep records of streams in the store

An instance that has just started knows no other one and took itself for the first holder of each of its streams, so that all wrote up to four times a second, beyond the bound of 60 writes in all. An instance keeps records in the store now once it lists more than half of the instances that are reported.

--- a/internal/instance/gatekeeper/stream_rows.go
+++ b/internal/instance/gatekeeper/stream_rows.go
@@ -82,9 +82,10 @@
 }
 
 // storeStreams makes the records of streams be kept in the store of which this instance is the first holder. As
-// long as the runners of each service have one version, there is nothing to keep.
+// long as the runners of each service have one version, there is nothing to keep. An instance that does not know
+// most others, as after a start, would take itself for the first holder of too many.
 func (g *Gatekeeper) storeStreams(records []resumer.Record, now time.Time) {
-	if !g.versions.several() {
+	if !g.versions.several() || !g.MembersKnown() || 2*g.streams.listed() <= g.Members() {
 		return
 	}
 	first := slices.DeleteFunc(slices.Clone(records), func(r resumer.Record) bool { return !g.streams.isFirstHolder(r.Key, g.Config.ID) })
--- a/internal/instance/gatekeeper/stream_rows_test.go
+++ b/internal/instance/gatekeeper/stream_rows_test.go
@@ -146,6 +146,31 @@
 	})
 }
 
+// Guards against all instances writing to the store after they have started, as none knows the others yet.
+func TestStreamsAreNotStoredWhileTheInstancesAreNotKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		rng := rand.New(rand.NewPCG(1, 1))
+		s := newStreamSite(ctx, 30, 3, "v1", "v2")
+		for _, id := range s.ids {
+			g := s.net.at(id)
+			g.directory.onChange(s.peers([]string{id}))
+			g.headcount = headcount{}
+		}
+		for n := range 300 {
+			s.begin(n, rng)
+			time.Sleep(10 * time.Millisecond)
+		}
+		if writes := s.store.writeCount(); writes > 0 {
+			t.Errorf("%d writes", writes)
+		}
+		cancel()
+		synctest.Wait()
+		time.Sleep(streamRowsTimeout) // lets the timers run out
+	})
+}
+
 // Guards against a row over the limit of the store, which would then be refused.
 func TestStreamRowIsBounded(t *testing.T) {
 	const limit = 64 << 10
--- a/internal/instance/gatekeeper/streams.go
+++ b/internal/instance/gatekeeper/streams.go
@@ -111,6 +111,13 @@
 	return all
 }
 
+// listed returns the number of instances that are listed, with this one.
+func (s *streams) listed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.members) + 1
+}
+
 // isFirstHolder reports whether this instance is the first holder of a key among all.
 func (s *streams) isFirstHolder(k resumer.Key, self string) bool {
 	s.mu.Lock()
