--- a/internal/instance/gatekeeper/stream_rows_test.go
+++ b/internal/instance/gatekeeper/stream_rows_test.go
@@ -42,11 +42,8 @@
 			t.Run(fmt.Sprintf("%d instances, fault of the store: %s", site.instances, fault.name), func(t *testing.T) {
 				total, served, mixed := 0, 0, 0
 				for seed := range *streamSeeds {
-					synctest.Test(t, func(t *testing.T) {
-						ctx, cancel := context.WithCancel(t.Context())
-						defer cancel()
+					playStreamSite(t, site.instances, site.domains, []string{"v1", "v2"}, func(t *testing.T, s *streamSite) {
 						rng := rand.New(rand.NewPCG(seed, uint64(site.instances)))
-						s := newStreamSite(ctx, site.instances, site.domains, "v1", "v2")
 						copied := s.store.copyRows()
 						var streams []begunStream
 						for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond) {
@@ -68,9 +65,6 @@
 								mixed++
 							}
 						}
-						cancel()
-						synctest.Wait()
-						time.Sleep(streamRowsTimeout) // lets the timers run out
 					})
 				}
 				t.Logf("%d streams taken up, %d went on, %d at another version", total, served, mixed)
@@ -82,12 +76,22 @@
 	}
 }
 
-// Guards against a restart of one instance that drops the records which it had in the store before.
-func TestRestartKeepsTheStreamsInTheStore(t *testing.T) {
+// playStreamSite plays a deployment in a bubble, and ends it.
+func playStreamSite(t *testing.T, instances, domains int, versions []string, play func(t *testing.T, s *streamSite)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s := newStreamSite(ctx, 1, 1, "v1", "v2")
+		play(t, newStreamSite(ctx, instances, domains, versions...))
+		cancel()
+		synctest.Wait()
+		time.Sleep(streamRowsTimeout) // lets the timers run out
+	})
+}
+
+// Guards against a restart of one instance that drops the records which it had in the store before.
+func TestRestartKeepsTheStreamsInTheStore(t *testing.T) {
+	playStreamSite(t, 1, 1, []string{"v1", "v2"}, func(t *testing.T, s *streamSite) {
 		begin := func(id string) {
 			s.net.at("front-0").Began(&forwarder.Request{ID: id, Service: "llm", Deadline: time.Now().Add(12 * time.Second)}, "v2")
 			time.Sleep(3 * time.Second)
@@ -107,20 +111,14 @@
 		if diff := cmp.Diff(want, versions); diff != "" {
 			t.Error(diff)
 		}
-		cancel()
-		synctest.Wait()
-		time.Sleep(streamRowsTimeout) // lets the timers run out
 	})
 }
 
 // Guards against calls of the store where they are not needed: on a day with one version, and for streams that
 // callers invent.
 func TestStreamRowsCostNothingWithOneVersion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
+	playStreamSite(t, 4, 2, []string{"v1"}, func(t *testing.T, s *streamSite) {
 		rng := rand.New(rand.NewPCG(1, 1))
-		s := newStreamSite(ctx, 4, 2, "v1")
 		for n := range 100 {
 			b := s.begin(n, rng)
 			_, _ = s.takeUp(b, b.at)
@@ -133,26 +131,20 @@
 		addStreamRunner(g, "v2")
 		for n := range 50 {
 			r := forwarder.Request{ID: fmt.Sprint("again-", n), Resumes: fmt.Sprint("invented-", n), Service: "llm", Deadline: time.Now().Add(time.Second)}
-			if pin, refused := g.Find(ctx, &r); refused == nil {
+			if pin, refused := g.Find(s.ctx, &r); refused == nil {
 				t.Fatalf("an invented stream goes on at %v", pin)
 			}
 		}
 		if calls := s.store.callCount(); calls > 3 {
 			t.Errorf("%d calls of the store for invented streams", calls)
 		}
-		cancel()
-		synctest.Wait()
-		time.Sleep(streamRowsTimeout) // lets the timers run out
 	})
 }
 
 // Guards against all instances writing to the store after they have started, as none knows the others yet.
 func TestStreamsAreNotStoredWhileTheInstancesAreNotKnown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
+	playStreamSite(t, 30, 3, []string{"v1", "v2"}, func(t *testing.T, s *streamSite) {
 		rng := rand.New(rand.NewPCG(1, 1))
-		s := newStreamSite(ctx, 30, 3, "v1", "v2")
 		for _, id := range s.ids {
 			g := s.net.at(id)
 			g.directory.onChange(s.peers([]string{id}))
@@ -165,9 +157,6 @@
 		if writes := s.store.writeCount(); writes > 0 {
 			t.Errorf("%d writes", writes)
 		}
-		cancel()
-		synctest.Wait()
-		time.Sleep(streamRowsTimeout) // lets the timers run out
 	})
 }
 
