The random play of the forecaster is fixed by its seed

Cause, of the verdict that changes: the play drew numbers while it ranged over a map, so that a seed fixed nothing.

Change: the play goes through the copies in order. The bounds and the 20 seeds are unchanged. The fault itself, two copies for a burst, is not traced.

--- a/internal/adapter/forecaster/random_test.go
+++ b/internal/adapter/forecaster/random_test.go
@@ -1,8 +1,11 @@
 package forecaster_test
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,11 +27,20 @@
 // and pauses. Whatever happens, a forecaster must keep its bounds: beyond them, loads that are
 // billed would serve nobody, or the leader's memory would grow.
 func TestForecasterKeepsItsBounds(t *testing.T) {
+	seeds := []uint64{2448, 2783, 2808, 3332} // those that have failed
 	for seed := range uint64(20) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) { playRandomDemand(t, rand.New(rand.NewPCG(seed, 1))) })
 	}
 }
 
+// compareCopies orders copies, so that the numbers that a play draws for each do not depend on the order of a map.
+func compareCopies(a, b placer.Copy) int {
+	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
+}
+
 func playRandomDemand(t *testing.T, rng *rand.Rand) {
 	var f forecaster.Forecaster
 	now := start
@@ -75,7 +87,8 @@
 		for range int(rate * step.Seconds()) {
 			arrive(adapter(fmt.Sprint("a", popular+int(zipf.Uint64()))))
 		}
-		for c, r := range requests {
+		for _, c := range slices.SortedFunc(maps.Keys(requests), compareCopies) {
+			r := requests[c]
 			ended := 0
 			for range r.Running {
 				if rng.IntN(32) == 0 { // 1.6 s on average
