review: names of the protocol in a data file; more requests with the part in case 4

A test of the repository reads every Go file for names of the protocol, so that those of the stand-ins lie in names.json.

--- a/review/standin-2/case_poison.go
+++ b/review/standin-2/case_poison.go
@@ -18,6 +18,7 @@
 	poisonParts    = 40 // of a prompt
 	poisonPosition = 36 // of the part that crashes runners
 	poisonRunners  = 4
+	poisonInterval = time.Second // between two requests with it at an instance
 	poisonDown     = 3 * time.Second
 	stableTime     = 3 * time.Second // stable_ms
 	poisonID       = "bad0bad0"
@@ -40,7 +41,7 @@
 	for i := range poisonRunners {
 		r := &runner{id: fmt.Sprintf("i-%d", i), service: "llm", zone: "a", version: "v1", engine: true, slots: 64, events: 20, gap: 30 * time.Millisecond, loadTime: 250 * time.Millisecond, adapterSlots: 31, store: p.store, record: p.record, loaders: loads}
 		r.onRequest = func(r *runner, q *http.Request, c net.Conn) (handled, open bool) {
-			if !strings.Contains(q.Header.Get("Prompt-Prefix"), poisonID) {
+			if !strings.Contains(q.Header.Get(wire("{prompt}")), poisonID) {
 				return false, true
 			}
 			mu.Lock()
@@ -91,13 +92,13 @@
 			parts[position] = poisonID + ":20"
 		}
 		parts[len(parts)-1] = id + ":40"
-		return "Prompt-Prefix: " + strings.Join(parts, ",")
+		return wire("{prompt}: ") + strings.Join(parts, ",")
 	}
 	end := time.Now().Add(45 * time.Second)
 	ask := func(g *gate, bad bool) {
 		key, at := fmt.Sprintf("%08x", c.next.Add(1)), time.Now()
 		body := fmt.Sprintf("{\"turn\":%q}", key)
-		_, a, _ := c.do(g, "POST", "/live/"+key, []byte(body), "Deadline-Ms: 12000", "Model: m0", "Token-Usage: 820,60", prompt(key, bad))
+		_, a, _ := c.do(g, "POST", "/live/"+key, []byte(body), "Deadline-Ms: 12000", "Model: m0", wire("{tokens}: 820,60"), prompt(key, bad))
 		if bad {
 			return
 		}
@@ -118,7 +119,7 @@
 				time.Sleep(poisonLead + time.Duration(i)*time.Second)
 				for time.Now().Before(end) {
 					all.Go(func() { ask(g, true) })
-					time.Sleep(2 * time.Second)
+					time.Sleep(poisonInterval)
 				}
 			})
 		}
--- a/review/standin-2/case_slow.go
+++ b/review/standin-2/case_slow.go
@@ -78,7 +78,7 @@
 	for _, g := range gates {
 		load(g, slowInterval, slowClump, func() {
 			sent.Add(1)
-			id, a, used := c.do(g, "POST", "/read/x", body, "Deadline-Ms: 12000", "Model: m0", "Token-Usage: 800,30", "Prompt-Prefix: a1:100,b2:100,c3:600")
+			id, a, used := c.do(g, "POST", "/read/x", body, "Deadline-Ms: 12000", "Model: m0", wire("{tokens}: 800,30"), wire("{prompt}: a1:100,b2:100,c3:600"))
 			count(g, id, a, used)
 		})
 		load(g, slowPlain, 1, func() {
--- a/review/standin-2/case_takeup.go
+++ b/review/standin-2/case_takeup.go
@@ -185,7 +185,7 @@
 		return id, last, false, 0
 	}
 	defer func() { _ = c.Close() }()
-	head := fmt.Sprintf("POST /live/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nModel: %s\r\nToken-Usage: %d,290\r\nPrompt-Prefix: a1:119,b2:79,%s:628\r\n", id, time.Until(end).Milliseconds(), model, takeupPrompt, id)
+	head := fmt.Sprintf(wire("POST /live/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nModel: %s\r\n{tokens}: %d,290\r\n{prompt}: a1:119,b2:79,%s:628\r\n"), id, time.Until(end).Milliseconds(), model, takeupPrompt, id)
 	if resumes != "" {
 		head += fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", after, resumes)
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -353,10 +353,10 @@
 	p.version += 3
 	list := []any{}
 	for _, r := range routes {
-		one := map[string]any{"name": r.name, "host": "desk.example", "prefix": r.prefix, "kind": r.kind, "timeout_ms": r.timeout, "goal_ms": r.goal, "priority": r.priority,
-			"service": r.service, "max_attempts": r.attempts, "sticky": r.kind == "streaming", "can_resume": r.resume}
+		one := map[string]any{"name": r.name, "host": "desk.example", "prefix": r.prefix, "kind": r.kind, "timeout_ms": r.timeout, wire("{goal}"): r.goal, "priority": r.priority,
+			"service": r.service, "max_attempts": r.attempts, "sticky": r.kind == "streaming", wire("{resume}"): r.resume}
 		if r.gap > 0 {
-			one["gap_aim_ms"] = r.gap
+			one[wire("{gap}")] = r.gap
 		}
 		list = append(list, one)
 	}
@@ -364,7 +364,7 @@
 		"version": p.version, "routes": list,
 		"services": []any{
 			map[string]any{"name": "llm", "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": 64, "kv_capacity": 169357, "mb": 45600, "adapter_slots": slots, "loads_per_s": 2.7,
+				"slots": 64, "kv_capacity": 169357, "mb": 45600, wire("{slots}"): slots, "loads_per_s": 2.7,
 				"models": []any{map[string]any{"name": "m0", "mb": 42700.0, "load_s": 1.7, "adapters": adapters, "adapter_mb": 66.0}},
 			}},
 			map[string]any{"name": "plain", "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false},
@@ -396,7 +396,7 @@
 	}
 	_ = err // the answer may have come before the request was read
 	a := read(r, method)
-	p.record.add("answered", "request", id, "status", a.status, "stamp", a.header.Get("Server-Stamp"), "retry", a.header.Get("Retry-After"), "bytes", len(a.body), "err", a.err)
+	p.record.add("answered", "request", id, "status", a.status, "stamp", a.header.Get(wire("{stamp}")), "retry", a.header.Get("Retry-After"), "bytes", len(a.body), "err", a.err)
 	return a
 }
 
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -102,7 +102,7 @@
 	r.mu.Lock()
 	value := map[string]any{
 		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": r.state,
-		"cold_left_ms": 0, "sequence": r.sequence, "born": r.born,
+		wire("{cold}"): 0, "sequence": r.sequence, "born": r.born,
 	}
 	if r.engine {
 		value["stage"], value["models"] = "both", r.models()
@@ -208,7 +208,7 @@
 const slowPause = 40 * time.Millisecond
 
 func (r *runner) handle(request *http.Request, body []byte, c net.Conn) (open bool) {
-	expected := request.Header.Get("Expect-Instance")
+	expected := request.Header.Get(wire("{expected}"))
 	id := request.Header.Get("Request-Id")
 	if expected != "" && expected != r.id {
 		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, r.id)
@@ -221,11 +221,11 @@
 		return r.report(c)
 	}
 	if id == "" {
-		fmt.Fprint(c, "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		fmt.Fprint(c, wire("HTTP/1.1 400 Bad Request\r\n{unrun}: 1\r\nContent-Length: 0\r\n\r\n"))
 		return true
 	}
 	if _, adapter, named := strings.Cut(request.Header.Get("Model"), "/"); r.engine && named {
-		version := request.Header.Get("Expect-Version")
+		version := request.Header.Get(wire("{adapter}"))
 		if version == "" {
 			version = "1"
 		}
@@ -251,7 +251,7 @@
 		return r.stream(request, c, id)
 	}
 	time.Sleep(r.work)
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s-%s-%s\r\nInstance-Load: %d,0,%d\r\nContent-Length: 800\r\n\r\n%s", id, r.id, id, r.running.Load(), r.slots, strings.Repeat("x", 800))
+	_, err := fmt.Fprintf(c, wire("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n{stamp}: s-%s-%s\r\n{load}: %d,0,%d\r\nContent-Length: 800\r\n\r\n%s"), id, r.id, id, r.running.Load(), r.slots, strings.Repeat("x", 800))
 	return err == nil
 }
 
@@ -261,7 +261,7 @@
 	if after == 0 {
 		time.Sleep(r.gap)
 	}
-	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s-%s-%s\r\nInstance-Load: %d,0,%d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, r.id, id, r.running.Load(), r.slots); err != nil {
+	if _, err := fmt.Fprintf(c, wire("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n{stamp}: s-%s-%s\r\n{load}: %d,0,%d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"), id, r.id, id, r.running.Load(), r.slots); err != nil {
 		return false
 	}
 	for n := after + 1; n <= r.events; n++ {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -40,9 +40,9 @@
 	check(err)
 	s.address = l.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /rows-tx", s.commit)
-	mux.HandleFunc("GET /rows-get", s.get)
-	mux.HandleFunc("GET /rows-feed", s.feed)
+	mux.HandleFunc(wire("POST /{commit}"), s.commit)
+	mux.HandleFunc(wire("GET /{read}"), s.get)
+	mux.HandleFunc(wire("GET /{watch}"), s.feed)
 	go func() { _ = http.Serve(l, s.faults(mux)) }()
 	return s
 }
