--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -179,7 +179,6 @@
 	platform *platform
 	name     string
 	zone     string
-	ip       string
 	memory   int
 	front    string
 	ready    string
@@ -201,7 +200,7 @@
 }
 
 func (p *platform) newGate(name, zone, ip string, memory int) *gate {
-	g := &gate{platform: p, name: name, zone: zone, ip: ip, memory: memory, front: freePort(ip), ready: freePort(ip), control: freePort(ip)}
+	g := &gate{platform: p, name: name, zone: zone, memory: memory, front: freePort(ip), ready: freePort(ip), control: freePort(ip)}
 	p.gates = append(p.gates, g)
 	return g
 }
@@ -210,7 +209,7 @@
 func (g *gate) start(first bool) {
 	p := g.platform
 	var b strings.Builder
-	fmt.Fprintf(&b, "id: %s\ndomain: %s\ncaller: %q\nready: %q\npeer: %q\nplatform: %q\noutbound: %q\ndomains:\n", g.name, g.zone, g.front, g.ready, g.control, p.store.address, g.ip)
+	fmt.Fprintf(&b, "id: %s\ndomain: %s\ncaller: %q\nready: %q\npeer: %q\nplatform: %q\ndomains:\n", g.name, g.zone, g.front, g.ready, g.control, p.store.address)
 	for _, z := range p.zones {
 		fmt.Fprintf(&b, "  - %s\n", z)
 	}
@@ -353,8 +352,10 @@
 	p.version += 3
 	list := []any{}
 	for _, r := range routes {
-		one := map[string]any{"name": r.name, "host": "desk.example", "prefix": r.prefix, "kind": r.kind, "timeout_ms": r.timeout, wire("{goal}"): r.goal, "priority": r.priority,
-			"service": r.service, "max_attempts": r.attempts, "sticky": r.kind == "streaming", wire("{resume}"): r.resume}
+		one := map[string]any{
+			"name": r.name, "host": "desk.example", "prefix": r.prefix, "kind": r.kind, "timeout_ms": r.timeout, wire("{goal}"): r.goal, "priority": r.priority,
+			"service": r.service, "max_attempts": r.attempts, "sticky": r.kind == "streaming", wire("{resume}"): r.resume,
+		}
 		if r.gap > 0 {
 			one[wire("{gap}")] = r.gap
 		}
