Streams that callers take up have the limits of their callers

Callers saw: a quarter of the runners crashed in a burst; of the streams that broke off and that their callers took up at another instance most got 503 within a millisecond, while four of five new streams began.

Cause: streamStarted, Resumed, delivered, Resumes and LastEventID each stated a part of what a request has behind it, and each limit asked another one. A stream that its caller takes up counted as new: refused where its first event, which the caller has, would be late. Its wait for an adapter was overestimated as well, by the loads for late requests, which go behind its own.

Change: forwarder.progress is the one statement, from which the limits for queued work, prefill, adapter, runner and request slot derive. It travels over a detour with the last event. What is known to come later than the caller waits is refused at once. As the header is only a claim, a runner's leader grants the longer limit as long as such prompts take at most half of its time (admitter.Extensions); beyond it they have the limit of new requests. Leaders tell the wait for a load without the loads for late requests, too.

--- a/internal/adapter/placer/placer.go
+++ b/internal/adapter/placer/placer.go
@@ -261,6 +261,18 @@
 	return n
 }
 
+// WaitingInTime returns how many of the copies that Waiting counts have requests that are served in time if
+// the copy is loaded next. They are loaded before the others of their priority.
+func (p *Placer) WaitingInTime() int {
+	n := 0
+	for c, d := range p.demands {
+		if _, ok := p.copies[c]; !ok && d.Priority < Spare && d.InTime > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // nextLoad returns the requested copy to load next.
 func (p *Placer) nextLoad(now time.Time, limit FetchLimit) (Copy, bool) {
 	var best Copy
--- a/internal/instance/gatekeeper/apply.go
+++ b/internal/instance/gatekeeper/apply.go
@@ -57,7 +57,7 @@
 		g.Fleet.SetOtherLoads(l.domain, others)
 	}
 	g.Fleet.SetLeaderPresent(l.domain, update.Acting)
-	g.Fleet.SetLoadQueueWait(l.domain, update.LoadQueueWait)
+	g.Fleet.SetLoadQueueWait(l.domain, update.QueueWait())
 	g.Fleet.SetLoadTimes(l.domain, tracker.LoadTimes{Load: update.LoadTime, Reload: update.ReloadTime})
 	c.recordRenewal(update.Lease, update.Renewal, update.Age)
 }
--- a/internal/instance/gatekeeper/controller.go
+++ b/internal/instance/gatekeeper/controller.go
@@ -46,8 +46,8 @@
 	releasedFence uint64       // fencing token of the lease that was released last
 	relayed       relayedState // last update from the leader, while another instance leads
 
-	subscribers int           // members that subscribe to the domain here
-	queueWait   time.Duration // expected wait until a further load begins, as of queueWaitAt
+	subscribers int                   // members that subscribe to the domain here
+	queueWait   tracker.LoadQueueWait // as of queueWaitAt
 	queueWaitAt time.Time
 }
 
--- a/internal/instance/gatekeeper/enqueue.go
+++ b/internal/instance/gatekeeper/enqueue.go
@@ -31,10 +31,10 @@
 	if !found {
 		return forwarder.Reservation{}, nil, false
 	}
-	deadline := time.Now().Add(request.Timeout)
+	deadline := time.Now().Add(request.Timeout + request.Extension)
 	e := relayer.Enqueue{
 		Domain: l.domain, Runner: request.Runner, Copy: request.Copy, Tokens: request.Tokens, MaxGap: request.MaxGap, Timeout: request.Timeout,
-		Priority: request.Priority, Account: request.Account,
+		Priority: request.Priority, Account: request.Account, Extension: request.Extension,
 	}
 	reservation, refused, ok := forwarder.Reservation{}, (*judge.Error)(nil), false
 	if c := g.controllers[l.domain]; c.leads() {
@@ -165,7 +165,7 @@
 	}
 	entry := scheduler.Entry{
 		Account: e.Account, Priority: e.Priority, Tokens: e.Tokens, Reporter: c.reporterOf(from, e.Reporter),
-		Prompt: admitter.Prompt{MaxGap: e.MaxGap, PrefillTime: c.gatekeeper.Fleet.PrefillTimeAt(state.runner, e.Tokens, now), Share: c.prefillShare.Value(), Timeout: e.Timeout},
+		Prompt: admitter.Prompt{MaxGap: e.MaxGap, PrefillTime: c.gatekeeper.Fleet.PrefillTimeAt(state.runner, e.Tokens, now), Share: c.prefillShare.Value(), Timeout: e.Timeout, Extension: e.Extension},
 	}
 	reserved, place, err := state.prefillQueue.admit(o, entry, now)
 	if adapter {
--- a/internal/instance/gatekeeper/fallback.go
+++ b/internal/instance/gatekeeper/fallback.go
@@ -36,7 +36,7 @@
 	g.countAdmission("fallback", request.Priority)
 	e := scheduler.Entry{
 		Account: request.Account, Instances: g.domainInstances(), Priority: request.Priority, Tokens: request.Tokens,
-		Prompt: admitter.Prompt{MaxGap: request.MaxGap, PrefillTime: g.Fleet.PrefillTimeAt(runner, request.Tokens, now), Share: fallbackShare, Timeout: left},
+		Prompt: admitter.Prompt{MaxGap: request.MaxGap, PrefillTime: g.Fleet.PrefillTimeAt(runner, request.Tokens, now), Share: fallbackShare, Timeout: left - request.Extension, Extension: request.Extension},
 	}
 	reserved, place, err := g.fallback.admit(g, runner, e, now)
 	return g.await(ctx, request, reserved, place, err)
--- a/internal/instance/gatekeeper/loads.go
+++ b/internal/instance/gatekeeper/loads.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/adapter/placer"
+	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
 	"github.com/sardinetiller/sardinetiller/internal/wire/recorder"
 )
 
@@ -15,6 +16,7 @@
 	limit    int // limit on concurrent loads from the weight store
 	fetching int // loads in progress from the weight store
 	waiting  int // adapters that requests wait for and that are not being loaded
+	inTime   int // those of them with requests that can still be served in time
 }
 
 // loadStats sums up the loads of all runners of the domain.
@@ -26,6 +28,7 @@
 			l.fetching += state.placer.Fetching(now)
 			if state.failures < unresponsive {
 				l.waiting += state.placer.Waiting()
+				l.inTime += state.placer.WaitingInTime()
 			}
 		}
 	}
@@ -63,10 +66,14 @@
 }
 
 // loadQueueWait returns how long a newly requested adapter waits until its load begins.
-func (c *controller) loadQueueWait(now time.Time) time.Duration {
+func (c *controller) loadQueueWait(now time.Time) tracker.LoadQueueWait {
 	if now.Sub(c.queueWaitAt) >= leadInterval {
-		l := c.loadStats(now)
-		c.queueWait, c.queueWaitAt = time.Duration(l.waiting)*c.gatekeeper.LoadTime()/time.Duration(l.limit), now
+		l, load := c.loadStats(now), c.gatekeeper.LoadTime()
+		c.queueWait = tracker.LoadQueueWait{
+			Last:   time.Duration(l.waiting) * load / time.Duration(l.limit),
+			InTime: time.Duration(l.inTime) * load / time.Duration(l.limit),
+		}
+		c.queueWaitAt = now
 	}
 	return c.queueWait
 }
--- a/internal/instance/gatekeeper/publish.go
+++ b/internal/instance/gatekeeper/publish.go
@@ -242,7 +242,7 @@
 		update.Operator = c.gatekeeper.operatorVersion(now)
 		update.StoreReached = c.gatekeeper.reachableSpan(now)
 	}
-	update.LoadQueueWait = c.loadQueueWait(now)
+	update.SetQueueWait(c.loadQueueWait(now))
 	update.LoadTime, update.ReloadTime = c.gatekeeper.LoadTime(), c.gatekeeper.ReloadTime()
 	_, update.Acting = c.elector.MaySendOrders(uptime())
 	update.Renewal, update.Age = c.elector.Renewal(uptime())
--- a/internal/instance/gatekeeper/relay.go
+++ b/internal/instance/gatekeeper/relay.go
@@ -21,7 +21,7 @@
 type relayedState struct {
 	mayOrder   bool
 	reloadTime time.Duration // load time of an adapter that the runner held before
-	queueWait  time.Duration
+	queueWait  tracker.LoadQueueWait
 	loadTime   time.Duration           // load time of an adapter from the weight store
 	loads      map[string]tracker.Load // of the instances that do not report through this one
 	members    int
@@ -32,7 +32,7 @@
 func (c *controller) recordUpdate(update relayer.News, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.relayed.mayOrder, c.relayed.queueWait = update.Acting, update.LoadQueueWait
+	c.relayed.mayOrder, c.relayed.queueWait = update.Acting, update.QueueWait()
 	c.relayed.loadTime, c.relayed.reloadTime = update.LoadTime, update.ReloadTime
 	if update.HasLoads {
 		c.relayed.loads, c.relayed.members = update.Loads, update.Members
@@ -75,7 +75,8 @@
 	if lacksLeaderState(*update) {
 		return
 	}
-	update.Acting, update.LoadQueueWait = c.relayed.mayOrder, c.relayed.queueWait
+	update.Acting = c.relayed.mayOrder
+	update.SetQueueWait(c.relayed.queueWait)
 	update.LoadTime, update.ReloadTime = c.relayed.loadTime, c.relayed.reloadTime
 	if !due {
 		return
--- a/internal/instance/gatekeeper/reserve.go
+++ b/internal/instance/gatekeeper/reserve.go
@@ -24,7 +24,7 @@
 	if !found {
 		return forwarder.Reservation{}, nil, false
 	}
-	r := relayer.Reserve{Domain: l.domain, Runner: request.Runner, Copy: request.Copy, Tokens: request.Tokens, MaxGap: request.MaxGap, Timeout: request.Timeout}
+	r := relayer.Reserve{Domain: l.domain, Runner: request.Runner, Copy: request.Copy, Tokens: request.Tokens, MaxGap: request.MaxGap, Timeout: request.Timeout, Extension: request.Extension}
 	if c := g.controllers[l.domain]; c.leads() {
 		reserved, err := c.reserve(g.Config.ID, r)
 		return g.reservation(request, reserved, err)
@@ -59,7 +59,9 @@
 		return forwarder.Reservation{Absent: reserved.Absent, Delay: reserved.Delay}, nil, true
 	}
 	if refused := capacityRefusal(err); refused != nil {
-		g.Fleet.SetPrefillBacklog(request.Runner, 0, request.Timeout+refused.RetryAfter)
+		if request.Extension == 0 { // otherwise its share may be used up, which says nothing about the backlog
+			g.Fleet.SetPrefillBacklog(request.Runner, 0, request.Timeout+refused.RetryAfter)
+		}
 		return forwarder.Reservation{}, refused, true
 	}
 	return forwarder.Reservation{}, nil, false
@@ -84,7 +86,7 @@
 	}
 	fleet := c.gatekeeper.Fleet
 	wait, ok := state.prefillQueue.Reserve(admitter.Prompt{
-		MaxGap: r.MaxGap, SlotWait: fleet.RequestSlotWait(r.Runner), PrefillTime: fleet.PrefillTimeAt(state.runner, r.Tokens, now), Share: c.prefillShare.Value(), Timeout: r.Timeout,
+		MaxGap: r.MaxGap, SlotWait: fleet.RequestSlotWait(r.Runner), PrefillTime: fleet.PrefillTimeAt(state.runner, r.Tokens, now), Share: c.prefillShare.Value(), Timeout: r.Timeout, Extension: r.Extension,
 	}, now)
 	if !ok {
 		refused := judge.Refuse(judge.ReasonQueue, "%s of prompts are to be read there", state.prefillQueue.Backlog(now).Round(time.Millisecond))
--- a/internal/member/relayer/leader.go
+++ b/internal/member/relayer/leader.go
@@ -7,6 +7,7 @@
 	"github.com/sardinetiller/sardinetiller/internal/member/elector"
 	"github.com/sardinetiller/sardinetiller/internal/request/quarantiner"
 	"github.com/sardinetiller/sardinetiller/internal/upstream/tracker"
+	"github.com/sardinetiller/sardinetiller/internal/wire/encoder"
 )
 
 // The messages between the members of a failure domain and its leader, which sends
@@ -42,14 +43,29 @@
 // A Reserve asks the leader of a failure domain for prefill capacity at one of its
 // runners.
 type Reserve struct {
-	_        struct{} `cbor:",toarray"`
-	Reporter string   // instance that reports the sender's uses to the receiver; empty for the sender itself
+	Reporter string // instance that reports the sender's uses to the receiver; empty for the sender itself
 	Domain   string
 	Runner   string
 	Copy     placer.Copy   // copy that the request uses
 	Tokens   int           // length of the prompt
 	MaxGap   time.Duration // maximum gap between events that the requests running there tolerate
 	Timeout  time.Duration // time limit for the prefill of the prompt
+
+	Extension time.Duration // see forwarder.ReserveRequest
+}
+
+// MarshalCBOR implements cbor.Marshaler. The extension is an optional last element.
+func (r Reserve) MarshalCBOR() ([]byte, error) {
+	elements := []any{r.Reporter, r.Domain, r.Runner, r.Copy, r.Tokens, r.MaxGap, r.Timeout}
+	if r.Extension > 0 {
+		elements = append(elements, r.Extension)
+	}
+	return encoder.Marshal(elements)
+}
+
+// UnmarshalCBOR implements cbor.Unmarshaler.
+func (r *Reserve) UnmarshalCBOR(data []byte) error {
+	return decodeElements(data, 7, &r.Reporter, &r.Domain, &r.Runner, &r.Copy, &r.Tokens, &r.MaxGap, &r.Timeout, &r.Extension)
 }
 
 // A Reserved is the response to a Reserve and ends the conversation.
@@ -85,7 +101,8 @@
 	HasLoads          bool                      `cbor:"13,keyasint,omitempty"` // Loads and Members are set; otherwise they are unchanged
 	Loads             map[string]tracker.Load   `cbor:"3,keyasint,omitempty"`  // load of other instances on the domain's runners
 	SlotWaits         []SlotWait                `cbor:"14,keyasint,omitempty"` // changed since the last update
-	LoadQueueWait     time.Duration             `cbor:"12,keyasint,omitempty"` // until an adapter requested now begins to load
+	LoadQueueWait     time.Duration             `cbor:"12,keyasint,omitempty"` // see tracker.LoadQueueWait
+	InTimeQueueWait   time.Duration             `cbor:"29,keyasint,omitempty"` // the same for an adapter whose requests are in time
 	SinceLeaderUpdate time.Duration             `cbor:"16,keyasint,omitempty"` // since the last update from the leader; zero from the leader itself
 	Operator          TableVersion              `cbor:"15,keyasint,omitzero"`  // how far the sender knows the operator's table
 	Tables            []Table                   `cbor:"17,keyasint,omitempty"` // tables named in the Subscribe
@@ -103,6 +120,16 @@
 	Leaving           []string                  `cbor:"26,keyasint,omitempty"` // runners that have stated since then that they are leaving
 }
 
+// QueueWait returns the time until an adapter that is requested now begins to load.
+func (n *News) QueueWait() tracker.LoadQueueWait {
+	return tracker.LoadQueueWait{Last: n.LoadQueueWait, InTime: n.InTimeQueueWait}
+}
+
+// SetQueueWait sets the time until an adapter that is requested now begins to load.
+func (n *News) SetQueueWait(w tracker.LoadQueueWait) {
+	n.LoadQueueWait, n.InTimeQueueWait = w.Last, w.InTime
+}
+
 // A Span is a period of time, given by how long ago it began and ended.
 type Span struct {
 	_     struct{} `cbor:",toarray"`
--- a/internal/request/admitter/schedule.go
+++ b/internal/request/admitter/schedule.go
@@ -12,6 +12,8 @@
 // prefill time within one maximum gap is limited: a prompt is delayed until it fits, and
 // refused if that is too late.
 type PrefillSchedule struct {
+	Extensions Extensions
+
 	pacedUntil time.Time // when the prefill would end at the rate that the running requests tolerate
 	busyUntil  time.Time // when the prefill ends
 }
@@ -23,6 +25,7 @@
 	PrefillTime time.Duration // prefill time of the prompt
 	Share       float64       // fraction of the time that the runner may spend on prefill; 0 if unknown
 	Timeout     time.Duration // within which the prefill has to be done
+	Extension   time.Duration // how much later it may be done, as far as Extensions allows it; 0 for none
 }
 
 // burstFraction is the fraction of a maximum gap that a runner may spend on prefill beyond
@@ -57,9 +60,11 @@
 func (s *PrefillSchedule) Reserve(p Prompt, now time.Time) (wait time.Duration, ok bool) {
 	wait = s.Delay(p, now)
 	before := max(wait, s.busyUntil.Sub(now))
-	if late := before + p.PrefillTime - p.Timeout; late > 0 {
-		return late, false
+	late := before + p.PrefillTime - p.Timeout
+	if over := max(late-p.Extension, s.Extensions.Wait(p, now)); late > 0 && over > 0 {
+		return min(late, over), false
 	}
+	s.Extensions.Add(p, now)
 	s.Add(p, now.Add(wait))
 	return wait, true
 }
--- a/internal/request/forwarder/choose.go
+++ b/internal/request/forwarder/choose.go
@@ -106,7 +106,7 @@
 	}
 	stall := time.Duration(best.Stall * float64(time.Second))
 	waited := now.Sub(x.request.Arrived)
-	if stall > x.adapterWaitLeft(ctx, now) {
+	if end, _ := ctx.Deadline(); stall > x.adapterWaitLeft(end, now) {
 		if x.eligible.stopAvoiding() {
 			return nil
 		}
@@ -114,7 +114,7 @@
 	}
 	x.loadRunner = best.Runner
 	x.releaseCopy()
-	inTime := x.streamStarted() || waited+stall < x.request.Route.LatencyTarget
+	inTime := x.awaitsNextEvent() || waited+stall < x.request.Route.LatencyTarget
 	x.Placement.ReportWaiting(Waiter{
 		Copy: x.request.Copy, InTime: inTime, Priority: x.request.Priority, Request: x.request.Account + "/" + x.request.ID, Runner: best.Runner,
 	})
@@ -133,8 +133,9 @@
 		return true, nil
 	}
 	began := time.Now()
+	timeout, extension := x.prefillLimits(began)
 	reservation, refused, ok := x.Placement.Reserve(ctx, ReserveRequest{
-		Account: r.Account, Copy: r.Copy, Priority: r.Priority, Runner: runner.ID, Tokens: r.Tokens, MaxGap: x.request.Route.MaxGap, Timeout: x.prefillTimeout(time.Now()),
+		Account: r.Account, Copy: r.Copy, Priority: r.Priority, Runner: runner.ID, Tokens: r.Tokens, MaxGap: x.request.Route.MaxGap, Timeout: timeout, Extension: extension,
 		OnQueued: func(wait time.Duration) {
 			x.queueWait = wait
 			x.requestSpareCopy(terms, wait)
@@ -164,18 +165,6 @@
 	return true, nil
 }
 
-// prefillTimeout returns the time within which the prompt has to be prefilled for the
-// response to be on time. A request that waited for its adapter until less than half of the
-// limit is left, or that has already reached a runner, gets the full limit: it is served
-// late rather than refused, as the adapter is resident now.
-func (x *exchange) prefillTimeout(now time.Time) time.Duration {
-	left := x.queueLimit() - now.Sub(x.request.Arrived) - x.Fleet.BaseLatency(x.request.Service)
-	if x.adapterWait > 0 && left < x.queueLimit()/2 || x.delivered > 0 {
-		return x.queueLimit() - x.queued
-	}
-	return left
-}
-
 // soonestFull returns the refusal to pass on after a further runner has refused the request.
 // Where Retry-After states when the backlog of a runner drains, that of the first one counts.
 func (x *exchange) soonestFull(refused *judge.Error) *judge.Error {
@@ -197,7 +186,7 @@
 	r := x.request
 	d := tracker.Demand{
 		LoadingRunner: x.loadRunner, Copy: r.Copy, MaxGap: r.Route.MaxGap, MaxPrefill: x.prefillLimit(), LoadTime: x.LoadTime(), ReloadTime: x.ReloadTime(), Service: r.Service, Tokens: r.Tokens,
-		Ordered: x.Ordered, Priority: r.Priority,
+		Ordered: x.Ordered, Priority: r.Priority, InTime: x.awaitsNextEvent(),
 	}
 	x.eligible.restrict(&d)
 	return d
@@ -220,13 +209,13 @@
 	if x.eligible.full[best.Runner] {
 		return nil, x.lastFull // and no other runner ranks better
 	}
-	if limit := x.queueLimit(); best.Queue > limit.Seconds() && x.delivered == 0 && !r.Resumed {
+	if queue := time.Duration(best.Queue * float64(time.Second)); x.exceedsQueueLimit(queue, now) {
+		limit := x.queueLimit()
 		x.requestSpareCopy(terms, limit)
 		if r.Copy.Adapter != "" {
 			x.Placement.ReportRefusal(best.Runner, r.Copy)
 		}
-		over := time.Duration(best.Queue*float64(time.Second)) - limit
-		return nil, judge.Refuse(judge.ReasonQueue, "%.0f ms of work are before it", best.Queue*1000).WithRetryAfter(retryAfter(over))
+		return nil, judge.Refuse(judge.ReasonQueue, "%.0f ms of work are before it", best.Queue*1000).WithRetryAfter(retryAfter(queue - limit))
 	}
 	return terms, nil
 }
@@ -253,13 +242,6 @@
 	return judge.Refuse(judge.ReasonUpstream, "no runner of service %s takes requests", x.request.Service).WithRetryAfter(retryAfter(noRunnerRetryAfter))
 }
 
-// queueLimit returns how much queued work may be ahead of the request when it is admitted.
-func (x *exchange) queueLimit() time.Duration {
-	route := x.request.Route
-	fraction := admitFraction - admitPriorityStep*float64(min(x.request.Priority, 5))
-	return time.Duration(fraction * float64(route.LatencyTarget))
-}
-
 const (
 	// noRunnerRetryAfter is the minimum Retry-After if no runner accepts requests.
 	// Restarting a runner takes about that long.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -221,7 +221,7 @@
 func (x *exchange) log(err *judge.Error) {
 	r := x.request
 	fields := []any{
-		"request", r.ID, "account", r.Account, "route", r.Route.Name, "service", r.Service, "copy", r.Copy, "via", r.Via, "peer", x.peer, "runner", x.lastRunner, "version", x.lastVersion, "resumes", r.Resumes, "tokens", r.Tokens,
+		"request", r.ID, "account", r.Account, "route", r.Route.Name, "service", r.Service, "copy", r.Copy, "via", r.Via, "peer", x.peer, "runner", x.lastRunner, "version", x.lastVersion, "resumes", r.Resumes, "progress", x.progress(), "tokens", r.Tokens,
 		"queue", x.queueWait, "denied", strings.Join(x.denied, ","), "arrivals", x.delivered, "runs", x.executions, "after", x.lastEventID, "waited", x.adapterWait, "connecting", x.connecting, "first", x.timeToFirst, "pause", x.longestGap, "took", time.Since(r.Arrived),
 	}
 	if err == nil {
--- a/internal/request/forwarder/limits.go
+++ b/internal/request/forwarder/limits.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"context"
 	"time"
 
 	"github.com/sardinetiller/sardinetiller/internal/request/matcher"
@@ -44,17 +43,6 @@
 	admitPriorityStep = 0.1
 )
 
-// adapterWaitLeft returns how much longer the request may wait for its adapter. A stream that has
-// started may wait for as long as its caller and its deadline allow: a refusal would cut it off,
-// and its caller cannot receive the Retry-After.
-func (x *exchange) adapterWaitLeft(ctx context.Context, now time.Time) time.Duration {
-	if x.streamStarted() {
-		end, _ := ctx.Deadline()
-		return min(end.Sub(now), x.eventWaitLimit())
-	}
-	return x.adapterWaitLimit() - now.Sub(x.request.Arrived)
-}
-
 func (x *exchange) adapterWaitLimit() time.Duration {
 	route := x.request.Route
 	limit := x.request.Deadline.Sub(x.request.Arrived) / adapterWaitDivisor
--- a/internal/request/forwarder/request.go
+++ b/internal/request/forwarder/request.go
@@ -165,6 +165,10 @@
 	Tokens   int           // of the prompt
 	MaxGap   time.Duration // maximum gap between events of the requests running there
 	Timeout  time.Duration // within which the prompt has to be prefilled
+
+	// Extension is how much later the prompt of a stream that its caller takes up may be prefilled, in the
+	// share of its time that the runner grants such streams; 0 for any other request.
+	Extension time.Duration
 }
 
 // A RequestSlot is a request slot at a runner of a plain service. It is held until it is
--- a/internal/request/forwarder/retry.go
+++ b/internal/request/forwarder/retry.go
@@ -69,37 +69,27 @@
 	}
 }
 
-// runnerPollInterval is how often a stream that has started checks for a runner that takes it.
+// runnerPollInterval is how often a stream that waits for its next event checks for a runner that takes it.
 const runnerPollInterval = 50 * time.Millisecond
 
-// awaitRunner makes a stream that has started, and that no runner takes now, wait until it is time
-// to look again. It returns false if the stream is to be refused: a runner is not expected in time,
-// or it is any other request, whose caller is told when to come back. A request whose attempt was
-// ended because its runner was silent waits too, as it would have at that runner.
+// awaitRunner makes a stream that no runner takes now, and whose caller waits for the next event, wait
+// until it is time to look again. It returns false if the stream is to be refused: a runner is not
+// expected in time, or it is any other request, whose caller is told when to come back. A request whose
+// attempt was ended because its runner was silent waits too, as it would have at that runner.
 func (x *exchange) awaitRunner(ctx context.Context, refused *judge.Error) bool {
 	switch refused.Reason {
-	case judge.ReasonLimit, judge.ReasonLoad, judge.ReasonQueue, judge.ReasonRest, judge.ReasonUpstream:
+	case judge.ReasonLoad, judge.ReasonQueue:
+		if x.progress() == progressTakenUp && x.silenceWaitLimit() <= 0 {
+			return false // its limits are those of its caller: it is known to come too late
+		}
+	case judge.ReasonLimit, judge.ReasonRest, judge.ReasonUpstream:
 	case judge.ReasonStopping: // a peer is stopping; a stop of this instance ends ctx
 	default:
 		return false
 	}
-	if x.silenceWaitLimit() <= 0 && (!x.streamStarted() || x.eventWaitLimit() < refused.RetryAfter/2) { // half of it is random
+	if x.silenceWaitLimit() <= 0 && (!x.awaitsNextEvent() || x.eventWaitLimit() < refused.RetryAfter/2) { // half of it is random
 		return false
 	}
 	x.eligible.retryFull() // they may have capacity by then
 	return pacer.Sleep(ctx, runnerPollInterval)
 }
-
-// streamStarted reports whether the caller has received a part of the response, which a failure
-// would cut off.
-func (x *exchange) streamStarted() bool { return x.response.started() || x.request.Resumed }
-
-// eventWaitLimit returns how much longer a stream that has started may wait before it is sent to
-// a runner again.
-func (x *exchange) eventWaitLimit() time.Duration {
-	last := x.lastEventAt
-	if last.IsZero() {
-		last = x.request.LastEventAt
-	}
-	return time.Duration(streamWaitFraction*float64(x.callerTimeout())) - time.Since(last)
-}
--- a/internal/request/forwarder/slot.go
+++ b/internal/request/forwarder/slot.go
@@ -20,8 +20,8 @@
 	// shortWaitFraction is the fraction of the latency target below which a wait is short
 	// enough not to ask another runner.
 	shortWaitFraction = 1. / 6
-	// slotWaitFraction is the fraction of the latency target that a request may wait for a
-	// slot. The rest is for its execution and for the requests behind it.
+	// slotWaitFraction is the fraction of its patience that a request may wait for a slot. The
+	// rest is for its execution and for the requests behind it.
 	slotWaitFraction = 0.5
 	// retrySlotWaitFraction is the limit for a request that has already reached a runner,
 	// as a fraction of the time until its deadline.
@@ -122,7 +122,7 @@
 	if x.delivered > 0 {
 		return time.Duration(retrySlotWaitFraction * float64(x.request.Deadline.Sub(now)))
 	}
-	return time.Duration(slotWaitFraction*float64(x.request.Route.LatencyTarget)) - now.Sub(x.request.Arrived)
+	return time.Duration(slotWaitFraction*float64(x.patience())) - now.Sub(x.request.Arrived)
 }
 
 // releaseSlot releases the slot that the request holds, if any, after a completed run.
--- a/internal/request/scheduler/entry.go
+++ b/internal/request/scheduler/entry.go
@@ -51,6 +51,7 @@
 
 	id        ID
 	offeredAt time.Time
+	dueBy     time.Time // by which it has to start without an extension; its place in the order
 	startBy   time.Time // after which it is refused
 
 	// The place of the entry in the order, set by Queue.sort.
@@ -74,10 +75,10 @@
 	return 0
 }
 
-// agedAt returns when the entry becomes more urgent by a number of steps: one after half of its
-// time limit, another one after half of what is left, and so on.
+// agedAt returns when the entry becomes more urgent by a number of steps: one after half of the
+// time limit that it has without an extension, another one after half of what is left, and so on.
 func (w *waiting) agedAt(steps int) time.Time {
-	return w.startBy.Add(-w.startBy.Sub(w.offeredAt) >> steps)
+	return w.dueBy.Add(-w.dueBy.Sub(w.offeredAt) >> steps)
 }
 
 // byAccount orders entries by priority, account, and the time at which they must start.
@@ -98,7 +99,7 @@
 }
 
 func byStart(a, b *waiting) int {
-	return cmp.Or(a.startBy.Compare(b.startBy), cmp.Compare(a.id, b.id))
+	return cmp.Or(a.dueBy.Compare(b.dueBy), cmp.Compare(a.id, b.id))
 }
 
 // byTag orders entries by their tags.
--- a/internal/request/scheduler/queue.go
+++ b/internal/request/scheduler/queue.go
@@ -134,20 +134,29 @@
 // prompt goes before them; the caller must refuse them.
 func (q *Queue) Offer(e Entry, now time.Time) (Answer, []Removal) {
 	q.forgetGrants(now)
-	if e.startLimit() < 0 {
+	limit, extension := e.startLimit(), time.Duration(0)
+	if q.Extensions.Wait(e.paced(), now) == 0 {
+		extension = e.Prompt.Extension
+	}
+	if limit+extension < 0 {
 		return Answer{Backlog: q.backlog(e.level(), now), Decision: Refused, Retry: q.drain(e.level(), now)}, nil
 	}
 	if len(q.entries) == 0 && q.delay(q.PrefillSchedule, e.paced(), 0, now) <= 0 {
 		level, tokens := e.level(), e.tokens()
 		class := &q.classes[level]
 		class.serve(e.Account, class.tag(e.Account), tokens)
+		q.Extensions.Add(e.paced(), now)
 		q.send(&e, now)
 		return Answer{Backlog: q.PrefillSchedule.Backlog(now)}, nil
 	}
 	q.lastID++
 	id := q.lastID
-	q.entries = append(q.entries, &waiting{Entry: e, id: id, inTime: true, offeredAt: now, startBy: now.Add(e.startLimit())})
-	return q.decide(id, now)
+	q.entries = append(q.entries, &waiting{Entry: e, id: id, inTime: true, offeredAt: now, dueBy: now.Add(limit), startBy: now.Add(limit + extension)})
+	answer, displaced := q.decide(id, now)
+	if answer.Decision != Refused {
+		q.Extensions.Add(e.paced(), now)
+	}
+	return answer, displaced
 }
 
 // Remove removes an entry whose caller has left. It returns whether the entry was still
--- a/internal/request/scheduler/queue_test.go
+++ b/internal/request/scheduler/queue_test.go
@@ -271,3 +271,33 @@
 		})
 	}
 }
+
+// A stream that its caller takes up comes to a runner with more prompts ahead than a new request of its route may have.
+// Guards against refusing it, and against letting it go before the new requests that were admitted, or before more
+// urgent ones.
+func TestExtendedPromptKeepsItsPlace(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		extension time.Duration
+		want      []string
+	}{
+		{"new request", 0, []string{"urgent", "a", "b"}},
+		{"stream that is taken up", time.Second, []string{"urgent", "a", "b", "extended"}},
+		{"stream whose caller disconnects sooner", 5 * time.Millisecond, []string{"urgent", "a", "b"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := Queue{}
+			const prefill, limit = 80 * time.Millisecond, 300 * time.Millisecond
+			q.Offer(prompt("runs", 1, 2*prefill, time.Minute), start)
+			q.Offer(prompt("a", 1, prefill, limit), start)
+			q.Offer(prompt("b", 1, prefill, limit), start)
+			e := prompt("extended", 1, prefill, limit)
+			e.Prompt.Extension = tc.extension
+			q.Offer(e, start)
+			q.Offer(prompt("urgent", 0, 10*time.Millisecond, limit), start)
+			if diff := cmp.Diff(tc.want, drain(&q, start)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/upstream/tracker/candidate.go
+++ b/internal/upstream/tracker/candidate.go
@@ -17,6 +17,7 @@
 	Refused       map[string]bool // runners that have refused it for lack of capacity
 	LoadTime      time.Duration   // time to load an adapter from the weight store
 	ReloadTime    time.Duration   // time to load an adapter that the runner held before
+	InTime        bool            // it counts as in time however late its adapter is loaded
 	Ordered       bool            // the leaders and the runners serve more urgent requests first
 	Priority      int             // 0 is the most urgent
 	Service       string
@@ -83,7 +84,11 @@
 			c.UsualFactor = pace.usual
 		}
 		if d.Copy != (placer.Copy{}) {
-			s.setReadiness(&c, d, f.loadQueueWait[s.Domain], f.loadTimesIn(s.Domain, d), now)
+			queueWait := f.loadQueueWait[s.Domain].Last
+			if d.InTime {
+				queueWait = f.loadQueueWait[s.Domain].InTime
+			}
+			s.setReadiness(&c, d, queueWait, f.loadTimesIn(s.Domain, d), now)
 		}
 		c.Loading = c.Loading || !c.Resident && id == d.LoadingRunner
 		if !c.Resident && !c.Loading && f.leaderless[s.Domain] {
--- a/internal/upstream/tracker/fleet.go
+++ b/internal/upstream/tracker/fleet.go
@@ -23,7 +23,7 @@
 	idByName      map[string]string        // ID of the current incarnation by name
 	runners       map[string]*runnerState  // by ID
 	latencies     map[string]*latencyModel // by service
-	loadQueueWait map[string]time.Duration // by failure domain: time until a further load begins
+	loadQueueWait map[string]LoadQueueWait // by failure domain
 	leaderless    map[string]bool          // failure domains without a leader to order loads
 	loadTimes     map[string]LoadTimes     // by failure domain, as last reported
 	statements    map[string]*statements   // of runners, by ID
@@ -381,13 +381,19 @@
 	return ok && s.adapterSlotWait > 0
 }
 
+// A LoadQueueWait is the time until the load of a further adapter begins in a failure domain.
+type LoadQueueWait struct {
+	Last   time.Duration // of one that goes behind all others
+	InTime time.Duration // of one whose requests can still be served in time, which goes before those whose requests cannot
+}
+
 // SetLoadQueueWait records the time until the load of a further adapter begins in a failure
 // domain.
-func (f *Fleet) SetLoadQueueWait(domain string, d time.Duration) {
+func (f *Fleet) SetLoadQueueWait(domain string, d LoadQueueWait) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.loadQueueWait == nil {
-		f.loadQueueWait = make(map[string]time.Duration)
+		f.loadQueueWait = make(map[string]LoadQueueWait)
 	}
 	f.loadQueueWait[domain] = d
 }
