Test of streams that wait for a runner does not depend on the draw of Retry-After

A stream waits for a runner while half of the Retry-After of the refusal, which is drawn, is less than the time that its caller still waits: for 0.6 to 1.1 s here. The runner of the test came after 0.7 s; it comes after 0.4 s now, within any draw.

--- a/internal/request/forwarder/progress_test.go
+++ b/internal/request/forwarder/progress_test.go
@@ -57,9 +57,9 @@
 		{"until the deadline of its caller allows no adapter", func(r *forwarder.Request) { takeUp(r); r.Deadline = r.Arrived.Add(600 * time.Millisecond) }, adapter, 0, 400 * time.Millisecond, 0, judge.ReasonLoad},
 		{"for its adapter", func(r *forwarder.Request) { takeUp(r); r.Deadline = r.Arrived.Add(2100 * time.Millisecond) }, adapter, 0, 450 * time.Millisecond, 0, ""},
 		{"for its adapter, for too long", takeUp, adapter, 0, 2 * time.Second, 0, judge.ReasonLoad},
-		{"for a runner", takeUp, model, 0, 0, 700 * time.Millisecond, ""},
+		{"for a runner", takeUp, model, 0, 0, 400 * time.Millisecond, ""},
 		{"for a runner, for too long", takeUp, model, 0, 0, time.Hour, judge.ReasonUpstream},
-		{"new request without a runner", func(*forwarder.Request) {}, model, 0, 0, 700 * time.Millisecond, judge.ReasonUpstream},
+		{"new request without a runner", func(*forwarder.Request) {}, model, 0, 0, 400 * time.Millisecond, judge.ReasonUpstream},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
