All parts of a prompt that the header limit lets in count

Cause: sharedParts kept 32 parts, with IDs of up to 64 bytes. Behind it, a check of a crashed runner kept 512 suspects in the order of their arrival, and a ledger 4,096: with seven runs of 1,400 parts beside it the culprit was not named after three crashes in 5 of 10 plays.

Change: all parts but the last one count, as the limit on the header bounds them. A check keeps the runs that broke off with their parts; a ledger holds 32,768 crashes; sound parts, which never become suspects, are kept in two generations. Digests of parts take a third of the time and are compared only while a part is in quarantine.

Before: three new cases of TestPromptPartThatCrashesRunnersIsQuarantined (37th of 40, 1,300th of 1,400, an ID of 208 bytes) and TestCulpritIsNamedBesideLongPrompts fail.

--- a/internal/instance/gatekeeper/ahead_simulation_test.go
+++ b/internal/instance/gatekeeper/ahead_simulation_test.go
@@ -336,13 +336,15 @@
 // A noQuarantine suspects no request.
 type noQuarantine struct{}
 
-func (noQuarantine) Quarantined(quarantiner.Digest) (time.Duration, bool)       { return 0, false }
-func (noQuarantine) ReportBroken(quarantiner.Digest, tracker.Runner, time.Time) {}
-func (noQuarantine) ReportCompleted(quarantiner.Digest)                         {}
-func (noQuarantine) Down(string) bool                                           { return false }
-func (noQuarantine) Trial(quarantiner.Digest, []quarantiner.Digest) bool        { return false }
-func (noQuarantine) ReportSound([]quarantiner.Digest)                           {}
-func (noQuarantine) Suspects() bool                                             { return false }
+func (noQuarantine) Quarantined(quarantiner.Digest) (time.Duration, bool) { return 0, false }
+func (noQuarantine) ReportBroken(quarantiner.Digest, []quarantiner.Digest, tracker.Runner, time.Time) {
+}
+func (noQuarantine) QuarantinesParts() bool                              { return false }
+func (noQuarantine) ReportCompleted(quarantiner.Digest)                  {}
+func (noQuarantine) Down(string) bool                                    { return false }
+func (noQuarantine) Trial(quarantiner.Digest, []quarantiner.Digest) bool { return false }
+func (noQuarantine) ReportSound([]quarantiner.Digest)                    {}
+func (noQuarantine) Suspects() bool                                      { return false }
 
 // A lockedWriter writes the log of a simulation.
 type lockedWriter struct{ sim *loadSimulation }
--- a/internal/instance/gatekeeper/crash.go
+++ b/internal/instance/gatekeeper/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -29,9 +28,8 @@
 	// crashRetention is how long a crash is remembered for requests whose responses break off
 	// later than others because of packet loss.
 	crashRetention = 10 * time.Second
-	// maxCheckRequests bounds the requests that wait for the result of one check. A runner runs up
-	// to 64 at once, each of which counts with the parts of its prompt.
-	maxCheckRequests = 512
+	// maxCheckRuns bounds the runs that wait for the result of one check. A runner runs up to 64 at once.
+	maxCheckRuns = 512
 )
 
 // crashChecks finds out which runners have crashed. Its zero value is ready to use.
@@ -42,15 +40,17 @@
 
 // A crashCheck finds out whether a runner has crashed.
 type crashCheck struct {
-	started  time.Time                        // when the first response broke off there
-	crashed  bool                             // the runner has crashed; requests that break off there later are suspected at once
-	requests map[quarantiner.Digest]brokenRun // that broke off there
+	started time.Time   // when the first response broke off there
+	crashed bool        // the runner has crashed; requests that break off there later are suspected at once
+	runs    []brokenRun // that broke off there
 }
 
 // A brokenRun is the run of a request whose response broke off.
 type brokenRun struct {
-	sent time.Time
-	ran  time.Duration
+	digest quarantiner.Digest
+	parts  []quarantiner.Digest // of its prompt, as far as they may have crashed the runner
+	sent   time.Time
+	ran    time.Duration
 }
 
 // add records that the response to a request sent at the given time broke off at a runner.
@@ -59,7 +59,7 @@
 // Requests that were sent after the first response broke off are not suspected. A runner
 // that is down may appear to accept them, behind a proxy; requests that were sent to three
 // such runners before their rows were deleted were rejected permanently.
-func (c *crashChecks) add(runner string, d quarantiner.Digest, sent time.Time) (begin, crashed bool) {
+func (c *crashChecks) add(runner string, run brokenRun) (begin, crashed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -68,31 +68,32 @@
 	}
 	check, ok := c.byRunner[runner]
 	if !ok {
-		check = &crashCheck{started: now, requests: make(map[quarantiner.Digest]brokenRun)}
+		check = &crashCheck{started: now}
 		c.byRunner[runner] = check
 	}
-	if sent.After(check.started) {
+	if run.sent.After(check.started) {
 		return false, false
 	}
-	if len(check.requests) < maxCheckRequests {
-		check.requests[d] = brokenRun{sent, now.Sub(sent)}
+	if !check.crashed && len(check.runs) < maxCheckRuns {
+		check.runs = append(check.runs, run)
 	}
 	return !ok, check.crashed
 }
 
-// end ends a check and returns the requests that waited for it. A check that showed a crash
+// end ends a check and returns the runs that waited for it. A check that showed a crash
 // is kept for requests that break off late.
-func (c *crashChecks) end(runner string, crashed bool) map[quarantiner.Digest]brokenRun {
+func (c *crashChecks) end(runner string, crashed bool) []brokenRun {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	check := c.byRunner[runner]
-	check.crashed = crashed
+	runs := check.runs
+	check.crashed, check.runs = crashed, nil
 	if crashed {
 		time.AfterFunc(crashRetention, func() { c.forget(runner) })
 	} else {
 		delete(c.byRunner, runner)
 	}
-	return maps.Clone(check.requests)
+	return runs
 }
 
 // down reports whether a runner has crashed or is being checked.
@@ -113,14 +114,15 @@
 func (g *Gatekeeper) Down(runner string) bool { return g.crashes.down(runner) }
 
 // ReportBroken implements forwarder.Quarantine.
-func (g *Gatekeeper) ReportBroken(d quarantiner.Digest, runner tracker.Runner, sent time.Time) {
+func (g *Gatekeeper) ReportBroken(d quarantiner.Digest, parts []quarantiner.Digest, runner tracker.Runner, sent time.Time) {
 	if g.stopsGracefully(runner) {
 		return
 	}
-	begin, crashed := g.crashes.add(runner.ID, d, sent)
+	run := brokenRun{d, parts, sent, time.Since(sent)}
+	begin, crashed := g.crashes.add(runner.ID, run)
 	switch {
 	case crashed:
-		g.suspect(runner.ID, map[quarantiner.Digest]brokenRun{d: {sent, time.Since(sent)}})
+		g.suspect(runner.ID, []brokenRun{run})
 	case begin:
 		go g.checkRunner(runner)
 	}
@@ -138,11 +140,11 @@
 	began := time.Now()
 	result := g.probeLiveness(runner)
 	crashed := (result == tracker.Refuses || result == tracker.Replaced) && !g.Fleet.Leaving(runner.ID)
-	requests := g.crashes.end(runner.ID, crashed)
+	runs := g.crashes.end(runner.ID, crashed)
 	g.Recorder.Log(recorder.Suspect, "msg", "runner checked", "runner", runner.ID, "life", result, "crashed", crashed,
-		"requests", len(requests), "took", time.Since(began))
+		"requests", len(runs), "took", time.Since(began))
 	if crashed {
-		g.suspect(runner.ID, requests)
+		g.suspect(runner.ID, runs)
 	}
 }
 
--- a/internal/instance/gatekeeper/crash_test.go
+++ b/internal/instance/gatekeeper/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -66,7 +67,7 @@
 				if tc.before != nil {
 					tc.before(g, r)
 				}
-				g.ReportBroken("d", r, time.Now())
+				g.ReportBroken("d", nil, r, time.Now())
 				if tc.after != nil {
 					tc.after(g, r)
 				}
@@ -94,11 +95,11 @@
 		sent := time.Now()
 		time.Sleep(time.Second)
 		for n := range 20 {
-			g.ReportBroken(quarantiner.Digest(rune('a'+n)), r, sent)
+			g.ReportBroken(quarantiner.Digest(rune('a'+n)), nil, r, sent)
 		}
 		time.Sleep(time.Second)
-		g.ReportBroken("late", r, sent)
-		g.ReportBroken("sent after the crash", r, time.Now())
+		g.ReportBroken("late", nil, r, sent)
+		g.ReportBroken("sent after the crash", nil, r, time.Now())
 		synctest.Wait()
 		if got := len(g.quarantine.ledger.Cases()); got != 21 {
 			t.Errorf("%d requests suspected, want 21", got)
@@ -111,8 +112,29 @@
 }
 
 // broken returns the run of a request that has just broken off.
-func broken(d quarantiner.Digest, ran time.Duration) map[quarantiner.Digest]brokenRun {
-	return map[quarantiner.Digest]brokenRun{d: {sent: time.Now().Add(-ran), ran: ran}}
+func broken(d quarantiner.Digest, ran time.Duration) []brokenRun {
+	return []brokenRun{{digest: d, sent: time.Now().Add(-ran), ran: ran}}
+}
+
+// Guards against a bad part that is not suspected as the other runs that broke off with it have as many parts as
+// a header holds.
+func TestCheckKeepsAllPartsOfItsRuns(t *testing.T) {
+	const runs, parts = 64, 1400
+	bad := quarantiner.DigestOfPart("llm", "bad")
+	var checks crashChecks
+	sent := time.Now()
+	for run := range runs {
+		var digests []quarantiner.Digest
+		for part := range parts {
+			digests = append(digests, quarantiner.DigestOfPart("llm", fmt.Sprint(run, part)))
+		}
+		checks.add("i-1", brokenRun{digest: quarantiner.Digest(fmt.Sprint(run)), parts: digests, sent: sent})
+	}
+	checks.add("i-1", brokenRun{digest: "d", parts: []quarantiner.Digest{bad}, sent: sent})
+	kept := checks.end("i-1", true)
+	if len(kept) != runs+1 || !slices.Contains(kept[runs].parts, bad) {
+		t.Errorf("%d runs are kept, want %d", len(kept), runs+1)
+	}
 }
 
 // Guards against requests that are quarantined as they were sent to runners that had crashed before:
@@ -143,7 +165,7 @@
 					g.applyCrashReports([]quarantiner.CrashReport{{Digest: "culprit", Runner: r.ID, Age: reported - crashed}}, "front-2")
 				})
 				time.Sleep(tc.broken)
-				g.ReportBroken("d", r, began.Add(tc.sent))
+				g.ReportBroken("d", nil, r, began.Add(tc.sent))
 				time.Sleep(time.Second)
 				suspected := slices.ContainsFunc(g.quarantine.ledger.Cases(), func(c quarantiner.Case) bool { return c.Digest == "d" })
 				if diff := cmp.Diff(tc.want, suspected); diff != "" {
--- a/internal/instance/gatekeeper/quarantine.go
+++ b/internal/instance/gatekeeper/quarantine.go
@@ -27,6 +27,7 @@
 type quarantine struct {
 	ledger    quarantiner.Ledger
 	soundness quarantiner.Soundness // of parts of prompts, as this instance has seen it
+	clearedTo int                   // sequence number of the ledger up to which clearSound has seen it
 
 	mu           sync.Mutex
 	lastReport   time.Time                        // when a new crash report was last recorded
@@ -97,15 +98,21 @@
 }
 
 // clearSound clears the parts of prompts that this instance has seen to be sound: another one has
-// reported that runners crashed under them.
+// reported since the last call that runners crashed under them.
 func (g *Gatekeeper) clearSound() {
-	for _, c := range g.quarantine.ledger.Cases() {
-		if c.Digest.IsPart() && g.quarantine.soundness.Sound(c.Digest, c.Last) {
-			g.clear(c.Digest)
+	q, now := &g.quarantine, time.Now()
+	reports, next := q.ledger.Since(q.clearedTo, now)
+	q.clearedTo = next
+	for _, r := range reports {
+		if !r.Cleared && r.Digest.IsPart() && q.soundness.Sound(r.Digest, now.Add(-r.Age)) {
+			g.clear(r.Digest)
 		}
 	}
 }
 
+// QuarantinesParts implements forwarder.Quarantine.
+func (g *Gatekeeper) QuarantinesParts() bool { return g.quarantine.ledger.QuarantinesParts() }
+
 // clear clears a request or a part of a prompt of its crashes so far.
 func (g *Gatekeeper) clear(d quarantiner.Digest) {
 	reports := g.quarantine.ledger.Clear(d, time.Now())
@@ -117,22 +124,27 @@
 	g.recordOwn(reports)
 }
 
-// suspect records that a runner crashed while it ran the given requests. Those that were sent after
-// another instance saw it crash are not suspected: the runner was down.
-func (g *Gatekeeper) suspect(runner string, requests map[quarantiner.Digest]brokenRun) {
+// suspect records that a runner crashed during the given runs: their requests are suspected, and the parts of
+// their prompts that are not known to be sound. Those that were sent after another instance saw it
+// crash are not suspected: the runner was down.
+func (g *Gatekeeper) suspect(runner string, runs []brokenRun) {
 	now := time.Now()
 	crashedAt, known := g.quarantine.ledger.CrashedAt(runner)
 	known = known && now.Sub(crashedAt) < crashRetention
-	reports := make([]quarantiner.CrashReport, 0, len(requests))
-	for d, run := range requests {
+	var reports []quarantiner.CrashReport
+	for _, run := range runs {
 		if known && run.sent.After(crashedAt) {
-			g.Recorder.Log(recorder.Suspect, "msg", "sent to a crashed runner; not suspected", "digest", d, "runner", runner, "late", run.sent.Sub(crashedAt))
+			g.Recorder.Log(recorder.Suspect, "msg", "sent to a crashed runner; not suspected", "digest", run.digest, "runner", runner, "late", run.sent.Sub(crashedAt))
 			continue
 		}
-		if d.IsPart() && g.quarantine.soundness.Sound(d, now) {
-			continue
+		report := quarantiner.CrashReport{Digest: run.digest, Runner: runner, Age: now.Sub(run.sent.Add(run.ran)), RunTime: run.ran}
+		reports = append(reports, report)
+		for _, part := range run.parts {
+			if !g.quarantine.soundness.Sound(part, now) {
+				report.Digest = part
+				reports = append(reports, report)
+			}
 		}
-		reports = append(reports, quarantiner.CrashReport{Digest: d, Runner: runner, Age: now.Sub(run.sent.Add(run.ran)), RunTime: run.ran})
 	}
 	added := g.quarantine.ledger.Apply(reports, now)
 	for _, r := range added {
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -104,7 +104,8 @@
 	sound       []quarantiner.Digest
 }
 
-func (*quarantine) Suspects() bool { return true }
+func (*quarantine) Suspects() bool         { return true }
+func (*quarantine) QuarantinesParts() bool { return true }
 func (q *quarantine) Quarantined(d quarantiner.Digest) (time.Duration, bool) {
 	if d.IsPart() {
 		return time.Minute, d == q.badPart
@@ -112,13 +113,10 @@
 	return time.Minute, q.quarantined != nil && q.quarantined()
 }
 
-func (q *quarantine) ReportBroken(d quarantiner.Digest, r tracker.Runner, _ time.Time) {
+func (q *quarantine) ReportBroken(_ quarantiner.Digest, parts []quarantiner.Digest, r tracker.Runner, _ time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if d.IsPart() {
-		q.brokenParts = append(q.brokenParts, d)
-		return
-	}
+	q.brokenParts = append(q.brokenParts, parts...)
 	q.broken = append(q.broken, r.ID)
 }
 
--- a/internal/request/forwarder/quarantine.go
+++ b/internal/request/forwarder/quarantine.go
@@ -15,14 +15,18 @@
 	Suspects() bool
 	// Quarantined reports whether a request is quarantined, and for how much longer.
 	Quarantined(d quarantiner.Digest) (left time.Duration, quarantined bool)
+	// QuarantinesParts reports whether a part of a prompt is quarantined. If none is, no digests of parts are
+	// needed.
+	QuarantinesParts() bool
 	// Trial reports whether a request with the given parts may run although one of them is quarantined:
 	// the crashes do not tell that part from others, which this request does not have.
 	Trial(quarantined quarantiner.Digest, parts []quarantiner.Digest) bool
 	// Down reports whether a runner has crashed, or is checked for that as connections to it broke.
 	Down(runner string) bool
 	// ReportBroken reports that a connection broke on which a request had been sent to a
-	// runner, and when it was sent. The Quarantine determines whether the runner crashed.
-	ReportBroken(d quarantiner.Digest, runner tracker.Runner, sent time.Time)
+	// runner, and when it was sent. The Quarantine determines whether the runner crashed. The parts are
+	// those of the prompt that may have crashed it.
+	ReportBroken(d quarantiner.Digest, parts []quarantiner.Digest, runner tracker.Runner, sent time.Time)
 	// ReportCompleted reports that a runner completed a request.
 	ReportCompleted(d quarantiner.Digest)
 	// ReportSound reports that a run has written its response for so long that no part of its prompt
@@ -40,6 +44,9 @@
 	if left, quarantined := x.Quarantine.Quarantined(x.digest()); quarantined {
 		return judge.Refuse(judge.ReasonQuarantine, "the runners that ran this request crashed").WithRetryAfter(left)
 	}
+	if !x.Quarantine.QuarantinesParts() {
+		return nil
+	}
 	for _, part := range x.parts() {
 		left, quarantined := x.Quarantine.Quarantined(part)
 		if quarantined && part != x.trialOf && x.Quarantine.Trial(part, x.parts()) {
@@ -65,6 +72,7 @@
 // computed once.
 func (x *exchange) parts() []quarantiner.Digest {
 	if x.cachedParts == nil && len(x.request.Parts) > 0 {
+		x.cachedParts = make([]quarantiner.Digest, 0, len(x.request.Parts))
 		for _, part := range x.request.Parts {
 			x.cachedParts = append(x.cachedParts, quarantiner.DigestOfPart(x.request.Service, part))
 		}
@@ -85,12 +93,11 @@
 	if err.Verdict == judge.NotRun {
 		return
 	}
-	x.Quarantine.ReportBroken(x.digest(), runner, x.sentAt)
+	var parts []quarantiner.Digest
 	if x.writesSince.IsZero() || time.Since(x.writesSince) < quarantiner.SoundAfter {
-		for _, part := range x.parts() {
-			x.Quarantine.ReportBroken(part, runner, x.sentAt)
-		}
+		parts = x.parts()
 	}
+	x.Quarantine.ReportBroken(x.digest(), parts, runner, x.sentAt)
 }
 
 // reportCompleted reports that a runner completed the request.
--- a/internal/request/quarantiner/digest_test.go
+++ b/internal/request/quarantiner/digest_test.go
@@ -12,6 +12,11 @@
 	// Output: 3ec448017a487a4222edb28ce265cdf1
 }
 
+func ExampleDigestOfPart() {
+	fmt.Println(quarantiner.DigestOfPart("llm", "a1"))
+	// Output: part-175441af82235e90862992edef98c18c
+}
+
 // Guards against requests that share a digest although they differ in one part, or only in
 // where a part ends: if one crashes runners, the other would be rejected too.
 func TestDifferentRequestsHaveDifferentDigests(t *testing.T) {
--- a/internal/request/quarantiner/evaluate.go
+++ b/internal/request/quarantiner/evaluate.go
@@ -31,6 +31,8 @@
 func (l *Ledger) evaluate() {
 	l.quarantined = make(map[Digest]time.Time)
 	l.suspectCount.Store(int64(len(l.suspects)))
+	quarantinesParts := false
+	defer func() { l.quarantinesParts.Store(quarantinesParts) }()
 	explained := make(map[string]bool) // runners whose crash is attributed to a quarantined request
 	for _, c := range l.candidates() {
 		s := l.suspects[c.digest]
@@ -39,8 +41,9 @@
 			continue
 		}
 		l.quarantined[c.digest] = last.Add(quarantineTime(crashes))
-		for runner, e := range s.crashes {
-			explained[runner] = explained[runner] || !e.cleared
+		quarantinesParts = quarantinesParts || c.digest.IsPart()
+		for _, e := range s.crashes {
+			explained[e.runner] = explained[e.runner] || !e.cleared
 		}
 	}
 }
@@ -84,7 +87,10 @@
 	return firstQuarantine << trials
 }
 
-// enforceLimit evicts requests until the ledger is within its limit: first those that are
+// evictedPart is the part of its limit that a ledger evicts together: the order takes a sort.
+const evictedPart = 1. / 16
+
+// enforceLimit evicts requests once the ledger is over its limit: first those that are
 // cleared, then those with the fewest crashes, the oldest of them first. A caller with many
 // different requests that crash runners cannot evict a quarantined request, which has three
 // crashes.
@@ -110,7 +116,7 @@
 		return s.lastCrash().Compare(t.lastCrash())
 	})
 	for _, d := range evictionOrder {
-		if l.crashes <= limit {
+		if l.crashes <= limit-int(evictedPart*float64(limit)) {
 			return
 		}
 		l.drop(d)
--- a/internal/request/quarantiner/ledger.go
+++ b/internal/request/quarantiner/ledger.go
@@ -17,7 +17,8 @@
 	crashes     int                  // of all suspects
 	seq         int                  // sequence number of the last change
 
-	suspectCount atomic.Int64 // number of suspects, read without the lock; 0 most of the time
+	suspectCount     atomic.Int64 // number of suspects, read without the lock; 0 most of the time
+	quarantinesParts atomic.Bool  // a part of a prompt has been quarantined and not released, read without the lock
 }
 
 const (
@@ -31,28 +32,40 @@
 	// and after maxTrials of them the request is quarantined for as long as it is remembered.
 	firstQuarantine = 10 * time.Minute
 	maxTrials       = 3
-	// defaultLimit bounds the size of a ledger to about a megabyte.
-	defaultLimit = 4096
+	// defaultLimit bounds the size of a ledger to some megabytes. One crash under a prompt of the greatest length has
+	// some 1,400 suspects.
+	defaultLimit = 1 << 15
 )
 
 // A suspect is a request that was running when runners crashed.
 type suspect struct {
-	crashes map[string]*entry // by runner
+	crashes []entry // one for each runner; mostly one
 }
 
 // An entry is one crash.
 type entry struct {
+	runner  string
 	at      time.Time
 	runTime time.Duration
 	cleared bool
 	seq     int // sequence number of its last change
 }
 
+// find returns the crash of a runner, or nil.
+func (s *suspect) find(runner string) *entry {
+	for i := range s.crashes {
+		if s.crashes[i].runner == runner {
+			return &s.crashes[i]
+		}
+	}
+	return nil
+}
+
 // uncleared returns the number of crashes that are not cleared, except those of some runners,
 // and the time of the last of them.
 func (s *suspect) uncleared(except map[string]bool) (crashes int, last time.Time) {
-	for runner, e := range s.crashes {
-		if e.cleared || except[runner] {
+	for _, e := range s.crashes {
+		if e.cleared || except[e.runner] {
 			continue
 		}
 		crashes++
@@ -108,16 +121,16 @@
 	}
 	s, ok := l.suspects[r.Digest]
 	if !ok {
-		s = &suspect{crashes: make(map[string]*entry)}
+		s = &suspect{}
 		l.suspects[r.Digest] = s
 	}
-	e, ok := s.crashes[r.Runner]
-	if ok && (e.cleared || !r.Cleared && r.RunTime >= e.runTime) {
+	e := s.find(r.Runner)
+	if e != nil && (e.cleared || !r.Cleared && r.RunTime >= e.runTime) {
 		return false
 	}
-	if !ok {
-		e = &entry{at: now.Add(-max(0, r.Age)), runTime: r.RunTime}
-		s.crashes[r.Runner] = e
+	if e == nil {
+		s.crashes = append(s.crashes, entry{runner: r.Runner, at: now.Add(-max(0, r.Age)), runTime: r.RunTime})
+		e = &s.crashes[len(s.crashes)-1]
 		l.crashes++
 	}
 	l.seq++
@@ -150,9 +163,9 @@
 		return nil
 	}
 	var reports []CrashReport
-	for runner, e := range s.crashes {
+	for _, e := range s.crashes {
 		if !e.cleared {
-			reports = append(reports, e.report(d, runner, now))
+			reports = append(reports, e.report(d, now))
 		}
 	}
 	return reports
@@ -166,15 +179,15 @@
 	if !ok {
 		return CrashReport{}, false
 	}
-	e, ok := s.crashes[c.Runner]
-	if !ok {
+	e := s.find(c.Runner)
+	if e == nil {
 		return CrashReport{}, false
 	}
-	return e.report(c.Digest, c.Runner, now), true
+	return e.report(c.Digest, now), true
 }
 
-func (e *entry) report(d Digest, runner string, now time.Time) CrashReport {
-	return CrashReport{Digest: d, Runner: runner, Age: now.Sub(e.at).Round(time.Millisecond), RunTime: e.runTime, Cleared: e.cleared}
+func (e *entry) report(d Digest, now time.Time) CrashReport {
+	return CrashReport{Digest: d, Runner: e.runner, Age: now.Sub(e.at).Round(time.Millisecond), RunTime: e.runTime, Cleared: e.cleared}
 }
 
 // CrashedAt returns when a runner crashed, by the earliest report; ok is false if there is none.
@@ -182,7 +195,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.suspects {
-		if e, crashed := s.crashes[runner]; crashed && (!ok || e.at.Before(at)) {
+		if e := s.find(runner); e != nil && (!ok || e.at.Before(at)) {
 			at, ok = e.at, true
 		}
 	}
@@ -200,6 +213,9 @@
 	return end.Sub(now), quarantined && now.Before(end)
 }
 
+// QuarantinesParts reports whether a part of a prompt may be in quarantine.
+func (l *Ledger) QuarantinesParts() bool { return l.quarantinesParts.Load() }
+
 // Rivals returns the other parts of prompts that were in runs at all crashes of a part: the crashes do
 // not tell which of them is the cause.
 func (l *Ledger) Rivals(d Digest) (rivals []Digest) {
@@ -219,8 +235,8 @@
 
 // isCoveredBy reports whether all crashes of a suspect that are not cleared are such of another one.
 func (s *suspect) isCoveredBy(other *suspect) bool {
-	for runner, e := range s.crashes {
-		if o, ok := other.crashes[runner]; !e.cleared && (!ok || o.cleared) {
+	for _, e := range s.crashes {
+		if o := other.find(e.runner); !e.cleared && (o == nil || o.cleared) {
 			return false
 		}
 	}
@@ -239,9 +255,9 @@
 		return nil, after
 	}
 	for d, s := range l.suspects {
-		for runner, e := range s.crashes {
+		for _, e := range s.crashes {
 			if e.seq > after {
-				reports = append(reports, e.report(d, runner, now))
+				reports = append(reports, e.report(d, now))
 			}
 		}
 	}
@@ -260,8 +276,8 @@
 		if now.Sub(s.lastCrash()) < Retention {
 			continue
 		}
-		for runner := range s.crashes {
-			old = append(old, Crash{d, runner})
+		for _, e := range s.crashes {
+			old = append(old, Crash{d, e.runner})
 		}
 		l.drop(d)
 	}
--- a/internal/request/quarantiner/ledger_test.go
+++ b/internal/request/quarantiner/ledger_test.go
@@ -242,3 +242,26 @@
 		}
 	})
 }
+
+// Guards against a culprit that is dropped before its next crash, as the runs beside it have as many parts as a header
+// holds.
+func TestCulpritIsNamedBesideLongPrompts(t *testing.T) {
+	const runs, parts = 7, 1400
+	for play := range 10 {
+		var l quarantiner.Ledger
+		culprit := quarantiner.DigestOfPart("llm", fmt.Sprint("bad", play))
+		now := start
+		for crash := range 3 {
+			runner := fmt.Sprint("i-", crash)
+			reports := crashReports(culprit, runner)
+			for n := range runs * parts {
+				reports = append(reports, crashReports(quarantiner.Digest(fmt.Sprint("part-", crash, "/", n)), runner)...)
+			}
+			l.Apply(reports, now)
+			now = now.Add(2 * time.Second)
+		}
+		if _, named := l.Quarantined(culprit, now); !named {
+			t.Errorf("play %d: not quarantined after three crashes", play)
+		}
+	}
+}
--- a/internal/request/quarantiner/part.go
+++ b/internal/request/quarantiner/part.go
@@ -1,6 +1,11 @@
 package quarantiner
 
-import "strings"
+import (
+	"encoding/hex"
+	"strings"
+
+	"github.com/sardinetiller/sardinetiller/internal/request/hasher"
+)
 
 // partPrefix starts the digests of parts of prompts.
 const partPrefix = "part-"
@@ -8,7 +13,11 @@
 // DigestOfPart returns the digest of a part of a prompt, which requests of a service share. The
 // account does not count: the part crashes runners whoever sends it.
 func DigestOfPart(service, part string) Digest {
-	return partPrefix + DigestOf(service, "", part, nil)
+	sum := hasher.Of(service, "", part, "")
+	var digest [len(partPrefix) + 2*hasher.Size]byte
+	copy(digest[:], partPrefix)
+	hex.Encode(digest[len(partPrefix):], sum[:])
+	return Digest(digest[:])
 }
 
 // IsPart reports whether a digest is that of a part of a prompt.
--- a/internal/request/quarantiner/part_simulation_test.go
+++ b/internal/request/quarantiner/part_simulation_test.go
@@ -28,22 +28,26 @@
 	unrelated float64       // crashes a second for other reasons
 	history   time.Duration // of sound traffic before the first bad request
 	later     time.Duration // after which sound traffic begins in place of before
+	own       int           // parts of each prompt that no other one has
 }
 
 var partShapes = []partShape{
-	{"recorded day", 9, 9, 95, 15, 0.5, 3, 1, 1, 0, 10 * time.Second, 0},
-	{"first of two", 4, 8, 40, 20, 0, 2, 0, 1, 0, 10 * time.Second, 0},
-	{"second of five, few runners", 4, 6, 40, 20, 0.05, 5, 1, 1, 0, 10 * time.Second, 0},
-	{"fourth of five", 9, 16, 100, 10, 1, 5, 3, 1, 0, 10 * time.Second, 0},
-	{"two bad parts", 9, 16, 100, 10, 0.3, 3, 1, 2, 0, 10 * time.Second, 0},
-	{"rare bad requests", 9, 16, 100, 0.5, 0.5, 3, 1, 1, 0, 10 * time.Second, 0},
-	{"unrelated crashes beside", 9, 16, 100, 10, 0.5, 3, 1, 1, 1, 10 * time.Second, 0},
-	{"unrelated crashes only", 9, 16, 100, 0, 0.5, 3, 1, 0, 2, 10 * time.Second, 0},
-	{"many instances", 60, 100, 500, 20, 0.01, 3, 1, 1, 0.5, 10 * time.Second, 0},
-	{"after a restart of all instances", 9, 16, 100, 15, 0.5, 3, 1, 1, 0, 0, 0},
-	{"after a restart of all instances, few runners", 4, 6, 40, 20, 1, 3, 1, 1, 0, 0, 0},
-	{"bad requests first", 9, 16, 100, 20, 0.5, 3, 1, 1, 0, 0, 3 * time.Second},
-	{"bad requests first, the first part is bad", 9, 16, 100, 20, 0.5, 3, 0, 1, 0, 0, 3 * time.Second},
+	{"recorded day", 9, 9, 95, 15, 0.5, 3, 1, 1, 0, 10 * time.Second, 0, 0},
+	{"first of two", 4, 8, 40, 20, 0, 2, 0, 1, 0, 10 * time.Second, 0, 0},
+	{"second of five, few runners", 4, 6, 40, 20, 0.05, 5, 1, 1, 0, 10 * time.Second, 0, 0},
+	{"fourth of five", 9, 16, 100, 10, 1, 5, 3, 1, 0, 10 * time.Second, 0, 0},
+	{"two bad parts", 9, 16, 100, 10, 0.3, 3, 1, 2, 0, 10 * time.Second, 0, 0},
+	{"rare bad requests", 9, 16, 100, 0.5, 0.5, 3, 1, 1, 0, 10 * time.Second, 0, 0},
+	{"unrelated crashes beside", 9, 16, 100, 10, 0.5, 3, 1, 1, 1, 10 * time.Second, 0, 0},
+	{"unrelated crashes only", 9, 16, 100, 0, 0.5, 3, 1, 0, 2, 10 * time.Second, 0, 0},
+	{"many instances", 60, 100, 500, 20, 0.01, 3, 1, 1, 0.5, 10 * time.Second, 0, 0},
+	{"after a restart of all instances", 9, 16, 100, 15, 0.5, 3, 1, 1, 0, 0, 0, 0},
+	{"after a restart of all instances, few runners", 4, 6, 40, 20, 1, 3, 1, 1, 0, 0, 0, 0},
+	{"bad requests first", 9, 16, 100, 20, 0.5, 3, 1, 1, 0, 0, 3 * time.Second, 0},
+	{"bad requests first, the first part is bad", 9, 16, 100, 20, 0.5, 3, 0, 1, 0, 0, 3 * time.Second, 0},
+	{"late part of a long prompt", 4, 8, 40, 2, 1, 40, 36, 1, 0, 10 * time.Second, 0, 0},
+	{"late part of the longest prompt", 4, 8, 10, 5, 1, 1400, 1300, 1, 0, 4 * time.Second, 0, 0},
+	{"longest prompts of parts that none shares", 3, 6, 6, 4, 1, 3, 1, 1, 0, 4 * time.Second, 0, 1396},
 }
 
 const (
@@ -183,6 +187,9 @@
 		}
 		parts = append(parts, quarantiner.DigestOfPart("llm", name))
 	}
+	for n := range p.own {
+		parts = append(parts, quarantiner.Digest(fmt.Sprint("part-own", p.serial, "/", n)))
+	}
 	return parts
 }
 
--- a/internal/request/quarantiner/soundness.go
+++ b/internal/request/quarantiner/soundness.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -11,42 +13,38 @@
 	SoundAfter = 500 * time.Millisecond
 	// soundMemory is how long a part counts as sound after its last sound run.
 	soundMemory = 30 * time.Second
-	// soundLimit bounds the parts that are remembered.
-	soundLimit = 1 << 14
+	// soundLimit bounds the parts in a generation. A prompt has up to some thousand.
+	soundLimit = 1 << 16
 )
 
 // A Soundness holds the parts of prompts that runs with them have shown to be sound. Most requests
 // of a service share the first part, so that it is in most of the runs that break off when a runner
-// crashes; counts of crashes alone would quarantine it first. Its zero value is ready; it is safe
-// for concurrent use.
+// crashes; counts of crashes alone would quarantine it first.
+//
+// It keeps two generations and drops the older one when the newer one is full or old, so that it is
+// bounded by parts that are observed once, and those that requests share are observed again in time. Its
+// zero value is ready; it is safe for concurrent use.
 type Soundness struct {
-	mu      sync.Mutex
-	soundAt map[Digest]time.Time
+	mu       sync.Mutex
+	began    time.Time              // of the current generation
+	current  map[partHash]time.Time // when each part was last sound
+	previous map[partHash]time.Time
 }
 
+// A partHash identifies a part among those of a few minutes.
+type partHash uint64
+
+func hashOfPart(d Digest) partHash { return partHash(xxhash.Sum64String(string(d))) }
+
 // Observe records that a run has shown parts to be sound.
 func (s *Soundness) Observe(parts []Digest, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.soundAt == nil {
-		s.soundAt = make(map[Digest]time.Time)
+	if s.current == nil || now.Sub(s.began) >= soundMemory || len(s.current)+len(parts) > soundLimit {
+		s.previous, s.current, s.began = s.current, make(map[partHash]time.Time), now
 	}
 	for _, d := range parts {
-		s.soundAt[d] = now
-	}
-	if len(s.soundAt) <= soundLimit {
-		return
-	}
-	for d, at := range s.soundAt {
-		if now.Sub(at) >= soundMemory {
-			delete(s.soundAt, d)
-		}
-	}
-	for d := range s.soundAt {
-		if len(s.soundAt) <= soundLimit {
-			return
-		}
-		delete(s.soundAt, d) // any one: it is observed again with its next sound run
+		s.current[hashOfPart(d)] = now
 	}
 }
 
@@ -54,6 +52,10 @@
 func (s *Soundness) Sound(d Digest, crash time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at, known := s.soundAt[d]
+	hash := hashOfPart(d)
+	at, known := s.current[hash]
+	if !known {
+		at, known = s.previous[hash]
+	}
 	return known && crash.Sub(at) < soundMemory
 }
