A quarantined part may be tried by requests that lack one of its rivals

Callers would see: where bad requests come before any sound one, as after a restart of all instances, a part that all of them share may be held. Nobody has reported it; the simulation of parts, played with long prompts, showed it.

Cause: a trial was for requests without any rival of the held part. A sound request lacks the bad part only and has all others, so that no trial took place.

Change: a request may try a held part if it lacks one of its rivals. A bad request lacks none, as rivals were in all crashes. The simulation lets a short sound run clear its parts: its end and its being sound came at one moment, in either order.

--- a/internal/instance/gatekeeper/quarantine.go
+++ b/internal/instance/gatekeeper/quarantine.go
@@ -1,7 +1,6 @@
 package gatekeeper
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -67,10 +66,6 @@
 // Trial implements forwarder.Quarantine. Of all instances only the first holder of the part tries it,
 // one request at a time.
 func (g *Gatekeeper) Trial(quarantined quarantiner.Digest, parts []quarantiner.Digest) bool {
-	rivals := g.quarantine.ledger.Rivals(quarantined)
-	if len(rivals) == 0 || slices.ContainsFunc(rivals, func(d quarantiner.Digest) bool { return slices.Contains(parts, d) }) {
-		return false
-	}
 	if !g.streams.isFirstHolder(resumer.KeyOf("", "", string(quarantined)), g.Config.ID) {
 		return false
 	}
@@ -81,11 +76,14 @@
 	if now.Sub(q.trials[quarantined]) < trialInterval {
 		return false
 	}
+	if !q.ledger.Discriminates(quarantined, parts) {
+		return false
+	}
 	if q.trials == nil {
 		q.trials = make(map[quarantiner.Digest]time.Time)
 	}
 	q.trials[quarantined] = now
-	g.Recorder.Log(recorder.Suspect, "msg", "trial of a quarantined part", "digest", quarantined, "rivals", len(rivals))
+	g.Recorder.Log(recorder.Suspect, "msg", "trial of a quarantined part", "digest", quarantined)
 	return true
 }
 
--- a/internal/instance/gatekeeper/quarantine_part_test.go
+++ b/internal/instance/gatekeeper/quarantine_part_test.go
@@ -64,6 +64,8 @@
 	}{
 		{"a rival, which the request does not have", crashesUnder(3, first, second), []quarantiner.Digest{first, other}, true},
 		{"a rival, which the request has", crashesUnder(3, first, second), []quarantiner.Digest{first, second}, false},
+		{"several rivals, of which the request lacks one", crashesUnder(3, first, second, other), []quarantiner.Digest{first, second}, true},
+		{"several rivals, which the request has", crashesUnder(3, first, second, other), []quarantiner.Digest{first, second, other}, false},
 		{"no rival", crashesUnder(3, first), []quarantiner.Digest{first, other}, false},
 		{"a rival with fewer crashes", append(crashesUnder(4, first), crashesUnder(3, second)...), []quarantiner.Digest{first, other}, false},
 	} {
--- a/internal/request/quarantiner/ledger.go
+++ b/internal/request/quarantiner/ledger.go
@@ -216,21 +216,26 @@
 // QuarantinesParts reports whether a part of a prompt may be in quarantine.
 func (l *Ledger) QuarantinesParts() bool { return l.quarantinesParts.Load() }
 
-// Rivals returns the other parts of prompts that were in runs at all crashes of a part: the crashes do
-// not tell which of them is the cause.
-func (l *Ledger) Rivals(d Digest) (rivals []Digest) {
+// Discriminates reports whether a run with the given parts of a prompt tells a quarantined one of them from a rival: another
+// part that was in runs at all of its crashes, and that the run lacks. A sound run clears all parts that it has, and after a
+// crash the other part is a rival no more.
+func (l *Ledger) Discriminates(quarantined Digest, parts []Digest) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s, ok := l.suspects[d]
+	s, ok := l.suspects[quarantined]
 	if !ok {
-		return nil
+		return false
+	}
+	has := make(map[Digest]bool, len(parts))
+	for _, d := range parts {
+		has[d] = true
 	}
 	for other, t := range l.suspects {
-		if other != d && other.IsPart() && s.isCoveredBy(t) {
-			rivals = append(rivals, other)
+		if other.IsPart() && !has[other] && s.isCoveredBy(t) {
+			return true
 		}
 	}
-	return rivals
+	return false
 }
 
 // isCoveredBy reports whether all crashes of a suspect that are not cleared are such of another one.
--- a/internal/request/quarantiner/part_simulation_test.go
+++ b/internal/request/quarantiner/part_simulation_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -46,6 +45,9 @@
 	{"bad requests first", 9, 16, 100, 20, 0.5, 3, 1, 1, 0, 0, 3 * time.Second, 0},
 	{"bad requests first, the first part is bad", 9, 16, 100, 20, 0.5, 3, 0, 1, 0, 0, 3 * time.Second, 0},
 	{"late part of a long prompt", 4, 8, 40, 2, 1, 40, 36, 1, 0, 10 * time.Second, 0, 0},
+	{"late part of a long prompt, bad requests first", 9, 16, 100, 20, 1, 40, 36, 1, 0, 0, 3 * time.Second, 0},
+	{"late part of a long prompt, bad requests first, few instances", 4, 8, 40, 10, 0.5, 12, 8, 1, 0, 0, 3 * time.Second, 0},
+	{"two late parts of long prompts, bad requests first", 9, 16, 100, 10, 1, 20, 15, 2, 0, 0, 3 * time.Second, 0},
 	{"late part of the longest prompt", 4, 8, 10, 5, 1, 1400, 1300, 1, 0, 4 * time.Second, 0, 0},
 	{"longest prompts of parts that none shares", 3, 6, 6, 4, 1, 3, 1, 1, 0, 4 * time.Second, 0, 1396},
 }
@@ -238,9 +240,7 @@
 
 // tries reports whether a request may run as a trial of a quarantined part.
 func (p *partPlay) tries(run *simRun, d quarantiner.Digest) bool {
-	rivals := run.node.ledger.Rivals(d)
-	shared := slices.ContainsFunc(rivals, func(r quarantiner.Digest) bool { return slices.Contains(run.parts, r) })
-	if run.node != p.nodes[0] || len(rivals) == 0 || shared || p.now < p.nextTrial {
+	if run.node != p.nodes[0] || p.now < p.nextTrial || !run.node.ledger.Discriminates(d, run.parts) {
 		return false
 	}
 	p.nextTrial = p.now + simTrialInterval
@@ -263,15 +263,23 @@
 		return
 	}
 	length := 100*time.Millisecond + time.Duration(p.rng.ExpFloat64()*float64(time.Second))
-	p.after(min(length, quarantiner.SoundAfter), func() {
-		if !run.ended {
-			run.node.soundness.Observe(run.parts, p.clock())
-			for _, d := range run.parts {
-				p.tell(run.node, run.node.ledger.Clear(d, p.clock()))
-			}
+	sound := func() {
+		run.node.soundness.Observe(run.parts, p.clock())
+		for _, d := range run.parts {
+			p.tell(run.node, run.node.ledger.Clear(d, p.clock()))
 		}
-	})
+	}
+	if length > quarantiner.SoundAfter {
+		p.after(quarantiner.SoundAfter, func() {
+			if !run.ended {
+				sound()
+			}
+		})
+	}
 	p.after(length, func() {
+		if !run.ended && length <= quarantiner.SoundAfter {
+			sound()
+		}
 		run.ended = true
 		delete(r.runs, run)
 	})
