Nothing is fresh after a suspension of the host

Callers would see: an instance is suspended for some seconds while runners of a second version join; a stream that began on them through another instance is taken up there as it wakes up, and goes on at the old version.

Cause: knowledge of the runners counts as fresh for 0.8 s by the runtime's clock, which stands still while the host is suspended.

Change: suspensionMeter compares the runtime's clock with one that keeps running. New cases: several releases, the old version leaving meanwhile, an instance and a failure domain, cut off and standing still.

--- a/internal/instance/gatekeeper/gatekeeper.go
+++ b/internal/instance/gatekeeper/gatekeeper.go
@@ -119,6 +119,7 @@
 	directory     directory
 	bound         shedder.Bound // of the requests in progress
 	streams       streams
+	suspension    suspensionMeter
 	streamRows    streamRowReader
 	storedStreams storedStreams
 	versions      versionRows
@@ -137,6 +138,7 @@
 // Run serves until ctx ends, then stops gracefully.
 func (g *Gatekeeper) Run(ctx context.Context) error {
 	g.init()
+	g.suspension.uptime = uptime
 	g.setViews()
 	g.callers = g.newCallerServer()
 	g.registerAgeGauges()
--- a/internal/instance/gatekeeper/streams.go
+++ b/internal/instance/gatekeeper/streams.go
@@ -331,5 +331,5 @@
 // by calls of this instance or by what others publish.
 func (g *Gatekeeper) runnersCurrent() bool {
 	at, ok := g.runners.asOf()
-	return ok && time.Since(at) < freshFor+freshTimeout
+	return ok && time.Since(at) < freshFor+freshTimeout && !g.suspension.since(at)
 }
--- a/internal/instance/gatekeeper/streams_random_test.go
+++ b/internal/instance/gatekeeper/streams_random_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -31,6 +32,7 @@
 	mu       sync.Mutex
 	running  map[string]*Gatekeeper // by address; nil while an instance is down
 	cutOff   map[string]bool        // addresses that reach each other only
+	thawed   map[string]bool        // addresses that were cut off before
 	messages atomic.Int64
 	bytes    atomic.Int64
 	latest   time.Duration // largest time that Find has taken
@@ -277,6 +279,8 @@
 	cutOff     string // "instance" or "domain": it reaches nobody else and takes the streams up
 	storeAway  bool
 	newVersion bool // known where nothing is cut off
+	releases   int  // further versions that come there one after the other, in place of those before
+	thaws      bool // what was cut off stood still, and is in touch again as it takes the streams up
 	restart    bool // the instance that failed starts again
 	restartAll bool
 	served     float64 // smallest share of the streams that have to go on, over all sites
@@ -291,6 +295,11 @@
 	{name: "an instance is cut off while a second version comes", cutOff: "instance", newVersion: true},
 	{name: "a failure domain is cut off", cutOff: "domain"},
 	{name: "a failure domain is cut off while a second version comes", cutOff: "domain", newVersion: true},
+	{name: "an instance stands still while a second version comes", cutOff: "instance", newVersion: true, thaws: true},
+	{name: "an instance stands still during three releases", cutOff: "instance", releases: 3, thaws: true},
+	{name: "an instance is cut off during three releases", cutOff: "instance", releases: 3},
+	{name: "a failure domain stands still during three releases", cutOff: "domain", releases: 3, thaws: true},
+	{name: "a failure domain is cut off during a release that begins before", cutOff: "domain", newVersion: true, releases: 2},
 	{name: "a second version comes and an instance restarts", newVersion: true, restart: true, served: 1},
 }
 
@@ -356,22 +365,36 @@
 		}
 	}
 	time.Sleep(1500 * time.Millisecond)
-	if rng.IntN(2) == 0 {
+	if rng.IntN(2) == 0 && !f.thaws { // one that stands still drops nobody
 		s.dropSilent()
 	}
 	at := inTouch[rng.IntN(len(inTouch))]
-	var streams []begunStream
-	for n := range 20 {
-		b := begunStream{request: forwarder.Request{ID: fmt.Sprint("q", n), Service: "llm", Deadline: time.Now().Add(12 * time.Second)}, at: at, version: versions[rng.IntN(len(versions))]}
-		s.net.at(at).Began(&b.request, b.version)
-		streams = append(streams, b)
+	streams := s.beginAt(at, versions, rng)
+	for n := range f.releases {
+		next := fmt.Sprint("v", n+3)
+		for _, id := range inTouch {
+			addStreamRunner(s.net.at(id), next)
+			for _, version := range versions {
+				s.net.at(id).Fleet.Remove("i-"+version, 2)
+			}
+		}
+		versions = []string{next}
+		time.Sleep(400 * time.Millisecond)
+		streams = append(streams, s.beginAt(at, versions, rng)...)
 	}
 	time.Sleep(100 * time.Millisecond)
+	if f.thaws {
+		s.thaw()
+	}
 	s.fail(f, at)
-	if !f.storeAway {
+	if !f.storeAway && !f.thaws {
 		s.readStore()
 	}
-	takers := slices.DeleteFunc(s.side(f.cutOff != ""), func(id string) bool { return s.net.at(id) == nil || id == at && !f.restartAll })
+	out := s.side(f.cutOff != "")
+	if f.thaws {
+		out = slices.Sorted(maps.Keys(s.net.thawed))
+	}
+	takers := slices.DeleteFunc(out, func(id string) bool { return s.net.at(id) == nil || id == at && !f.restartAll })
 	for _, b := range streams {
 		goesOn, wrong := s.takeUp(b, takers[rng.IntN(len(takers))])
 		total++
@@ -385,6 +408,35 @@
 	return total, served, mixed
 }
 
+// thaw brings instances in touch again that were suspended while they were cut off: by their clocks they have read the
+// store a moment ago.
+func (s *streamSite) thaw() {
+	s.readStore()
+	s.net.mu.Lock()
+	defer s.net.mu.Unlock()
+	s.net.thawed, s.net.cutOff = s.net.cutOff, make(map[string]bool)
+	for id := range s.net.thawed {
+		g, suspended := s.net.running[id], time.Duration(0)
+		began := time.Now()
+		g.suspension.uptime = func() time.Duration { return time.Since(began) + suspended }
+		g.runners.recordCall(nil, 1, began)
+		_ = g.suspension.since(began)
+		time.Sleep(100 * time.Millisecond)
+		suspended = 3 * time.Second
+	}
+}
+
+// beginAt begins streams at an instance, at one of some versions each.
+func (s *streamSite) beginAt(at string, versions []string, rng *rand.Rand) (streams []begunStream) {
+	for n := range 20 {
+		version := versions[rng.IntN(len(versions))]
+		b := begunStream{request: forwarder.Request{ID: fmt.Sprint("q", version, n), Service: "llm", Deadline: time.Now().Add(12 * time.Second)}, at: at, version: version}
+		s.net.at(at).Began(&b.request, b.version)
+		streams = append(streams, b)
+	}
+	return streams
+}
+
 // fail kills the instance that began streams, or all of them.
 func (s *streamSite) fail(f streamFault, at string) {
 	switch {
--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -142,7 +142,7 @@
 // requests to runners that have left since.
 func (g *Gatekeeper) runnersFresh() bool {
 	at, ok := g.runners.ownAsOf()
-	return ok && time.Since(at) < freshFor
+	return ok && time.Since(at) < freshFor && !g.suspension.since(at)
 }
 
 // freshFor is the maximum age of a leader's knowledge of the runners for them to be published
