Rows of other writers have a bound of their own in the log

Operators would see: with a thousand rows in the runners' table that no runner can have written, the lines on the view of an instance (leases, members, runners that come and go) were missing from the log. Found by a test for a report of other systems: one odd entry among those of the runners, after which machines ended or stopped following the list.

Cause: each such row is logged at each read of the table, under the bound of 50 lines a second that all changes of the view share.

Evidence: TestOddRowsAreSkipped with 1,200 rows; in 4 of its 17 cases the line with the number of members of an instance that starts did not come in 20 s. With a kind of its own (5 lines a second) all pass.

The report itself: 17 odd values (nesting of 60,000 in JSON and CBOR, numbers beyond any type, ports out of range, long and broken ones) in the tables of runners, leaders, versions and the operator, by the thousand, and under the key of a runner that serves: instances start, follow the runners and the configuration, and use the runner again once it has written its row. The store takes 64 KB a row.

--- a/internal/instance/gatekeeper/watch.go
+++ b/internal/instance/gatekeeper/watch.go
@@ -189,7 +189,7 @@
 // Such a row adds no runner, and every other row is valid.
 func (g *Gatekeeper) recordForeignRow(key string, err error) {
 	g.Metrics.GetOrCreateCounter("sardinetiller_foreign_rows_total").Inc()
-	g.Recorder.Log(recorder.View, "msg", "row in the runners' table is not a runner; skipped", "row", key, "err", err)
+	g.Recorder.Log(recorder.Foreign, "msg", "row in the runners' table is not a runner; skipped", "row", key, "err", err)
 }
 
 // applyRunnerTable applies the whole table as of a version: runners that are not in it, and
--- a/internal/wire/recorder/recorder.go
+++ b/internal/wire/recorder/recorder.go
@@ -23,6 +23,7 @@
 	View      Kind = "belief"    // a change in this process's view of the system
 	Detour    Kind = "detour"    // a request that is sent to a peer, as this instance reaches no runner
 	Config    Kind = "config"    // a configuration version that was put in force
+	Foreign   Kind = "foreign"   // a row of another writer that is skipped; a table may hold thousands
 	Failed    Kind = "failed"    // a request that did not receive a complete response
 	Lifecycle Kind = "lifecycle" // start, stop, reload, a dependency lost or restored
 	Order     Kind = "order"     // an order to a runner
@@ -35,7 +36,7 @@
 // rateLimits limits the lines per second of each kind. At about 250 bytes a line
 // their sum stays below 125 KB/s, while up to 100 failures a second are logged.
 var rateLimits = map[Kind]float64{
-	Admission: 30, Ahead: 20, Completed: 20, View: 50, Config: 20, Detour: 20, Failed: 100, Lifecycle: 50, Order: 100, Panic: 5, Resumed: 50, Retry: 50, Suspect: 50,
+	Admission: 30, Ahead: 20, Completed: 20, View: 50, Config: 20, Detour: 20, Failed: 100, Foreign: 5, Lifecycle: 50, Order: 100, Panic: 5, Resumed: 50, Retry: 50, Suspect: 50,
 }
 
 // queueSize is how many lines are buffered while the log reader is slow.
