--- a/internal/request/quarantiner/soundness.go
+++ b/internal/request/quarantiner/soundness.go
@@ -13,7 +13,7 @@
 	SoundAfter = 500 * time.Millisecond
 	// soundMemory is how long a part counts as sound after its last sound run.
 	soundMemory = 30 * time.Second
-	// soundLimit bounds the parts in a generation. A prompt has up to some thousand.
+	// soundLimit bounds the parts in a generation. A prompt has up to some 1,400.
 	soundLimit = 1 << 16
 )
 
